Set down the shape: life spans, core types, versions and requests

Cause: a new repository needs its folders, id types, states and failures before any part is built. Change: request/ and version/ hold the decisions and know no socket and no codec.

--- /dev/null
+++ b/src/masticgate/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m masticgate``."""
+
+from .process.commands import main
+
+main()
--- /dev/null
+++ b/src/masticgate/_failures.py
@@ -0,0 +1,86 @@
+"""Failures as values: what did not happen, why, at which step and at which peer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Step(Enum):
+    """The step of a request at which a failure arose."""
+
+    READ = "read"
+    ADMISSION = "admission"
+    PIN = "pin"
+    ROUTE = "route"
+    FORWARD = "forward"
+    QUEUE = "queue"
+    CONNECT = "connect"
+    SEND = "send"
+    UPSTREAM = "upstream"
+    MERGE = "merge"
+    TICKET = "ticket"
+
+
+class Reason(Enum):
+    """Why something failed."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    NO_CONFIGURATION = "no_configuration"
+    NO_SNAPSHOT = "no_snapshot"
+    DEPARTMENT_LEFT = "department_left"
+    DEADLINE = "deadline"
+    OVERLOAD = "overload"
+    SHUTTING_DOWN = "shutting_down"
+    NO_OWNER = "no_owner"
+    NO_SEARCHER = "no_searcher"
+    OWNER_LOST = "owner_lost"
+    OWNER_SILENT = "owner_silent"
+    SEARCHER_DRAINING = "searcher_draining"
+    SEARCHER_SHED = "searcher_shed"
+    SEARCHER_REFUSED = "searcher_refused"
+    SEARCHER_LOST = "searcher_lost"
+    SEARCHER_ERROR = "searcher_error"
+    VERSION_GONE = "version_gone"
+    WRONG_VERSION = "wrong_version"
+    CANCELLED = "cancelled"
+    COVERAGE = "coverage"
+    TICKET_UNKNOWN = "ticket_unknown"
+    TICKET_EXPIRED = "ticket_expired"
+    TICKET_IN_USE = "ticket_in_use"
+    MINTER_LOST = "minter_lost"
+    PLATFORM = "platform"
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The work did not run, and will not."""
+
+    reason: Reason
+    step: Step
+    peer: str = ""
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The work may or may not have run; nobody here can know."""
+
+    reason: Reason
+    step: Step
+    peer: str = ""
+    detail: str = ""
+
+
+Failure = NotRun | Unknown
+
+
+def describe(failure: Failure) -> str:
+    """Return one line that a person can read."""
+    outcome = "not run" if isinstance(failure, NotRun) else "unknown"
+    parts = [f"{outcome}: {failure.reason.value} at {failure.step.value}"]
+    if failure.peer:
+        parts.append(f"of {failure.peer}")
+    if failure.detail:
+        parts.append(f"({failure.detail})")
+    return " ".join(parts)
--- /dev/null
+++ b/src/masticgate/_version.py
@@ -0,0 +1,3 @@
+"""The release."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/src/masticgate/request/_booking.py
@@ -0,0 +1,165 @@
+"""Runs one booking at most once, by the ticket that a host minted for it."""
+
+from collections.abc import Sequence
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+from dataclasses import dataclass
+from queue import Empty
+from typing import Protocol
+
+from .._clock import seconds_until
+from .._failures import NotRun, Reason, Step, Unknown
+from .._ids import HostId, Incarnation, Millis, QueryId, ServiceId, TicketId
+from .._ranks import Rank
+from ._messages import Book, BookingOutcome, BookReply, Cancel, Forward, ForwardReply, Ran
+from ._tier import Inbox, Tier
+
+ANSWER_RESERVE = Millis(5.0)
+"""Kept back from the deadline for the answer's way to the caller."""
+
+CANCEL_WAIT = Millis(50.0)
+"""How long an owner may take to confirm that a cancelled booking did not run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Booking:
+    """A caller's booking or work order; it is not idempotent.
+
+    ``host`` and ``incarnation`` name the minter of the ticket.
+    """
+
+    id: QueryId
+    ticket: TicketId
+    host: HostId
+    incarnation: Incarnation
+    service: ServiceId
+    rank: Rank
+    deadline: Millis
+    payload: str
+
+
+class Tickets(Protocol):
+    """The tickets that this incarnation minted."""
+
+    def begin(self, booking: Booking) -> "Attempt | Future[BookingOutcome] | NotRun | Unknown":
+        """Start an attempt, join the one that runs, or say why neither can be."""
+        ...
+
+    def settle(self, attempt: "Attempt", outcome: BookingOutcome) -> None:
+        """Record the outcome of ``attempt`` and tell all that joined it."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """The right to send a booking once."""
+
+    ticket: TicketId
+    number: int
+
+
+def run_booking(booking: Booking, tickets: Tickets, tier: Tier) -> BookingOutcome:
+    """Run ``booking``, at most once for its ticket, and return what became of it.
+
+    ``NotRun`` is returned only where the booking did not run and will not under this attempt.
+    """
+    if not tier.is_own_ticket(booking.ticket):
+        return _forward(booking, tier)
+    begun = tickets.begin(booking)
+    match begun:
+        case NotRun() | Unknown():
+            return begun
+        case Future():
+            return _join(booking, begun, tier)
+        case Attempt():
+            outcome = _send_once(booking, begun, tier)
+            tickets.settle(begun, outcome)
+            return outcome
+
+
+def _join(booking: Booking, running: "Future[BookingOutcome]", tier: Tier) -> BookingOutcome:
+    try:
+        return running.result(timeout=seconds_until(booking.deadline, tier.clock))
+    except FutureTimeout:
+        return Unknown(Reason.DEADLINE, Step.TICKET)
+
+
+def _forward(booking: Booking, tier: Tier) -> BookingOutcome:
+    """Ask the minter; an earlier try may have run there, so its loss leaves it unknown."""
+    inbox = Inbox()
+    message = Forward(
+        booking.id,
+        booking.incarnation,
+        booking.ticket,
+        booking.service,
+        booking.rank,
+        _remaining(booking, tier),
+        booking.payload,
+    )
+    lost = Unknown(Reason.MINTER_LOST, Step.FORWARD, peer=booking.host)
+    if tier.send(booking.host, message, inbox) is not None:
+        return lost
+    reply = _await_reply(inbox, booking.deadline, tier)
+    tier.forget(booking.id)
+    return reply if reply is not None else lost
+
+
+def _send_once(booking: Booking, attempt: Attempt, tier: Tier) -> BookingOutcome:
+    configuration = tier.configuration()
+    service = configuration.services.get(booking.service) if configuration else None
+    if configuration is None or service is None or not service.bookings:
+        return NotRun(Reason.UNKNOWN_SERVICE, Step.ROUTE, peer=booking.service)
+    if configuration.is_leaving(service):
+        return NotRun(Reason.DEPARTMENT_LEFT, Step.ROUTE, peer=booking.service)
+    return _send_to_owner(booking, attempt, tier.owners(booking.service), tier)
+
+
+def _send_to_owner(
+    booking: Booking, attempt: Attempt, owners: Sequence[HostId], tier: Tier
+) -> BookingOutcome:
+    """Send to the first owner that takes the message; after that nobody else is asked."""
+    inbox = Inbox()
+    for owner in owners:
+        if tier.clock.now() >= booking.deadline - ANSWER_RESERVE:
+            return NotRun(Reason.DEADLINE, Step.ROUTE, peer=booking.service)
+        message = Book(
+            booking.id,
+            booking.ticket,
+            attempt.number,
+            booking.service,
+            booking.rank,
+            _remaining(booking, tier),
+            booking.payload,
+        )
+        if tier.send(owner, message, inbox) is None:
+            return _await_owner(booking, owner, inbox, tier)
+    return NotRun(Reason.NO_OWNER, Step.ROUTE, peer=booking.service)
+
+
+def _await_owner(booking: Booking, owner: HostId, inbox: Inbox, tier: Tier) -> BookingOutcome:
+    stop = Millis(booking.deadline - ANSWER_RESERVE - CANCEL_WAIT)
+    outcome = _await_reply(inbox, stop, tier)
+    if outcome is None:
+        tier.send(owner, Cancel(booking.id), None)
+        outcome = _await_reply(inbox, Millis(booking.deadline - ANSWER_RESERVE), tier)
+    tier.forget(booking.id)
+    return outcome or Unknown(Reason.DEADLINE, Step.FORWARD, peer=owner)
+
+
+def _await_reply(inbox: Inbox, until: Millis, tier: Tier) -> BookingOutcome | None:
+    try:
+        delivery = inbox.get(timeout=seconds_until(until, tier.clock))
+    except Empty:
+        return None
+    match delivery.message:
+        case BookReply(outcome=outcome) | ForwardReply(outcome=outcome):
+            return outcome
+        case _:
+            return None
+
+
+def _remaining(booking: Booking, tier: Tier) -> Millis:
+    return Millis(booking.deadline - ANSWER_RESERVE - tier.clock.now())
+
+
+__all__ = ["Attempt", "Booking", "BookingOutcome", "Ran", "Tickets", "run_booking"]
--- /dev/null
+++ b/src/masticgate/request/_search.py
@@ -0,0 +1,195 @@
+"""Runs one search: admission, snapshot, fan-out, collection, merge."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from queue import Empty
+
+from .._clock import seconds_until
+from .._failures import Failure, NotRun, Reason, Step, Unknown
+from .._ids import HostId, Millis, QueryId, ServiceId, SnapshotVersion
+from .._ranks import Rank
+from ..version import Scope, Snapshot, expand_services
+from ._merge import Answer, Merge
+from ._messages import Ask, Cancel, Delivery, Hits, Reply, ServicePart, VersionGone
+from ._tier import Inbox, Tier
+
+ANSWER_RESERVE = Millis(4.0)
+"""Kept back from the deadline for the merge and the answer's way to the caller."""
+
+SILENCE_CHECK = Millis(40.0)
+"""How often a waiting search looks for owners that have gone silent."""
+
+RESTART_MINIMUM = Millis(25.0)
+"""A search restarts on another snapshot only with at least this much time left."""
+
+MAX_OWNERS_TRIED = 3
+
+OWNER_FAILURES = frozenset(
+    {Reason.OWNER_LOST, Reason.OWNER_SILENT, Reason.NO_OWNER, Reason.SHUTTING_DOWN}
+)
+"""Failures of an owner, after which another host may be asked: a search is idempotent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A caller's search; ``deadline`` is a point on this host's monotonic clock."""
+
+    id: QueryId
+    rank: Rank
+    deadline: Millis
+    number: float
+    services: tuple[ServiceId, ...]
+    text: str
+    limit: int
+
+
+def run_search(query: Query, tier: Tier) -> Answer | NotRun:
+    """Run ``query`` and return its answer, or why it did not run.
+
+    The answer comes whole from one snapshot. Where the snapshot goes away meanwhile, the search
+    starts again whole on another while the deadline allows, else it answers with less coverage.
+    """
+    configuration = tier.configuration()
+    if configuration is None:
+        return NotRun(Reason.NO_CONFIGURATION, Step.PIN)
+    scope = expand_services(configuration, query.services)
+    if isinstance(scope, NotRun):
+        return scope
+    if tier.clock.now() >= query.deadline - ANSWER_RESERVE:
+        return NotRun(Reason.DEADLINE, Step.ADMISSION)
+    refusal = tier.admit(query.rank, query.number, scope)
+    if refusal is not None:
+        return refusal
+    return _search_snapshots(query, scope, tier)
+
+
+def _search_snapshots(query: Query, scope: Scope, tier: Tier) -> Answer | NotRun:
+    needed = [service.id for service in scope.remaining]
+    tried: frozenset[SnapshotVersion] = frozenset()
+    best: Answer | None = None
+    while True:
+        snapshot = tier.pin_snapshot(needed, tried)
+        if snapshot is None:
+            return best or NotRun(Reason.NO_SNAPSHOT, Step.PIN)
+        tried |= {snapshot.version}
+        attempt = _Attempt(query, scope, snapshot, len(tried), tier)
+        complete = attempt.run()
+        answer = attempt.merge.answer(query.id, query.rank, query.limit)
+        if best is None or answer.coverage > best.coverage:
+            best = answer
+        if complete or tier.clock.now() > query.deadline - RESTART_MINIMUM:
+            return best
+
+
+class _Attempt:
+    """One fan-out of a query at one snapshot."""
+
+    def __init__(
+        self, query: Query, scope: Scope, snapshot: Snapshot, number: int, tier: Tier
+    ) -> None:
+        self.query = query
+        self.id = QueryId(f"{query.id}.{number}")
+        self.tier = tier
+        self.snapshot = snapshot
+        self.merge = Merge(scope, snapshot)
+        self.inbox: Inbox = Inbox()
+        self.tried: dict[ServiceId, list[HostId]] = defaultdict(list)
+        self.gone = False
+
+    def run(self) -> bool:
+        """Ask, collect until done or late; return ``False`` where the snapshot was gone."""
+        stop = Millis(self.query.deadline - ANSWER_RESERVE)
+        self._ask(tuple(self.merge.waiting))
+        while self.merge.waiting and not self.gone:
+            now = self.tier.clock.now()
+            if now >= stop:
+                break
+            check = min(stop, Millis(now + SILENCE_CHECK))
+            try:
+                self._take(self.inbox.get(timeout=seconds_until(check, self.tier.clock)))
+            except Empty:
+                self._leave_silent_owners()
+        self._cancel_rest()
+        self.tier.forget(self.id)
+        return not self.gone
+
+    def _ask(self, services: Iterable[ServiceId]) -> None:
+        by_owner: dict[HostId, list[ServiceId]] = defaultdict(list)
+        for service in services:
+            owner = self._next_owner(service)
+            if owner is None:
+                self.merge.add_failure(service, self._out_of_owners(service))
+            else:
+                by_owner[owner].append(service)
+        for owner, asked in by_owner.items():
+            self._ask_owner(owner, asked)
+
+    def _ask_owner(self, owner: HostId, services: list[ServiceId]) -> None:
+        for service in services:
+            self.tried[service].append(owner)
+        parts = tuple(ServicePart(s, tuple(self.snapshot.shards_of(s))) for s in services)
+        query = self.query
+        remaining = Millis(query.deadline - ANSWER_RESERVE - self.tier.clock.now())
+        ask = Ask(
+            self.id,
+            query.rank,
+            remaining,
+            query.number,
+            self.snapshot.version,
+            query.text,
+            parts,
+        )
+        if self.tier.send(owner, ask, self.inbox) is not None:
+            self._ask(services)
+
+    def _next_owner(self, service: ServiceId) -> HostId | None:
+        tried = self.tried[service]
+        if len(tried) >= MAX_OWNERS_TRIED:
+            return None
+        return next((host for host in self.tier.owners(service) if host not in tried), None)
+
+    def _out_of_owners(self, service: ServiceId) -> Failure:
+        tried = self.tried[service]
+        if not tried:
+            return NotRun(Reason.NO_OWNER, Step.ROUTE, peer=service)
+        return Unknown(Reason.OWNER_LOST, Step.FORWARD, peer=tried[-1])
+
+    def _take(self, delivery: Delivery) -> None:
+        match delivery.message:
+            case Reply(service=service, result=Hits() as hits):
+                self.merge.add_hits(service, hits)
+            case Reply(service=service, result=VersionGone() as gone):
+                self.tier.note_gone(service, gone.snapshot, gone.held)
+                failure = NotRun(Reason.VERSION_GONE, Step.UPSTREAM, peer=service)
+                if service in self.merge.waiting:
+                    self.merge.add_failure(service, failure)
+                    self.gone = True
+            case Reply(service=service, result=NotRun() | Unknown() as failure):
+                self._take_failure(service, failure, delivery.source)
+
+    def _take_failure(self, service: ServiceId, failure: Failure, source: HostId) -> None:
+        if service not in self.merge.waiting or self.tried[service][-1] != source:
+            return
+        if failure.reason in OWNER_FAILURES and self._next_owner(service) is not None:
+            self._ask((service,))
+        else:
+            self.merge.add_failure(service, failure)
+
+    def _leave_silent_owners(self) -> None:
+        silent = [
+            service
+            for service in self.merge.waiting
+            if self.tier.is_silent(self.tried[service][-1]) and self._next_owner(service)
+        ]
+        self._ask(silent)
+
+    def _cancel_rest(self) -> None:
+        hosts = {host for service in self.merge.waiting for host in self.tried[service]}
+        for host in hosts:
+            self.tier.send(host, Cancel(self.id), None)
+        for service in tuple(self.merge.waiting):
+            owner = self.tried[service][-1]
+            silent = self.tier.is_silent(owner)
+            reason = Reason.OWNER_SILENT if silent else Reason.DEADLINE
+            self.merge.add_failure(service, Unknown(reason, Step.FORWARD, peer=owner))
--- /dev/null
+++ b/src/masticgate/request/_tier.py
@@ -0,0 +1,63 @@
+"""What a request needs of the process that runs it."""
+
+from collections.abc import Sequence
+from queue import SimpleQueue
+from typing import Protocol
+
+from .._clock import Clock
+from .._failures import NotRun
+from .._ids import HostId, QueryId, ServiceId, SnapshotVersion, TicketId
+from .._ranks import Rank
+from ..version import Configuration, Scope, Snapshot
+from ._messages import Ask, Book, Cancel, Delivery, Forward
+
+Inbox = SimpleQueue[Delivery]
+"""Where the replies to one request arrive, from any task."""
+
+
+class Tier(Protocol):
+    """The process around a request; it hides sockets, codecs and threads."""
+
+    clock: Clock
+
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, ``None`` before the first."""
+        ...
+
+    def pin_snapshot(
+        self, services: Sequence[ServiceId], tried: frozenset[SnapshotVersion]
+    ) -> Snapshot | None:
+        """Return the snapshot to search, none of ``tried``; ``None`` where there is no other."""
+        ...
+
+    def note_gone(
+        self, service: ServiceId, snapshot: SnapshotVersion, held: Sequence[SnapshotVersion]
+    ) -> None:
+        """Remember that ``service`` holds ``held`` and not ``snapshot``."""
+        ...
+
+    def admit(self, rank: Rank, number: float, scope: Scope) -> NotRun | None:
+        """Refuse a query that would not finish, or return ``None``."""
+        ...
+
+    def owners(self, service: ServiceId) -> Sequence[HostId]:
+        """Return the hosts to ask for ``service``, the owner first."""
+        ...
+
+    def send(
+        self, host: HostId, message: Ask | Book | Cancel | Forward, inbox: Inbox | None
+    ) -> NotRun | None:
+        """Send to ``host``; replies go to ``inbox``. ``NotRun`` means that nothing was sent."""
+        ...
+
+    def forget(self, query: QueryId) -> None:
+        """Drop replies to ``query`` from now on."""
+        ...
+
+    def is_silent(self, host: HostId) -> bool:
+        """Tell whether ``host`` has sent nothing for longer than a live host would."""
+        ...
+
+    def is_own_ticket(self, ticket: TicketId) -> bool:
+        """Tell whether this incarnation minted ``ticket``."""
+        ...
--- /dev/null
+++ b/src/masticgate/version/_graph.py
@@ -0,0 +1,73 @@
+"""The services that a search needs, and cycles among dependencies."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from .._failures import NotRun, Reason, Step
+from .._ids import ServiceId
+from ._configuration import Configuration, Service
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """The services of one search, each in its whole closure of dependencies.
+
+    ``needed`` counts in the coverage; ``left`` is the part of it whose department is leaving.
+    """
+
+    needed: tuple[Service, ...]
+    left: frozenset[ServiceId]
+
+    @property
+    def remaining(self) -> tuple[Service, ...]:
+        """The services that still receive work."""
+        return tuple(service for service in self.needed if service.id not in self.left)
+
+
+def expand_services(configuration: Configuration, names: Iterable[ServiceId]) -> Scope | NotRun:
+    """Return the closure of ``names``, or why the search cannot run.
+
+    Services without searchers of their own only group others and are not part of the scope.
+    """
+    seen: dict[ServiceId, Service] = {}
+    pending = list(names)
+    for name in pending:
+        service = configuration.services.get(name)
+        if service is None:
+            return NotRun(Reason.UNKNOWN_SERVICE, Step.ROUTE, peer=name)
+        if configuration.is_leaving(service):
+            return NotRun(Reason.DEPARTMENT_LEFT, Step.ROUTE, peer=name, detail=service.department)
+    while pending:
+        name = pending.pop()
+        if name in seen:
+            continue
+        seen[name] = configuration.services[name]
+        pending.extend(seen[name].depends_on)
+    needed = tuple(sorted((s for s in seen.values() if s.searchers), key=lambda s: s.id))
+    left = frozenset(s.id for s in needed if configuration.is_leaving(s))
+    return Scope(needed, left)
+
+
+def find_cycle(dependencies: Mapping[ServiceId, tuple[ServiceId, ...]]) -> list[ServiceId]:
+    """Return the services of one dependency cycle in order, or an empty list."""
+    finished: set[ServiceId] = set()
+    for root in dependencies:
+        path: list[ServiceId] = []
+        on_path: set[ServiceId] = set()
+        stack: list[tuple[ServiceId, bool]] = [(root, True)]
+        while stack:
+            service, entering = stack.pop()
+            if not entering:
+                path.pop()
+                on_path.discard(service)
+                finished.add(service)
+                continue
+            if service in on_path:
+                return path[path.index(service) :]
+            if service in finished:
+                continue
+            path.append(service)
+            on_path.add(service)
+            stack.append((service, False))
+            stack.extend((needed, True) for needed in dependencies.get(service, ()))
+    return []
--- /dev/null
+++ b/src/masticgate/version/_jsonc.py
@@ -0,0 +1,133 @@
+"""JSON with comments, with the position of every value kept for error messages."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import tree_sitter_json
+from tree_sitter import Language, Node, Parser
+
+LANGUAGE = Language(tree_sitter_json.language())
+MAX_DEPTH = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """A place in a text; line and column count from 1."""
+
+    line: int
+    column: int
+
+
+@dataclass(frozen=True, slots=True)
+class SyntaxProblem:
+    """A text that is not JSON with comments."""
+
+    position: Position
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A parsed text: its value, and the tree that finds a value's place."""
+
+    value: Any
+    root: Node
+
+    def locate(self, path: Sequence[str | int]) -> Position:
+        """Return the position of the value at ``path``, or of its nearest parent."""
+        node = _first_value(self.root)
+        for step in path:
+            child = _child_at(node, step)
+            if child is None:
+                break
+            node = child
+        return _position(node)
+
+
+def parse_document(text: str) -> Document | SyntaxProblem:
+    """Parse ``text``; comments are allowed, doubled keys and trailing commas are not."""
+    source = text.encode("utf-8", errors="replace")
+    root = Parser(LANGUAGE).parse(source).root_node
+    too_deep = _find_too_deep(root)
+    if too_deep is not None:
+        return SyntaxProblem(_position(too_deep), f"nested deeper than {MAX_DEPTH} levels")
+    try:
+        value = json.loads(_blank_comments(source, root))
+    except json.JSONDecodeError as error:
+        return SyntaxProblem(Position(error.lineno, error.colno), error.msg)
+    except (RecursionError, ValueError) as error:
+        return SyntaxProblem(Position(1, 1), str(error))
+    doubled = _find_doubled_key(root)
+    if doubled is not None:
+        return SyntaxProblem(_position(doubled), f"key {_text(doubled)} is given twice")
+    return Document(value, root)
+
+
+def _blank_comments(source: bytes, root: Node) -> str:
+    blanked = bytearray(source)
+    pending = [root]
+    while pending:
+        node = pending.pop()
+        if node.type == "comment":
+            for index in range(node.start_byte, node.end_byte):
+                if blanked[index] != ord("\n"):
+                    blanked[index] = ord(" ")
+        pending.extend(node.children)
+    return blanked.decode("utf-8", errors="replace")
+
+
+def _find_too_deep(root: Node) -> Node | None:
+    pending = [(root, 0)]
+    while pending:
+        node, depth = pending.pop()
+        if node.type in ("object", "array"):
+            depth += 1
+        if depth > MAX_DEPTH:
+            return node
+        pending.extend((child, depth) for child in node.children)
+    return None
+
+
+def _find_doubled_key(root: Node) -> Node | None:
+    pending = [root]
+    while pending:
+        node = pending.pop()
+        if node.type == "object":
+            keys: set[str] = set()
+            for pair in node.named_children:
+                key = pair.child_by_field_name("key")
+                if key is None:
+                    continue
+                if _text(key) in keys:
+                    return key
+                keys.add(_text(key))
+        pending.extend(node.named_children)
+    return None
+
+
+def _first_value(root: Node) -> Node:
+    for node in root.named_children:
+        if node.type != "comment":
+            return node
+    return root
+
+
+def _child_at(node: Node, step: str | int) -> Node | None:
+    if isinstance(step, int):
+        items = [child for child in node.named_children if child.type != "comment"]
+        return items[step] if 0 <= step < len(items) else None
+    for pair in node.named_children:
+        key = pair.child_by_field_name("key")
+        if key is not None and json.loads(_text(key)) == step:
+            return pair.child_by_field_name("value") or pair
+    return None
+
+
+def _position(node: Node) -> Position:
+    return Position(node.start_point.row + 1, node.start_point.column + 1)
+
+
+def _text(node: Node) -> str:
+    return (node.text or b"").decode("utf-8", errors="replace")
--- /dev/null
+++ b/src/masticgate/version/_placement.py
@@ -0,0 +1,69 @@
+"""Which host owns a service: rendezvous hashing in two levels.
+
+The first level gives each department a small group of hosts, so that a search of one department
+reaches few owners however many hosts there are; the second spreads its services over the group.
+"""
+
+from collections.abc import Iterable, Sequence
+from math import ceil
+
+import xxhash
+
+from .._ids import DepartmentId, HostId, ServiceId
+from ._configuration import Configuration, Searcher
+
+SERVICES_PER_OWNER = 4
+"""The number of services of one department that a host owns on average."""
+
+MIN_GROUP_HOSTS = 3
+MAX_OWNER_CANDIDATES = 8
+"""At most this many hosts share the connections of one searcher."""
+
+
+def group_size(services: int) -> int:
+    """Return the number of hosts that own a department of ``services`` services."""
+    return max(MIN_GROUP_HOSTS, ceil(services / SERVICES_PER_OWNER))
+
+
+def rank_hosts(key: str, hosts: Iterable[HostId]) -> list[HostId]:
+    """Return ``hosts`` by falling rendezvous weight for ``key``."""
+    return sorted(hosts, key=lambda host: (-_weight(key, host), host))
+
+
+def department_hosts(
+    department: DepartmentId, services: int, hosts: Iterable[HostId]
+) -> list[HostId]:
+    """Return the group of hosts that own the services of ``department``."""
+    return rank_hosts(f"department:{department}", hosts)[: group_size(services)]
+
+
+def service_connections(searcher: Searcher, listed_hosts: int) -> int:
+    """Return the connections that one owner may hold to ``searcher``.
+
+    One more than the slots hides the round trip. However many of the candidate owners believe
+    that they own the service, their sum stays within the searcher's limit.
+    """
+    candidates = max(1, min(listed_hosts, MAX_OWNER_CANDIDATES))
+    return max(1, min(searcher.slots + 1, searcher.connections // candidates))
+
+
+def _weight(key: str, host: HostId) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}|{host}".encode())
+
+
+def owner_table(
+    configuration: Configuration, hosts: Sequence[HostId]
+) -> dict[ServiceId, list[HostId]]:
+    """Return the ranked owners of every service that has searchers."""
+    counts: dict[DepartmentId, int] = {}
+    for service in configuration.services.values():
+        counts[service.department] = counts.get(service.department, 0) + 1
+    groups = {
+        department: department_hosts(department, count, hosts)
+        for department, count in counts.items()
+    }
+    return {
+        service.id: rank_hosts(f"service:{service.id}", groups[service.department])
+        for service in configuration.services.values()
+        if service.searchers
+    }
--- /dev/null
+++ b/src/masticgate/version/_schema.py
@@ -0,0 +1,63 @@
+"""The shape of the operators' text, checked by type."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9./_-]{0,79}$"
+ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+SUPPORTED_FORMAT = 1
+MAX_FLOOR_SUM = 0.9
+
+Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
+AddressText = Annotated[str, StringConstraints(pattern=ADDRESS_PATTERN)]
+DateText = Annotated[str, StringConstraints(pattern=r"^\d{4}-\d{2}-\d{2}$")]
+
+
+class StrictModel(BaseModel):
+    """Refuses unknown keys and converts nothing."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class FloorsText(StrictModel):
+    """The share of each service's work that a lower rank keeps in any flood."""
+
+    standard: float = Field(default=0.1, ge=0.0, le=0.5)
+    bulk: float = Field(default=0.1, ge=0.0, le=0.5)
+
+
+class DepartmentText(StrictModel):
+    """One department."""
+
+    leaving: bool = False
+    leaves_on: DateText | None = None
+
+
+class SearcherText(StrictModel):
+    """One searcher of a service."""
+
+    id: Name
+    address: AddressText
+    failure_domain: Name
+    slots: int = Field(ge=1, le=256)
+    connections: int = Field(ge=1, le=10_000)
+
+
+class ServiceText(StrictModel):
+    """One service and the services it depends on."""
+
+    department: Name
+    depends_on: list[Name] = Field(default=[], max_length=10_000)
+    searchers: list[SearcherText] = Field(default=[], max_length=64)
+    bookings: bool = False
+
+
+class ConfigurationText(StrictModel):
+    """The whole text."""
+
+    format: int
+    deployment: Name
+    floors: FloorsText = FloorsText()
+    departments: dict[Name, DepartmentText] = Field(min_length=1, max_length=10_000)
+    services: dict[Name, ServiceText] = Field(min_length=1, max_length=100_000)
--- /dev/null
+++ b/src/masticgate/version/_text.py
@@ -0,0 +1,149 @@
+"""Acceptance of the operators' text: a pure function of the text, the same on every host."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+from .._ids import Address, DepartmentId, FailureDomainId, Revision, SearcherId, ServiceId
+from .._ranks import Rank
+from ._configuration import Configuration, Department, Searcher, Service
+from ._graph import find_cycle
+from ._jsonc import Document, Position, SyntaxProblem, parse_document
+from ._schema import SUPPORTED_FORMAT, ConfigurationText, ServiceText
+
+MAX_TEXT_BYTES = 1_000_000
+
+Path = tuple[str | int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One reason to refuse a text, with its place."""
+
+    position: Position
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        place = f"line {self.position.line}, column {self.position.column}"
+        return f"{place}: {self.path or 'text'}: {self.message}"
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A text that may come into force."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A text that changes nothing."""
+
+    problems: tuple[Problem, ...]
+
+
+def accept_text(text: str, revision: Revision) -> Accepted | Refused:
+    """Check ``text`` and return its configuration, or every problem found."""
+    if len(text.encode("utf-8", errors="replace")) > MAX_TEXT_BYTES:
+        return Refused((Problem(Position(1, 1), "", f"longer than {MAX_TEXT_BYTES} bytes"),))
+    document = parse_document(text)
+    if isinstance(document, SyntaxProblem):
+        return Refused((Problem(document.position, "", document.message),))
+    try:
+        checked = ConfigurationText.model_validate(document.value)
+    except ValidationError as error:
+        return Refused(tuple(_schema_problems(document, error)))
+    problems = tuple(_problem(document, path, text) for path, text in _find_conflicts(checked))
+    if problems:
+        return Refused(problems)
+    return Accepted(_build(checked, revision, text))
+
+
+def _schema_problems(document: Document, error: ValidationError) -> Iterator[Problem]:
+    for item in error.errors(include_url=False, include_context=False):
+        path = tuple(step for step in item["loc"] if step != "[key]")
+        yield _problem(document, path, item["msg"])
+
+
+def _problem(document: Document, path: Path, message: str) -> Problem:
+    return Problem(document.locate(path), " > ".join(map(str, path)), message)
+
+
+def _find_conflicts(checked: ConfigurationText) -> Iterator[tuple[Path, str]]:
+    if checked.format != SUPPORTED_FORMAT:
+        yield ("format",), f"this release reads format {SUPPORTED_FORMAT}"
+    for name, service in checked.services.items():
+        yield from _find_service_conflicts(checked, name, service)
+    yield from _find_doubled_searchers(checked)
+    dependencies = {
+        ServiceId(name): tuple(map(ServiceId, service.depends_on))
+        for name, service in checked.services.items()
+    }
+    cycle = find_cycle(dependencies)
+    if cycle:
+        shown = " -> ".join([*cycle, cycle[0]])
+        yield ("services", cycle[0], "depends_on"), f"dependencies form a cycle: {shown}"
+
+
+def _find_service_conflicts(
+    checked: ConfigurationText, name: str, service: ServiceText
+) -> Iterator[tuple[Path, str]]:
+    if service.department not in checked.departments:
+        yield ("services", name, "department"), f"no department {service.department!r}"
+    for index, needed in enumerate(service.depends_on):
+        if needed not in checked.services:
+            place: Path = ("services", name, "depends_on", index)
+            yield place, f"service {name!r} depends on {needed!r}, which is not in the text"
+    if not service.searchers and not service.depends_on:
+        yield ("services", name), "has neither searchers nor dependencies"
+
+
+def _find_doubled_searchers(checked: ConfigurationText) -> Iterator[tuple[Path, str]]:
+    owners: dict[str, str] = {}
+    for name, service in checked.services.items():
+        for index, searcher in enumerate(service.searchers):
+            for key, value in (("id", searcher.id), ("address", searcher.address)):
+                other = owners.setdefault(f"{key} {value}", name)
+                if other != name or _stands_before(service, index, key, value):
+                    place: Path = ("services", name, "searchers", index, key)
+                    yield place, f"searcher {key} {value!r} is already used by {other!r}"
+
+
+def _stands_before(service: ServiceText, index: int, key: str, value: str) -> bool:
+    return any(getattr(searcher, key) == value for searcher in service.searchers[:index])
+
+
+def _build(checked: ConfigurationText, revision: Revision, text: str) -> Configuration:
+    departments = {
+        DepartmentId(name): Department(
+            DepartmentId(name), department.leaving, department.leaves_on or ""
+        )
+        for name, department in checked.departments.items()
+    }
+    services = {
+        ServiceId(name): _build_service(ServiceId(name), service)
+        for name, service in checked.services.items()
+    }
+    floors = {
+        Rank.URGENT: 0.0,
+        Rank.STANDARD: checked.floors.standard,
+        Rank.BULK: checked.floors.bulk,
+    }
+    return Configuration(revision, checked.deployment, floors, departments, services, text)
+
+
+def _build_service(name: ServiceId, service: ServiceText) -> Service:
+    searchers = tuple(
+        Searcher(
+            SearcherId(searcher.id),
+            Address(searcher.address),
+            FailureDomainId(searcher.failure_domain),
+            searcher.slots,
+            searcher.connections,
+        )
+        for searcher in service.searchers
+    )
+    depends_on = tuple(map(ServiceId, service.depends_on))
+    return Service(name, DepartmentId(service.department), depends_on, searchers, service.bookings)
