--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, and their checker."""
--- /dev/null
+++ b/src/masticgate/connection/_caller_server.py
@@ -0,0 +1,230 @@
+"""One task for each caller's connection: HTTP/1.1 with keep-alive."""
+
+import socket
+from concurrent.futures import Executor
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler
+from io import BytesIO
+from threading import Condition
+from typing import Any
+from urllib.parse import unquote
+
+from werkzeug.wrappers import Response
+
+from .._failures import NotRun, Reason, Step
+from .._ids import Address, Millis
+from ._caller_app import CallerApp, failure_response
+from ._socket import listen_on
+
+MAX_DISCARDED_BYTES = 1_000_000
+
+
+class CallerConnection(BaseHTTPRequestHandler):
+    """Serves one caller, one request after another."""
+
+    protocol_version = "HTTP/1.1"
+    server_version = "masticgate"
+    sys_version = ""
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: "CallerServer"  # type: ignore[assignment]
+
+    def setup(self) -> None:
+        """Set the longest wait for a caller that sends nothing."""
+        self.connection = self.request
+        self.connection.settimeout(self.server.timeout / 1000)
+        super().setup()
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Serve a GET request."""
+        self._serve()
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Serve a POST request."""
+        self._serve()
+
+    def _serve(self) -> None:
+        length = self._content_length()
+        if length is None or "Transfer-Encoding" in self.headers:
+            self.close_connection = True
+            detail = "a Content-Length is needed"
+            self._write(failure_response(NotRun(Reason.BAD_REQUEST, Step.READ, detail=detail)))
+            return
+        if length > self.server.app.max_body_bytes:
+            self.close_connection = True
+            self._write(failure_response(NotRun(Reason.TOO_LARGE, Step.READ, detail="body")))
+            self._discard(min(length, MAX_DISCARDED_BYTES))
+            return
+        body = self.rfile.read(length)
+        if len(body) < length:
+            self.close_connection = True
+            return
+        with self.server.busy(self.connection):
+            self._respond(body)
+
+    def _respond(self, body: bytes) -> None:
+        status: list[Any] = []
+
+        def start_response(line: str, headers: list[tuple[str, str]]) -> None:
+            status.extend((line, headers))
+
+        chunks = list(self.server.app(self._environ(body), start_response))
+        if self.server.stopping:
+            self.close_connection = True
+        self._send(status[0], status[1], b"".join(chunks))
+
+    def _write(self, response: Response) -> None:
+        headers = [(name, value) for name, value in response.headers]
+        self._send(response.status, headers, response.get_data())
+
+    def _send(self, line: str, headers: list[tuple[str, str]], body: bytes) -> None:
+        code, _, reason = line.partition(" ")
+        self.send_response_only(int(code), reason)
+        for name, value in headers:
+            self.send_header(name, value)
+        if self.close_connection:
+            self.send_header("Connection", "close")
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+    def _content_length(self) -> int | None:
+        values = self.headers.get_all("Content-Length", [])
+        if not values:
+            return 0 if self.command == "GET" else None
+        text = values[0].strip()
+        return int(text) if len(values) == 1 and text.isdecimal() and len(text) < 16 else None
+
+    def _discard(self, length: int) -> None:
+        """Read what the caller still sends, so that it sees the response and not a reset."""
+        with suppress(OSError):
+            while length > 0:
+                chunk = self.rfile.read(min(length, 65_536))
+                if not chunk:
+                    return
+                length -= len(chunk)
+
+    def _environ(self, body: bytes) -> dict[str, Any]:
+        path, _, query = self.path.partition("?")
+        host, port = self.server.listener.getsockname()[:2]
+        return {
+            "REQUEST_METHOD": self.command,
+            "SCRIPT_NAME": "",
+            "PATH_INFO": unquote(path, "iso-8859-1"),
+            "QUERY_STRING": query,
+            "SERVER_NAME": host,
+            "SERVER_PORT": str(port),
+            "SERVER_PROTOCOL": self.request_version,
+            "CONTENT_TYPE": self.headers.get("Content-Type", ""),
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.version": (1, 0),
+            "wsgi.url_scheme": "http",
+            "wsgi.input": BytesIO(body),
+            "wsgi.errors": BytesIO(),
+            "wsgi.multithread": True,
+            "wsgi.multiprocess": False,
+            "wsgi.run_once": False,
+        }
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Log nothing: requests are counted, not logged."""
+
+
+class _Busy:
+    def __init__(self, server: "CallerServer", connection: socket.socket) -> None:
+        self.server = server
+        self.connection = connection
+
+    def __enter__(self) -> None:
+        with self.server.lock:
+            self.server.idle.discard(self.connection)
+
+    def __exit__(self, *_: object) -> None:
+        with self.server.lock:
+            self.server.idle.add(self.connection)
+
+
+class CallerServer:
+    """Accepts callers' connections, at most ``max_callers`` at once."""
+
+    def __init__(
+        self,
+        address: Address,
+        app: CallerApp,
+        tasks: Executor,
+        max_callers: int,
+        timeout: Millis,
+    ) -> None:
+        self.listener = listen_on(address)
+        self.app = app
+        self.tasks = tasks
+        self.max_callers = max_callers
+        self.timeout = timeout
+        self.lock = Condition()
+        self.open: set[socket.socket] = set()
+        self.idle: set[socket.socket] = set()
+        self.stopping = False
+
+    def run(self) -> None:
+        """Accept connections until stopped."""
+        while not self.stopping:
+            try:
+                connection, peer = self.listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                full = len(self.open) >= self.max_callers
+                if not full:
+                    self.open.add(connection)
+                    self.idle.add(connection)
+            if full:
+                _refuse(connection)
+            else:
+                self.tasks.submit(self.serve, connection, peer)
+
+    def serve(self, connection: socket.socket, peer: Any) -> None:
+        """Serve one connection until the caller closes it or falls silent."""
+        try:
+            CallerConnection(connection, peer, self)  # type: ignore[arg-type]
+        except OSError:
+            return
+        finally:
+            with self.lock:
+                self.open.discard(connection)
+                self.idle.discard(connection)
+                self.lock.notify_all()
+            connection.close()
+
+    def busy(self, connection: socket.socket) -> _Busy:
+        """Return a context in which ``connection`` is not closed by :meth:`stop`."""
+        return _Busy(self, connection)
+
+    def stop(self) -> None:
+        """Stop accepting and let idle connections end; requests in progress go on."""
+        self.stopping = True
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        with self.lock:
+            idle = list(self.idle)
+        for connection in idle:
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RD)
+
+    def await_closed(self, timeout: Millis) -> bool:
+        """Wait until every connection has ended; return ``False`` where some did not in time."""
+        with self.lock:
+            return self.lock.wait_for(lambda: not self.open, timeout / 1000)
+
+
+def _refuse(connection: socket.socket) -> None:
+    """Say "not run" to a caller beyond the limit and close."""
+    response = failure_response(NotRun(Reason.OVERLOAD, Step.READ, detail="too many callers"))
+    body = response.get_data()
+    head = (
+        f"HTTP/1.1 {response.status}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
+    )
+    with suppress(OSError):
+        connection.send(head.encode() + body, socket.MSG_DONTWAIT)
+    connection.close()
--- /dev/null
+++ b/src/masticgate/connection/_socket.py
@@ -0,0 +1,119 @@
+"""Length-prefixed frames over one TCP connection between two hosts."""
+
+import select
+import socket
+import struct
+from collections.abc import Iterator
+from threading import Lock
+
+from .._ids import Address, Millis
+from ._frames import BadFrameError, Message, decode_message, encode_message
+
+LENGTH = struct.Struct("!I")
+MAX_FRAME_BYTES = 4_000_000
+SEND_WAIT = Millis(50.0)
+"""The longest that a sender waits for room in the socket before the peer counts as stuck."""
+
+SEND_BUFFER_BYTES = 1_000_000
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return the IP number and the port of ``address``."""
+    number, _, port = address.rpartition(":")
+    return number, int(port)
+
+
+def open_socket(address: Address, timeout: Millis) -> socket.socket:
+    """Connect to ``address``.
+
+    :raises OSError: the connection is refused or takes longer than ``timeout``.
+    """
+    return socket.create_connection(split_address(address), timeout=timeout / 1000)
+
+
+def listen_on(address: Address, backlog: int = 256) -> socket.socket:
+    """Return a socket that listens on ``address``."""
+    return socket.create_server(split_address(address), backlog=backlog)
+
+
+class FrameSocket:
+    """Sends frames from any task and reads them in one."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        self.connection = connection
+        self.reader = connection.makefile("rb")
+        self.lock = Lock()
+        self.closed = False
+
+    def set_timeout(self, timeout: Millis) -> None:
+        """Let a read fail after ``timeout`` without a byte."""
+        self.connection.settimeout(timeout / 1000)
+
+    def send(self, message: Message) -> bool:
+        """Send ``message`` whole; return ``False`` and close where the peer takes no more.
+
+        ``False`` means that the peer cannot have received the whole message.
+        """
+        data = encode_message(message)
+        with self.lock:
+            if self.closed:
+                return False
+            if self._send_all(LENGTH.pack(len(data)) + data):
+                return True
+        self.close()
+        return False
+
+    def read_messages(self) -> Iterator[Message]:
+        """Yield messages until the peer closes.
+
+        :raises BadFrameError: a frame is truncated, too large or undecodable.
+        :raises OSError: the connection failed or timed out.
+        """
+        while True:
+            head = self.reader.read(LENGTH.size)
+            if not head:
+                return
+            if len(head) < LENGTH.size:
+                raise BadFrameError("truncated length")
+            (length,) = LENGTH.unpack(head)
+            if length > MAX_FRAME_BYTES:
+                raise BadFrameError(f"frame of {length} bytes")
+            data = self.reader.read(length)
+            if len(data) < length:
+                raise BadFrameError("truncated frame")
+            yield decode_message(data)
+
+    def close(self) -> None:
+        """Close the connection; a task that reads from it returns."""
+        self.closed = True
+        try:
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def release(self) -> None:
+        """Close the file descriptor; only the reading task calls this, at its end."""
+        self.close()
+        self.reader.close()
+        self.connection.close()
+
+    def _send_all(self, data: bytes) -> bool:
+        view = memoryview(data)
+        try:
+            while view:
+                try:
+                    sent = self.connection.send(view, socket.MSG_DONTWAIT)
+                    view = view[sent:]
+                except BlockingIOError:
+                    if not self._wait_writable():
+                        return False
+        except OSError:
+            return False
+        return True
+
+    def _wait_writable(self) -> bool:
+        poller = select.poll()
+        poller.register(self.connection, select.POLLOUT)
+        return bool(poller.poll(SEND_WAIT))
--- /dev/null
+++ b/src/masticgate/process/_command_serve.py
@@ -0,0 +1,46 @@
+"""``masticgate serve``: runs an entry host."""
+
+import signal
+from pathlib import Path
+from threading import Event
+from typing import Any
+
+import click
+
+from ._server import Host
+from ._settings import BadSettings, read_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 1
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The settings, JSON with comments.",
+)
+def serve(path: Path) -> None:
+    """Run an entry host until SIGTERM or SIGINT, then stop it gracefully."""
+    settings = read_settings(path)
+    if isinstance(settings, BadSettings):
+        for problem in settings.problems:
+            click.echo(f"masticgate serve: {problem}", err=True)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    asked = Event()
+
+    def ask_to_stop(*_: Any) -> None:
+        asked.set()
+
+    signal.signal(signal.SIGTERM, ask_to_stop)
+    signal.signal(signal.SIGINT, ask_to_stop)
+    try:
+        host = Host(settings)
+    except OSError as error:
+        click.echo(f"masticgate serve: cannot listen: {error}", err=True)
+        raise SystemExit(EXIT_CANNOT_START) from error
+    host.start()
+    asked.wait()
+    host.stop()
--- /dev/null
+++ b/src/masticgate/process/_host_tier.py
@@ -0,0 +1,132 @@
+"""The process as its requests see it."""
+
+from collections.abc import Sequence
+
+from .._clock import Clock
+from .._failures import NotRun, Reason, Step
+from .._ids import HostId, Incarnation, QueryId, ServiceId, SnapshotVersion, TicketId
+from .._ranks import Rank
+from ..request import Ask, Book, BookReply, Cancel, Forward, Inbox, Reply
+from ..version import Configuration, Scope, Snapshot, owner_table, rank_hosts
+from ._links import Links
+from ._mailboxes import Mailboxes
+from ._members import Members
+from ._owner import Owner
+from ._policy import LocalRouting, OwnerRouting, Policy
+from ._tickets import parse_ticket
+from ._versions import VersionStore
+
+
+class HostTier:
+    """Routes the messages of requests to owners, this host included."""
+
+    def __init__(
+        self,
+        own: HostId,
+        incarnation: Incarnation,
+        policy: Policy,
+        clock: Clock,
+        versions: VersionStore,
+        members: Members,
+        links: Links,
+        mailboxes: Mailboxes,
+        owner: Owner,
+    ) -> None:
+        self.own = own
+        self.incarnation = incarnation
+        self.policy = policy
+        self.clock = clock
+        self.versions = versions
+        self.members = members
+        self.links = links
+        self.mailboxes = mailboxes
+        self.owner = owner
+        self.table: dict[ServiceId, list[HostId]] = {}
+
+    def refresh_table(self) -> None:
+        """Work out the owners anew, after a change of hosts or of the configuration."""
+        configuration = self.versions.configuration
+        if configuration is not None:
+            self.table = owner_table(configuration, self.members.usable())
+
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.versions.configuration
+
+    def pin_snapshot(
+        self, services: Sequence[ServiceId], tried: frozenset[SnapshotVersion]
+    ) -> Snapshot | None:
+        """Return the snapshot to search, none of ``tried``."""
+        return self.versions.pin(services, tried)
+
+    def note_gone(
+        self, service: ServiceId, snapshot: SnapshotVersion, held: Sequence[SnapshotVersion]
+    ) -> None:
+        """Remember which snapshots ``service`` holds."""
+        self.versions.note_gone(service, snapshot, held)
+
+    def admit(self, rank: Rank, number: float, scope: Scope) -> NotRun | None:
+        """Refuse a query whole where its services could not finish it."""
+        if self.owner.stopping:
+            return NotRun(Reason.SHUTTING_DOWN, Step.ADMISSION, peer=self.own)
+        return None
+
+    def owners(self, service: ServiceId) -> Sequence[HostId]:
+        """Return the reachable hosts to ask for ``service``, the owner first."""
+        match self.policy.routing:
+            case LocalRouting():
+                return [self.own]
+            case OwnerRouting():
+                ranked = self.table.get(service, [])
+                reachable = [host for host in ranked if self._is_reachable(host)]
+                return reachable or self._any_reachable(service)
+
+    def send(
+        self, host: HostId, message: Ask | Book | Cancel | Forward, inbox: Inbox | None
+    ) -> NotRun | None:
+        """Send to ``host``, which may be this host; replies go to ``inbox``."""
+        if inbox is not None and not isinstance(message, Cancel):
+            self.mailboxes.register(host, message, inbox)
+        if host == self.own:
+            self._send_to_self(message)
+            return None
+        refusal = self.links.send(host, message)
+        if refusal is not None:
+            self.mailboxes.withdraw(host, message.query)
+        return refusal
+
+    def forget(self, query: QueryId) -> None:
+        """Drop replies to ``query`` from now on."""
+        self.mailboxes.forget(query)
+
+    def is_silent(self, host: HostId) -> bool:
+        """Tell whether ``host`` has sent nothing for longer than a live host would."""
+        return host != self.own and self.links.is_silent(host)
+
+    def is_own_ticket(self, ticket: TicketId) -> bool:
+        """Tell whether this incarnation minted ``ticket``."""
+        parts = parse_ticket(ticket)
+        return (
+            parts is not None and parts.host == self.own and parts.incarnation == self.incarnation
+        )
+
+    def _send_to_self(self, message: Ask | Book | Cancel | Forward) -> None:
+        match message:
+            case Ask():
+                self.owner.ask(message, self._deliver_own)
+            case Book():
+                self.owner.book(message, self._deliver_own)
+            case Cancel():
+                self.owner.cancel(message)
+            case Forward():
+                return
+
+    def _deliver_own(self, reply: Reply | BookReply) -> None:
+        self.mailboxes.deliver(self.own, reply)
+
+    def _is_reachable(self, host: HostId) -> bool:
+        return host == self.own or self.links.is_open(host)
+
+    def _any_reachable(self, service: ServiceId) -> list[HostId]:
+        hosts = [host for host in self.members.usable() if self._is_reachable(host)]
+        return rank_hosts(f"service:{service}", hosts)
--- /dev/null
+++ b/src/masticgate/process/_owner.py
@@ -0,0 +1,110 @@
+"""What a host does as the owner of services: it queues the work that entry hosts ask for."""
+
+from collections.abc import Callable
+
+from .._clock import Clock
+from .._failures import NotRun, Reason, Step
+from .._ids import Millis, ServiceId
+from ..request import (
+    Ask,
+    Book,
+    BookingOutcome,
+    BookReply,
+    Cancel,
+    Reply,
+    ServicePart,
+    SubReply,
+)
+from ..version import Configuration
+from ._pools import Pools
+from ._service_pool import ServicePool
+from ._versions import VersionStore
+from ._work import BookingWork, SearchWork
+
+AnswerTo = Callable[[Reply | BookReply], object]
+
+
+class Owner:
+    """Takes asks and bookings, of this host's own requests too."""
+
+    def __init__(
+        self, pools: Pools, versions: VersionStore, clock: Clock, listed: Callable[[], int]
+    ) -> None:
+        self.pools = pools
+        self.versions = versions
+        self.clock = clock
+        self.listed = listed
+        self.stopping = False
+
+    def ask(self, ask: Ask, answer: AnswerTo) -> None:
+        """Queue each part of ``ask``; its reply goes to ``answer``."""
+        for part in ask.parts:
+            self._ask_part(ask, part, answer)
+
+    def book(self, book: Book, answer: AnswerTo) -> None:
+        """Queue one attempt of a booking; its outcome goes to ``answer``."""
+
+        def deliver(outcome: BookingOutcome) -> None:
+            answer(BookReply(book.query, outcome))
+
+        pool = self._find_pool(book.service)
+        if isinstance(pool, NotRun):
+            deliver(pool)
+            return
+        work = BookingWork(
+            book.query,
+            book.service,
+            book.ticket,
+            book.attempt,
+            book.rank,
+            Millis(self.clock.now() + book.remaining),
+            book.payload,
+            deliver,
+        )
+        refusal = pool.offer(work)
+        if refusal is not None:
+            deliver(refusal)
+
+    def cancel(self, cancel: Cancel) -> None:
+        """Drop what is queued or in flight for a query."""
+        for pool in self.pools.list_pools():
+            pool.cancel(cancel.query)
+
+    def _ask_part(self, ask: Ask, part: ServicePart, answer: AnswerTo) -> None:
+        def deliver(result: SubReply) -> None:
+            answer(Reply(ask.query, part.service, result))
+
+        pool = self._find_pool(part.service)
+        if isinstance(pool, NotRun):
+            deliver(pool)
+            return
+        work = SearchWork(
+            ask.query,
+            part.service,
+            part.shards,
+            ask.snapshot,
+            ask.rank,
+            Millis(self.clock.now() + ask.remaining),
+            ask.number,
+            ask.text,
+            deliver,
+        )
+        refusal = pool.offer(work)
+        if refusal is not None:
+            deliver(refusal)
+
+    def _find_pool(self, name: ServiceId) -> ServicePool | NotRun:
+        configuration = self.versions.configuration
+        if self.stopping:
+            return NotRun(Reason.SHUTTING_DOWN, Step.QUEUE, peer=name)
+        if configuration is None:
+            return NotRun(Reason.NO_CONFIGURATION, Step.QUEUE, peer=name)
+        return self._pool_in(configuration, name)
+
+    def _pool_in(self, configuration: Configuration, name: ServiceId) -> ServicePool | NotRun:
+        service = configuration.services.get(name)
+        if service is None:
+            return NotRun(Reason.UNKNOWN_SERVICE, Step.QUEUE, peer=name)
+        if configuration.is_leaving(service):
+            return NotRun(Reason.DEPARTMENT_LEFT, Step.QUEUE, peer=name)
+        return self.pools.get(configuration, service, self.listed())
--- /dev/null
+++ b/src/masticgate/process/_peer_service.py
@@ -0,0 +1,107 @@
+"""Handles the messages of peers."""
+
+from collections.abc import Callable
+
+from .._ids import HostId
+from ..connection import Message
+from ..request import (
+    Ask,
+    Book,
+    BookReply,
+    Cancel,
+    Forward,
+    ForwardReply,
+    Reply,
+)
+from ..version import CataloguePush, FetchVersions, TextPush, Versions
+from ._links import Links
+from ._mailboxes import Mailboxes
+from ._members import Members
+from ._messages import Demand, Heartbeat, HeartbeatReply, Hello, Member, MemberState, Pressure
+from ._owner import Owner
+from ._timeline import EventKind, TimeLine
+from ._versions import VersionStore
+
+ForwardRunner = Callable[[Forward, Callable[[ForwardReply], object]], None]
+
+
+class PeerService:
+    """What this process does with each message, whichever link it came over."""
+
+    def __init__(
+        self,
+        own: Hello,
+        members: Members,
+        versions: VersionStore,
+        timeline: TimeLine,
+        mailboxes: Mailboxes,
+    ) -> None:
+        self.own = own
+        self.members = members
+        self.versions = versions
+        self.timeline = timeline
+        self.mailboxes = mailboxes
+        self.owner: Owner
+        self.links: Links
+        self.run_forward: ForwardRunner
+
+    def hello(self) -> Hello:
+        """Return this host's own hello."""
+        return self.own
+
+    def link_opened(self, peer: Hello) -> None:
+        """Note that the link to ``peer`` is open."""
+        self.timeline.add(EventKind.LINK_OPENED, peer.host, f"incarnation {peer.incarnation}")
+        self.members.hear([member_of(peer)])
+        self.links.send(peer.host, FetchVersions(self.versions.versions()))
+
+    def link_lost(self, host: HostId) -> None:
+        """Fail the requests that wait for ``host``."""
+        self.timeline.add(EventKind.LINK_LOST, host)
+        self.mailboxes.lose(host)
+
+    def receive(self, peer: Hello, message: Message, answer: Callable[[Message], bool]) -> None:
+        """Handle one message from ``peer``; ``answer`` sends on the same connection."""
+        match message:
+            case Ask():
+                self.owner.ask(message, answer)
+            case Cancel():
+                self.owner.cancel(message)
+            case Book():
+                self.owner.book(message, answer)
+            case Reply() | BookReply() | ForwardReply():
+                self.mailboxes.deliver(peer.host, message)
+            case Forward():
+                self.run_forward(message, answer)
+            case Heartbeat(sequence=sequence, versions=versions, members=members):
+                self.members.hear(members)
+                self._compare(versions, answer)
+                answer(HeartbeatReply(sequence, self.versions.versions(), ()))
+            case HeartbeatReply(versions=versions, members=members):
+                self.members.hear(members)
+                self._compare(versions, answer)
+            case FetchVersions(have=have):
+                self._push_newer(have, answer)
+            case TextPush(revision=revision, text=text):
+                self.versions.offer_text(text, revision)
+            case CataloguePush(text=text):
+                self.versions.offer_catalogue(text)
+            case Demand() | Pressure() | Hello():
+                return
+
+    def _compare(self, theirs: Versions, answer: Callable[[Message], bool]) -> None:
+        own = self.versions.versions()
+        if theirs.revision > own.revision or theirs.catalogue > own.catalogue:
+            answer(FetchVersions(own))
+
+    def _push_newer(self, have: Versions, answer: Callable[[Message], bool]) -> None:
+        configuration = self.versions.configuration
+        if configuration is not None and configuration.revision > have.revision:
+            answer(TextPush(configuration.revision, configuration.text))
+        if self.versions.catalogue.newest > have.catalogue:
+            answer(CataloguePush(self.versions.catalogue_text))
+
+
+def member_of(peer: Hello) -> Member:
+    """Return the belief that a hello gives rise to."""
+    return Member(peer.host, peer.address, peer.failure_domain, peer.incarnation, MemberState.ALIVE)
--- /dev/null
+++ b/src/masticgate/process/_pools.py
@@ -0,0 +1,96 @@
+"""The service pools that this host has open."""
+
+from collections.abc import Callable
+from threading import Lock
+
+from .._clock import Clock
+from .._ids import Millis, SearcherId, ServiceId
+from ..version import Configuration, Searcher, Service, service_connections
+from ._policy import Policy
+from ._searcher_health import SearcherState
+from ._service_pool import ServicePool
+from ._timeline import EventKind, TimeLine
+
+POOL_IDLE = Millis(10_000.0)
+"""A pool of a service that this host does not own is closed after this long without work."""
+
+ConnectionStarter = Callable[[ServicePool, Searcher], None]
+
+
+class Pools:
+    """Opens a pool when a service's first work comes, with its connection tasks."""
+
+    def __init__(
+        self,
+        policy: Policy,
+        clock: Clock,
+        timeline: TimeLine,
+        start_connection: ConnectionStarter,
+    ) -> None:
+        self.policy = policy
+        self.clock = clock
+        self.timeline = timeline
+        self.start_connection = start_connection
+        self.lock = Lock()
+        self.pools: dict[ServiceId, ServicePool] = {}
+        self.configured: dict[ServiceId, tuple[Service, int]] = {}
+
+    def get(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
+        """Return the pool of ``service``, opened anew where its searchers changed."""
+        with self.lock:
+            pool = self.pools.get(service.id)
+            if pool is not None and self.configured[service.id] == (service, hosts):
+                return pool
+            if pool is not None:
+                self._close(service.id)
+            return self._open(configuration, service, hosts)
+
+    def list_pools(self) -> list[ServicePool]:
+        """Return the open pools."""
+        with self.lock:
+            return list(self.pools.values())
+
+    def close_unused(self, configuration: Configuration, owned: set[ServiceId]) -> None:
+        """Close pools of services that left, or that are idle and not owned here."""
+        now = self.clock.now()
+        with self.lock:
+            for name, pool in list(self.pools.items()):
+                service = configuration.services.get(name)
+                left = service is None or configuration.is_leaving(service)
+                idle = name not in owned and now - pool.last_used > POOL_IDLE
+                if left or idle:
+                    self._close(name)
+
+    def stop(self) -> None:
+        """Close every pool; pending work is handed back as not run."""
+        with self.lock:
+            for name in list(self.pools):
+                self._close(name)
+
+    def _open(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
+        searchers = [(s, service_connections(s, hosts)) for s in service.searchers]
+        pool = ServicePool(
+            service.id,
+            searchers,
+            configuration.floors,
+            self.policy,
+            self.clock,
+            self._searcher_changed,
+        )
+        self.pools[service.id] = pool
+        self.configured[service.id] = (service, hosts)
+        self.timeline.add(EventKind.POOL_OPENED, service.id)
+        for searcher, connections in searchers:
+            for _ in range(connections):
+                self.start_connection(pool, searcher)
+        return pool
+
+    def _close(self, name: ServiceId) -> None:
+        self.pools.pop(name).stop()
+        self.configured.pop(name)
+        self.timeline.add(EventKind.POOL_CLOSED, name)
+
+    def _searcher_changed(
+        self, service: ServiceId, searcher: SearcherId, state: SearcherState
+    ) -> None:
+        self.timeline.add(EventKind.SEARCHER_CHANGED, searcher, f"{state.value}, of {service}")
--- /dev/null
+++ b/src/masticgate/process/_server.py
@@ -0,0 +1,204 @@
+"""Puts an entry host together, starts its tasks and stops them."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event
+
+from .._clock import MILLIS_PER_SECOND, Clock, SystemClock
+from .._ids import Address, FailureDomainId, HostId, Incarnation, Millis
+from ..connection import (
+    CallerApp,
+    CallerServer,
+    ListedHost,
+    PeerServer,
+    PlatformReader,
+    Value,
+    run_searcher_connection,
+)
+from ..request import Forward, ForwardReply
+from ..version import Configuration, FetchVersions, Searcher
+from ._caller_service import CallerService
+from ._host_tier import HostTier
+from ._links import Links
+from ._mailboxes import Mailboxes
+from ._members import Members
+from ._messages import Heartbeat, Hello, Member, MemberState
+from ._owner import Owner
+from ._peer_service import PeerService, member_of
+from ._policy import NAIVE_POLICY, OWNER_POLICY, Policy
+from ._pools import Pools
+from ._service_pool import ServicePool
+from ._settings import Settings
+from ._tickets import TicketTable
+from ._timeline import EventKind, TimeLine
+from ._versions import VersionStore
+from ._watch import HostListWatch, KeyWatch, listed_members
+
+PROTOCOL_OLDEST = 1
+PROTOCOL_NEWEST = 1
+MAX_TASKS = 4096
+HEARTBEAT_INTERVAL = Millis(500.0)
+
+
+class Host:
+    """One entry host: everything that lives as long as its process."""
+
+    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.policy = policy_of(settings)
+        self.id = HostId(settings.host)
+        self.incarnation = Incarnation(time.time_ns())
+        self.stopping = Event()
+        self.tasks = ThreadPoolExecutor(MAX_TASKS, thread_name_prefix="task")
+        self.timeline = TimeLine(self.id, self.clock)
+        self.mailboxes = Mailboxes()
+        self.versions = VersionStore(self.timeline, self._configuration_changed)
+        own = self._hello()
+        self.members = Members(member_of(own), self.timeline, self._member_changed)
+        self.peers = PeerService(own, self.members, self.versions, self.timeline, self.mailboxes)
+        self.links = Links(self.peers, self.clock, self.start_task)
+        self.pools = Pools(self.policy, self.clock, self.timeline, self._start_connection)
+        self.owner = Owner(self.pools, self.versions, self.clock, self._count_hosts)
+        self.tickets = TicketTable(self.id, self.incarnation, self.clock)
+        self.tier = HostTier(
+            self.id,
+            self.incarnation,
+            self.policy,
+            self.clock,
+            self.versions,
+            self.members,
+            self.links,
+            self.mailboxes,
+            self.owner,
+        )
+        self.callers = CallerService(self.id, self.tier, self.tickets, self.timeline, self.clock)
+        self.peers.owner = self.owner
+        self.peers.links = self.links
+        self.peers.run_forward = self._run_forward
+        self.peer_server = PeerServer(Address(settings.peer_address), self.peers, self.tasks)
+        self.caller_server = CallerServer(
+            Address(settings.caller_address),
+            CallerApp(self.callers, settings.max_body_bytes),
+            self.tasks,
+            settings.max_callers,
+            Millis(float(settings.caller_timeout_ms)),
+        )
+        self.readers: list[PlatformReader] = []
+
+    def start(self) -> None:
+        """Start every task; callers are served from now on."""
+        self.timeline.add(EventKind.STARTED, self.id, f"incarnation {self.incarnation}")
+        self.start_task(self.peer_server.run)
+        for seed in self.settings.seeds:
+            if seed.host != self.id:
+                self.links.ensure(HostId(seed.host), Address(seed.address))
+        self._start_watches()
+        self.start_task(self._run_heartbeats)
+        self.start_task(self.caller_server.run)
+
+    def stop(self) -> None:
+        """Stop gracefully: refuse new work, finish what is in progress, leave."""
+        self.timeline.add(EventKind.STOPPING, self.id)
+        self.owner.stopping = True
+        self.caller_server.stop()
+        self.caller_server.await_closed(Millis(float(self.settings.shutdown_ms)))
+        self.pools.stop()
+        self.stopping.set()
+        for reader in self.readers:
+            reader.abort()
+        self.links.stop()
+        self.peer_server.stop()
+        self.tasks.shutdown(wait=True)
+        self.timeline.add(EventKind.STOPPED, self.id)
+
+    def start_task(self, run: Callable[[], None]) -> None:
+        """Run ``run`` as a task of its own."""
+        self.tasks.submit(run)
+
+    def _hello(self) -> Hello:
+        settings = self.settings
+        return Hello(
+            self.id,
+            Address(settings.peer_address),
+            FailureDomainId(settings.failure_domain),
+            self.incarnation,
+            PROTOCOL_OLDEST,
+            PROTOCOL_NEWEST,
+        )
+
+    def _start_watches(self) -> None:
+        platform = self.settings.platform
+        for key, on_value in (
+            (platform.text_key, self._take_text),
+            (platform.snapshots_key, self._take_catalogue),
+        ):
+            watch = KeyWatch(key, self._reader(), self.timeline, on_value, self.stopping)
+            self.start_task(watch.run)
+        hosts = HostListWatch(self._reader(), self._take_hosts, self.stopping)
+        self.start_task(hosts.run)
+
+    def _reader(self) -> PlatformReader:
+        platform = self.settings.platform
+        reader = PlatformReader(Address(platform.configuration), Address(platform.hosts))
+        self.readers.append(reader)
+        return reader
+
+    def _take_text(self, value: Value) -> None:
+        if self.versions.offer_text(value.text, value.revision):
+            self._announce()
+
+    def _take_catalogue(self, value: Value) -> None:
+        if self.versions.offer_catalogue(value.text):
+            self._announce()
+
+    def _take_hosts(self, hosts: tuple[ListedHost, ...]) -> None:
+        self.members.hear(listed_members(hosts))
+
+    def _announce(self) -> None:
+        """Tell the peers at once; a heartbeat would tell them a little later."""
+        self.links.broadcast(FetchVersions(self.versions.versions()))
+        self._send_heartbeats(0)
+
+    def _run_heartbeats(self) -> None:
+        sequence = 0
+        while not self.stopping.wait(HEARTBEAT_INTERVAL / MILLIS_PER_SECOND):
+            sequence += 1
+            self._send_heartbeats(sequence)
+            configuration = self.versions.configuration
+            if configuration is not None:
+                owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
+                self.pools.close_unused(configuration, owned)
+
+    def _send_heartbeats(self, sequence: int) -> None:
+        members = tuple(self.members.list_members())
+        self.links.broadcast(Heartbeat(sequence, self.versions.versions(), members))
+
+    def _configuration_changed(self, configuration: Configuration) -> None:
+        self.tier.refresh_table()
+        self.pools.close_unused(configuration, set())
+
+    def _member_changed(self, member: Member) -> None:
+        if member.state in (MemberState.DEAD, MemberState.LEAVING):
+            self.links.drop(member.host)
+        else:
+            self.links.ensure(member.host, member.address)
+        self.tier.refresh_table()
+
+    def _count_hosts(self) -> int:
+        return len(self.members.list_members())
+
+    def _start_connection(self, pool: ServicePool, searcher: Searcher) -> None:
+        self.start_task(lambda: run_searcher_connection(pool, searcher, self.clock))
+
+    def _run_forward(self, forward: Forward, answer: Callable[[ForwardReply], object]) -> None:
+        def run() -> None:
+            answer(ForwardReply(forward.query, self.callers.run_forwarded(forward)))
+
+        self.start_task(run)
+
+
+def policy_of(settings: Settings) -> Policy:
+    """Return the policy that the settings name."""
+    return NAIVE_POLICY if settings.routing == "naive" else OWNER_POLICY
--- /dev/null
+++ b/src/masticgate/process/_settings.py
@@ -0,0 +1,93 @@
+"""The settings of one process: JSON with comments, checked by type."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, StringConstraints, ValidationError
+from pydantic_core import ErrorDetails
+
+from ..version import AddressText, Document, Name, StrictModel, SyntaxProblem, parse_document
+
+MAX_SETTINGS_BYTES = 100_000
+
+
+class SeedText(StrictModel):
+    """Another host that a starting one asks first."""
+
+    host: Name
+    address: AddressText
+    failure_domain: Name
+
+
+class PlatformText(StrictModel):
+    """Where the platform's services answer."""
+
+    configuration: AddressText
+    hosts: AddressText
+    text_key: Annotated[str, StringConstraints(min_length=1, max_length=200)] = "masticgate/text"
+    snapshots_key: Annotated[str, StringConstraints(min_length=1, max_length=200)] = (
+        "masticgate/snapshots"
+    )
+
+
+class StatsdText(StrictModel):
+    """Where metrics go."""
+
+    address: AddressText
+    prefix: Name = "masticgate"
+
+
+class Settings(StrictModel):
+    """All settings of an entry host."""
+
+    host: Name
+    failure_domain: Name
+    caller_address: AddressText
+    peer_address: AddressText
+    platform: PlatformText
+    seeds: list[SeedText] = Field(default=[], max_length=32)
+    statsd: StatsdText | None = None
+    routing: Literal["owner", "naive"] = "owner"
+    max_callers: int = Field(default=256, ge=1, le=4096)
+    max_body_bytes: int = Field(default=64_000, ge=1_000, le=1_000_000)
+    caller_timeout_ms: int = Field(default=30_000, ge=100, le=600_000)
+    shutdown_ms: int = Field(default=10_000, ge=0, le=600_000)
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class BadSettings:
+    """Settings that a process refuses to start with."""
+
+    problems: tuple[str, ...]
+
+
+def read_settings(path: Path) -> Settings | BadSettings:
+    """Read and check the settings in ``path``."""
+    try:
+        if path.stat().st_size > MAX_SETTINGS_BYTES:
+            return BadSettings((f"{path}: longer than {MAX_SETTINGS_BYTES} bytes",))
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return BadSettings((f"{path}: {error}",))
+    return check_settings(text, str(path))
+
+
+def check_settings(text: str, name: str) -> Settings | BadSettings:
+    """Check the settings in ``text``; ``name`` stands before each problem."""
+    document = parse_document(text)
+    if isinstance(document, SyntaxProblem):
+        place = f"{name}:{document.position.line}:{document.position.column}"
+        return BadSettings((f"{place}: {document.message}",))
+    try:
+        return Settings.model_validate(document.value)
+    except ValidationError as error:
+        return BadSettings(tuple(_describe(name, document, item) for item in error.errors()))
+
+
+def _describe(name: str, document: Document, error: ErrorDetails) -> str:
+    position = document.locate(error["loc"])
+    path = ".".join(map(str, error["loc"]))
+    found = "" if error["type"] == "missing" else f", found {error['input']!r}"
+    return f"{name}:{position.line}:{position.column}: {path}: {error['msg']}{found}"
--- /dev/null
+++ b/src/masticgate/process/_tickets.py
@@ -0,0 +1,119 @@
+"""The tickets that this incarnation minted, and what became of each."""
+
+import secrets
+from concurrent.futures import Future
+from dataclasses import dataclass
+from enum import Enum
+from threading import Lock
+
+from .._clock import Clock
+from .._failures import NotRun, Reason, Step, Unknown
+from .._ids import HostId, Incarnation, Millis, TicketId
+from ..request import Attempt, Booking, BookingOutcome, Ran
+
+TICKET_LIFETIME = Millis(120_000.0)
+"""How long after its minting a ticket may be used; its outcome is kept as long again."""
+
+MAX_TICKETS = 50_000
+SEPARATOR = "~"
+
+
+class TicketState(Enum):
+    """What may be done with a ticket."""
+
+    MINTED = "minted"
+    RUNNING = "running"
+    SETTLED = "settled"
+
+
+@dataclass(slots=True)
+class _Record:
+    expires: Millis
+    state: TicketState
+    attempt: int
+    outcome: "Future[BookingOutcome]"
+    content: tuple[str, str] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TicketParts:
+    """What a ticket's text says."""
+
+    host: HostId
+    incarnation: Incarnation
+
+
+def parse_ticket(ticket: TicketId) -> TicketParts | None:
+    """Return the minter that ``ticket`` names, ``None`` where it is no ticket."""
+    parts = ticket.split(SEPARATOR)
+    if len(parts) != 4 or not parts[1].isdecimal() or len(parts[1]) > 19:
+        return None
+    return TicketParts(HostId(parts[0]), Incarnation(int(parts[1])))
+
+
+class TicketTable:
+    """Mints tickets and lets each booking run at most once."""
+
+    def __init__(self, host: HostId, incarnation: Incarnation, clock: Clock) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.clock = clock
+        self.lock = Lock()
+        self.sequence = 0
+        self.records: dict[TicketId, _Record] = {}
+
+    def mint(self) -> TicketId | NotRun:
+        """Return a new ticket, or why none can be had."""
+        with self.lock:
+            self._drop_expired()
+            if len(self.records) >= MAX_TICKETS:
+                return NotRun(Reason.OVERLOAD, Step.TICKET, peer=self.host)
+            self.sequence += 1
+            parts = (self.host, str(self.incarnation), str(self.sequence), secrets.token_hex(8))
+            ticket = TicketId(SEPARATOR.join(parts))
+            expires = Millis(self.clock.now() + TICKET_LIFETIME)
+            self.records[ticket] = _Record(expires, TicketState.MINTED, 0, Future())
+            return ticket
+
+    def begin(self, booking: Booking) -> "Attempt | Future[BookingOutcome] | NotRun | Unknown":
+        """Start an attempt, join the one that runs or ran, or say why neither can be."""
+        with self.lock:
+            record = self.records.get(booking.ticket)
+            if record is None:
+                return Unknown(Reason.TICKET_UNKNOWN, Step.TICKET, peer=self.host)
+            content = (booking.service, booking.payload)
+            if record.content not in (None, content):
+                detail = "the ticket belongs to another booking"
+                return NotRun(Reason.TICKET_IN_USE, Step.TICKET, self.host, detail)
+            if record.state is not TicketState.MINTED:
+                return record.outcome
+            if self.clock.now() >= record.expires:
+                return NotRun(Reason.TICKET_EXPIRED, Step.TICKET, peer=self.host)
+            record.content = content
+            record.state = TicketState.RUNNING
+            record.attempt += 1
+            return Attempt(booking.ticket, record.attempt)
+
+    def settle(self, attempt: Attempt, outcome: BookingOutcome) -> None:
+        """Record ``outcome``; after "not run" the same ticket may be submitted again."""
+        with self.lock:
+            record = self.records.get(attempt.ticket)
+            if record is None or record.attempt != attempt.number:
+                return
+            waiting = record.outcome
+            match outcome:
+                case NotRun():
+                    record.state = TicketState.MINTED
+                    record.outcome = Future()
+                case Ran() | Unknown():
+                    record.state = TicketState.SETTLED
+        waiting.set_result(outcome)
+
+    def _drop_expired(self) -> None:
+        """Drop the oldest records once their outcome is no longer kept."""
+        limit = self.clock.now() - TICKET_LIFETIME
+        for ticket, record in list(self.records.items()):
+            if record.expires > limit:
+                return
+            if record.state is not TicketState.RUNNING:
+                del self.records[ticket]
--- /dev/null
+++ b/src/masticgate/process/_timeline.py
@@ -0,0 +1,82 @@
+"""The time line of one process: its latest changes of state, in order."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from threading import Lock
+
+from .._clock import Clock
+from .._ids import HostId, Millis
+
+MAX_EVENTS = 5000
+
+
+class EventKind(Enum):
+    """What changed."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    TEXT_ACCEPTED = "text_accepted"
+    TEXT_REFUSED = "text_refused"
+    CATALOGUE_CHANGED = "catalogue_changed"
+    PLATFORM_LOST = "platform_lost"
+    PLATFORM_BACK = "platform_back"
+    LINK_OPENED = "link_opened"
+    LINK_LOST = "link_lost"
+    MEMBER_CHANGED = "member_changed"
+    SEARCHER_CHANGED = "searcher_changed"
+    POOL_OPENED = "pool_opened"
+    POOL_CLOSED = "pool_closed"
+    DEPARTMENT_LEAVING = "department_leaving"
+    PRESSURE_CHANGED = "pressure_changed"
+    PAUSED = "paused"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One change of state.
+
+    ``seen`` holds, for other hosts, the highest sequence this host had heard of before the event;
+    it orders the events of hosts whose clocks differ.
+    """
+
+    host: HostId
+    sequence: int
+    wall: Millis
+    kind: EventKind
+    subject: str
+    detail: str = ""
+    seen: Mapping[HostId, int] = field(default_factory=dict)
+
+
+class TimeLine:
+    """Keeps the latest events of this process."""
+
+    def __init__(self, host: HostId, clock: Clock) -> None:
+        self.host = host
+        self.clock = clock
+        self.lock = Lock()
+        self.events: deque[Event] = deque(maxlen=MAX_EVENTS)
+        self.sequence = 0
+        self.seen: dict[HostId, int] = {}
+
+    def add(self, kind: EventKind, subject: str, detail: str = "") -> Event:
+        """Record one change of state and return its event."""
+        with self.lock:
+            self.sequence += 1
+            wall = self.clock.wall()
+            event = Event(self.host, self.sequence, wall, kind, subject, detail, dict(self.seen))
+            self.events.append(event)
+            return event
+
+    def hear(self, host: HostId, sequence: int) -> None:
+        """Note that ``host`` said it had reached ``sequence``."""
+        with self.lock:
+            self.seen[host] = max(sequence, self.seen.get(host, 0))
+
+    def list_events(self) -> list[Event]:
+        """Return the kept events, oldest first."""
+        with self.lock:
+            return list(self.events)
--- /dev/null
+++ b/src/masticgate/process/commands.py
@@ -0,0 +1,3 @@
+"""The command line, ``masticgate``."""
+
+from ._command_group import main as main
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces: searchers, the configuration service, the host list."""
--- /dev/null
+++ b/tests/standins/__main__.py
@@ -0,0 +1,27 @@
+"""Runs the stand-ins that a plan names: ``python -m tests.standins PLAN.json``."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from tests.standins.platform import Platform, serve_platform
+from tests.standins.searcher import Knobs, Searcher, serve_searchers
+
+
+async def run(plan: dict[str, Any]) -> None:
+    if "platform" in plan:
+        await serve_platform(Platform(), plan["platform"], plan["control"])
+    searchers = {
+        item["address"]: Searcher(
+            item["id"], item["service"], item["slots"], item["connections"], Knobs(**plan["knobs"])
+        )
+        for item in plan["searchers"]
+    }
+    await serve_searchers(searchers, plan["control"])
+
+
+if __name__ == "__main__":
+    uvloop.run(run(json.loads(Path(sys.argv[1]).read_text())))
--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,289 @@
+"""Starts stand-ins and entry hosts as processes on loopback, and ends them again."""
+
+import http.client
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from masticgate import Revision
+from masticgate.version import Accepted, Configuration, accept_text
+
+ROOT = Path(__file__).resolve().parents[2]
+TEXT_KEY = "masticgate/text"
+SNAPSHOTS_KEY = "masticgate/snapshots"
+START_SECONDS = 20.0
+STOP_SECONDS = 15.0
+CALL_SECONDS = 10.0
+_networks = itertools.count()
+
+
+def own_network() -> str:
+    """Return a loopback IP number that no other fleet of this or another process uses."""
+    number = os.getpid() * 7 + next(_networks)
+    return f"127.{1 + number // 250 % 250}.{number % 250}.1"
+
+
+@dataclass
+class Reply:
+    """A response to a caller or to a control call."""
+
+    status: int
+    body: Any
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+def call(address: str, method: str, path: str, body: Any = None) -> Reply:
+    """Run one HTTP call on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
+    try:
+        data = None if body is None else json.dumps(body)
+        connection.request(method, path, data, {"Content-Type": "application/json"})
+        response = connection.getresponse()
+        text = response.read()
+        return Reply(response.status, json.loads(text) if text else None, dict(response.headers))
+    finally:
+        connection.close()
+
+
+def shard_map(configuration: Configuration, shards: int = 2, prefix: str = "s") -> dict[str, Any]:
+    """Return a shard map that gives each service with searchers ``shards`` shards."""
+    return {
+        service.id: {f"{service.id}/{prefix}{n}": 1.0 for n in range(shards)}
+        for service in configuration.services.values()
+        if service.searchers
+    }
+
+
+class Fleet:
+    """One deployment: a platform, searchers and entry hosts, each a process."""
+
+    def __init__(
+        self,
+        text: str,
+        hosts: int = 3,
+        *,
+        routing: str = "owner",
+        searcher_processes: int = 1,
+        knobs: dict[str, Any] | None = None,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.network = own_network()
+        self.text = text.replace("127.0.0.1:", f"{self.network}:")
+        accepted = accept_text(self.text, Revision(1))
+        assert isinstance(accepted, Accepted), accepted
+        self.configuration = accepted.configuration
+        self.routing = routing
+        self.searcher_processes = searcher_processes
+        self.knobs_at_start = knobs or {}
+        self.extra_settings = settings or {}
+        self.folder = Path(tempfile.mkdtemp(prefix="masticgate-"))
+        self.platform_address = f"{self.network}:9000"
+        self.platform_control = f"{self.network}:9001"
+        self.controls = [f"{self.network}:{9100 + n}" for n in range(searcher_processes)]
+        domains = sorted(
+            {s.failure_domain for v in self.configuration.services.values() for s in v.searchers}
+        )
+        self.hosts = [
+            {
+                "host": f"h{n + 1}",
+                "address": f"{self.network}:{7001 + n}",
+                "failure_domain": domains[n % len(domains)],
+            }
+            for n in range(hosts)
+        ]
+        self.callers = [f"{self.network}:{8001 + n}" for n in range(hosts)]
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.snapshots = [{"version": 1, "shards": shard_map(self.configuration)}]
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start everything and wait until each host serves the configuration."""
+        self.start_standins()
+        for index in range(len(self.hosts)):
+            self.start_host(index)
+        self.wait_until(self.is_ready, START_SECONDS, "the hosts did not become ready")
+
+    def start_standins(self) -> None:
+        plan = {"platform": self.platform_address, "control": self.platform_control}
+        self._spawn_standin("platform", plan)
+        searchers = [
+            {
+                "id": searcher.id,
+                "service": service.id,
+                "address": searcher.address,
+                "slots": searcher.slots,
+                "connections": searcher.connections,
+            }
+            for service in self.configuration.services.values()
+            for searcher in service.searchers
+        ]
+        for number, control in enumerate(self.controls):
+            share = searchers[number :: self.searcher_processes]
+            plan = {"searchers": share, "control": control, "knobs": self.knobs_at_start}
+            self._spawn_standin(f"searchers-{number}", plan)
+        for control in [self.platform_control, *self.controls]:
+            self.wait_until(lambda c=control: self._answers(c), START_SECONDS, "no stand-in")
+        self.put_snapshots(self.snapshots)
+        self.put_text(self.text)
+        self.list_hosts(self.hosts)
+
+    def start_host(self, index: int) -> None:
+        """Start one entry host, as a new incarnation with no memory."""
+        host = self.hosts[index]
+        settings = {
+            "host": host["host"],
+            "failure_domain": host["failure_domain"],
+            "caller_address": self.callers[index],
+            "peer_address": host["address"],
+            "platform": {"configuration": self.platform_address, "hosts": self.platform_address},
+            "seeds": [h for h in self.hosts if h is not host],
+            "routing": self.routing,
+            **self.extra_settings,
+        }
+        path = self.folder / f"{host['host']}.jsonc"
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", "masticgate", "serve", "--settings", str(path)]
+        self._spawn(host["host"], command)
+
+    def is_ready(self) -> bool:
+        return all(self.host_ready(index) for index in range(len(self.hosts)))
+
+    def host_ready(self, index: int) -> bool:
+        """Tell whether a host serves a configuration and reaches every running peer."""
+        try:
+            status = call(self.callers[index], "GET", "/v1/status").body
+        except OSError:
+            return False
+        running = {h["host"] for h in self.hosts if self.is_running(h["host"])}
+        reached = {peer["host"] for peer in status["peers"] if peer["reachable"]}
+        return bool(status["revision"] and status["snapshots"] and running <= reached)
+
+    def search(self, index: int, services: list[str], **fields: Any) -> Reply:
+        """Search through one host."""
+        body = {"services": services, "text": "lamp", "remaining_ms": 1000.0, **fields}
+        return call(self.callers[index], "POST", "/v1/search", body)
+
+    def mint(self, index: int) -> str:
+        """Return a new ticket of one host."""
+        return str(call(self.callers[index], "POST", "/v1/tickets").body["ticket"])
+
+    def book(self, index: int, ticket: str, service: str, **fields: Any) -> Reply:
+        """Book through one host."""
+        body = {
+            "ticket": ticket,
+            "service": service,
+            "payload": {"unit": "7"},
+            "remaining_ms": 1000.0,
+            **fields,
+        }
+        return call(self.callers[index], "POST", "/v1/bookings", body)
+
+    def status(self, index: int) -> dict[str, Any]:
+        """Return one host's status."""
+        return dict(call(self.callers[index], "GET", "/v1/status").body)
+
+    def put_text(self, text: str) -> int:
+        """Publish a text and return its revision."""
+        return self._put(TEXT_KEY, text.replace("127.0.0.1:", f"{self.network}:"))
+
+    def put_snapshots(self, snapshots: list[dict[str, Any]]) -> int:
+        """Publish the snapshot catalogue."""
+        return self._put(SNAPSHOTS_KEY, json.dumps({"versions": snapshots}))
+
+    def list_hosts(self, hosts: list[dict[str, Any]]) -> None:
+        """Publish the host list."""
+        self.platform("hosts", hosts=hosts)
+
+    def platform(self, do: str, **fields: Any) -> Any:
+        """Turn a knob of the platform."""
+        return call(self.platform_control, "POST", "/", {"do": do, **fields}).body
+
+    def turn(self, searchers: list[str], **knobs: Any) -> None:
+        """Turn knobs of the named searchers, or of all for an empty list."""
+        for control in self.controls:
+            call(control, "POST", "/", {"searchers": searchers, "knobs": knobs})
+
+    def searchers(self) -> dict[str, Any]:
+        """Return what each searcher counted."""
+        merged: dict[str, Any] = {}
+        for control in self.controls:
+            merged.update(call(control, "GET", "/").body)
+        return merged
+
+    def is_running(self, name: str) -> bool:
+        return name in self.processes and self.processes[name].poll() is None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of this fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End one process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def wait_until(self, condition: Any, seconds: float, message: str) -> None:
+        """Wait until ``condition()`` holds."""
+        end = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > end:
+                raise AssertionError(message)
+            time.sleep(0.05)
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        end = time.monotonic() + STOP_SECONDS
+        for process in self.processes.values():
+            try:
+                process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def log_of(self, name: str) -> str:
+        """Return what one process wrote."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def _put(self, key: str, value: str) -> int:
+        return int(self.platform("put", key=key, value=value)["revision"])
+
+    def _answers(self, address: str) -> bool:
+        try:
+            return call(address, "GET", "/").status == 200
+        except OSError:
+            return False
+
+    def _spawn_standin(self, name: str, plan: dict[str, Any]) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(plan))
+        self._spawn(name, [sys.executable, "-m", "tests.standins", str(path)])
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        paths = [str(ROOT / "src"), str(ROOT)]
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
--- /dev/null
+++ b/tests/standins/http.py
@@ -0,0 +1,89 @@
+"""A very small asyncio HTTP/1.1 server that the stand-ins share."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+Handler = Callable[["Exchange"], None]
+
+
+class Exchange:
+    """One request and the way to answer it."""
+
+    def __init__(self, protocol: "HttpProtocol", method: str, url: str, body: bytes) -> None:
+        self.protocol = protocol
+        self.method = method
+        self.url = url
+        self.body = body
+        self.on_cut: Callable[[], None] | None = None
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    def answer(self, status: int, value: Any = None) -> None:
+        body = b"" if value is None else json.dumps(value).encode()
+        self.protocol.write(status, body)
+
+    def cut(self) -> None:
+        """Close the connection without an answer."""
+        self.protocol.transport.close()
+
+
+class HttpProtocol(asyncio.Protocol):
+    """One connection; requests are answered in order, one at a time."""
+
+    def __init__(self, handle: Handler, on_open: Callable[[int], None]) -> None:
+        self.handle = handle
+        self.on_open = on_open
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.body = b""
+        self.current: Exchange | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.on_open(1)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.on_open(-1)
+        if self.current is not None and self.current.on_cut is not None:
+            self.current.on_cut()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        self.url, self.body = b"", b""
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method().decode()
+        self.current = Exchange(self, method, self.url.decode(), self.body)
+        self.handle(self.current)
+
+    def write(self, status: int, body: bytes) -> None:
+        self.current = None
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.transport.write(head.encode() + body)
+
+
+async def listen(
+    address: str, handle: Handler, on_open: Callable[[int], None] = lambda change: None
+) -> asyncio.Server:
+    """Serve ``handle`` on ``address`` (``127.0.0.1:port``)."""
+    number, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: HttpProtocol(handle, on_open), number, int(port), backlog=512
+    )
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,95 @@
+"""A stand-in for the platform: the configuration service and the lagging host list."""
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from tests.standins.http import Exchange, listen
+
+
+class Platform:
+    """Values with revisions, watched by long polls, and a host list."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[int, str]] = {}
+        self.hosts: list[dict[str, Any]] = []
+        self.waiting: list[tuple[str, int, Exchange]] = []
+        self.down = False
+        self.frozen_values: dict[str, tuple[int, str]] = {}
+        self.reads = 0
+
+    def put(self, key: str, value: str) -> int:
+        revision = max((r for r, _ in self.values.values()), default=0) + 1
+        self.values[key] = (revision, value)
+        for watched, _, exchange in [w for w in self.waiting if w[0] == key]:
+            self.answer_value(exchange, watched)
+        self.waiting = [w for w in self.waiting if w[0] != key]
+        return revision
+
+    def handle(self, exchange: Exchange) -> None:
+        self.reads += 1
+        url = urlsplit(exchange.url)
+        if self.down:
+            exchange.answer(503, {"error": "down"})
+        elif url.path == "/v1/hosts":
+            exchange.answer(200, {"hosts": self.hosts})
+        else:
+            query = parse_qs(url.query)
+            key = unquote(url.path.removeprefix("/v1/values/"))
+            self.read(exchange, key, query)
+
+    def read(self, exchange: Exchange, key: str, query: dict[str, list[str]]) -> None:
+        after = int(query.get("after", ["-1"])[0])
+        wait = float(query.get("wait_ms", ["0"])[0]) / 1000
+        if self.current(key)[0] > after:
+            self.answer_value(exchange, key)
+            return
+        entry = (key, after, exchange)
+        self.waiting.append(entry)
+
+        def expire() -> None:
+            if entry in self.waiting:
+                self.waiting.remove(entry)
+                exchange.answer(204)
+
+        timer = asyncio.get_running_loop().call_later(wait, expire)
+        exchange.on_cut = lambda: (timer.cancel(), self.drop(entry))
+
+    def drop(self, entry: tuple[str, int, Exchange]) -> None:
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+
+    def current(self, key: str) -> tuple[int, str]:
+        values = self.frozen_values or self.values
+        return values.get(key, (-1, ""))
+
+    def answer_value(self, exchange: Exchange, key: str) -> None:
+        revision, value = self.current(key)
+        if revision < 0:
+            exchange.answer(404)
+        else:
+            exchange.answer(200, {"revision": revision, "value": value})
+
+    def handle_control(self, exchange: Exchange) -> None:
+        body = exchange.json() if exchange.body else {}
+        match body.get("do"):
+            case "put":
+                exchange.answer(200, {"revision": self.put(body["key"], body["value"])})
+            case "hosts":
+                self.hosts = body["hosts"]
+                exchange.answer(200, {})
+            case "down":
+                self.down = body["down"]
+                exchange.answer(200, {})
+            case "freeze":
+                self.frozen_values = dict(self.values) if body["freeze"] else {}
+                exchange.answer(200, {})
+            case _:
+                exchange.answer(200, {"reads": self.reads})
+
+
+async def serve_platform(platform: Platform, address: str, control: str) -> None:
+    """Serve the platform on ``address`` and its knobs on ``control``."""
+    await listen(address, platform.handle)
+    await listen(control, platform.handle_control)
+    await asyncio.Event().wait()
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,46 @@
+"""Decisions stay apart from the encoding of messages."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).resolve().parents[1] / "src" / "masticgate"
+WIRE = {"capnp", "http", "pycurl", "socket", "werkzeug"}
+ASSEMBLY = {"_server.py", "server.py", "commands.py"}
+
+
+def imported_modules(path: Path) -> set[str]:
+    modules: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            modules |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            modules.add("." * node.level + (node.module or ""))
+    return modules
+
+
+def sources(folder: str) -> list[Path]:
+    return sorted((PACKAGE / folder).glob("*.py"))
+
+
+class TestImports:
+    @pytest.mark.parametrize("path", sources("request") + sources("version"), ids=str)
+    def test_requests_and_versions_know_no_sockets_and_codecs(self, path):
+        modules = imported_modules(path)
+        assert not {module.split(".")[0] for module in modules} & WIRE
+        assert not any("connection" in module for module in modules)
+
+    @pytest.mark.parametrize("path", sources("process"), ids=str)
+    def test_the_process_opens_no_socket_itself(self, path):
+        tops = {module.split(".")[0] for module in imported_modules(path)}
+        assert not tops & (WIRE - {"socket"})
+
+    @pytest.mark.parametrize("path", sources("connection"), ids=str)
+    def test_connections_take_only_the_thin_public_modules(self, path):
+        private = {
+            module
+            for module in imported_modules(path)
+            if module.startswith(("..request.", "..version.", "..process."))
+        }
+        assert not private
