Refuse whole queries at their entry by the owners' measured capacity

Cause: without admission a 6x flood of bulk work makes twenty queues expire different queries, so that almost none of the flooded rank ends whole. Owners hold even shares of a department's services.

--- /dev/null
+++ b/src/masticgate/process/_admission.py
@@ -0,0 +1,78 @@
+"""Refuses whole queries at their entry host where a service could not finish them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from threading import Lock
+
+from .._clock import Clock
+from .._failures import NotRun, Reason, Step
+from .._ids import HostId, Millis, ServiceId
+from .._ranks import Rank
+from ..version import Service
+from ._messages import RefusedCount, ServicePressure
+
+PRESSURE_LIFETIME = Millis(1500.0)
+"""An owner's word that is older than this no longer counts."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Limit:
+    owner: HostId
+    admitted: tuple[float, float, float]
+    heard_at: Millis
+
+
+class AdmissionControl:
+    """Remembers what the owners can take, and what was refused on their word.
+
+    A query is admitted where its number is below the admitted share of each service it needs.
+    The number is drawn once a query, so all its services agree and nothing fans out in vain.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.lock = Lock()
+        self.limits: dict[ServiceId, _Limit] = {}
+        self.refused: dict[tuple[ServiceId, Rank], int] = {}
+
+    def hear(self, owner: HostId, services: Iterable[ServicePressure]) -> None:
+        """Take over an owner's word on its services."""
+        now = self.clock.now()
+        with self.lock:
+            for item in services:
+                self.limits[item.service] = _Limit(owner, item.admitted, now)
+
+    def admit(self, rank: Rank, number: float, services: Iterable[Service]) -> NotRun | None:
+        """Refuse a query, or return ``None``."""
+        limits = self.limits
+        if not limits:
+            return None
+        needed = [service.id for service in services]
+        oldest = self.clock.now() - PRESSURE_LIFETIME
+        for service in needed:
+            limit = limits.get(service)
+            if limit is None or limit.heard_at < oldest or number < limit.admitted[rank]:
+                continue
+            self._count(needed, rank)
+            return NotRun(Reason.OVERLOAD, Step.ADMISSION, peer=service)
+        return None
+
+    def take_refused(self) -> dict[HostId, list[RefusedCount]]:
+        """Return and clear what was refused since the last call, by owner."""
+        with self.lock:
+            refused, self.refused = self.refused, {}
+            oldest = self.clock.now() - PRESSURE_LIFETIME
+            self.limits = {s: x for s, x in self.limits.items() if x.heard_at >= oldest}
+            by_owner: dict[HostId, list[RefusedCount]] = {}
+            for (service, rank), count in refused.items():
+                limit = self.limits.get(service)
+                if limit is not None:
+                    counts = by_owner.setdefault(limit.owner, [])
+                    counts.append(RefusedCount(service, rank, count))
+            return by_owner
+
+    def _count(self, services: Iterable[ServiceId], rank: Rank) -> None:
+        with self.lock:
+            for service in services:
+                key = (service, rank)
+                self.refused[key] = self.refused.get(key, 0) + 1
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -8,11 +8,12 @@
 from .._ranks import Rank
 from ..request import Ask, Book, BookReply, Cancel, Forward, Inbox, Reply
 from ..version import Configuration, Scope, Snapshot, owner_table, rank_hosts
+from ._admission import AdmissionControl
 from ._links import Links
 from ._mailboxes import Mailboxes
 from ._members import Members
 from ._owner import Owner
-from ._policy import LocalRouting, OwnerRouting, Policy
+from ._policy import AdmitAll, AdmitByCapacity, LocalRouting, OwnerRouting, Policy
 from ._tickets import parse_ticket
 from ._versions import VersionStore
 
@@ -31,6 +32,7 @@
         links: Links,
         mailboxes: Mailboxes,
         owner: Owner,
+        admission: AdmissionControl,
     ) -> None:
         self.own = own
         self.incarnation = incarnation
@@ -41,6 +43,7 @@
         self.links = links
         self.mailboxes = mailboxes
         self.owner = owner
+        self.admission = admission
         self.table: dict[ServiceId, list[HostId]] = {}
 
     def refresh_table(self) -> None:
@@ -69,7 +72,11 @@
         """Refuse a query whole where its services could not finish it."""
         if self.owner.stopping:
             return NotRun(Reason.SHUTTING_DOWN, Step.ADMISSION, peer=self.own)
-        return None
+        match self.policy.admission:
+            case AdmitAll():
+                return None
+            case AdmitByCapacity():
+                return self.admission.admit(rank, number, scope.remaining)
 
     def owners(self, service: ServiceId) -> Sequence[HostId]:
         """Return the reachable hosts to ask for ``service``, the owner first."""
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -19,6 +19,7 @@
 from ._members import Members
 from ._messages import Demand, Heartbeat, HeartbeatReply, Hello, Member, MemberState, Pressure
 from ._owner import Owner
+from ._pressure import PressureExchange
 from ._timeline import EventKind, TimeLine
 from ._versions import VersionStore
 
@@ -43,6 +44,7 @@
         self.mailboxes = mailboxes
         self.owner: Owner
         self.links: Links
+        self.pressure: PressureExchange
         self.run_forward: ForwardRunner
 
     def hello(self) -> Hello:
@@ -64,6 +66,7 @@
         """Handle one message from ``peer``; ``answer`` sends on the same connection."""
         match message:
             case Ask():
+                self.pressure.note_asker(peer.host, answer)
                 self.owner.ask(message, answer)
             case Cancel():
                 self.owner.cancel(message)
@@ -86,7 +89,11 @@
                 self.versions.offer_text(text, revision)
             case CataloguePush(text=text):
                 self.versions.offer_catalogue(text)
-            case Demand() | Pressure() | Hello():
+            case Demand():
+                self.pressure.hear_demand(message)
+            case Pressure(services=services):
+                self.pressure.admission.hear(peer.host, services)
+            case Hello():
                 return
 
     def _compare(self, theirs: Versions, answer: Callable[[Message], bool]) -> None:
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -18,6 +18,7 @@
 )
 from ..request import Forward, ForwardReply
 from ..version import Configuration, FetchVersions, Searcher
+from ._admission import AdmissionControl
 from ._caller_service import CallerService
 from ._host_tier import HostTier
 from ._links import Links
@@ -28,6 +29,7 @@
 from ._peer_service import PeerService, member_of
 from ._policy import NAIVE_POLICY, OWNER_POLICY, Policy
 from ._pools import Pools
+from ._pressure import PRESSURE_INTERVAL, PressureExchange
 from ._service_pool import ServicePool
 from ._settings import Settings
 from ._tickets import TicketTable
@@ -62,6 +64,10 @@
         self.pools = Pools(self.policy, self.clock, self.timeline, self._start_connection)
         self.owner = Owner(self.pools, self.versions, self.clock, self._count_hosts)
         self.tickets = TicketTable(self.id, self.incarnation, self.clock)
+        self.admission = AdmissionControl(self.clock)
+        self.pressure = PressureExchange(
+            self.id, self.pools, self.admission, self.timeline, self.clock
+        )
         self.tier = HostTier(
             self.id,
             self.incarnation,
@@ -72,10 +78,12 @@
             self.links,
             self.mailboxes,
             self.owner,
+            self.admission,
         )
         self.callers = CallerService(self.id, self.tier, self.tickets, self.timeline, self.clock)
         self.peers.owner = self.owner
         self.peers.links = self.links
+        self.peers.pressure = self.pressure
         self.peers.run_forward = self._run_forward
         self.peer_server = PeerServer(Address(settings.peer_address), self.peers, self.tasks)
         self.caller_server = CallerServer(
@@ -96,6 +104,7 @@
                 self.links.ensure(HostId(seed.host), Address(seed.address))
         self._start_watches()
         self.start_task(self._run_heartbeats)
+        self.start_task(self._run_pressure)
         self.start_task(self.caller_server.run)
 
     def stop(self) -> None:
@@ -171,6 +180,10 @@
                 owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
                 self.pools.close_unused(configuration, owned)
 
+    def _run_pressure(self) -> None:
+        while not self.stopping.wait(PRESSURE_INTERVAL / MILLIS_PER_SECOND):
+            self.pressure.run_once(self.links.send)
+
     def _send_heartbeats(self, sequence: int) -> None:
         members = tuple(self.members.list_members())
         self.links.broadcast(Heartbeat(sequence, self.versions.versions(), members))
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -14,6 +14,7 @@
 from ._policy import Policy
 from ._rank_queue import RankQueue
 from ._searcher_health import SearcherHealth, SearcherState
+from ._service_load import ServiceLoad, share_capacity
 from ._work import BookingWork, Entry, SearchWork, Send, Work, WorkState
 
 MAX_PENDING = 2000
@@ -22,6 +23,9 @@
 IDLE_WAIT = Millis(1000.0)
 """The longest that a connection waits for work before it looks around."""
 
+OVERSUBSCRIPTION = 1.0
+"""Admitted work over capacity; a little too much keeps the slots busy."""
+
 MAX_RETRIES = 2
 
 RETRY_REASONS = frozenset(
@@ -80,6 +84,8 @@
         self.clock = clock
         self.listener = listener
         self.lock = Lock()
+        self.floors = floors
+        self.load = ServiceLoad(clock.now())
         self.pending = RankQueue(policy.order, floors)
         self.budget = HedgeBudget(policy.hedging)
         self.health = {s.id: SearcherHealth(s, connections) for s, connections in searchers}
@@ -95,6 +101,7 @@
         """Queue ``work``; its ``deliver`` is called once with the result, unless refused here."""
         with self.lock:
             self.last_used = self.clock.now()
+            self.load.arrive(work.rank)
             refusal = self._refuse(work)
             if refusal is not None:
                 return refusal
@@ -123,6 +130,20 @@
         if result is not None:
             entry.work.deliver(result)
 
+    def note_refused(self, rank: Rank, count: int) -> None:
+        """Count work that an entry host refused because of this service's pressure."""
+        with self.lock:
+            self.load.arrive(rank, count)
+
+    def measure_pressure(self) -> dict[Rank, float]:
+        """Return the share of each rank's demand that this service can take."""
+        with self.lock:
+            self.load.tick(self.clock.now())
+            capacity = self.load.capacity(self._usable_slots())
+            if capacity is None:
+                return dict.fromkeys(Rank, 1.0)
+            return share_capacity(capacity * OVERSUBSCRIPTION, self.load.demand, self.floors)
+
     def stop(self) -> None:
         """Hand pending work back as not run and let connections end after their present work."""
         with self.lock:
@@ -183,6 +204,8 @@
                 self._dispatch()
                 return
             self._settle(entry)
+            if isinstance(result, Hits | Ran):
+                self.load.complete(self.clock.now(), self._usable_slots(), len(self.pending) > 0)
             losers = self._abort_sends(entry)
             self._dispatch()
         _call_all(losers)
@@ -219,6 +242,10 @@
         self.booked[ticket, attempt] = deadline
         return None
 
+    def _usable_slots(self) -> int:
+        barred = (SearcherState.EJECTED, SearcherState.DRAINING)
+        return sum(h.searcher.slots for h in self.health.values() if h.state not in barred)
+
     def _is_stopped(self, searcher: SearcherId) -> bool:
         return self.stopping or searcher not in self.health
 
--- a/src/masticgate/version/_placement.py
+++ b/src/masticgate/version/_placement.py
@@ -12,8 +12,8 @@
 from .._ids import DepartmentId, HostId, ServiceId
 from ._configuration import Configuration, Searcher
 
-SERVICES_PER_OWNER = 4
-"""The number of services of one department that a host owns on average."""
+SERVICES_PER_OWNER = 3
+"""The number of services of one department that a host owns, where hosts suffice."""
 
 MIN_GROUP_HOSTS = 3
 MAX_OWNER_CANDIDATES = 8
@@ -54,16 +54,32 @@
 def owner_table(
     configuration: Configuration, hosts: Sequence[HostId]
 ) -> dict[ServiceId, list[HostId]]:
-    """Return the ranked owners of every service that has searchers."""
-    counts: dict[DepartmentId, int] = {}
+    """Return the ranked owners of every service that has searchers.
+
+    Within a department's group no host owns more than its even share, so that the busiest owner
+    does not decide how much a search of the whole department can take.
+    """
+    siblings: dict[DepartmentId, list[ServiceId]] = {}
     for service in configuration.services.values():
-        counts[service.department] = counts.get(service.department, 0) + 1
-    groups = {
-        department: department_hosts(department, count, hosts)
-        for department, count in counts.items()
-    }
-    return {
-        service.id: rank_hosts(f"service:{service.id}", groups[service.department])
-        for service in configuration.services.values()
-        if service.searchers
-    }
+        if service.searchers:
+            siblings.setdefault(service.department, []).append(service.id)
+    table: dict[ServiceId, list[HostId]] = {}
+    for department, services in siblings.items():
+        group = department_hosts(department, len(services), hosts)
+        table.update(_share_evenly(services, group))
+    return table
+
+
+def _share_evenly(services: list[ServiceId], group: list[HostId]) -> dict[ServiceId, list[HostId]]:
+    owned = dict.fromkeys(group, 0)
+    most = ceil(len(services) / max(1, len(group)))
+    table: dict[ServiceId, list[HostId]] = {}
+    for service in sorted(services):
+        ranked = rank_hosts(f"service:{service}", group)
+        owner = next((host for host in ranked if owned[host] < most), None)
+        if owner is not None:
+            owned[owner] += 1
+            ranked.remove(owner)
+            ranked.insert(0, owner)
+        table[service] = ranked
+    return table
--- /dev/null
+++ b/tests/process/test_admission.py
@@ -0,0 +1,93 @@
+"""Overload is refused a whole query at a time, before its fan-out."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticgate import HostId, ManualClock, Millis, NotRun, Rank, Reason, ServiceId
+from masticgate.process import RefusedCount, ServicePressure
+from masticgate.process._admission import PRESSURE_LIFETIME, AdmissionControl
+from masticgate.process._service_load import ServiceLoad, share_capacity
+from masticgate.version import Service
+
+FLOORS = {Rank.URGENT: 0.0, Rank.STANDARD: 0.15, Rank.BULK: 0.1}
+RATES = st.floats(min_value=0.0, max_value=1e4)
+
+
+def services(*names: str) -> list[Service]:
+    return [Service(ServiceId(name), "desk", (), (), False) for name in names]
+
+
+class TestShareCapacity:
+    @settings(derandomize=True)
+    @given(RATES, RATES, RATES, st.floats(min_value=0.1, max_value=1e4))
+    def test_grants_no_more_than_the_capacity_and_keeps_the_floors(self, u, s, b, capacity):
+        demand = {Rank.URGENT: u, Rank.STANDARD: s, Rank.BULK: b}
+        shares = share_capacity(capacity, demand, FLOORS)
+        granted = {rank: shares[rank] * demand[rank] for rank in Rank}
+        assert sum(granted.values()) <= capacity * (1 + 1e-6)
+        for rank in Rank:
+            assert granted[rank] >= min(demand[rank], FLOORS[rank] * capacity) * (1 - 1e-6)
+            assert 0.0 <= shares[rank] <= 1.0
+
+    def test_takes_all_below_capacity(self):
+        demand = {Rank.URGENT: 30.0, Rank.STANDARD: 30.0, Rank.BULK: 20.0}
+        assert set(share_capacity(100.0, demand, FLOORS).values()) == {1.0}
+
+    def test_an_ordinary_flood_costs_only_the_flooded_rank(self):
+        demand = {Rank.URGENT: 30.0, Rank.STANDARD: 20.0, Rank.BULK: 600.0}
+        shares = share_capacity(100.0, demand, FLOORS)
+        assert (shares[Rank.URGENT], shares[Rank.STANDARD]) == (1.0, 1.0)
+        assert abs(shares[Rank.BULK] - 50 / 600) < 1e-9
+
+    def test_a_flood_of_urgent_work_leaves_the_floors(self):
+        demand = {Rank.URGENT: 600.0, Rank.STANDARD: 20.0, Rank.BULK: 20.0}
+        shares = share_capacity(100.0, demand, FLOORS)
+        assert abs(shares[Rank.URGENT] - 75 / 600) < 1e-9
+        assert abs(shares[Rank.STANDARD] - 15 / 20) < 1e-9
+        assert abs(shares[Rank.BULK] - 10 / 20) < 1e-9
+
+
+class TestServiceLoad:
+    def test_learns_its_capacity_from_completions_under_backlog(self):
+        load = ServiceLoad(Millis(0.0))
+        for n in range(1, 200):
+            load.complete(Millis(n * 8.0), slots=4, backlog=True)
+        capacity = load.capacity(slots=4)
+        assert capacity is not None
+        assert abs(capacity - 1 / 8) < 0.001
+        assert abs((load.capacity(slots=2) or 0) - 1 / 16) < 0.001
+
+    def test_claims_no_capacity_while_nothing_waits(self):
+        load = ServiceLoad(Millis(0.0))
+        for n in range(1, 200):
+            load.complete(Millis(n * 8.0), slots=4, backlog=False)
+        assert load.capacity(slots=4) is None
+
+
+class TestAdmissionControl:
+    def test_refuses_by_the_most_pressed_service_and_counts_it_for_all(self):
+        control = AdmissionControl(ManualClock())
+        words = [
+            ServicePressure(ServiceId("a"), (1.0, 1.0, 0.5)),
+            ServicePressure(ServiceId("b"), (1.0, 1.0, 0.2)),
+        ]
+        control.hear(HostId("h2"), words)
+        needed = services("a", "b", "c")
+        assert control.admit(Rank.BULK, 0.1, needed) is None
+        assert control.admit(Rank.URGENT, 0.9, needed) is None
+        refusal = control.admit(Rank.BULK, 0.3, needed)
+        assert isinstance(refusal, NotRun) and refusal.reason is Reason.OVERLOAD
+        counted = control.take_refused()[HostId("h2")]
+        assert set(counted) == {
+            RefusedCount(ServiceId("a"), Rank.BULK, 1),
+            RefusedCount(ServiceId("b"), Rank.BULK, 1),
+        }
+        assert control.take_refused() == {}
+
+    def test_forgets_the_word_of_an_owner_that_fell_silent(self):
+        clock = ManualClock()
+        control = AdmissionControl(clock)
+        control.hear(HostId("h2"), [ServicePressure(ServiceId("a"), (0.0, 0.0, 0.0))])
+        assert control.admit(Rank.URGENT, 0.5, services("a")) is not None
+        clock.advance(Millis(PRESSURE_LIFETIME + 1))
+        assert control.admit(Rank.URGENT, 0.5, services("a")) is None
--- /dev/null
+++ b/tests/version/test_placement.py
@@ -0,0 +1,55 @@
+"""Which hosts own which services."""
+
+from collections import Counter
+
+import pytest
+
+from masticgate import HostId, Revision
+from masticgate.version import Accepted, Searcher, accept_text, owner_table, service_connections
+from tests.texts import example
+
+
+@pytest.fixture(scope="module", params=["kerala", "norte"])
+def configuration(request):
+    accepted = accept_text(example(request.param), Revision(1))
+    assert isinstance(accepted, Accepted)
+    return accepted.configuration
+
+
+def hosts(number: int) -> list[HostId]:
+    return [HostId(f"h{n}") for n in range(number)]
+
+
+class TestOwnerTable:
+    def test_gives_every_service_with_searchers_an_owner(self, configuration):
+        table = owner_table(configuration, hosts(7))
+        assert set(table) == {s.id for s in configuration.services.values() if s.searchers}
+        assert all(owners for owners in table.values())
+
+    def test_is_the_same_whatever_the_order_of_the_hosts(self, configuration):
+        assert owner_table(configuration, hosts(7)) == owner_table(configuration, hosts(7)[::-1])
+
+    def test_shares_the_services_of_a_department_evenly(self, configuration):
+        table = owner_table(configuration, hosts(7))
+        wide = [s for s in table if "/01" in s][0].split("/")[0]
+        owned = Counter(owners[0] for s, owners in table.items() if s.startswith(f"{wide}/"))
+        assert max(owned.values()) <= 5
+
+    def test_reaches_few_owners_however_many_hosts_there_are(self, configuration):
+        table = owner_table(configuration, hosts(300))
+        for department in configuration.departments:
+            services = [
+                s.id
+                for s in configuration.services.values()
+                if s.department == department and s.searchers
+            ]
+            owners = {host for s in services for host in table[s]}
+            assert len(owners) <= max(3, -(-len(services) // 3))
+
+
+class TestServiceConnections:
+    @pytest.mark.parametrize("listed", range(1, 9))
+    @pytest.mark.parametrize(("slots", "limit"), [(2, 25), (2, 100), (3, 40)])
+    def test_all_candidate_owners_together_stay_within_the_limit(self, listed, slots, limit):
+        searcher = Searcher("s", "127.0.0.1:1", "north", slots, limit)
+        assert listed * service_connections(searcher, listed) <= limit
