--- a/src/masticgate/connection/_searcher.py
+++ b/src/masticgate/connection/_searcher.py
@@ -1,14 +1,23 @@
 """One task for each connection to a searcher: take work, send it, hand back the result."""
 
-import json
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic_core import to_json
 
 from .._clock import Clock
 from .._failures import NotRun, Reason, Step, Unknown
 from .._ids import Millis, SearcherId, ShardId, SnapshotVersion
-from ..process import BookingWork, Idle, SearchWork, Send, ServicePool, Stopped
+from ..process import (
+    BookingWork,
+    Idle,
+    LoadReport,
+    LookAround,
+    SearchWork,
+    Send,
+    ServicePool,
+    Stopped,
+)
 from ..request import BookingOutcome, Hit, Hits, Ran, SubReply, VersionGone
 from ..version import Searcher
 from ._http_call import HttpCall, HttpLost, HttpReply
@@ -16,6 +25,8 @@
 GRACE = Millis(5.0)
 """Added to the deadline before the call is given up, since the searcher keeps it too."""
 
+LOOK_TIMEOUT = Millis(1000.0)
+
 NOT_RUN_REASONS = {
     "draining": Reason.SEARCHER_DRAINING,
     "shed": Reason.SEARCHER_SHED,
@@ -46,36 +57,67 @@
 class _RefusalText(BaseModel):
     model_config = ConfigDict(extra="ignore")
     reason: str = ""
+    incarnation: str = ""
+
+
+class _LoadText(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+    load: int = Field(default=0, ge=0)
+    draining: bool = False
+    incarnation: str = ""
 
 
 def run_searcher_connection(pool: ServicePool, searcher: Searcher, clock: Clock) -> None:
-    """Serve ``pool`` over one connection to ``searcher`` until the pool stops."""
-    call = HttpCall(searcher.address)
-    try:
-        while True:
-            match pool.take(searcher.id):
-                case Stopped():
-                    return
-                case Idle():
-                    continue
-                case Send() as send:
-                    _run_send(pool, send, call, clock)
-    finally:
-        call.close()
+    """Serve ``pool`` over one connection to ``searcher`` until it is no longer wanted."""
+    wanted = True
+    while wanted:
+        call = HttpCall(searcher.address)
+        try:
+            _serve(pool, searcher, call, clock)
+        finally:
+            call.close()
+            wanted = pool.leave(searcher)
+
+
+def _serve(pool: ServicePool, searcher: Searcher, call: HttpCall, clock: Clock) -> None:
+    while True:
+        match pool.take(searcher):
+            case Stopped():
+                return
+            case Idle():
+                continue
+            case LookAround():
+                call.allow()
+                pool.note_load(searcher, _read_load(call.get("/load", LOOK_TIMEOUT)))
+            case Send() as send:
+                _run_send(pool, send, call, clock)
+
+
+def _read_load(reply: HttpReply | HttpLost) -> LoadReport | None:
+    match reply:
+        case HttpReply(status=200, body=body):
+            try:
+                text = _LoadText.model_validate_json(body)
+            except ValidationError:
+                return None
+            return LoadReport(text.load, text.draining, text.incarnation)
+        case _:
+            return None
 
 
 def _run_send(pool: ServicePool, send: Send, call: HttpCall, clock: Clock) -> None:
+    call.allow()
     if not pool.may_send(send, call.abort):
         pool.abandon(send)
         return
     match send.entry.work:
         case SearchWork() as work:
-            pool.finish(send, _search(call, work, send.searcher, clock))
+            pool.finish(send, _search(call, work, send, clock))
         case BookingWork() as work:
-            pool.finish(send, _book(call, work, send.searcher, clock))
+            pool.finish(send, _book(call, work, send, clock))
 
 
-def _search(call: HttpCall, work: SearchWork, searcher: SearcherId, clock: Clock) -> SubReply:
+def _search(call: HttpCall, work: SearchWork, send: Send, clock: Clock) -> SubReply:
     remaining = Millis(work.deadline - clock.now())
     body = {
         "query": work.query,
@@ -85,14 +127,14 @@
         "remaining_ms": round(remaining, 1),
         "text": work.text,
     }
-    reply = call.post("/search", json.dumps(body).encode(), Millis(remaining + GRACE))
+    reply = call.post("/search", to_json(body), Millis(remaining + GRACE))
     match reply:
         case HttpReply(status=200, body=answer):
-            return _read_hits(answer, work, searcher)
+            return _read_hits(answer, work, send.searcher)
         case HttpReply(status=410, body=answer):
-            return _read_gone(answer, work, searcher)
+            return _read_gone(answer, work, send.searcher)
         case _:
-            return _read_failure(reply, searcher)
+            return _read_failure(reply, send)
 
 
 def _read_hits(body: bytes, work: SearchWork, searcher: SearcherId) -> SubReply:
@@ -104,7 +146,8 @@
         detail = f"asked for snapshot {work.snapshot}, got {text.snapshot}"
         return Unknown(Reason.WRONG_VERSION, Step.UPSTREAM, searcher, detail)
     hits = tuple(
-        Hit(hit.id, hit.score, ShardId(hit.shard), json.dumps(hit.document)) for hit in text.hits
+        Hit(hit.id, hit.score, ShardId(hit.shard), to_json(hit.document).decode())
+        for hit in text.hits
     )
     return Hits(SnapshotVersion(text.snapshot), tuple(map(ShardId, text.shards)), hits)
 
@@ -117,7 +160,7 @@
     return VersionGone(work.snapshot, tuple(SnapshotVersion(v) for v in held if v >= 0))
 
 
-def _book(call: HttpCall, work: BookingWork, searcher: SearcherId, clock: Clock) -> BookingOutcome:
+def _book(call: HttpCall, work: BookingWork, send: Send, clock: Clock) -> BookingOutcome:
     remaining = Millis(work.deadline - clock.now())
     body = {
         "ticket": work.ticket,
@@ -126,30 +169,36 @@
         "remaining_ms": round(remaining, 1),
         "payload": work.payload,
     }
-    reply = call.post_once("/book", json.dumps(body).encode(), Millis(remaining + GRACE))
+    reply = call.post_once("/book", to_json(body), Millis(remaining + GRACE))
     match reply:
         case HttpReply(status=200, body=result):
             return Ran(result.decode("utf-8", errors="replace"))
         case _:
-            return _read_failure(reply, searcher)
+            return _read_failure(reply, send)
 
 
-def _read_failure(reply: HttpReply | HttpLost, searcher: SearcherId) -> NotRun | Unknown:
+def _read_failure(reply: HttpReply | HttpLost, send: Send) -> NotRun | Unknown:
     """Return ``NotRun`` only on the searcher's own word, or where no byte left."""
+    searcher = send.searcher
     match reply:
         case HttpLost(sent=False, message=message):
             return NotRun(Reason.SEARCHER_REFUSED, Step.CONNECT, searcher, message)
         case HttpLost(message=message):
             return Unknown(Reason.SEARCHER_LOST, Step.UPSTREAM, searcher, message)
         case HttpReply(status=503 | 409 | 429, body=body):
-            return _read_refusal(body, searcher)
+            return _read_refusal(body, send)
         case HttpReply(status=status):
             return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, searcher, f"status {status}")
 
 
-def _read_refusal(body: bytes, searcher: SearcherId) -> NotRun | Unknown:
+def _read_refusal(body: bytes, send: Send) -> NotRun | Unknown:
+    """Read a refusal; a searcher that gives no known reason may have run the work."""
     try:
-        word = _RefusalText.model_validate_json(body).reason
+        text = _RefusalText.model_validate_json(body)
     except ValidationError:
-        return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, searcher, "unreadable refusal")
-    return NotRun(NOT_RUN_REASONS.get(word, Reason.SEARCHER_SHED), Step.UPSTREAM, searcher, word)
+        return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, send.searcher, "unreadable refusal")
+    send.incarnation = text.incarnation
+    reason = NOT_RUN_REASONS.get(text.reason)
+    if reason is None:
+        return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, send.searcher, text.reason)
+    return NotRun(reason, Step.UPSTREAM, send.searcher, text.reason)
--- /dev/null
+++ b/src/masticgate/process/_dispatcher.py
@@ -0,0 +1,137 @@
+"""Decides which idle connection of a service gets which pending work or hedge."""
+
+from collections.abc import Iterable, Mapping
+
+from .._ids import Millis, ServiceId
+from .._ranks import Rank
+from ..version import Searcher
+from ._hedge_budget import HedgeBudget
+from ._lone_sends import LoneSends
+from ._policy import Policy
+from ._rank_queue import RankQueue
+from ._searcher_group import SearcherGroup, StateListener
+from ._searcher_health import SearcherHealth
+from ._seats import Seats
+from ._work import BookingWork, Entry, Send, WorkState
+
+EXPIRY_INTERVAL = Millis(100.0)
+"""How often the whole queue is searched for work whose deadline passed."""
+
+
+class Dispatcher:
+    """The queue, the searchers and the idle connections; the service pool's lock guards them."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        searchers: Iterable[tuple[Searcher, int]],
+        floors: Mapping[Rank, float],
+        policy: Policy,
+        listener: StateListener,
+    ) -> None:
+        self.pending = RankQueue(policy.order, floors)
+        self.budget = HedgeBudget(policy.hedging)
+        self.searchers = SearcherGroup(service, listener)
+        self.searchers.set_shares(searchers)
+        self.lone = LoneSends()
+        self.seats = Seats()
+        self.next_expiry = Millis(0.0)
+
+    def run(self, now: Millis) -> list[Entry]:
+        """Hand out all work that may be sent now; return the entries found expired."""
+        expired = self._find_expired(now)
+        if self.seats:
+            self._send_hedges(now, self.pending.first_rank())
+            while len(self.pending) and self._send_next(now, expired):
+                pass
+            self._send_hedges(now, None)
+        if self.seats.timer is None and (len(self.lone) or len(self.pending)):
+            self.seats.arm()
+        return expired
+
+    def next_due(self, now: Millis, latest: Millis) -> Millis:
+        """Return when there may be a hedge to send or a searcher to try again."""
+        times = [latest]
+        delay = self.budget.hedge_delay()
+        due = None if delay is None else self.lone.next_due(now, delay)
+        if due is not None:
+            times.append(due)
+        eligible = self.searchers.next_eligible(now) if len(self.pending) else None
+        if eligible is not None:
+            times.append(eligible)
+        return min(times)
+
+    def requeue(self, entry: Entry, failed_at: SearcherHealth) -> None:
+        """Put an entry back after a send failed."""
+        self.lone.discard(entry)
+        entry.retries += 1
+        entry.failed_at = failed_at
+        entry.state = WorkState.PENDING
+        self.pending.add(entry)
+
+    def remove(self, entry: Entry) -> None:
+        """Take an entry out, wherever it stands."""
+        entry.state = WorkState.DONE
+        self.pending.remove(entry)
+        self.lone.discard(entry)
+
+    def _find_expired(self, now: Millis) -> list[Entry]:
+        if now < self.next_expiry or not len(self.pending):
+            return []
+        self.next_expiry = Millis(now + EXPIRY_INTERVAL)
+        expired = [entry for entry in self.pending.entries() if entry.work.deadline <= now]
+        for entry in expired:
+            self.pending.remove(entry)
+        return expired
+
+    def _send_next(self, now: Millis, expired: list[Entry]) -> bool:
+        """Send one pending entry; return ``False`` where no searcher may have more."""
+        any_searcher = self.searchers.best(self.seats.idle, now)
+        if any_searcher is None:
+            return False
+        entry = self.pending.pop(now)
+        if entry.work.deadline <= now:
+            expired.append(entry)
+            return True
+        self.pending.charge(entry)
+        self._assign(self._choose(entry, now) or any_searcher, entry, now)
+        return True
+
+    def _choose(self, entry: Entry, now: Millis) -> SearcherHealth | None:
+        """Return a searcher that did not fail ``entry``; a booking is no probe either."""
+        barred = [] if entry.failed_at is None else [entry.failed_at]
+        if isinstance(entry.work, BookingWork):
+            barred += self.searchers.ejected()
+        return self.searchers.best(self.seats.idle, now, barred)
+
+    def _send_hedges(self, now: Millis, first: Rank | None) -> None:
+        """Send the hedges that are due, but none of a rank below ``first``."""
+        delay = self.budget.hedge_delay()
+        if delay is None or not self.seats:
+            return
+        for entry in self.lone.due(now, delay):
+            if first is not None and entry.work.rank > first:
+                return
+            sent_to = [send.health for send in entry.sends]
+            health = self.searchers.best(self.seats.idle, now, sent_to)
+            if health is None:
+                continue
+            if not self.budget.spend():
+                return
+            self._assign(health, entry, now, hedge=True)
+
+    def _assign(
+        self, health: SearcherHealth, entry: Entry, now: Millis, *, hedge: bool = False
+    ) -> None:
+        send = Send(entry, health, now, hedge)
+        entry.sends.append(send)
+        if hedge:
+            self.lone.discard(entry)
+        else:
+            entry.state = WorkState.SENT
+            entry.sent_at = now
+            self.lone.add(entry)
+            if entry.retries == 0:
+                self.budget.earn()
+        health.in_flight += 1
+        self.seats.give(send)
--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -1,18 +1,18 @@
 """The one budget of hedges and retries of a service, and when a hedge is due."""
 
-from hdrh.histogram import HdrHistogram
-
 from .._ids import Millis
+from ._latency_window import LatencyWindow
 from ._policy import Hedge, Hedging, NoHedge
 
 MAX_TOKENS = 8.0
-SMALLEST_MICROS = 1
-LARGEST_MICROS = 60_000_000
-SIGNIFICANT_FIGURES = 2
-HEDGE_PERCENTILE = 95.0
-WINDOW_SAMPLES = 512
 FIRST_DELAY = Millis(50.0)
 
+HEDGE_PERCENTILE = 90.0
+"""Low enough that the stragglers themselves do not move the delay."""
+
+HEDGE_MARGIN = 1.5
+"""The delay over that percentile; an ordinary tail stays below it."""
+
 
 class HedgeBudget:
     """Earns a share of each first send, spends one a hedge or retry; the owner's lock guards it."""
@@ -21,7 +21,7 @@
         self.hedging = hedging
         self.tokens = 1.0
         self.delay = FIRST_DELAY
-        self.histogram = _new_histogram()
+        self.window = LatencyWindow()
 
     def earn(self) -> None:
         """Count one first send."""
@@ -38,12 +38,14 @@
         self.tokens -= 1.0
         return True
 
-    def observe(self, latency: Millis) -> None:
+    def observe(self, now: Millis, latency: Millis) -> None:
         """Record the latency of a first send, from which the hedge delay follows."""
-        self.histogram.record_value(max(SMALLEST_MICROS, int(latency * 1000)))
-        if self.histogram.get_total_count() >= WINDOW_SAMPLES:
-            self.delay = Millis(self.histogram.get_value_at_percentile(HEDGE_PERCENTILE) / 1000)
-            self.histogram = _new_histogram()
+        if isinstance(self.hedging, NoHedge):
+            return
+        self.window.add(now, latency)
+        usual = self.window.percentile(HEDGE_PERCENTILE)
+        if usual is not None:
+            self.delay = Millis(usual * HEDGE_MARGIN)
 
     def hedge_delay(self) -> Millis | None:
         """Return the age at which a send is hedged, ``None`` where it never is."""
@@ -52,7 +54,3 @@
                 return None
             case Hedge(minimum_delay=minimum):
                 return max(minimum, self.delay)
-
-
-def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(SMALLEST_MICROS, LARGEST_MICROS, SIGNIFICANT_FIGURES)
--- /dev/null
+++ b/src/masticgate/process/_lone_sends.py
@@ -0,0 +1,42 @@
+"""The searches in flight at just one searcher, from which hedges are chosen."""
+
+from .._ids import Millis
+from ._work import Entry, SearchWork
+
+
+class LoneSends:
+    """Entries that were sent once, in the order of sending; the service pool's lock guards them.
+
+    A booking is never among them.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[int, Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def add(self, entry: Entry) -> None:
+        """Add an entry that was just sent, unless it may not be sent twice."""
+        if isinstance(entry.work, SearchWork):
+            self.entries[id(entry)] = entry
+
+    def discard(self, entry: Entry) -> None:
+        """Remove an entry that is hedged, retried or done."""
+        self.entries.pop(id(entry), None)
+
+    def due(self, now: Millis, delay: Millis) -> list[Entry]:
+        """Return what has been in flight for ``delay``, urgent first."""
+        found: list[Entry] = []
+        for entry in self.entries.values():
+            if now - entry.sent_at < delay:
+                break
+            if now < entry.work.deadline:
+                found.append(entry)
+        found.sort(key=lambda entry: entry.work.rank)
+        return found
+
+    def next_due(self, now: Millis, delay: Millis) -> Millis | None:
+        """Return when the next entry falls due that is not due yet."""
+        times = (Millis(entry.sent_at + delay) for entry in self.entries.values())
+        return next((time for time in times if time > now), None)
--- a/src/masticgate/process/_pools.py
+++ b/src/masticgate/process/_pools.py
@@ -6,6 +6,7 @@
 from .._clock import Clock
 from .._ids import Millis, SearcherId, ServiceId
 from ..version import Configuration, Searcher, Service, service_connections
+from ._booked_attempts import BookedAttempts
 from ._policy import Policy
 from ._searcher_health import SearcherState
 from ._service_pool import ServicePool
@@ -33,17 +34,19 @@
         self.start_connection = start_connection
         self.lock = Lock()
         self.pools: dict[ServiceId, ServicePool] = {}
+        self.closing: dict[ServiceId, ServicePool] = {}
         self.configured: dict[ServiceId, tuple[Service, int]] = {}
+        self.booked = BookedAttempts(clock)
 
     def get(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
-        """Return the pool of ``service``, opened anew where its searchers changed."""
+        """Return the pool of ``service``, with the searchers and shares now in force."""
         with self.lock:
             pool = self.pools.get(service.id)
-            if pool is not None and self.configured[service.id] == (service, hosts):
-                return pool
-            if pool is not None:
-                self._close(service.id)
-            return self._open(configuration, service, hosts)
+            if pool is None:
+                return self._open(configuration, service, hosts)
+            if self.configured[service.id] != (service, hosts):
+                self._change(pool, configuration, service, hosts)
+            return pool
 
     def list_pools(self) -> list[ServicePool]:
         """Return the open pools."""
@@ -68,25 +71,37 @@
                 self._close(name)
 
     def _open(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
-        searchers = [(s, service_connections(s, hosts)) for s in service.searchers]
-        pool = ServicePool(
-            service.id,
-            searchers,
-            configuration.floors,
-            self.policy,
-            self.clock,
-            self._searcher_changed,
-        )
+        """Open a pool, again where its last connections have not closed yet."""
+        pool = self.closing.pop(service.id, None)
+        if pool is None:
+            pool = ServicePool(
+                service.id,
+                (),
+                configuration.floors,
+                self.policy,
+                self.clock,
+                self._searcher_changed,
+                self.booked,
+            )
         self.pools[service.id] = pool
-        self.configured[service.id] = (service, hosts)
         self.timeline.add(EventKind.POOL_OPENED, service.id)
-        for searcher, connections in searchers:
-            for _ in range(connections):
-                self.start_connection(pool, searcher)
+        self._change(pool, configuration, service, hosts)
         return pool
 
+    def _change(
+        self, pool: ServicePool, configuration: Configuration, service: Service, hosts: int
+    ) -> None:
+        """Put the shares in force; only connections beyond those still open are started."""
+        shares = [(s, service_connections(s, hosts)) for s in service.searchers]
+        self.configured[service.id] = (service, hosts)
+        for searcher in pool.change(shares, configuration.floors):
+            self.start_connection(pool, searcher)
+
     def _close(self, name: ServiceId) -> None:
-        self.pools.pop(name).stop()
+        pool = self.pools.pop(name)
+        pool.stop()
+        self.closing = {n: p for n, p in self.closing.items() if p.open_connections()}
+        self.closing[name] = pool
         self.configured.pop(name)
         self.timeline.add(EventKind.POOL_CLOSED, name)
 
--- a/src/masticgate/process/_rank_queue.py
+++ b/src/masticgate/process/_rank_queue.py
@@ -60,34 +60,46 @@
         if self.by_age[rank].pop(id(entry), None) is not None:
             self.by_number[rank].remove(entry)
 
-    def pop(self, now: Millis) -> Entry | None:
-        """Remove and return the entry to serve next."""
+    def first_rank(self) -> Rank | None:
+        """Return the most urgent rank that waits."""
+        return next((rank for rank in Rank if self.by_age[rank]), None)
+
+    def pop(self, now: Millis) -> Entry:
+        """Remove and return the entry to serve next.
+
+        :raises IndexError: nothing is pending.
+        """
         match self.order:
             case ArrivalOrder():
                 entry = self._oldest_of_all()
             case RankOrder(shared_order_after=limit):
-                rank = self._next_rank()
-                entry = None if rank is None else self._next_of(rank, now, limit)
-        if entry is not None:
-            self.remove(entry)
+                entry = self._next_of(self._next_rank(), now, limit)
+        self.remove(entry)
         return entry
 
-    def _oldest_of_all(self) -> Entry | None:
+    def charge(self, entry: Entry) -> None:
+        """Count a popped entry as served: each waiting rank earns its floor.
+
+        An entry that expired in the queue is not charged, so that it uses up no floor.
+        """
+        served = entry.work.rank
+        for rank in Rank:
+            if rank is served and self.credit[rank] >= 1.0:
+                self.credit[rank] -= 1.0
+            if not self.by_age[rank]:
+                self.credit[rank] = 0.0
+            else:
+                earned = self.credit[rank] + self.floors.get(rank, 0.0)
+                self.credit[rank] = min(MAX_FLOOR_CREDIT, earned)
+
+    def _oldest_of_all(self) -> Entry:
         heads = [next(iter(entries.values())) for entries in self.by_age.values() if entries]
-        return min(heads, key=lambda entry: entry.queued_at, default=None)
+        return min(heads, key=lambda entry: entry.queued_at)
 
-    def _next_rank(self) -> Rank | None:
+    def _next_rank(self) -> Rank:
         waiting = [rank for rank in Rank if self.by_age[rank]]
-        if not waiting:
-            return None
-        for rank in Rank:
-            earned = self.credit[rank] + self.floors.get(rank, 0.0)
-            self.credit[rank] = min(MAX_FLOOR_CREDIT, earned) if rank in waiting else 0.0
         owed = [rank for rank in waiting if self.credit[rank] >= 1.0]
-        chosen = owed[0] if owed else waiting[0]
-        if owed:
-            self.credit[chosen] -= 1.0
-        return chosen
+        return (owed or waiting)[0]
 
     def _next_of(self, rank: Rank, now: Millis, limit: Millis) -> Entry:
         if self.oldest_wait(rank, now) > limit:
--- /dev/null
+++ b/src/masticgate/process/_searcher_group.py
@@ -0,0 +1,155 @@
+"""The searchers of one service as its owner sees them: shares, choice and ejection."""
+
+from collections.abc import Callable, Collection, Iterable, Iterator
+
+from .._failures import NotRun, Reason, Unknown
+from .._ids import Millis, SearcherId, ServiceId
+from ..request import Hits, Ran, VersionGone
+from ..version import Searcher
+from ._searcher_health import LoadReport, SearcherHealth, SearcherState
+from ._work import Result, Send, SendState
+
+HEALTH_FAILURES = frozenset(
+    {Reason.SEARCHER_LOST, Reason.SEARCHER_ERROR, Reason.SEARCHER_REFUSED, Reason.WRONG_VERSION}
+)
+
+StateListener = Callable[[ServiceId, SearcherId, SearcherState], None]
+
+
+class SearcherGroup:
+    """Replicas of one another; the service pool's lock guards them.
+
+    ``health`` holds the searchers in use. One that left or moved to another address is kept in
+    ``retired`` until its last connection has closed.
+    """
+
+    def __init__(self, service: ServiceId, listener: StateListener) -> None:
+        self.service = service
+        self.listener = listener
+        self.health: dict[SearcherId, SearcherHealth] = {}
+        self.retired: list[SearcherHealth] = []
+
+    # Connections.
+
+    def set_shares(self, shares: Iterable[tuple[Searcher, int]]) -> list[Searcher]:
+        """Put other searchers or shares in force; return one searcher a connection to open."""
+        known = [*self.health.values(), *self.retired]
+        self.health = {}
+        missing: list[Searcher] = []
+        for searcher, connections in shares:
+            health = next((h for h in known if h.searcher.address == searcher.address), None)
+            if health is None:
+                health = SearcherHealth(searcher)
+            else:
+                known.remove(health)
+            missing.extend([searcher] * health.resize(searcher, connections))
+            self.health[searcher.id] = health
+        for health in known:
+            health.resize(health.searcher, 0)
+        self.retired = [health for health in known if health.open]
+        return missing
+
+    def find(self, searcher: Searcher) -> SearcherHealth:
+        """Return what is known of the searcher of an open connection."""
+        known = (*self.health.values(), *self.retired)
+        return next(h for h in known if h.searcher.address == searcher.address)
+
+    def forget_closed(self) -> None:
+        """Forget retired searchers without connections."""
+        self.retired = [health for health in self.retired if health.open]
+
+    def open_connections(self) -> int:
+        """Return the connections that are open or being opened or closed."""
+        return sum(health.open for health in (*self.health.values(), *self.retired))
+
+    # Choice.
+
+    def all_draining(self) -> bool:
+        """Tell whether no searcher takes new work."""
+        return all(h.state is SearcherState.DRAINING for h in self.health.values())
+
+    def best(
+        self,
+        candidates: Iterable[SearcherHealth],
+        now: Millis,
+        excluded: Collection[SearcherHealth] = (),
+    ) -> SearcherHealth | None:
+        """Return the searcher to give work to, ``None`` where none may have more."""
+        allowed = [h for h in candidates if h not in excluded and h.in_flight < h.allowed(now)]
+        return min(allowed, key=lambda health: health.cost(now), default=None)
+
+    def ejected(self) -> list[SearcherHealth]:
+        """Return the searchers that only get a probe."""
+        return [h for h in self.health.values() if h.state is SearcherState.EJECTED]
+
+    def next_eligible(self, now: Millis) -> Millis | None:
+        """Return when a searcher that rests or is ejected may have work again."""
+        return min((h.eligible_at for h in self._usable() if h.eligible_at > now), default=None)
+
+    # Observation.
+
+    def observe(self, send: Send, result: Result, now: Millis) -> None:
+        """Learn from the end of ``send``."""
+        health = send.health
+        health.in_flight -= 1
+        before = self._states()
+        if send.incarnation:
+            health.incarnation = send.incarnation
+        match result:
+            case Hits() | Ran() | VersionGone():
+                health.succeed(Millis(now - send.sent_at), now)
+                self._eject_slow(now)
+            case NotRun(reason=Reason.SEARCHER_DRAINING):
+                health.drain()
+            case NotRun(reason=Reason.SEARCHER_SHED):
+                health.refuse(now)
+            case NotRun(reason=reason) | Unknown(reason=reason):
+                if _is_failure(send, reason) and health.fail():
+                    self._eject(health, now)
+        self._tell(before)
+
+    def note_load(self, searcher: Searcher, report: LoadReport | None) -> None:
+        """Take what a searcher says of itself, ``None`` where it could not be asked."""
+        health = self.find(searcher)
+        before = self._states()
+        if report is not None:
+            health.hear(report)
+        elif health.state is SearcherState.DRAINING:
+            health.fail()
+        self._tell(before)
+
+    def _usable(self) -> Iterator[SearcherHealth]:
+        return (h for h in self.health.values() if h.state is not SearcherState.DRAINING)
+
+    def _eject_slow(self, now: Millis) -> None:
+        active = [h for h in self.health.values() if h.state is SearcherState.ACTIVE]
+        fastest = min((h.latency for h in active if h.samples), default=Millis(0.0))
+        for health in active:
+            if health.is_slow(fastest):
+                self._eject(health, now)
+
+    def _eject(self, health: SearcherHealth, now: Millis) -> None:
+        """Eject, but never so that more than half of the service is out."""
+        barred = (SearcherState.EJECTED, SearcherState.DRAINING)
+        out = sum(h.state in barred for h in self.health.values() if h is not health)
+        if (out + 1) * 2 <= len(self.health):
+            health.eject(now)
+
+    def _states(self) -> list[tuple[SearcherHealth, SearcherState]]:
+        return [(health, health.state) for health in self.health.values()]
+
+    def _tell(self, before: Iterable[tuple[SearcherHealth, SearcherState]]) -> None:
+        for health, state in before:
+            if health.state is not state:
+                self.listener(self.service, health.searcher.id, health.state)
+
+
+def _is_failure(send: Send, reason: Reason) -> bool:
+    """Tell whether the searcher is to blame; to be overtaken by a hedge counts too."""
+    match send.state:
+        case SendState.WANTED:
+            return reason in HEALTH_FAILURES
+        case SendState.OVERTAKEN:
+            return not send.hedge
+        case SendState.CANCELLED:
+            return False
--- a/src/masticgate/process/_searcher_health.py
+++ b/src/masticgate/process/_searcher_health.py
@@ -1,6 +1,8 @@
 """What an owner observed of one searcher, and how much work it may have now."""
 
+from dataclasses import dataclass
 from enum import Enum
+from math import log
 
 from .._ids import Millis
 from ..version import Searcher
@@ -12,10 +14,20 @@
 SLOW_MINIMUM_SAMPLES = 20
 FIRST_EJECTION = Millis(500.0)
 LONGEST_EJECTION = Millis(8000.0)
+FIRST_REST = Millis(20.0)
+LONGEST_REST = Millis(500.0)
 WARM_UP_STEP = 4
 """Successes after which a warming searcher may have one more request in flight."""
 
 LATENCY_WEIGHT = 0.1
+LATENCY_STEP = 1.25
+"""Latencies within this factor of one another count as equal when a searcher is chosen."""
+
+LATENCY_KEPT = Millis(3000.0)
+"""An idle searcher is measured anew once its last success is older than this."""
+
+LOOK_INTERVAL = Millis(4000.0)
+"""How often an idle connection asks a searcher for its load."""
 
 
 class SearcherState(Enum):
@@ -27,56 +39,129 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a searcher says of itself; it may lag or mislead.
+
+    ``incarnation`` is empty where the searcher states none.
+    """
+
+    load: int
+    draining: bool
+    incarnation: str = ""
+
+
 class SearcherHealth:
     """One searcher as its owner sees it; the owner's lock guards it."""
 
-    def __init__(self, searcher: Searcher, connections: int) -> None:
+    def __init__(self, searcher: Searcher) -> None:
         self.searcher = searcher
-        self.connections = connections
-        self.state = SearcherState.WARMING
+        self.connections = 0
+        self.open = 0
+        self.closing = 0
         self.in_flight = 0
+        self.incarnation = ""
+        self.reported_load = 0
+        self.look_at = Millis(0.0)
+        self.restart()
+
+    def restart(self) -> None:
+        """Treat the searcher as newly started: nothing is known of it."""
+        self.state = SearcherState.WARMING
+        self.window = 1.0
         self.latency = Millis(0.0)
+        self.measured_at = Millis(0.0)
         self.samples = 0
         self.failures = 0
-        self.successes = 0
         self.ejection = FIRST_EJECTION
+        self.rest = FIRST_REST
         self.eligible_at = Millis(0.0)
-        self.reported_load = 0
+        self.drained = ""
+        self.lost = False
+
+    def resize(self, searcher: Searcher, connections: int) -> int:
+        """Change the share of connections; return how many more have to be opened."""
+        self.searcher = searcher
+        self.connections = connections
+        missing = max(0, connections - self.open)
+        self.open += missing
+        return missing
+
+    def should_close(self) -> bool:
+        """Tell one idle connection whether it has to close, since there are too many."""
+        if self.open - self.closing <= self.connections:
+            return False
+        self.closing += 1
+        return True
+
+    def closed(self) -> bool:
+        """Count a closed connection; return ``True`` where it is wanted again by now."""
+        self.closing -= 1
+        if self.open - self.closing <= self.connections:
+            return True
+        self.open -= 1
+        return False
 
     def allowed(self, now: Millis) -> int:
         """Return the requests that may be in flight now."""
         match self.state:
             case SearcherState.ACTIVE:
                 return self.connections
-            case SearcherState.WARMING:
-                return min(self.connections, 1 + self.successes // WARM_UP_STEP)
-            case SearcherState.EJECTED:
-                return 1 if now >= self.eligible_at else 0
-            case SearcherState.DRAINING:
+            case SearcherState.WARMING if now >= self.eligible_at:
+                return min(self.connections, int(self.window))
+            case SearcherState.EJECTED if now >= self.eligible_at:
+                return min(self.connections, 1)
+            case _:
                 return 0
 
-    def succeed(self, latency: Millis) -> None:
+    def cost(self, now: Millis) -> tuple[float, int]:
+        """Return what orders the choice among searchers, the lowest first.
+
+        Own counts and latency decide; the searcher's own report only breaks a tie.
+        """
+        probe = self.state is SearcherState.EJECTED
+        stale = self.in_flight == 0 and now - self.measured_at > LATENCY_KEPT
+        if probe or stale or self.latency <= 0.0:
+            return 0.0, self.reported_load
+        step = round(log(self.latency) / log(LATENCY_STEP))
+        return (self.in_flight + 1) / self.searcher.slots * LATENCY_STEP**step, self.reported_load
+
+    def succeed(self, latency: Millis, now: Millis) -> None:
         """Count a success; an ejected searcher starts to warm up again."""
         self.failures = 0
-        self.successes += 1
+        self.rest = FIRST_REST
         self.samples += 1
+        self.measured_at = now
         if self.samples == 1:
             self.latency = latency
         self.latency = Millis(self.latency + LATENCY_WEIGHT * (latency - self.latency))
-        if self.state is SearcherState.EJECTED:
-            self.state = SearcherState.WARMING
-            self.successes = 0
-        elif self.state is SearcherState.WARMING and self.successes >= (
-            WARM_UP_STEP * self.connections
-        ):
-            self.state = SearcherState.ACTIVE
-            self.ejection = FIRST_EJECTION
+        match self.state:
+            case SearcherState.EJECTED:
+                self.state = SearcherState.WARMING
+                self.window = 1.0
+            case SearcherState.WARMING:
+                self._widen()
+            case SearcherState.ACTIVE | SearcherState.DRAINING:
+                return
 
     def fail(self) -> bool:
         """Count a failure; return ``True`` where it calls for an ejection."""
         self.failures += 1
+        if self.state is SearcherState.DRAINING:
+            self.lost = True
+            return False
         return self.failures >= FAILURES_TO_EJECT or self.state is SearcherState.EJECTED
 
+    def refuse(self, now: Millis) -> None:
+        """Give less work for a while to a searcher that shed or is cold; its health is well."""
+        if self.state is SearcherState.DRAINING:
+            return
+        if self.state is not SearcherState.EJECTED:
+            self.state = SearcherState.WARMING
+        self.window = max(1.0, min(self.window, float(self.connections)) / 2)
+        self.eligible_at = Millis(now + self.rest)
+        self.rest = min(LONGEST_REST, Millis(self.rest * 2))
+
     def is_slow(self, fastest: Millis) -> bool:
         """Tell whether this searcher is an outlier beside its ``fastest`` sibling."""
         known = self.samples >= SLOW_MINIMUM_SAMPLES and fastest > 0
@@ -88,9 +173,33 @@
         self.eligible_at = Millis(now + self.ejection)
         self.ejection = min(LONGEST_EJECTION, Millis(self.ejection * 2))
         self.failures = 0
-        self.successes = 0
+        self.window = 1.0
         self.samples = 0
 
     def drain(self) -> None:
-        """Give it no new work any more."""
-        self.state = SearcherState.DRAINING
+        """Give this incarnation of the searcher no new work any more."""
+        if self.state is not SearcherState.DRAINING:
+            self.state = SearcherState.DRAINING
+            self.drained = self.incarnation
+            self.lost = False
+
+    def hear(self, report: LoadReport) -> None:
+        """Take the searcher's report; a new incarnation that does not drain starts anew."""
+        self.reported_load = report.load
+        if self.state is SearcherState.DRAINING:
+            if self._is_new(report) and not report.draining:
+                self.restart()
+            elif not self.drained and not self.lost:
+                self.drained = report.incarnation
+        self.incarnation = report.incarnation
+
+    def _is_new(self, report: LoadReport) -> bool:
+        if report.incarnation and self.drained:
+            return report.incarnation != self.drained
+        return self.lost
+
+    def _widen(self) -> None:
+        self.window += 1.0 / WARM_UP_STEP
+        if self.window >= self.connections + 1:
+            self.state = SearcherState.ACTIVE
+            self.ejection = FIRST_EJECTION
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -1,47 +1,45 @@
 """The one queue of a service at its owner, and the dispatch to its searchers' connections."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
-from threading import Condition, Lock
+from threading import Lock
 
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._failures import NotRun, Reason, Step, Unknown
-from .._ids import Millis, QueryId, SearcherId, ServiceId, TicketId
+from .._ids import Millis, QueryId, SearcherId, ServiceId
 from .._ranks import Rank
-from ..request import BookingOutcome, Hits, Ran, SubReply, VersionGone
+from ..request import Hits
 from ..version import Searcher
-from ._hedge_budget import HedgeBudget
-from ._policy import Policy
-from ._rank_queue import RankQueue
-from ._searcher_health import SearcherHealth, SearcherState
-from ._work import BookingWork, Entry, SearchWork, Send, Work, WorkState
+from ._booked_attempts import BookedAttempts
+from ._dispatcher import Dispatcher
+from ._policy import NoHedge, Policy
+from ._searcher_group import StateListener
+from ._searcher_health import LOOK_INTERVAL, LoadReport, SearcherHealth
+from ._seats import Seat
+from ._work import BookingWork, Entry, Result, SearchWork, Send, SendState, Work, WorkState
 
 MAX_PENDING = 2000
 """Work beyond this is refused as overload."""
 
-IDLE_WAIT = Millis(1000.0)
+IDLE_WAIT = Millis(4000.0)
 """The longest that a connection waits for work before it looks around."""
 
 MAX_RETRIES = 2
 
-RETRY_REASONS = frozenset(
-    {
-        Reason.SEARCHER_SHED,
-        Reason.SEARCHER_DRAINING,
-        Reason.SEARCHER_LOST,
-        Reason.SEARCHER_ERROR,
-        Reason.SEARCHER_REFUSED,
-    }
-)
+FREE_RETRY_REASONS = frozenset({Reason.SEARCHER_DRAINING, Reason.SEARCHER_REFUSED})
+"""Failures that cost the searcher no work; a retry after them is no extra load."""
 
-HEALTH_FAILURES = frozenset(
-    {Reason.SEARCHER_LOST, Reason.SEARCHER_ERROR, Reason.SEARCHER_REFUSED, Reason.WRONG_VERSION}
-)
+RETRY_REASONS = FREE_RETRY_REASONS | {
+    Reason.SEARCHER_SHED,
+    Reason.SEARCHER_LOST,
+    Reason.SEARCHER_ERROR,
+}
 
 
 @dataclass(frozen=True, slots=True)
 class Stopped:
-    """The connection's searcher is no longer used."""
+    """The connection is no longer wanted and has to close."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,16 +47,9 @@
     """Nothing to do within the wait."""
 
 
-class Seat:
-    """One idle connection that waits for work."""
-
-    def __init__(self, lock: Lock, searcher: SearcherId) -> None:
-        self.searcher = searcher
-        self.ready = Condition(lock)
-        self.send: Send | None = None
-
-
-StateListener = Callable[[ServiceId, SearcherId, SearcherState], None]
+@dataclass(frozen=True, slots=True)
+class LookAround:
+    """Nothing to do but to ask the searcher for its load."""
 
 
 class ServicePool:
@@ -75,118 +66,122 @@
         policy: Policy,
         clock: Clock,
         listener: StateListener,
+        booked: BookedAttempts | None = None,
     ) -> None:
         self.service = service
+        self.policy = policy
         self.clock = clock
-        self.listener = listener
         self.lock = Lock()
-        self.pending = RankQueue(policy.order, floors)
-        self.budget = HedgeBudget(policy.hedging)
-        self.health = {s.id: SearcherHealth(s, connections) for s, connections in searchers}
+        self.dispatcher = Dispatcher(service, searchers, floors, policy, listener)
+        self.pending = self.dispatcher.pending
+        self.budget = self.dispatcher.budget
+        self.searchers = self.dispatcher.searchers
+        self.seats = self.dispatcher.seats
         self.entries: dict[QueryId, Entry] = {}
-        self.booked: dict[tuple[TicketId, int], Millis] = {}
-        self.seats: list[Seat] = []
+        self.booked = booked or BookedAttempts(clock)
         self.stopping = False
         self.last_used = clock.now()
+        self.settled: list[tuple[Entry, Result]] = []
+
+    @property
+    def health(self) -> Mapping[SearcherId, SearcherHealth]:
+        """What is known of each searcher in use."""
+        return self.searchers.health
 
     # What the owner's peers call.
 
     def offer(self, work: Work) -> NotRun | None:
         """Queue ``work``; its ``deliver`` is called once with the result, unless refused here."""
-        with self.lock:
+        with self._changing():
             self.last_used = self.clock.now()
             refusal = self._refuse(work)
-            if refusal is not None:
-                return refusal
-            entry = Entry(work, self.clock.now())
-            self.entries[work.query] = entry
-            self.pending.add(entry)
-            self._dispatch()
-        return None
+            if refusal is None:
+                entry = Entry(work, self.last_used)
+                self.entries[work.query] = entry
+                self.pending.add(entry)
+                self._dispatch()
+            return refusal
 
     def cancel(self, query: QueryId) -> None:
-        """Drop pending work; abort a search in flight, never a booking that was sent."""
-        with self.lock:
+        """Drop a search, which gets no result; abort what is in flight for it.
+
+        A booking is settled as not run while it is pending, and is left alone once sent.
+        """
+        with self._changing():
             entry = self.entries.get(query)
             if entry is None:
                 return
-            if entry.state is WorkState.PENDING:
-                self._settle(entry)
-                result = NotRun(Reason.CANCELLED, Step.QUEUE, peer=self.service)
-            elif isinstance(entry.work, BookingWork):
-                return
-            else:
-                self._settle(entry)
-                result = None
-            losers = self._abort_sends(entry)
-        _call_all(losers)
-        if result is not None:
-            entry.work.deliver(result)
+            match entry.work:
+                case SearchWork():
+                    self._drop(entry, SendState.CANCELLED)
+                    self._dispatch()
+                case BookingWork() if entry.state is WorkState.PENDING:
+                    self._settle(entry, NotRun(Reason.CANCELLED, Step.QUEUE, peer=self.service))
 
     def stop(self) -> None:
         """Hand pending work back as not run and let connections end after their present work."""
-        with self.lock:
+        with self._changing():
             self.stopping = True
-            returned = list(self.pending.entries())
-            for entry in returned:
-                self._settle(entry)
-            for seat in self.seats:
-                seat.ready.notify_all()
-        for entry in returned:
-            entry.work.deliver(NotRun(Reason.SHUTTING_DOWN, Step.QUEUE, peer=self.service))
+            for entry in list(self.pending.entries()):
+                self._settle_unsent(entry, Reason.SHUTTING_DOWN)
+            self.searchers.set_shares(())
+            self.seats.wake_all()
+
+    def change(
+        self, searchers: Iterable[tuple[Searcher, int]], floors: Mapping[Rank, float]
+    ) -> list[Searcher]:
+        """Put other searchers, shares and floors in force, also after :meth:`stop`.
+
+        The queue and the connections that stay are kept. Returns one searcher a connection that
+        the caller has to open.
+        """
+        with self._changing():
+            self.stopping = False
+            self.pending.floors = dict(floors)
+            missing = self.searchers.set_shares(searchers)
+            self.seats.wake_all()
+            self._dispatch()
+            return missing
+
+    def open_connections(self) -> int:
+        """Return the connections that have not closed yet."""
+        with self.lock:
+            return self.searchers.open_connections()
 
     # What connection tasks call.
 
-    def take(self, searcher: SearcherId) -> Send | Idle | Stopped:
+    def take(self, searcher: Searcher) -> Send | LookAround | Idle | Stopped:
         """Wait for work for an idle connection of ``searcher``."""
         with self.lock:
-            seat = Seat(self.lock, searcher)
-            self.seats.append(seat)
-            self._dispatch()
-            end = Millis(self.clock.now() + IDLE_WAIT)
-            while seat.send is None and not self._is_stopped(searcher):
-                now = self.clock.now()
-                if now >= end:
-                    break
-                seat.ready.wait((min(end, self._next_due(seat, now)) - now) / MILLIS_PER_SECOND)
-                if seat.send is None:
-                    self._dispatch()
-            if seat.send is not None:
-                return seat.send
-            self.seats.remove(seat)
-            return Stopped() if self._is_stopped(searcher) else Idle()
+            seat = Seat(self.lock, self.searchers.find(searcher))
+            self.seats.add(seat)
+        end = Millis(self.clock.now() + IDLE_WAIT)
+        while True:
+            with self._changing():
+                outcome = self._wait_once(seat, end)
+                if outcome is not None:
+                    return outcome
 
     def may_send(self, send: Send, abort: Callable[[], None]) -> bool:
         """Tell whether ``send`` is still wanted, just before its first byte leaves.
 
-        The deadline is checked again here, since the process may have been paused.
+        The deadline is checked again here, since the process may have been paused. ``abort`` is
+        called at most until :meth:`finish` and must not block.
         """
         with self.lock:
             send.abort = abort
             expired = self.clock.now() >= send.entry.work.deadline
-            return not (send.aborted or expired or send.entry.state is WorkState.DONE)
+            return not expired and send.state is SendState.WANTED
 
-    def finish(self, send: Send, result: SubReply | BookingOutcome) -> None:
+    def finish(self, send: Send, result: Result) -> None:
         """Take the result of ``send``; deliver it, retry it elsewhere or drop it as late."""
-        with self.lock:
+        with self._changing():
             entry = send.entry
             self._observe(send, result)
             entry.sends.remove(send)
-            if entry.state is WorkState.DONE:
-                self._dispatch()
-                return
-            if self._should_retry(entry, result):
-                self._requeue(entry)
-                self._dispatch()
-                return
-            if entry.sends and not isinstance(result, Hits):
-                self._dispatch()
-                return
-            self._settle(entry)
-            losers = self._abort_sends(entry)
+            if entry.state is not WorkState.DONE:
+                self._take_result(send, result)
             self._dispatch()
-        _call_all(losers)
-        entry.work.deliver(result)  # type: ignore[arg-type]
 
     def abandon(self, send: Send) -> None:
         """Take back a send of which no byte left: it was aborted or its deadline passed."""
@@ -194,8 +189,30 @@
         reason = Reason.DEADLINE if expired else Reason.CANCELLED
         self.finish(send, NotRun(reason, Step.SEND, peer=send.searcher))
 
+    def note_load(self, searcher: Searcher, report: LoadReport | None) -> None:
+        """Take what a searcher says of its load, ``None`` where it could not be asked."""
+        with self._changing():
+            self.searchers.note_load(searcher, report)
+            self._dispatch()
+
+    def leave(self, searcher: Searcher) -> bool:
+        """Count a connection as closed; return ``True`` where it has to open again."""
+        with self.lock:
+            wanted = self.searchers.find(searcher).closed()
+            self.searchers.forget_closed()
+            return wanted
+
     # All below runs under the lock.
 
+    @contextmanager
+    def _changing(self) -> Iterator[None]:
+        """Hold the lock, and deliver what was settled meanwhile after it is released."""
+        with self.lock:
+            yield
+            settled, self.settled = self.settled, []
+        for entry, result in settled:
+            entry.deliver(result)
+
     def _refuse(self, work: Work) -> NotRun | None:
         if self.stopping:
             return NotRun(Reason.SHUTTING_DOWN, Step.QUEUE, peer=self.service)
@@ -203,168 +220,91 @@
             return NotRun(Reason.DEADLINE, Step.QUEUE, peer=self.service)
         if len(self.pending) >= MAX_PENDING:
             return NotRun(Reason.OVERLOAD, Step.QUEUE, peer=self.service)
-        if all(h.state is SearcherState.DRAINING for h in self.health.values()):
+        if self.searchers.all_draining():
             return NotRun(Reason.NO_SEARCHER, Step.QUEUE, peer=self.service)
         if work.query in self.entries:
             return NotRun(Reason.CANCELLED, Step.QUEUE, detail="the same message came twice")
         match work:
-            case BookingWork(ticket=ticket, attempt=attempt, deadline=deadline):
-                return self._refuse_doubled(ticket, attempt, deadline)
+            case BookingWork(ticket=ticket, attempt=attempt):
+                return self.booked.claim(ticket, attempt)
             case SearchWork():
                 return None
 
-    def _refuse_doubled(self, ticket: TicketId, attempt: int, deadline: Millis) -> NotRun | None:
-        if (ticket, attempt) in self.booked:
-            return NotRun(Reason.TICKET_IN_USE, Step.QUEUE, detail="the same attempt came twice")
-        self.booked[ticket, attempt] = deadline
+    def _wait_once(self, seat: Seat, end: Millis) -> Send | LookAround | Idle | Stopped | None:
+        """Return what ``seat`` has to do, or ``None`` after one wait for it."""
+        if seat.send is None:
+            self._dispatch()
+        if seat.send is not None:
+            return seat.send
+        if seat.health.should_close():
+            self.seats.remove(seat)
+            return Stopped()
+        now = self.clock.now()
+        if now >= end:
+            self.seats.remove(seat)
+            return self._look_around(seat.health, now)
+        if not self.settled:
+            self._wait(seat, end, now)
         return None
 
-    def _is_stopped(self, searcher: SearcherId) -> bool:
-        return self.stopping or searcher not in self.health
+    def _wait(self, seat: Seat, end: Millis, now: Millis) -> None:
+        if self.seats.timer is seat:
+            end = self.dispatcher.next_due(now, end)
+        seat.ready.wait((end - now) / MILLIS_PER_SECOND)
+        if self.seats.timer is seat:
+            self.seats.timer = None
+
+    def _look_around(self, health: SearcherHealth, now: Millis) -> LookAround | Idle:
+        if now < health.look_at:
+            return Idle()
+        health.look_at = Millis(now + LOOK_INTERVAL)
+        return LookAround()
 
     def _dispatch(self) -> None:
+        for entry in self.dispatcher.run(self.clock.now()):
+            self._settle_unsent(entry, Reason.DEADLINE)
+
+    def _observe(self, send: Send, result: Result) -> None:
         now = self.clock.now()
-        while len(self.pending):
-            seat = self._best_seat(now, ())
-            if seat is None:
-                return
-            entry = self.pending.pop(now)
-            if entry is None:
-                return
-            if entry.work.deadline <= now:
-                self._expire(entry)
-                continue
-            self._assign(seat, entry, now, hedge=False)
-        self._dispatch_hedges(now)
-
-    def _dispatch_hedges(self, now: Millis) -> None:
-        delay = self.budget.hedge_delay()
-        if delay is None or not self.seats:
+        self.searchers.observe(send, result, now)
+        overtaken = send.state is SendState.OVERTAKEN
+        if not send.hedge and (overtaken or not isinstance(result, NotRun | Unknown)):
+            self.budget.observe(now, Millis(now - send.sent_at))
+        if self.searchers.all_draining():
+            for entry in list(self.pending.entries()):
+                self._settle_unsent(entry, Reason.NO_SEARCHER)
+
+    def _take_result(self, send: Send, result: Result) -> None:
+        entry = send.entry
+        if entry.sends and not isinstance(result, Hits):
             return
-        for entry in self._due_hedges(now, delay):
-            seat = self._best_seat(now, [send.searcher for send in entry.sends])
-            if seat is None:
-                continue
-            if not self.budget.spend():
-                return
-            self._assign(seat, entry, now, hedge=True)
-
-    def _due_hedges(self, now: Millis, delay: Millis) -> list[Entry]:
-        due = [
-            entry
-            for entry in self.entries.values()
-            if entry.state is WorkState.SENT
-            and len(entry.sends) == 1
-            and isinstance(entry.work, SearchWork)
-            and now - entry.sent_at >= delay
-        ]
-        return sorted(due, key=lambda entry: (entry.work.rank, entry.sent_at))
-
-    def _next_due(self, seat: Seat, now: Millis) -> Millis:
-        """Return when ``seat`` should look for a due hedge; one seat a searcher does so."""
-        delay = self.budget.hedge_delay()
-        first = next(s for s in self.seats if s.searcher == seat.searcher)
-        if delay is None or first is not seat:
-            return Millis(now + IDLE_WAIT)
-        waiting = [
-            e.sent_at
-            for e in self.entries.values()
-            if e.state is WorkState.SENT and len(e.sends) == 1
-        ]
-        if not waiting:
-            return Millis(now + max(delay, Millis(10.0)))
-        return Millis(max(now + 1.0, min(waiting) + delay))
-
-    def _best_seat(self, now: Millis, excluded: Iterable[SearcherId]) -> Seat | None:
-        barred = set(excluded)
-        best: Seat | None = None
-        best_cost = (0.0, 0.0)
-        for seat in self.seats:
-            health = self.health.get(seat.searcher)
-            if health is None or seat.searcher in barred or health.in_flight >= health.allowed(now):
-                continue
-            cost = (health.in_flight / health.searcher.slots, health.latency)
-            if best is None or cost < best_cost:
-                best, best_cost = seat, cost
-        return best
-
-    def _assign(self, seat: Seat, entry: Entry, now: Millis, *, hedge: bool) -> None:
-        send = Send(entry, seat.searcher, now, hedge)
-        entry.sends.append(send)
-        if not hedge:
-            entry.state = WorkState.SENT
-            entry.sent_at = now
-            if entry.retries == 0:
-                self.budget.earn()
-        self.health[seat.searcher].in_flight += 1
-        self.seats.remove(seat)
-        seat.send = send
-        seat.ready.notify()
-
-    def _expire(self, entry: Entry) -> None:
-        self._settle(entry)
-        entry.work.deliver(NotRun(Reason.DEADLINE, Step.QUEUE, peer=self.service))
-
-    def _settle(self, entry: Entry) -> None:
-        entry.state = WorkState.DONE
-        self.pending.remove(entry)
-        self.entries.pop(entry.work.query, None)
-
-    def _abort_sends(self, entry: Entry) -> list[Callable[[], None]]:
-        for send in entry.sends:
-            send.aborted = True
-        return [send.abort for send in entry.sends if send.abort is not None]
-
-    def _should_retry(self, entry: Entry, result: SubReply | BookingOutcome) -> bool:
-        if not isinstance(entry.work, SearchWork) or entry.sends or self.stopping:
+        if self._should_retry(entry, result):
+            entry.failure = result
+            self.dispatcher.requeue(entry, send.health)
+        else:
+            self._settle(entry, result)
+
+    def _should_retry(self, entry: Entry, result: Result) -> bool:
+        if not isinstance(entry.work, SearchWork) or self.stopping:
             return False
         if not isinstance(result, NotRun | Unknown) or result.reason not in RETRY_REASONS:
             return False
-        in_time = self.clock.now() < entry.work.deadline
-        return in_time and entry.retries < MAX_RETRIES and self.budget.spend()
+        if self.clock.now() >= entry.work.deadline or entry.retries >= MAX_RETRIES:
+            return False
+        if self.searchers.all_draining() or isinstance(self.policy.hedging, NoHedge):
+            return False
+        return result.reason in FREE_RETRY_REASONS or self.budget.spend()
 
-    def _requeue(self, entry: Entry) -> None:
-        entry.retries += 1
-        entry.state = WorkState.PENDING
-        self.pending.add(entry)
+    def _settle_unsent(self, entry: Entry, reason: Reason) -> None:
+        """Settle a pending entry; one that was sent before has the result of that send."""
+        self._settle(entry, entry.failure or NotRun(reason, Step.QUEUE, peer=self.service))
 
-    def _observe(self, send: Send, result: SubReply | BookingOutcome) -> None:
-        now = self.clock.now()
-        latency = Millis(now - send.sent_at)
-        health = self.health.get(send.searcher)
-        if not send.hedge:
-            self.budget.observe(latency)
-        if health is None:
-            return
-        health.in_flight -= 1
-        before = health.state
-        match result:
-            case Hits() | Ran() | VersionGone():
-                health.succeed(latency)
-                self._eject_slow(now)
-            case NotRun(reason=Reason.SEARCHER_DRAINING):
-                health.drain()
-            case NotRun(reason=reason) | Unknown(reason=reason):
-                if reason in HEALTH_FAILURES and not send.aborted and health.fail():
-                    self._eject(health, now)
-        if health.state is not before:
-            self.listener(self.service, send.searcher, health.state)
-
-    def _eject_slow(self, now: Millis) -> None:
-        active = [h for h in self.health.values() if h.state is SearcherState.ACTIVE]
-        fastest = min((h.latency for h in active if h.samples), default=Millis(0.0))
-        for health in active:
-            if health.is_slow(fastest):
-                self._eject(health, now)
-                self.listener(self.service, health.searcher.id, health.state)
-
-    def _eject(self, health: SearcherHealth, now: Millis) -> None:
-        """Eject, but never more than half of the service."""
-        out = sum(h.state is SearcherState.EJECTED for h in self.health.values() if h is not health)
-        if (out + 1) * 2 <= len(self.health):
-            health.eject(now)
-
-
-def _call_all(actions: Iterable[Callable[[], None]]) -> None:
-    for action in actions:
-        action()
+    def _settle(self, entry: Entry, result: Result) -> None:
+        self._drop(entry, SendState.OVERTAKEN)
+        self.settled.append((entry, result))
+
+    def _drop(self, entry: Entry, state: SendState) -> None:
+        self.dispatcher.remove(entry)
+        self.entries.pop(entry.work.query, None)
+        for send in entry.sends:
+            send.cancel(state)
--- a/src/masticgate/process/_work.py
+++ b/src/masticgate/process/_work.py
@@ -7,6 +7,7 @@
 from .._ids import Millis, QueryId, SearcherId, ServiceId, ShardId, SnapshotVersion, TicketId
 from .._ranks import Rank
 from ..request import BookingOutcome, SubReply
+from ._searcher_health import SearcherHealth
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +50,16 @@
     DONE = "done"
 
 
+Result = SubReply | BookingOutcome
+
+
 @dataclass(slots=True, eq=False)
 class Entry:
-    """A piece of work in a queue, with the searchers it was sent to."""
+    """A piece of work in a queue, with the searchers it was sent to.
+
+    ``failure`` is the result of its last send, where that is being retried, and ``failed_at`` the
+    searcher that gave it.
+    """
 
     work: Work
     queued_at: Millis
@@ -59,6 +67,21 @@
     retries: int = 0
     sent_at: Millis = Millis(0.0)
     sends: "list[Send]" = field(default_factory=list)
+    failure: Result | None = None
+    failed_at: SearcherHealth | None = None
+
+    def deliver(self, result: Result) -> None:
+        """Hand the result to whoever offered the work."""
+        self.work.deliver(result)  # type: ignore[arg-type]
+
+
+class SendState(Enum):
+    """Whether a send is still wanted."""
+
+    WANTED = "wanted"
+    CANCELLED = "cancelled"
+    OVERTAKEN = "overtaken"
+    """A hedge of the same entry answered first."""
 
 
 @dataclass(slots=True, eq=False)
@@ -66,11 +89,24 @@
     """One sending of an entry to one searcher.
 
     ``abort`` ends the call from another task; the connection task sets it before it sends.
+    ``incarnation`` is what the searcher's reply said of itself, empty where it said nothing.
     """
 
     entry: Entry
-    searcher: SearcherId
+    health: SearcherHealth
     sent_at: Millis
     hedge: bool = False
-    aborted: bool = False
+    state: SendState = SendState.WANTED
     abort: Callable[[], None] | None = None
+    incarnation: str = ""
+
+    @property
+    def searcher(self) -> SearcherId:
+        """The searcher that the entry is sent to."""
+        return self.health.searcher.id
+
+    def cancel(self, state: SendState) -> None:
+        """Mark the send as unwanted and cut its call, where it began."""
+        self.state = state
+        if self.abort is not None:
+            self.abort()
--- a/tests/standins/searcher.py
+++ b/tests/standins/searcher.py
@@ -26,6 +26,7 @@
     held: list[int] = field(default_factory=lambda: [1])
     wrong_version: int = 0
     reported_load: int = -1
+    incarnation: str = "1"
     book_then_cut: bool = False
     shards: dict[str, dict[str, list[str]]] = field(default_factory=dict)
 
@@ -59,7 +60,8 @@
         if exchange.url == "/load":
             load = len(self.queue) + self.running
             shown = knobs.reported_load if knobs.reported_load >= 0 else load
-            exchange.answer(200, {"load": shown, "draining": knobs.draining})
+            report = {"load": shown, "draining": knobs.draining, "incarnation": knobs.incarnation}
+            exchange.answer(200, report)
             return
         self.count("received")
         if knobs.frozen:
@@ -77,7 +79,7 @@
 
     def refuse(self, exchange: Exchange, reason: str) -> None:
         self.count(reason)
-        exchange.answer(503, {"reason": reason})
+        exchange.answer(503, {"reason": reason, "incarnation": self.knobs.incarnation})
 
     def enqueue(self, exchange: Exchange) -> None:
         def drop() -> None:
