--- /dev/null
+++ b/bench/connection/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one caller's connection."""
+
+from ._caller import Caller as Caller
--- /dev/null
+++ b/bench/connection/_caller.py
@@ -0,0 +1,93 @@
+"""One caller's kept-alive connection, run as one task."""
+
+import http.client
+import json
+import socket
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bench.request import LOST, Arrival, Result
+
+TIMEOUT_SECONDS = 1.0
+"""A caller gives up on a silent host after this."""
+
+SMALLEST_REMAINING_MS = 1.0
+
+
+@dataclass
+class Caller:
+    """Sends each arrival that it takes from ``arrivals`` and notes what came of it.
+
+    ``addresses`` starts with the caller's own host; the others stand in for the balancer's next
+    choice where that host refuses connections.
+    """
+
+    addresses: list[str]
+    services: list[str]
+    deadline_ms: float
+    arrivals: Iterator[Arrival]
+    started_at: float
+
+    def __post_init__(self) -> None:
+        self.connection: http.client.HTTPConnection | None = None
+        self.results: list[Result] = []
+
+    def run(self) -> list[Result]:
+        """Send until no arrival is left."""
+        for arrival in self.arrivals:
+            due = self.started_at + arrival.at
+            time.sleep(max(0.0, due - time.monotonic()))
+            self.results.append(self.send(arrival, due))
+        if self.connection is not None:
+            self.connection.close()
+        return self.results
+
+    def send(self, arrival: Arrival, due: float) -> Result:
+        """Run one search; its latency counts from ``due``."""
+        lag_ms = (time.monotonic() - due) * 1000
+        try:
+            status, body = self._exchange(arrival.rank, self.deadline_ms - lag_ms)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            self.connection = None
+            status, body = 0, {"outcome": LOST, "reason": type(error).__name__}
+        return Result(
+            arrival.at,
+            arrival.rank,
+            lag_ms,
+            (time.monotonic() - due) * 1000,
+            status,
+            body["outcome"],
+            body.get("coverage", 0.0),
+            body.get("whole", False),
+            body.get("reason", ""),
+        )
+
+    def _exchange(self, rank: str, remaining_ms: float) -> tuple[int, dict]:
+        connection = self.connection or self._connect()
+        self.connection = connection
+        body = {
+            "services": self.services,
+            "text": "lamp",
+            "rank": rank,
+            "remaining_ms": max(SMALLEST_REMAINING_MS, remaining_ms),
+        }
+        headers = {"Content-Type": "application/json"}
+        connection.request("POST", "/v1/search", json.dumps(body), headers)
+        response = connection.getresponse()
+        data = response.read()
+        if response.will_close:
+            connection.close()
+            self.connection = None
+        return response.status, json.loads(data)
+
+    def _connect(self) -> http.client.HTTPConnection:
+        for address in self.addresses:
+            connection = http.client.HTTPConnection(address, timeout=TIMEOUT_SECONDS)
+            try:
+                connection.connect()
+            except ConnectionRefusedError:
+                continue
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return connection
+        raise ConnectionRefusedError("no host accepts connections")
--- /dev/null
+++ b/bench/process/_load.py
@@ -0,0 +1,71 @@
+"""Starts load processes against a fleet and gathers their results."""
+
+import json
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.standins.fleet import ROOT, Fleet
+
+from bench.request import Result
+
+LOAD_PROCESSES = 2
+DEADLINE_MS = 230.0
+LEAD_SECONDS = 1.0
+"""Time for the load processes to start before their first arrival."""
+
+GRACE_SECONDS = 15.0
+
+
+@dataclass
+class Load:
+    """One run of load against a running fleet."""
+
+    fleet: Fleet
+    services: list[str]
+    rates: dict[str, float]
+    seconds: float
+    seed: int = 1
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def start(self) -> float:
+        """Start the load processes; return the monotonic time of the first arrival."""
+        started_at = time.monotonic() + LEAD_SECONDS
+        for number in range(LOAD_PROCESSES):
+            plan = {
+                "addresses": self.fleet.callers,
+                "services": self.services,
+                "rates": {rank: rate / LOAD_PROCESSES for rank, rate in self.rates.items()},
+                "seconds": self.seconds,
+                "seed": f"{self.seed}/{number}",
+                "deadline_ms": DEADLINE_MS,
+                "started_at": started_at,
+                "results": str(self._results(number)),
+            }
+            path = self.fleet.folder / f"load-{number}.json"
+            path.write_text(json.dumps(plan))
+            command = [sys.executable, "-m", "bench.process.load", str(path)]
+            self.processes.append(subprocess.Popen(command, cwd=ROOT))
+        return started_at
+
+    def finish(self) -> list[Result]:
+        """Wait for the load to end and return what came of each arrival."""
+        results: list[Result] = []
+        for number, process in enumerate(self.processes):
+            if process.wait(self.seconds + GRACE_SECONDS) != 0:
+                raise RuntimeError("a load process failed")
+            rows = json.loads(self._results(number).read_text())
+            results += [Result(**row) for row in rows]
+        return results
+
+    def stop(self) -> None:
+        """End load processes that still run."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def _results(self, number: int) -> Path:
+        return self.fleet.folder / f"results-{number}.json"
--- /dev/null
+++ b/bench/process/load.py
@@ -0,0 +1,61 @@
+"""One load process: ``python -m bench.process.load PLAN.json`` writes its results as JSON.
+
+It reads its start time, on the clock that all processes of a machine share, from the plan.
+"""
+
+import json
+import sys
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from bench.connection import Caller
+from bench.request import Arrival, Result, draw_arrivals
+
+CONNECTIONS_EACH_HOST = 48
+
+
+class SharedArrivals:
+    """Arrivals that several callers take in turn."""
+
+    def __init__(self, arrivals: list[Arrival]) -> None:
+        self.arrivals = iter(arrivals)
+        self.lock = threading.Lock()
+
+    def __iter__(self) -> Iterator[Arrival]:
+        return self
+
+    def __next__(self) -> Arrival:
+        with self.lock:
+            return next(self.arrivals)
+
+
+def start_callers(plan: dict[str, Any]) -> list[Caller]:
+    """Return the callers of every host; each host has arrivals of its own."""
+    addresses: list[str] = plan["addresses"]
+    rates = {rank: rate / len(addresses) for rank, rate in plan["rates"].items()}
+    callers: list[Caller] = []
+    for index in range(len(addresses)):
+        drawn = draw_arrivals(rates, plan["seconds"], f"{plan['seed']}/{index}")
+        arrivals = SharedArrivals(drawn)
+        near_first = addresses[index:] + addresses[:index]
+        callers += [
+            Caller(near_first, plan["services"], plan["deadline_ms"], arrivals, plan["started_at"])
+            for _ in range(CONNECTIONS_EACH_HOST)
+        ]
+    return callers
+
+
+def run(plan: dict[str, Any]) -> list[Result]:
+    """Run every caller as a task and return all results."""
+    callers = start_callers(plan)
+    with ThreadPoolExecutor(len(callers)) as tasks:
+        return [result for results in tasks.map(Caller.run, callers) for result in results]
+
+
+if __name__ == "__main__":
+    wanted = json.loads(Path(sys.argv[1]).read_text())
+    Path(wanted["results"]).write_text(json.dumps([asdict(result) for result in run(wanted)]))
--- /dev/null
+++ b/bench/request/_arrivals.py
@@ -0,0 +1,24 @@
+"""Open-loop arrivals: drawn before the run, whatever the answers do."""
+
+import random
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One search that a caller means to send ``at`` seconds after the start."""
+
+    at: float
+    rank: str
+
+
+def draw_arrivals(rates: dict[str, float], seconds: float, seed: str) -> list[Arrival]:
+    """Return Poisson arrivals of each rank at its rate a second, in order of time."""
+    arrivals: list[Arrival] = []
+    for rank, rate in rates.items():
+        source = random.Random(f"{seed}/{rank}")
+        at = source.expovariate(rate) if rate > 0 else seconds
+        while at < seconds:
+            arrivals.append(Arrival(at, rank))
+            at += source.expovariate(rate)
+    return sorted(arrivals, key=lambda arrival: arrival.at)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -221,11 +221,11 @@
         for control in self.controls:
             call(control, "POST", "/", {"searchers": searchers, "knobs": knobs})
 
-    def searchers(self) -> dict[str, Any]:
-        """Return what each searcher counted."""
+    def searchers(self, logs: bool = True) -> dict[str, Any]:
+        """Return what each searcher counted, and the searches it ran where ``logs``."""
         merged: dict[str, Any] = {}
         for control in self.controls:
-            merged.update(call(control, "GET", "/").body)
+            merged.update(call(control, "GET", "/" if logs else "/counts").body)
         return merged
 
     def is_running(self, name: str) -> bool:
--- a/tests/standins/searcher.py
+++ b/tests/standins/searcher.py
@@ -174,7 +174,8 @@
 
     def handle_control(exchange: Exchange) -> None:
         if exchange.method == "GET":
-            exchange.answer(200, {s.name: describe(s) for s in searchers.values()})
+            logs = exchange.url != "/counts"
+            exchange.answer(200, {s.name: describe(s, logs) for s in searchers.values()})
             return
         body = exchange.json()
         for searcher in searchers.values():
@@ -189,12 +190,12 @@
     await asyncio.Event().wait()
 
 
-def describe(searcher: Searcher) -> dict[str, Any]:
-    """Return what a test or the bench may count."""
+def describe(searcher: Searcher, logs: bool) -> dict[str, Any]:
+    """Return what a test or the bench may count, with the log of searches if asked."""
     return {
         "service": searcher.service,
         "counts": searcher.counts,
         "bookings": searcher.bookings,
-        "log": searcher.log[-2000:],
+        "log": searcher.log[-2000:] if logs else [],
         "open": searcher.open,
     }
