Keep a doubled or late booking message from running twice or lying

Cause: reading the booking path against at-most-once. A second copy of a Book message was answered NotRun while the first ran, so that a retry ran it again; a copy that came after a refusal, or after its pool was opened anew, ran though "not run" had been said; a doubled Forward began a new attempt; an exception left the ticket RUNNING; an owner's word after "unknown" was dropped; a 503 with an unknown word counted as "not run"; a ticket of an earlier incarnation of the same host waited out its deadline. Inboxes come from the tier, so that tests can move time by hand.

--- a/src/masticgate/_failures.py
+++ b/src/masticgate/_failures.py
@@ -50,6 +50,7 @@
     TICKET_IN_USE = "ticket_in_use"
     MINTER_LOST = "minter_lost"
     PLATFORM = "platform"
+    INTERNAL = "internal"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticgate/connection/_searcher.py
+++ b/src/masticgate/connection/_searcher.py
@@ -152,4 +152,7 @@
         word = _RefusalText.model_validate_json(body).reason
     except ValidationError:
         return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, searcher, "unreadable refusal")
-    return NotRun(NOT_RUN_REASONS.get(word, Reason.SEARCHER_SHED), Step.UPSTREAM, searcher, word)
+    reason = NOT_RUN_REASONS.get(word)
+    if reason is None:
+        return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, searcher, f"unknown refusal {word!r}")
+    return NotRun(reason, Step.UPSTREAM, searcher, word)
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -1,6 +1,7 @@
 """The process as its requests see it."""
 
 from collections.abc import Sequence
+from queue import SimpleQueue
 
 from .._clock import Clock
 from .._failures import NotRun, Reason, Step
@@ -81,10 +82,16 @@
                 reachable = [host for host in ranked if self._is_reachable(host)]
                 return reachable or self._any_reachable(service)
 
+    def open_inbox(self) -> Inbox:
+        """Return a new inbox for the replies to one request."""
+        return SimpleQueue()
+
     def send(
         self, host: HostId, message: Ask | Book | Cancel | Forward, inbox: Inbox | None
     ) -> NotRun | None:
         """Send to ``host``, which may be this host; replies go to ``inbox``."""
+        if host == self.own and isinstance(message, Forward):
+            return NotRun(Reason.MINTER_LOST, Step.FORWARD, peer=host)
         if inbox is not None and not isinstance(message, Cancel):
             self.mailboxes.register(host, message, inbox)
         if host == self.own:
--- a/src/masticgate/process/_mailboxes.py
+++ b/src/masticgate/process/_mailboxes.py
@@ -1,5 +1,6 @@
 """Finds the inbox that a reply from a peer belongs to."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from threading import Lock
 
@@ -8,6 +9,7 @@
 from ..request import (
     Ask,
     Book,
+    BookingOutcome,
     BookReply,
     Delivery,
     Forward,
@@ -24,9 +26,13 @@
 
 
 class Mailboxes:
-    """The messages that await a reply, by query and by host."""
+    """The messages that await a reply, by query and by host.
 
-    def __init__(self) -> None:
+    ``learn`` is told of the outcomes of bookings that nobody waits for any more.
+    """
+
+    def __init__(self, learn: Callable[[QueryId, BookingOutcome], None]) -> None:
+        self.learn = learn
         self.lock = Lock()
         self.sent: dict[QueryId, dict[HostId, _Sent]] = {}
 
@@ -54,6 +60,8 @@
             sent = self.sent.get(reply.query, {}).get(host)
         if sent is not None:
             sent.inbox.put(Delivery(host, reply))
+        elif isinstance(reply, BookReply):
+            self.learn(reply.query, reply.outcome)
 
     def lose(self, host: HostId) -> None:
         """Tell every inbox that waits for ``host`` that it was lost."""
--- a/src/masticgate/process/_owner.py
+++ b/src/masticgate/process/_owner.py
@@ -16,6 +16,7 @@
     SubReply,
 )
 from ..version import Configuration
+from ._booking_log import BookingLog
 from ._pools import Pools
 from ._service_pool import ServicePool
 from ._versions import VersionStore
@@ -35,6 +36,7 @@
         self.clock = clock
         self.listed = listed
         self.stopping = False
+        self.bookings = BookingLog(clock)
 
     def ask(self, ask: Ask, answer: AnswerTo) -> None:
         """Queue each part of ``ask``; its reply goes to ``answer``."""
@@ -42,7 +44,12 @@
             self._ask_part(ask, part, answer)
 
     def book(self, book: Book, answer: AnswerTo) -> None:
-        """Queue one attempt of a booking; its outcome goes to ``answer``."""
+        """Queue one attempt of a booking; its outcome goes to ``answer``.
+
+        A message that comes twice is dropped: the first copy's outcome stands for both.
+        """
+        if not self.bookings.take(book.query):
+            return
 
         def deliver(outcome: BookingOutcome) -> None:
             answer(BookReply(book.query, outcome))
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -53,7 +53,8 @@
         self.stopping = Event()
         self.tasks = ThreadPoolExecutor(MAX_TASKS, thread_name_prefix="task")
         self.timeline = TimeLine(self.id, self.clock)
-        self.mailboxes = Mailboxes()
+        self.tickets = TicketTable(self.id, self.incarnation, self.clock)
+        self.mailboxes = Mailboxes(self.tickets.learn)
         self.versions = VersionStore(self.timeline, self._configuration_changed)
         own = self._hello()
         self.members = Members(member_of(own), self.timeline, self._member_changed)
@@ -61,7 +62,6 @@
         self.links = Links(self.peers, self.clock, self.start_task)
         self.pools = Pools(self.policy, self.clock, self.timeline, self._start_connection)
         self.owner = Owner(self.pools, self.versions, self.clock, self._count_hosts)
-        self.tickets = TicketTable(self.id, self.incarnation, self.clock)
         self.tier = HostTier(
             self.id,
             self.incarnation,
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -6,7 +6,7 @@
 
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._failures import NotRun, Reason, Step, Unknown
-from .._ids import Millis, QueryId, SearcherId, ServiceId, TicketId
+from .._ids import Millis, QueryId, SearcherId, ServiceId
 from .._ranks import Rank
 from ..request import BookingOutcome, Hits, Ran, SubReply, VersionGone
 from ..version import Searcher
@@ -84,7 +84,6 @@
         self.budget = HedgeBudget(policy.hedging)
         self.health = {s.id: SearcherHealth(s, connections) for s, connections in searchers}
         self.entries: dict[QueryId, Entry] = {}
-        self.booked: dict[tuple[TicketId, int], Millis] = {}
         self.seats: list[Seat] = []
         self.stopping = False
         self.last_used = clock.now()
@@ -95,6 +94,8 @@
         """Queue ``work``; its ``deliver`` is called once with the result, unless refused here."""
         with self.lock:
             self.last_used = self.clock.now()
+            if work.query in self.entries:
+                return None  # The message came twice; the first copy is answered.
             refusal = self._refuse(work)
             if refusal is not None:
                 return refusal
@@ -205,18 +206,6 @@
             return NotRun(Reason.OVERLOAD, Step.QUEUE, peer=self.service)
         if all(h.state is SearcherState.DRAINING for h in self.health.values()):
             return NotRun(Reason.NO_SEARCHER, Step.QUEUE, peer=self.service)
-        if work.query in self.entries:
-            return NotRun(Reason.CANCELLED, Step.QUEUE, detail="the same message came twice")
-        match work:
-            case BookingWork(ticket=ticket, attempt=attempt, deadline=deadline):
-                return self._refuse_doubled(ticket, attempt, deadline)
-            case SearchWork():
-                return None
-
-    def _refuse_doubled(self, ticket: TicketId, attempt: int, deadline: Millis) -> NotRun | None:
-        if (ticket, attempt) in self.booked:
-            return NotRun(Reason.TICKET_IN_USE, Step.QUEUE, detail="the same attempt came twice")
-        self.booked[ticket, attempt] = deadline
         return None
 
     def _is_stopped(self, searcher: SearcherId) -> bool:
--- a/src/masticgate/process/_tickets.py
+++ b/src/masticgate/process/_tickets.py
@@ -2,19 +2,22 @@
 
 import secrets
 from concurrent.futures import Future
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from threading import Lock
 
 from .._clock import Clock
 from .._failures import NotRun, Reason, Step, Unknown
-from .._ids import HostId, Incarnation, Millis, TicketId
+from .._ids import HostId, Incarnation, Millis, QueryId, TicketId
 from ..request import Attempt, Booking, BookingOutcome, Ran
 
 TICKET_LIFETIME = Millis(120_000.0)
 """How long after its minting a ticket may be used; its outcome is kept as long again."""
 
 MAX_TICKETS = 50_000
+MAX_REQUESTS = 64
+"""The requests for one ticket that may begin or join an attempt."""
+
 SEPARATOR = "~"
 
 
@@ -28,11 +31,16 @@
 
 @dataclass(slots=True)
 class _Record:
+    """One ticket; ``requests`` holds what each request was or will be told."""
+
     expires: Millis
-    state: TicketState
-    attempt: int
-    outcome: "Future[BookingOutcome]"
+    state: TicketState = TicketState.MINTED
+    attempt: int = 0
+    outcome: "Future[BookingOutcome]" = field(default_factory=Future)
     content: tuple[str, str] | None = None
+    query: QueryId = QueryId("")
+    late: BookingOutcome | None = None
+    requests: "dict[QueryId, Future[BookingOutcome]]" = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +69,7 @@
         self.lock = Lock()
         self.sequence = 0
         self.records: dict[TicketId, _Record] = {}
+        self.unproven: dict[QueryId, TicketId] = {}
 
     def mint(self) -> TicketId | NotRun:
         """Return a new ticket, or why none can be had."""
@@ -72,7 +81,7 @@
             parts = (self.host, str(self.incarnation), str(self.sequence), secrets.token_hex(8))
             ticket = TicketId(SEPARATOR.join(parts))
             expires = Millis(self.clock.now() + TICKET_LIFETIME)
-            self.records[ticket] = _Record(expires, TicketState.MINTED, 0, Future())
+            self.records[ticket] = _Record(expires)
             return ticket
 
     def begin(self, booking: Booking) -> "Attempt | Future[BookingOutcome] | NotRun | Unknown":
@@ -85,13 +94,24 @@
             if record.content not in (None, content):
                 detail = "the ticket belongs to another booking"
                 return NotRun(Reason.TICKET_IN_USE, Step.TICKET, self.host, detail)
-            if record.state is not TicketState.MINTED:
+            doubled = record.requests.get(booking.id)
+            if doubled is not None:
+                return doubled
+            if record.state is TicketState.SETTLED:
+                return record.outcome
+            if len(record.requests) >= MAX_REQUESTS:
+                return NotRun(Reason.OVERLOAD, Step.TICKET, peer=self.host)
+            if record.state is TicketState.RUNNING:
+                record.requests[booking.id] = record.outcome
                 return record.outcome
             if self.clock.now() >= record.expires:
                 return NotRun(Reason.TICKET_EXPIRED, Step.TICKET, peer=self.host)
             record.content = content
             record.state = TicketState.RUNNING
             record.attempt += 1
+            record.query = booking.id
+            record.requests[booking.id] = record.outcome
+            self.unproven[booking.id] = booking.ticket
             return Attempt(booking.ticket, record.attempt)
 
     def settle(self, attempt: Attempt, outcome: BookingOutcome) -> None:
@@ -100,15 +120,46 @@
             record = self.records.get(attempt.ticket)
             if record is None or record.attempt != attempt.number:
                 return
+            if record.state is not TicketState.RUNNING:
+                return
             waiting = record.outcome
-            match outcome:
-                case NotRun():
-                    record.state = TicketState.MINTED
-                    record.outcome = Future()
-                case Ran() | Unknown():
-                    record.state = TicketState.SETTLED
+            record.state = TicketState.SETTLED
+            self._conclude(record, outcome)
+            if record.late is not None:
+                self._conclude(record, record.late)
         waiting.set_result(outcome)
 
+    def learn(self, query: QueryId, outcome: BookingOutcome) -> None:
+        """Take the owner's word on an attempt that nobody waits for any more.
+
+        A retry then gets the true outcome in place of "unknown", or may run where it did not.
+        """
+        with self.lock:
+            ticket = self.unproven.get(query)
+            record = self.records.get(ticket) if ticket is not None else None
+            if record is None:
+                return
+            if record.state is TicketState.RUNNING:
+                record.late = outcome
+            else:
+                self._conclude(record, outcome)
+
+    def _conclude(self, record: _Record, outcome: BookingOutcome) -> None:
+        """Make ``outcome`` the last word on the latest attempt, unless it is known already."""
+        if record.query not in self.unproven:
+            return
+        match outcome:
+            case NotRun():
+                record.state = TicketState.MINTED
+                record.outcome = Future()
+            case Ran():
+                record.outcome = _done(outcome)
+            case Unknown():
+                record.outcome = _done(outcome)
+                return
+        record.late = None
+        del self.unproven[record.query]
+
     def _drop_expired(self) -> None:
         """Drop the oldest records once their outcome is no longer kept."""
         limit = self.clock.now() - TICKET_LIFETIME
@@ -116,4 +167,11 @@
             if record.expires > limit:
                 return
             if record.state is not TicketState.RUNNING:
+                self.unproven.pop(record.query, None)
                 del self.records[ticket]
+
+
+def _done(outcome: BookingOutcome) -> "Future[BookingOutcome]":
+    future: Future[BookingOutcome] = Future()
+    future.set_result(outcome)
+    return future
--- a/src/masticgate/request/_booking.py
+++ b/src/masticgate/request/_booking.py
@@ -72,9 +72,20 @@
         case Future():
             return _join(booking, begun, tier)
         case Attempt():
-            outcome = _send_once(booking, begun, tier)
-            tickets.settle(begun, outcome)
-            return outcome
+            return _run_attempt(booking, begun, tickets, tier)
+
+
+def _run_attempt(
+    booking: Booking, attempt: Attempt, tickets: Tickets, tier: Tier
+) -> BookingOutcome:
+    """Run ``attempt`` and settle it, also where an exception ends it."""
+    outcome: BookingOutcome = Unknown(Reason.INTERNAL, Step.TICKET)
+    try:
+        outcome = _send_once(booking, attempt, tier)
+    finally:
+        tickets.settle(attempt, outcome)
+        tier.forget(booking.id)
+    return outcome
 
 
 def _join(booking: Booking, running: "Future[BookingOutcome]", tier: Tier) -> BookingOutcome:
@@ -86,7 +97,7 @@
 
 def _forward(booking: Booking, tier: Tier) -> BookingOutcome:
     """Ask the minter; an earlier try may have run there, so its loss leaves it unknown."""
-    inbox = Inbox()
+    inbox = tier.open_inbox()
     message = Forward(
         booking.id,
         booking.incarnation,
@@ -118,8 +129,8 @@
     booking: Booking, attempt: Attempt, owners: Sequence[HostId], tier: Tier
 ) -> BookingOutcome:
     """Send to the first owner that takes the message; after that nobody else is asked."""
-    inbox = Inbox()
     for owner in owners:
+        inbox = tier.open_inbox()
         if tier.clock.now() >= booking.deadline - ANSWER_RESERVE:
             return NotRun(Reason.DEADLINE, Step.ROUTE, peer=booking.service)
         message = Book(
@@ -137,12 +148,12 @@
 
 
 def _await_owner(booking: Booking, owner: HostId, inbox: Inbox, tier: Tier) -> BookingOutcome:
-    stop = Millis(booking.deadline - ANSWER_RESERVE - CANCEL_WAIT)
-    outcome = _await_reply(inbox, stop, tier)
+    end = Millis(booking.deadline - ANSWER_RESERVE)
+    reserve = min(CANCEL_WAIT, (end - tier.clock.now()) / 2)
+    outcome = _await_reply(inbox, Millis(end - reserve), tier)
     if outcome is None:
         tier.send(owner, Cancel(booking.id), None)
-        outcome = _await_reply(inbox, Millis(booking.deadline - ANSWER_RESERVE), tier)
-    tier.forget(booking.id)
+        outcome = _await_reply(inbox, end, tier)
     return outcome or Unknown(Reason.DEADLINE, Step.FORWARD, peer=owner)
 
 
--- a/src/masticgate/request/_merge.py
+++ b/src/masticgate/request/_merge.py
@@ -25,7 +25,8 @@
     """The answer to one search, all of it from ``snapshot``.
 
     ``coverage`` is the weight of the merged shards over the weight of all needed shards of the
-    snapshot's own shard map, from 0 to 1.
+    snapshot's own shard map, from 0 to 1. A needed service that the shard map lacks is missing:
+    it counts as much as the average of the others.
     """
 
     query: QueryId
@@ -77,19 +78,39 @@
     def answer(self, query: QueryId, rank: Rank, limit: int) -> Answer:
         """Return the answer with its ``limit`` best hits and its true coverage."""
         missing = tuple(self._missing())
-        needed = [self.snapshot.shards_of(service.id) for service in self.scope.needed]
-        total = sum(sum(shards.values()) for shards in needed)
-        lost = sum(self.snapshot.shards_of(item.service)[item.shard] for item in missing)
-        coverage = 1.0 if not missing else _fraction(total - lost, total)
+        coverage = 1.0 if not missing else self._coverage()
         hits = tuple(nlargest(limit, self.hits, key=lambda hit: (hit.score, hit.id)))
         return Answer(query, rank, self.snapshot.version, coverage, hits, missing)
 
+    def _coverage(self) -> float:
+        merged = total = 0.0
+        mapped = 0
+        for service in self.scope.needed:
+            shards = self.snapshot.shards_of(service.id)
+            covered = self.merged.get(service.id, frozenset())
+            total += sum(shards.values())
+            merged += sum(shards[shard] for shard in covered)
+            mapped += bool(shards)
+        unmapped = len(self._unmapped())
+        return _fraction(merged, total) * _fraction(mapped, mapped + unmapped)
+
     def _missing(self) -> Iterable[Missing]:
         for service in self.scope.needed:
             covered = self.merged.get(service.id, frozenset())
             for shard in self.snapshot.shards_of(service.id):
                 if shard not in covered:
                     yield Missing(service.id, shard, self._failure_of(service.id))
+        for name in self._unmapped():
+            detail = f"snapshot {self.snapshot.version} has no shards of it"
+            yield Missing(name, ShardId(""), NotRun(Reason.NO_SNAPSHOT, Step.PIN, name, detail))
+
+    def _unmapped(self) -> list[ServiceId]:
+        """Return the services to search that the shard map lacks; one for bookings needs none."""
+        return [
+            service.id
+            for service in self.scope.needed
+            if not service.bookings and not self.snapshot.shards_of(service.id)
+        ]
 
     def _failure_of(self, service: ServiceId) -> Failure:
         if service in self.scope.left:
--- a/src/masticgate/request/_search.py
+++ b/src/masticgate/request/_search.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from queue import Empty
 
@@ -73,12 +74,12 @@
         if snapshot is None:
             return best or NotRun(Reason.NO_SNAPSHOT, Step.PIN)
         tried |= {snapshot.version}
-        attempt = _Attempt(query, scope, snapshot, len(tried), tier)
+        attempt = _Attempt(query, scope, snapshot, tried, tier)
         complete = attempt.run()
         answer = attempt.merge.answer(query.id, query.rank, query.limit)
         if best is None or answer.coverage > best.coverage:
             best = answer
-        if complete or tier.clock.now() > query.deadline - RESTART_MINIMUM:
+        if complete:
             return best
 
 
@@ -86,33 +87,40 @@
     """One fan-out of a query at one snapshot."""
 
     def __init__(
-        self, query: Query, scope: Scope, snapshot: Snapshot, number: int, tier: Tier
+        self,
+        query: Query,
+        scope: Scope,
+        snapshot: Snapshot,
+        pinned: frozenset[SnapshotVersion],
+        tier: Tier,
     ) -> None:
         self.query = query
-        self.id = QueryId(f"{query.id}.{number}")
+        self.pinned = pinned
+        self.id = QueryId(f"{query.id}.{len(pinned)}")
         self.tier = tier
         self.snapshot = snapshot
         self.merge = Merge(scope, snapshot)
-        self.inbox: Inbox = Inbox()
+        self.inbox: Inbox = tier.open_inbox()
         self.tried: dict[ServiceId, list[HostId]] = defaultdict(list)
-        self.gone = False
+        self.restart = False
+        self.next_check = Millis(tier.clock.now() + SILENCE_CHECK)
 
     def run(self) -> bool:
-        """Ask, collect until done or late; return ``False`` where the snapshot was gone."""
+        """Ask, collect until done or late; return ``False`` to restart on another snapshot."""
         stop = Millis(self.query.deadline - ANSWER_RESERVE)
         self._ask(tuple(self.merge.waiting))
-        while self.merge.waiting and not self.gone:
+        while self.merge.waiting and not self.restart:
             now = self.tier.clock.now()
             if now >= stop:
                 break
-            check = min(stop, Millis(now + SILENCE_CHECK))
-            try:
-                self._take(self.inbox.get(timeout=seconds_until(check, self.tier.clock)))
-            except Empty:
-                self._leave_silent_owners()
+            if now >= self.next_check:
+                self._leave_silent_owners(now)
+            wake = min(stop, self.next_check)
+            with suppress(Empty):
+                self._take(self.inbox.get(timeout=seconds_until(wake, self.tier.clock)))
         self._cancel_rest()
         self.tier.forget(self.id)
-        return not self.gone
+        return not self.restart
 
     def _ask(self, services: Iterable[ServiceId]) -> None:
         by_owner: dict[HostId, list[ServiceId]] = defaultdict(list)
@@ -161,13 +169,20 @@
                 self.merge.add_hits(service, hits)
             case Reply(service=service, result=VersionGone() as gone):
                 self.tier.note_gone(service, gone.snapshot, gone.held)
-                failure = NotRun(Reason.VERSION_GONE, Step.UPSTREAM, peer=service)
-                if service in self.merge.waiting:
+                if service in self.merge.waiting and gone.snapshot == self.snapshot.version:
+                    failure = NotRun(Reason.VERSION_GONE, Step.UPSTREAM, peer=service)
                     self.merge.add_failure(service, failure)
-                    self.gone = True
+                    self.restart = self._can_restart()
             case Reply(service=service, result=NotRun() | Unknown() as failure):
                 self._take_failure(service, failure, delivery.source)
 
+    def _can_restart(self) -> bool:
+        """Tell whether another snapshot and the time for it are left."""
+        if self.tier.clock.now() > self.query.deadline - RESTART_MINIMUM:
+            return False
+        needed = [service.id for service in self.merge.scope.remaining]
+        return self.tier.pin_snapshot(needed, self.pinned) is not None
+
     def _take_failure(self, service: ServiceId, failure: Failure, source: HostId) -> None:
         if service not in self.merge.waiting or self.tried[service][-1] != source:
             return
@@ -176,7 +191,8 @@
         else:
             self.merge.add_failure(service, failure)
 
-    def _leave_silent_owners(self) -> None:
+    def _leave_silent_owners(self, now: Millis) -> None:
+        self.next_check = Millis(now + SILENCE_CHECK)
         silent = [
             service
             for service in self.merge.waiting
--- a/src/masticgate/request/_tier.py
+++ b/src/masticgate/request/_tier.py
@@ -1,7 +1,6 @@
 """What a request needs of the process that runs it."""
 
 from collections.abc import Sequence
-from queue import SimpleQueue
 from typing import Protocol
 
 from .._clock import Clock
@@ -11,8 +10,20 @@
 from ..version import Configuration, Scope, Snapshot
 from ._messages import Ask, Book, Cancel, Delivery, Forward
 
-Inbox = SimpleQueue[Delivery]
-"""Where the replies to one request arrive, from any task."""
+
+class Inbox(Protocol):
+    """Where the replies to one request arrive, from any task."""
+
+    def put(self, item: Delivery) -> None:
+        """Add a delivery."""
+        ...
+
+    def get(self, block: bool = True, timeout: float | None = None) -> Delivery:
+        """Wait up to ``timeout`` seconds for the next delivery.
+
+        :raises queue.Empty: none came in time.
+        """
+        ...
 
 
 class Tier(Protocol):
@@ -44,6 +55,10 @@
         """Return the hosts to ask for ``service``, the owner first."""
         ...
 
+    def open_inbox(self) -> Inbox:
+        """Return a new inbox for the replies to one request."""
+        ...
+
     def send(
         self, host: HostId, message: Ask | Book | Cancel | Forward, inbox: Inbox | None
     ) -> NotRun | None:
