--- a/src/masticgate/process/_pools.py
+++ b/src/masticgate/process/_pools.py
@@ -6,7 +6,6 @@
 from .._clock import Clock
 from .._ids import Millis, SearcherId, ServiceId
 from ..version import Configuration, Searcher, Service, service_connections
-from ._booked_attempts import BookedAttempts
 from ._policy import Policy
 from ._searcher_health import SearcherState
 from ._service_pool import ServicePool
@@ -36,7 +35,6 @@
         self.pools: dict[ServiceId, ServicePool] = {}
         self.closing: dict[ServiceId, ServicePool] = {}
         self.configured: dict[ServiceId, tuple[Service, int]] = {}
-        self.booked = BookedAttempts(clock)
 
     def get(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
         """Return the pool of ``service``, with the searchers and shares now in force."""
@@ -81,7 +79,6 @@
                 self.policy,
                 self.clock,
                 self._searcher_changed,
-                self.booked,
             )
         self.pools[service.id] = pool
         self.timeline.add(EventKind.POOL_OPENED, service.id)
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -11,7 +11,6 @@
 from .._ranks import Rank
 from ..request import Hits, Ran
 from ..version import Searcher
-from ._booked_attempts import BookedAttempts
 from ._dispatcher import Dispatcher
 from ._policy import NoHedge, Policy
 from ._searcher_group import StateListener
@@ -70,7 +69,6 @@
         policy: Policy,
         clock: Clock,
         listener: StateListener,
-        booked: BookedAttempts | None = None,
     ) -> None:
         self.service = service
         self.policy = policy
@@ -83,7 +81,6 @@
         self.seats = self.dispatcher.seats
         self.load = ServiceLoad(clock.now())
         self.entries: dict[QueryId, Entry] = {}
-        self.booked = booked or BookedAttempts(clock)
         self.stopping = False
         self.last_used = clock.now()
         self.settled: list[tuple[Entry, Result]] = []
@@ -99,6 +96,8 @@
         """Queue ``work``; its ``deliver`` is called once with the result, unless refused here."""
         with self._changing():
             self.last_used = self.clock.now()
+            if work.query in self.entries:
+                return None  # The message came twice; the first copy is answered.
             self.load.arrive(work.rank)
             refusal = self._refuse(work)
             if refusal is None:
@@ -243,13 +242,7 @@
             return NotRun(Reason.OVERLOAD, Step.QUEUE, peer=self.service)
         if self.searchers.all_draining():
             return NotRun(Reason.NO_SEARCHER, Step.QUEUE, peer=self.service)
-        if work.query in self.entries:
-            return NotRun(Reason.CANCELLED, Step.QUEUE, detail="the same message came twice")
-        match work:
-            case BookingWork(ticket=ticket, attempt=attempt):
-                return self.booked.claim(ticket, attempt)
-            case SearchWork():
-                return None
+        return None
 
     def _wait_once(self, seat: Seat, end: Millis) -> Send | LookAround | Idle | Stopped | None:
         """Return what ``seat`` has to do, or ``None`` after one wait for it."""
