--- a/bench/connection/_caller.py
+++ b/bench/connection/_caller.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import select
 import socket
 import time
 from collections.abc import Iterator
@@ -15,6 +16,13 @@
 SMALLEST_REMAINING_MS = 1.0
 
 
+def is_closed(connection: socket.socket) -> bool:
+    """Tell whether the host has closed an idle connection."""
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 @dataclass
 class Caller:
     """Sends each arrival that it takes from ``arrivals`` and notes what came of it.
@@ -61,11 +69,13 @@
             body.get("coverage", 0.0),
             body.get("whole", False),
             body.get("reason", ""),
+            tuple(sorted({item["reason"] for item in body.get("missing", ())})),
         )
 
     def _exchange(self, rank: str, remaining_ms: float) -> tuple[int, dict]:
-        connection = self.connection or self._connect()
-        self.connection = connection
+        if self.connection is None or is_closed(self.connection.sock):
+            self.connection = self._connect()
+        connection = self.connection
         body = {
             "services": self.services,
             "text": "lamp",
--- /dev/null
+++ b/bench/process/_comparison.py
@@ -0,0 +1,62 @@
+"""What the two routings did in one run, side by side, and their work against saturation."""
+
+from dataclasses import dataclass
+
+from ._scenario import SATURATED
+from ._trial import Trial
+
+
+@dataclass(frozen=True)
+class Row:
+    """One scenario on one deployment: new beside naive; ``None`` where not run."""
+
+    deployment: str
+    scenario: str
+    rank: str
+    p99_new: float | None
+    p99_naive: float | None
+    whole_new: float | None
+    whole_naive: float | None
+    kept_new: float | None
+    """Work finished over the work finished at saturation, of the same routing."""
+
+    kept_naive: float | None
+
+
+def compare(trials: list[Trial]) -> list[Row]:
+    """Return a row for each deployment, scenario and rank."""
+    found = {(t.deployment, t.scenario, t.routing): t for t in trials}
+    rows: list[Row] = []
+    for deployment, scenario in dict.fromkeys((t.deployment, t.scenario) for t in trials):
+        new = found.get((deployment, scenario, "owner"))
+        naive = found.get((deployment, scenario, "naive"))
+        for figures in (new or naive).ranks:
+            rows.append(
+                Row(
+                    deployment,
+                    scenario,
+                    figures.rank,
+                    *_each(new, naive, figures.rank, "capped_p99"),
+                    *_each(new, naive, figures.rank, "whole"),
+                    _kept(found, new),
+                    _kept(found, naive),
+                )
+            )
+    return rows
+
+
+def _each(new: Trial | None, naive: Trial | None, rank: str, name: str) -> list[float | None]:
+    return [_figure(new, rank, name), _figure(naive, rank, name)]
+
+
+def _figure(trial: Trial | None, rank: str, name: str) -> float | None:
+    if trial is None:
+        return None
+    return float(next(getattr(figures, name) for figures in trial.ranks if figures.rank == rank))
+
+
+def _kept(found: dict[tuple[str, str, str], Trial], trial: Trial | None) -> float | None:
+    if trial is None:
+        return None
+    saturated = found.get((trial.deployment, SATURATED, trial.routing))
+    return trial.finished_rate / saturated.finished_rate if saturated else None
--- a/bench/request/__init__.py
+++ b/bench/request/__init__.py
@@ -1,5 +1,6 @@
 """What lives for one request of the load: its arrival and what came of it."""
 
+from ._arrivals import RANKS as RANKS
 from ._arrivals import Arrival as Arrival
 from ._arrivals import draw_arrivals as draw_arrivals
 from ._result import LOST as LOST
--- a/bench/request/_arrivals.py
+++ b/bench/request/_arrivals.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+RANKS = ("urgent", "standard", "bulk")
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
--- a/bench/request/_result.py
+++ b/bench/request/_result.py
@@ -19,3 +19,5 @@
     coverage: float
     whole: bool
     reason: str
+    missing: tuple[str, ...]
+    """The reasons for which shards are missing, each once."""
--- a/bench/version/__init__.py
+++ b/bench/version/__init__.py
@@ -3,3 +3,4 @@
 from ._deployment import DEPLOYMENTS as DEPLOYMENTS
 from ._deployment import SERVICE_MS as SERVICE_MS
 from ._deployment import Deployment as Deployment
+from ._deployment import mark_leaving as mark_leaving
--- a/bench/version/_deployment.py
+++ b/bench/version/_deployment.py
@@ -18,19 +18,36 @@
     fan_out: int
     searchers: int
     slots: int
+    history: str
+    """A service that depends on the wide group and on the department that leaves."""
+
+    leaving: str
 
     @property
     def text(self) -> str:
         """The operators' text."""
         return example(self.name)
 
+    @property
+    def text_without(self) -> str:
+        """The text after an operator marked one department as leaving."""
+        return mark_leaving(self.text, self.leaving)
+
     @property
     def saturation(self) -> float:
         """Wide queries a second that the slots of one service can finish."""
         return self.searchers * self.slots * 1000 / SERVICE_MS
 
 
+def mark_leaving(text: str, department: str) -> str:
+    """Edit an operators' text as a person would when ``department`` leaves."""
+    before = f'"{department}": {{"leaving": false}}'
+    if before not in text:
+        raise ValueError(f"the text has no department {department}")
+    return text.replace(before, f'"{department}": {{"leaving": true}}')
+
+
 DEPLOYMENTS = {
-    "kerala": Deployment("kerala", 7, "safety-desk", 20, 2, 2),
-    "norte": Deployment("norte", 6, "balcao", 20, 2, 2),
+    "kerala": Deployment("kerala", 7, "safety-desk", 20, 2, 2, "unit-history", "parts-ledger"),
+    "norte": Deployment("norte", 6, "balcao", 20, 2, 2, "kit-history", "reparos"),
 }
