Add the callers' and operators' commands, metrics and log lines

Cause: operators had no way to judge a text, read a host's state or follow what happened over all hosts. Change: check, query, book, status and timeline beside serve; events of all hosts merge by what each host had heard of the others before wall clocks count; counters, timers and gauges go to statsd once a second; a log line is written for each event of the time line and for nothing else. Conclusion: heartbeats do not carry the time line's sequence yet, so merges of live hosts still go by clocks.

--- a/src/masticgate/connection/__init__.py
+++ b/src/masticgate/connection/__init__.py
@@ -4,6 +4,8 @@
 from ._caller_app import CallerApp as CallerApp
 from ._caller_app import CallerHandler as CallerHandler
 from ._caller_app import SearchRequest as SearchRequest
+from ._caller_client import CallerClient as CallerClient
+from ._caller_client import CallerReply as CallerReply
 from ._caller_server import CallerServer as CallerServer
 from ._frames import BadFrameError as BadFrameError
 from ._frames import Message as Message
--- /dev/null
+++ b/src/masticgate/connection/_caller_client.py
@@ -0,0 +1,67 @@
+"""A caller's client: one connection to one entry host."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from .._ids import Address, Millis
+from ._http_call import HttpCall, HttpLost, HttpReply
+
+ANSWER_MARGIN = Millis(500.0)
+"""Waited beyond the request's own deadline for the answer to arrive."""
+
+PLAIN_TIMEOUT = Millis(5000.0)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReply:
+    """An entry host's answer: the HTTP status and the JSON body."""
+
+    status: int
+    body: dict[str, Any]
+
+
+class CallerClient:
+    """Calls one entry host; a lost connection is returned as :class:`HttpLost`."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.call = HttpCall(address)
+
+    def search(self, body: dict[str, Any]) -> CallerReply | HttpLost:
+        """Run a search; it is idempotent."""
+        timeout = Millis(float(body["remaining_ms"]) + ANSWER_MARGIN)
+        return _read(self.call.post("/v1/search", json.dumps(body).encode(), timeout))
+
+    def mint_ticket(self) -> CallerReply | HttpLost:
+        """Ask for a ticket for one booking."""
+        return _read(self.call.post("/v1/tickets", b"", PLAIN_TIMEOUT))
+
+    def book(self, body: dict[str, Any]) -> CallerReply | HttpLost:
+        """Submit a booking; with the same ticket this may be repeated through any host."""
+        timeout = Millis(float(body["remaining_ms"]) + ANSWER_MARGIN)
+        return _read(self.call.post("/v1/bookings", json.dumps(body).encode(), timeout))
+
+    def status(self) -> CallerReply | HttpLost:
+        """Return the host's status."""
+        return _read(self.call.get("/v1/status", PLAIN_TIMEOUT))
+
+    def events(self) -> CallerReply | HttpLost:
+        """Return the events of the host's time line."""
+        return _read(self.call.get("/v1/events", PLAIN_TIMEOUT))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.call.close()
+
+
+def _read(reply: HttpReply | HttpLost) -> CallerReply | HttpLost:
+    if isinstance(reply, HttpLost):
+        return reply
+    try:
+        body = json.loads(reply.body)
+    except ValueError:
+        return HttpLost(True, f"status {reply.status} without JSON")
+    if not isinstance(body, dict):
+        return HttpLost(True, f"status {reply.status} without a JSON object")
+    return CallerReply(reply.status, body)
--- a/src/masticgate/process/_caller_service.py
+++ b/src/masticgate/process/_caller_service.py
@@ -1,7 +1,6 @@
 """What the process does for callers and operators."""
 
 import random
-from dataclasses import asdict
 from typing import Any
 
 from .._clock import Clock
@@ -15,14 +14,16 @@
     BookingOutcome,
     Forward,
     Query,
+    Ran,
     run_booking,
     run_search,
 )
 from ._host_tier import HostTier
-from ._messages import Member
-from ._service_pool import ServicePool
+from ._metrics import Metrics
+from ._status import status_fields
 from ._tickets import TicketTable, parse_ticket
-from ._timeline import Event, TimeLine
+from ._timeline import TimeLine
+from ._timeline_merge import event_fields
 from ._watch_role import WatchRole
 
 
@@ -37,6 +38,7 @@
         timeline: TimeLine,
         clock: Clock,
         role: WatchRole,
+        metrics: Metrics,
     ) -> None:
         self.host = host
         self.tier = tier
@@ -44,20 +46,24 @@
         self.timeline = timeline
         self.clock = clock
         self.role = role
-        self.random = random.SystemRandom()
+        self.metrics = metrics
+        self.random = random.Random()
 
     def search(self, request: SearchRequest) -> Answer | NotRun:
         """Run a search."""
+        started = self.clock.now()
         query = Query(
             self._new_id(),
             request.rank,
-            Millis(self.clock.now() + request.remaining),
+            Millis(started + request.remaining),
             self.random.random(),
             request.services,
             request.text,
             request.limit,
         )
-        return run_search(query, self.tier)
+        result = run_search(query, self.tier)
+        self._count_search(request.rank, result, Millis(self.clock.now() - started))
+        return result
 
     def mint_ticket(self) -> TicketId | NotRun:
         """Return a ticket for one booking."""
@@ -80,7 +86,9 @@
             Millis(self.clock.now() + request.remaining),
             request.payload,
         )
-        return run_booking(booking, self.tickets, self.tier)
+        outcome = run_booking(booking, self.tickets, self.tier)
+        self._count_booking(request.rank, outcome)
+        return outcome
 
     def run_forwarded(self, forward: Forward) -> BookingOutcome:
         """Run a booking that another host forwarded here, where its ticket was minted."""
@@ -100,51 +108,28 @@
 
     def status(self) -> dict[str, Any]:
         """Return what ``masticgate status`` shows."""
-        tier = self.tier
-        configuration = tier.versions.configuration
-        return {
-            "host": self.host,
-            "incarnation": tier.incarnation,
-            "revision": configuration.revision if configuration else 0,
-            "refused_revision": tier.versions.refused,
-            "problems": list(tier.versions.problems),
-            "watcher": self.role.watching,
-            "snapshots": [s.version for s in tier.versions.catalogue.snapshots],
-            "leaving": sorted(configuration.leaving) if configuration else [],
-            "peers": [_member_fields(tier, member) for member in tier.members.list_members()],
-            "owned": sorted(s for s, hosts in tier.table.items() if hosts[:1] == [self.host]),
-            "pools": [_pool_fields(pool) for pool in tier.owner.pools.list_pools()],
-            "stopping": tier.owner.stopping,
-        }
+        return status_fields(self.tier, self.role, self.metrics)
 
     def events(self) -> list[dict[str, Any]]:
         """Return the time line's events."""
-        return [_event_fields(event) for event in self.timeline.list_events()]
+        return [event_fields(event) for event in self.timeline.list_events()]
+
+    def _count_search(self, rank: Rank, result: Answer | NotRun, duration: Millis) -> None:
+        match result:
+            case NotRun(reason=reason):
+                self.metrics.count(f"search.{rank.label}.not_run.{reason.value}")
+            case Answer(whole=whole):
+                self.metrics.count(f"search.{rank.label}.{'whole' if whole else 'partial'}")
+                self.metrics.time(f"search.{rank.label}.ms", duration)
+
+    def _count_booking(self, rank: Rank, outcome: BookingOutcome) -> None:
+        match outcome:
+            case Ran():
+                self.metrics.count(f"booking.{rank.label}.ran")
+            case NotRun(reason=reason):
+                self.metrics.count(f"booking.{rank.label}.not_run.{reason.value}")
+            case Unknown(reason=reason):
+                self.metrics.count(f"booking.{rank.label}.unknown.{reason.value}")
 
     def _new_id(self) -> QueryId:
         return QueryId(f"{self.host}-{self.random.getrandbits(64):016x}")
-
-
-def _member_fields(tier: HostTier, member: Member) -> dict[str, Any]:
-    return {
-        "host": member.host,
-        "failure_domain": member.failure_domain,
-        "incarnation": member.incarnation,
-        "state": member.state.name.lower(),
-        "reachable": member.host == tier.own or tier.links.is_open(member.host),
-    }
-
-
-def _pool_fields(pool: ServicePool) -> dict[str, Any]:
-    return {
-        "service": pool.service,
-        "queued": {rank.label: pool.pending.depth(rank) for rank in Rank},
-        "searchers": {
-            name: {"state": health.state.value, "in_flight": health.in_flight}
-            for name, health in pool.health.items()
-        },
-    }
-
-
-def _event_fields(event: Event) -> dict[str, Any]:
-    return {**asdict(event), "kind": event.kind.value}
--- /dev/null
+++ b/src/masticgate/process/_command_book.py
@@ -0,0 +1,109 @@
+"""``masticgate book``: a caller's booking, at most once."""
+
+import json
+from typing import Any
+
+import click
+
+from .._clock import SystemClock
+from .._ids import Address, Millis
+from .._ranks import Rank
+from ..connection import CallerClient, CallerReply, HttpLost
+from ._command_query import RANKS
+from ._exit_codes import ExitCode
+
+EXIT_OF_OUTCOME = {
+    "ran": ExitCode.DONE,
+    "not_run": ExitCode.NOT_RUN,
+    "unknown": ExitCode.UNKNOWN,
+}
+
+
+@click.command()
+@click.argument("hosts", nargs=-1, required=True, metavar="HOST...")
+@click.option("--service", required=True, help="The service that takes the booking.")
+@click.option("--payload", default="{}", show_default=True, help="The booking, a JSON object.")
+@click.option("--ticket", help="The ticket of an earlier try, to learn or finish its outcome.")
+@click.option("--rank", type=RANKS, default=Rank.STANDARD.label, show_default=True)
+@click.option("--remaining-ms", type=float, default=2000.0, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the outcome as JSON.")
+def book(
+    hosts: tuple[str, ...],
+    service: str,
+    payload: str,
+    ticket: str | None,
+    rank: str,
+    remaining_ms: float,
+    as_json: bool,
+) -> None:
+    """Book through the entry HOSTs (address:port), at most once.
+
+    Keep the ticket that is printed: a later call with it never books a second time.
+    Exit status 0: it ran; 1: it did not run; 3: unknown, ask again with the ticket.
+    """
+    try:
+        content = json.loads(payload)
+    except ValueError as error:
+        raise click.BadParameter(f"not JSON: {error}", param_hint="--payload") from error
+    ticket = ticket or _mint(hosts)
+    body = {
+        "ticket": ticket,
+        "service": service,
+        "payload": content,
+        "rank": rank,
+        "remaining_ms": remaining_ms,
+    }
+    outcome = _submit(hosts, body)
+    click.echo(json.dumps(outcome) if as_json else _describe(outcome))
+    raise SystemExit(EXIT_OF_OUTCOME.get(str(outcome["outcome"]), ExitCode.UNKNOWN))
+
+
+def _mint(hosts: tuple[str, ...]) -> str:
+    problem = "no host answered"
+    for host in hosts:
+        client = CallerClient(Address(host))
+        reply = client.mint_ticket()
+        client.close()
+        match reply:
+            case CallerReply(body={"ticket": str(ticket)}):
+                return ticket
+            case CallerReply(body=body):
+                problem = str(body.get("message", body))
+            case HttpLost(message=message):
+                problem = message
+    click.echo(f"masticgate book: no ticket: {problem}", err=True)
+    raise SystemExit(ExitCode.NOT_RUN)
+
+
+def _submit(hosts: tuple[str, ...], body: dict[str, Any]) -> dict[str, Any]:
+    """Submit through one host after another until the outcome is certain or time is up.
+
+    The ticket makes the repetition safe.
+    """
+    clock = SystemClock()
+    end = Millis(clock.now() + body["remaining_ms"])
+    known: dict[str, Any] = {}
+    for host in hosts:
+        remaining = end - clock.now()
+        if remaining <= 0:
+            break
+        client = CallerClient(Address(host))
+        reply = client.book({**body, "remaining_ms": remaining})
+        client.close()
+        match reply:
+            case CallerReply(body={"outcome": "ran" | "not_run"}):
+                return {"ticket": body["ticket"], **reply.body}
+            case CallerReply():
+                known = reply.body
+            case HttpLost(message=message):
+                known = known or {"message": f"unknown: {message}"}
+    return {"ticket": body["ticket"], **known, "outcome": "unknown"}
+
+
+def _describe(outcome: dict[str, Any]) -> str:
+    lines = [f"ticket {outcome['ticket']}"]
+    if outcome["outcome"] == "ran":
+        lines.append(f"ran: {json.dumps(outcome['result'])}")
+    else:
+        lines.append(str(outcome.get("message", outcome["outcome"])))
+    return "\n".join(lines)
--- a/src/masticgate/process/_command_group.py
+++ b/src/masticgate/process/_command_group.py
@@ -3,7 +3,12 @@
 import click
 
 from .._version import VERSION
+from ._command_book import book
+from ._command_check import check
+from ._command_query import query
 from ._command_serve import serve
+from ._command_status import status
+from ._command_timeline import timeline
 
 
 @click.group()
@@ -12,4 +17,5 @@
     """Query many sharded searchers as one."""
 
 
-main.add_command(serve)
+for command in (serve, check, query, book, status, timeline):
+    main.add_command(command)
--- a/src/masticgate/process/_command_serve.py
+++ b/src/masticgate/process/_command_serve.py
@@ -7,12 +7,11 @@
 
 import click
 
+from ._exit_codes import ExitCode
+from ._logs import start_logs
 from ._server import Host
 from ._settings import BadSettings, read_settings
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 1
-
 
 @click.command()
 @click.option(
@@ -28,7 +27,7 @@
     if isinstance(settings, BadSettings):
         for problem in settings.problems:
             click.echo(f"masticgate serve: {problem}", err=True)
-        raise SystemExit(EXIT_BAD_SETTINGS)
+        raise SystemExit(ExitCode.USAGE)
     asked = Event()
 
     def ask_to_stop(*_: Any) -> None:
@@ -36,11 +35,12 @@
 
     signal.signal(signal.SIGTERM, ask_to_stop)
     signal.signal(signal.SIGINT, ask_to_stop)
+    start_logs(settings)
     try:
         host = Host(settings)
     except OSError as error:
         click.echo(f"masticgate serve: cannot listen: {error}", err=True)
-        raise SystemExit(EXIT_CANNOT_START) from error
+        raise SystemExit(ExitCode.NOT_RUN) from error
     host.start()
     asked.wait()
     host.stop()
--- /dev/null
+++ b/src/masticgate/process/_logs.py
@@ -0,0 +1,28 @@
+"""Log lines: one for each change of state, nothing for a request."""
+
+import sys
+
+from logbook import Logger, StreamHandler
+
+from ._settings import Settings
+from ._timeline import Event
+
+FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.extra[host]} "
+    "{record.extra[kind]} {record.message}"
+)
+
+logger = Logger("masticgate")
+
+
+def start_logs(settings: Settings) -> None:
+    """Write log lines to standard error, in UTC, from the settings' level up."""
+    handler = StreamHandler(sys.stderr, level=settings.log_level.upper(), bubble=False)
+    handler.format_string = FORMAT
+    handler.push_application()
+
+
+def log_event(event: Event) -> None:
+    """Write the line of one change of state."""
+    text = f"{event.subject}: {event.detail}" if event.detail else event.subject
+    logger.info(text, extra={"host": event.host, "kind": event.kind.value})
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -7,6 +7,7 @@
 
 from .._clock import MILLIS_PER_SECOND, Clock, SystemClock
 from .._ids import Address, FailureDomainId, HostId, Incarnation, Millis
+from .._ranks import Rank
 from ..connection import (
     CallerApp,
     CallerServer,
@@ -20,9 +21,11 @@
 from ._distribution import Distribution
 from ._host_tier import HostTier
 from ._links import Links
+from ._logs import log_event
 from ._mailboxes import Mailboxes
 from ._members import Members
 from ._messages import Heartbeat, Hello, Member, MemberState
+from ._metrics import FLUSH_INTERVAL, Metrics
 from ._owner import Owner
 from ._peer_service import PeerService, member_of
 from ._policy import NAIVE_POLICY, OWNER_POLICY, Policy
@@ -51,7 +54,8 @@
         self.incarnation = Incarnation(time.time_ns())
         self.stopping = Event()
         self.tasks = ThreadPoolExecutor(MAX_TASKS, thread_name_prefix="task")
-        self.timeline = TimeLine(self.id, self.clock)
+        self.timeline = TimeLine(self.id, self.clock, log_event)
+        self.metrics = Metrics(settings)
         self.tickets = TicketTable(self.id, self.incarnation, self.clock)
         self.mailboxes = Mailboxes(self.tickets.learn)
         self.versions = VersionStore(self.timeline, self._configuration_changed, starting=True)
@@ -87,6 +91,7 @@
             self.timeline,
             self.clock,
             self.distribution.role,
+            self.metrics,
         )
         self.peers.owner = self.owner
         self.peers.links = self.links
@@ -112,6 +117,7 @@
         self.distribution.start(self.start_task)
         self.start_task(self._run_heartbeats)
         self.start_task(self._run_pressure)
+        self.start_task(self._run_metrics)
         self.start_task(self.caller_server.run)
 
     def stop(self) -> None:
@@ -154,6 +160,17 @@
                 owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
                 self.pools.close_unused(configuration, owned)
 
+    def _run_metrics(self) -> None:
+        while not self.stopping.wait(FLUSH_INTERVAL / MILLIS_PER_SECOND):
+            for rank in Rank:
+                queued = sum(pool.pending.depth(rank) for pool in self.pools.list_pools())
+                self.metrics.set_gauge(f"queue.{rank.label}", queued)
+            self.metrics.set_gauge("callers", len(self.caller_server.open))
+            self.metrics.set_gauge("pools", len(self.pools.list_pools()))
+            self.metrics.set_gauge("revision", self.versions.versions().revision)
+            self.metrics.set_gauge("snapshot", self.versions.versions().catalogue)
+            self.metrics.flush()
+
     def _run_pressure(self) -> None:
         while not self.stopping.wait(PRESSURE_INTERVAL / MILLIS_PER_SECOND):
             self.pressure.run_once(self.links.send)
--- /dev/null
+++ b/src/masticgate/process/_status.py
@@ -0,0 +1,51 @@
+"""What a host tells of itself."""
+
+from typing import Any
+
+from .._ranks import Rank
+from ._host_tier import HostTier
+from ._messages import Member
+from ._metrics import Metrics
+from ._service_pool import ServicePool
+from ._watch_role import WatchRole
+
+
+def status_fields(tier: HostTier, role: WatchRole, metrics: Metrics) -> dict[str, Any]:
+    """Return what ``masticgate status`` shows, as JSON values."""
+    configuration = tier.versions.configuration
+    return {
+        "host": tier.own,
+        "incarnation": tier.incarnation,
+        "revision": configuration.revision if configuration else 0,
+        "refused_revision": tier.versions.refused,
+        "problems": list(tier.versions.problems),
+        "watcher": role.watching,
+        "snapshots": [s.version for s in tier.versions.catalogue.snapshots],
+        "leaving": sorted(configuration.leaving) if configuration else [],
+        "peers": [_member_fields(tier, member) for member in tier.members.list_members()],
+        "owned": sorted(s for s, hosts in tier.table.items() if hosts[:1] == [tier.own]),
+        "pools": [_pool_fields(pool) for pool in tier.owner.pools.list_pools()],
+        "stopping": tier.owner.stopping,
+        "counters": metrics.read_totals(),
+    }
+
+
+def _member_fields(tier: HostTier, member: Member) -> dict[str, Any]:
+    return {
+        "host": member.host,
+        "failure_domain": member.failure_domain,
+        "incarnation": member.incarnation,
+        "state": member.state.name.lower(),
+        "reachable": member.host == tier.own or tier.links.is_open(member.host),
+    }
+
+
+def _pool_fields(pool: ServicePool) -> dict[str, Any]:
+    return {
+        "service": pool.service,
+        "queued": {rank.label: pool.pending.depth(rank) for rank in Rank},
+        "searchers": {
+            name: {"state": health.state.value, "in_flight": health.in_flight}
+            for name, health in pool.health.items()
+        },
+    }
--- a/src/masticgate/process/_timeline.py
+++ b/src/masticgate/process/_timeline.py
@@ -1,7 +1,7 @@
 """The time line of one process: its latest changes of state, in order."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from threading import Lock
@@ -56,8 +56,14 @@
 class TimeLine:
     """Keeps the latest events of this process."""
 
-    def __init__(self, host: HostId, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: HostId,
+        clock: Clock,
+        on_event: Callable[[Event], None] = lambda event: None,
+    ) -> None:
         self.host = host
+        self.on_event = on_event
         self.clock = clock
         self.lock = Lock()
         self.events: deque[Event] = deque(maxlen=MAX_EVENTS)
@@ -71,7 +77,8 @@
             wall = self.clock.wall()
             event = Event(self.host, self.sequence, wall, kind, subject, detail, dict(self.seen))
             self.events.append(event)
-            return event
+        self.on_event(event)
+        return event
 
     def hear(self, host: HostId, sequence: int) -> None:
         """Note that ``host`` said it had reached ``sequence``."""
--- /dev/null
+++ b/src/masticgate/process/_timeline_merge.py
@@ -0,0 +1,48 @@
+"""Merges the time lines of several processes into one, by causal order first."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from .._ids import HostId
+from ._timeline import Event
+
+
+def merge_events(events: Iterable[Event]) -> list[Event]:
+    """Return ``events`` in one order that no host's own order and no message contradicts.
+
+    Among events that are free to come next, the one with the earliest wall clock does.
+    """
+    lines: dict[HostId, list[Event]] = {}
+    for event in sorted(events, key=lambda e: e.sequence, reverse=True):
+        lines.setdefault(event.host, []).append(event)
+    merged: list[Event] = []
+    while lines:
+        heads = [line[-1] for line in lines.values()]
+        free = [event for event in heads if not _waits(event, lines)]
+        event = min(free or heads, key=lambda e: (e.wall, e.host))
+        merged.append(event)
+        lines[event.host].pop()
+        if not lines[event.host]:
+            del lines[event.host]
+    return merged
+
+
+def _waits(event: Event, lines: dict[HostId, list[Event]]) -> bool:
+    """Tell whether an event that ``event`` had heard of is still to come."""
+    return any(
+        host != event.host and host in lines and lines[host][-1].sequence <= sequence
+        for host, sequence in event.seen.items()
+    )
+
+
+def event_fields(event: Event) -> dict[str, Any]:
+    """Return an event's fields for JSON."""
+    return {
+        "host": event.host,
+        "sequence": event.sequence,
+        "wall": event.wall,
+        "kind": event.kind.value,
+        "subject": event.subject,
+        "detail": event.detail,
+        "seen": dict(event.seen),
+    }
--- a/src/masticgate/version/__init__.py
+++ b/src/masticgate/version/__init__.py
@@ -4,6 +4,7 @@
 from ._configuration import Department as Department
 from ._configuration import Searcher as Searcher
 from ._configuration import Service as Service
+from ._difference import compare_configurations as compare_configurations
 from ._graph import Scope as Scope
 from ._graph import expand_services as expand_services
 from ._jsonc import Document as Document
--- /dev/null
+++ b/tests/process/test_commands.py
@@ -0,0 +1,124 @@
+"""The command line against a running deployment."""
+
+import json
+import signal
+
+import pytest
+from click.testing import CliRunner
+
+from masticgate.process.commands import main
+from tests.standins.fleet import Fleet
+from tests.texts import EXAMPLES, SMALL
+
+
+def run(*arguments: str):
+    return CliRunner().invoke(main, list(arguments))
+
+
+@pytest.fixture(scope="class")
+def fleet():
+    with Fleet(SMALL, knobs={"service_ms": 5.0}) as started:
+        yield started
+
+
+class TestGroup:
+    @pytest.mark.parametrize("command", ["serve", "check", "query", "book", "status", "timeline"])
+    def test_every_command_explains_itself(self, command):
+        result = run(command, "--help")
+        assert result.exit_code == 0 and "Usage" in result.output
+
+    def test_tells_its_version(self):
+        assert run("--version").output.startswith("masticgate, version ")
+
+
+class TestServe:
+    def test_refuses_settings_with_path_and_place(self, tmp_path):
+        settings = tmp_path / "bad.jsonc"
+        settings.write_text('{\n  "host": "h1",\n  "max_callers": "many"\n}')
+        result = run("serve", "--settings", str(settings))
+        assert result.exit_code == 2
+        assert "bad.jsonc:3:18: max_callers:" in result.output and "found 'many'" in result.output
+        assert "Traceback" not in result.output
+
+
+class TestCheck:
+    def test_accepts_the_examples(self):
+        for name in ("kerala", "norte"):
+            assert run("check", str(EXAMPLES / f"{name}.jsonc")).exit_code == 0
+
+    def test_refuses_with_line_and_service(self, tmp_path):
+        text = tmp_path / "text.jsonc"
+        text.write_text(SMALL.replace('"depends_on": ["ledger/1"]', '"depends_on": ["gone"]'))
+        result = run("check", str(text))
+        assert result.exit_code == 5
+        assert "line 8" in result.output and "'desk/1' depends on 'gone'" in result.output
+
+    def test_tells_who_leaves_and_who_depends_on_it(self, tmp_path):
+        old, new = tmp_path / "old.jsonc", tmp_path / "new.jsonc"
+        old.write_text(SMALL)
+        new.write_text(SMALL.replace('"ledger": {}', '"ledger": {"leaving": true}'))
+        result = run("check", str(new), "--against", str(old))
+        assert result.exit_code == 0
+        assert "department ledger leaves" in result.output
+        assert "desk/1 depends on it" in result.output
+
+
+class TestCallers:
+    def test_query_shows_a_whole_answer_as_table_and_json(self, fleet):
+        table = run("query", fleet.callers[0], "--service", "desk/1")
+        assert table.exit_code == 0 and "coverage 1.0000  whole" in table.output
+        answer = run("query", fleet.callers[0], "--service", "desk/1", "--json")
+        assert json.loads(answer.output)["whole"] is True
+
+    def test_query_goes_on_to_the_next_host(self, fleet):
+        assert run("query", "127.0.0.1:1", fleet.callers[1], "--service", "desk/1").exit_code == 0
+
+    def test_query_says_not_run_and_unreachable_by_exit_code(self, fleet):
+        assert run("query", fleet.callers[0], "--service", "nowhere").exit_code == 1
+        assert run("query", "127.0.0.1:1", "--service", "desk/1").exit_code == 6
+
+    def test_book_runs_once_however_often_its_ticket_is_used(self, fleet):
+        first = run("book", *fleet.callers, "--service", "orders", "--json")
+        assert first.exit_code == 0
+        ticket = json.loads(first.output)["ticket"]
+        again = run("book", fleet.callers[2], "--service", "orders", "--ticket", ticket)
+        assert again.exit_code == 0
+        booked = [b["ticket"] for s in fleet.searchers().values() for b in s["bookings"]]
+        assert booked.count(ticket) == 1
+
+
+class TestOperators:
+    def test_status_shows_versions_peers_and_owned_services(self, fleet):
+        result = run("status", *fleet.callers)
+        assert result.exit_code == 0
+        assert result.output.count("in force") == 3
+        assert "desk/1" in result.output and "alive, reachable" in result.output
+
+    def test_status_counts_what_callers_got(self, fleet):
+        fleet.search(0, ["desk/1"], rank="urgent")
+        counters = fleet.status(0)["counters"]
+        assert counters["search.urgent.whole"] >= 1
+
+    def test_timeline_merges_all_hosts(self, fleet, tmp_path):
+        page = tmp_path / "line.html"
+        result = run("timeline", *fleet.callers, "--json", "--html", str(page))
+        assert result.exit_code == 0
+        events = [json.loads(line) for line in result.output.splitlines()]
+        assert {event["host"] for event in events} == {"h1", "h2", "h3"}
+        assert "text_accepted" in page.read_text()
+
+    def test_a_host_that_does_not_answer_is_said_so(self, fleet):
+        result = run("status", fleet.callers[0], "127.0.0.1:1")
+        assert result.exit_code == 6 and "127.0.0.1:1: no answer" in result.output
+
+    def test_log_lines_tell_changes_of_state_only(self, fleet):
+        lines = fleet.log_of("h1").splitlines()
+        assert any("text_accepted" in line for line in lines)
+        assert not any("/v1/search" in line for line in lines)
+
+
+class TestShutdown:
+    def test_sigterm_ends_with_status_0(self):
+        with Fleet(SMALL, hosts=1) as fleet:
+            fleet.signal("h1", signal.SIGTERM)
+            assert fleet.processes["h1"].wait(15) == 0
--- /dev/null
+++ b/tests/process/test_timeline.py
@@ -0,0 +1,53 @@
+"""One time line over hosts whose clocks differ."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticgate import HostId, ManualClock, Millis
+from masticgate.process._timeline import MAX_EVENTS, EventKind, TimeLine
+from masticgate.process._timeline_merge import merge_events
+
+
+def line(host: str, start: float = 0.0) -> TimeLine:
+    return TimeLine(HostId(host), ManualClock(Millis(start)))
+
+
+class TestTimeLine:
+    def test_keeps_a_bounded_number_of_events(self):
+        timeline = line("h1")
+        for _ in range(MAX_EVENTS + 10):
+            timeline.add(EventKind.STARTED, "h1")
+        kept = timeline.list_events()
+        assert len(kept) == MAX_EVENTS and kept[-1].sequence == MAX_EVENTS + 10
+
+
+class TestMerge:
+    def test_puts_a_cause_before_its_effect_though_its_clock_is_ahead(self):
+        fast, slow = line("fast", 1_000_000.0), line("slow")
+        cause = fast.add(EventKind.TEXT_ACCEPTED, "revision 2")
+        slow.hear(HostId("fast"), cause.sequence)
+        effect = slow.add(EventKind.TEXT_ACCEPTED, "revision 2")
+        assert merge_events([effect, cause]) == [cause, effect]
+
+    def test_orders_independent_events_by_the_wall_clock(self):
+        early, late = line("b", 10.0), line("a", 20.0)
+        events = [late.add(EventKind.STARTED, "a"), early.add(EventKind.STARTED, "b")]
+        assert [event.host for event in merge_events(events)] == ["b", "a"]
+
+    @settings(derandomize=True)
+    @given(st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2), st.booleans()), max_size=40))
+    def test_contradicts_no_host_and_no_message(self, steps):
+        lines = [line(f"h{n}", n * 50.0) for n in range(3)]
+        events = []
+        for source, target, add in steps:
+            if add:
+                events.append(lines[source].add(EventKind.STARTED, "x"))
+            else:
+                lines[target].hear(HostId(f"h{source}"), lines[source].sequence)
+        merged = merge_events(reversed(events))
+        place = {(e.host, e.sequence): index for index, e in enumerate(merged)}
+        assert len(place) == len(events)
+        for event in merged:
+            for host, sequence in {**event.seen, event.host: event.sequence - 1}.items():
+                if sequence > 0:
+                    assert place[host, sequence] < place[event.host, event.sequence]
