--- a/src/masticgate/connection/_http_call.py
+++ b/src/masticgate/connection/_http_call.py
@@ -1,8 +1,10 @@
 """One kept-alive HTTP connection to one server, through pycurl."""
 
 import socket
+from contextlib import suppress
 from dataclasses import dataclass
 from io import BytesIO
+from threading import Lock
 
 import pycurl
 
@@ -39,6 +41,7 @@
         self.curl = pycurl.Curl()
         self.path = ""
         self.socket: socket.socket | None = None
+        self.lock = Lock()
         self.aborted = False
         self.unsent = BytesIO()
         self.received = BytesIO()
@@ -46,11 +49,13 @@
 
     def get(self, path: str, timeout: Millis) -> HttpReply | HttpLost:
         """Run a GET request."""
+        self._renew_if_cut()
         self.curl.setopt(pycurl.HTTPGET, 1)
         return self._perform(path, timeout)
 
     def post(self, path: str, body: bytes, timeout: Millis) -> HttpReply | HttpLost:
         """Run a POST request."""
+        self._renew_if_cut()
         self.curl.setopt(pycurl.POST, 1)
         self.curl.setopt(pycurl.POSTFIELDSIZE, len(body))
         self.unsent = BytesIO(body)
@@ -73,17 +78,17 @@
 
         Until :meth:`allow` is called no other connection opens.
         """
-        self.aborted = True
-        connection = self.socket
-        if connection is not None:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                return
+        with self.lock:
+            self.aborted = True
+            if self.socket is not None:
+                with suppress(OSError):
+                    self.socket.shutdown(socket.SHUT_RDWR)
 
     def allow(self) -> None:
-        """Allow the next request, after an abort too."""
-        self.aborted = False
+        """Allow the next request, over a new connection after an abort."""
+        if self.aborted:
+            self.reset()
+            self.aborted = False
 
     def reset(self) -> None:
         """Close the connection; the next request opens a new one."""
@@ -94,7 +99,7 @@
     def close(self) -> None:
         """Close the connection for good."""
         self.curl.close()
-        self.socket = None
+        self._close_socket()
         self.path = ""
 
     def _prepare(self) -> None:
@@ -108,6 +113,28 @@
         curl.setopt(pycurl.WRITEFUNCTION, self._collect)
         curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
 
+    def _close_socket(self) -> None:
+        """Close this side's descriptor; libcurl has a duplicate of it."""
+        with self.lock:
+            if self.socket is not None:
+                self.socket.close()
+                self.socket = None
+
+    def _renew_if_cut(self) -> None:
+        if self._was_cut() and not self.aborted:
+            self.reset()
+
+    def _was_cut(self) -> bool:
+        """Tell whether the server closed the kept connection while it was idle."""
+        if self.socket is None:
+            return False
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _read(self, size: int) -> bytes:
         return self.unsent.read(size)
 
@@ -121,12 +148,12 @@
         self, purpose: int, address: tuple[int, int, int, tuple[str, int]]
     ) -> socket.socket | int:
         family, kind, protocol, _ = address
-        opened = socket.socket(family, kind, protocol)
-        self.socket = opened
-        if self.aborted:
-            opened.close()
-            return pycurl.SOCKET_BAD
-        return opened
+        self._close_socket()
+        with self.lock:
+            if self.aborted:
+                return pycurl.SOCKET_BAD
+            self.socket = socket.socket(family, kind, protocol)
+            return self.socket
 
     def _perform(self, path: str, timeout: Millis) -> HttpReply | HttpLost:
         if path != self.path:
@@ -137,6 +164,7 @@
         try:
             self.curl.perform()
         except pycurl.error as error:
+            self._close_socket()
             sent = bool(self.curl.getinfo(pycurl.REQUEST_SIZE))
             return HttpLost(sent, str(error.args[1]) if len(error.args) > 1 else str(error))
         return HttpReply(self.curl.getinfo(pycurl.RESPONSE_CODE), self.received.getvalue())
--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -10,8 +10,12 @@
 HEDGE_PERCENTILE = 90.0
 """Low enough that the stragglers themselves do not move the delay."""
 
-HEDGE_MARGIN = 1.5
-"""The delay over that percentile; an ordinary tail stays below it."""
+MARGIN_FULL = 0.8
+MARGIN_EMPTY = 1.8
+"""The delay over that percentile, with a full and with an empty budget.
+
+In between, the delay settles where hedges cost what the budget earns.
+"""
 
 
 class HedgeBudget:
@@ -20,7 +24,7 @@
     def __init__(self, hedging: Hedging) -> None:
         self.hedging = hedging
         self.tokens = 1.0
-        self.delay = FIRST_DELAY
+        self.usual: Millis | None = None
         self.window = LatencyWindow()
 
     def earn(self) -> None:
@@ -43,9 +47,7 @@
         if isinstance(self.hedging, NoHedge):
             return
         self.window.add(now, latency)
-        usual = self.window.percentile(HEDGE_PERCENTILE)
-        if usual is not None:
-            self.delay = Millis(usual * HEDGE_MARGIN)
+        self.usual = self.window.percentile(HEDGE_PERCENTILE)
 
     def hedge_delay(self) -> Millis | None:
         """Return the age at which a send is hedged, ``None`` where it never is."""
@@ -53,4 +55,10 @@
             case NoHedge():
                 return None
             case Hedge(minimum_delay=minimum):
-                return max(minimum, self.delay)
+                return max(minimum, self._delay())
+
+    def _delay(self) -> Millis:
+        if self.usual is None:
+            return FIRST_DELAY
+        fill = min(1.0, self.tokens / MAX_TOKENS)
+        return Millis(self.usual * (MARGIN_EMPTY + fill * (MARGIN_FULL - MARGIN_EMPTY)))
--- /dev/null
+++ b/tests/connection/test_http_call.py
@@ -0,0 +1,134 @@
+"""One kept-alive connection to a server that counts what it reads and may cut it."""
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event, Lock
+
+import pytest
+
+from masticgate import Address, Millis
+from masticgate.connection._http_call import HttpCall, HttpLost, HttpReply
+
+TIMEOUT = Millis(5000.0)
+
+
+class CuttingServer:
+    """Answers each request, but cuts the connection once it has read one for ``/cut``.
+
+    A request for ``/hold`` gets no answer.
+    """
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.lock = Lock()
+        self.paths = []
+        self.connections = 0
+        self.open = []
+        self.closed = Event()
+        self.held = Event()
+        self.tasks = ThreadPoolExecutor(16)
+        self.tasks.submit(self.run)
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self.open.append(connection)
+            self.tasks.submit(self.serve, connection)
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            while line := reader.readline():
+                path = line.split()[1].decode()
+                length = 0
+                while (header := reader.readline()) not in (b"\r\n", b""):
+                    if header.lower().startswith(b"content-length:"):
+                        length = int(header.split(b":")[1])
+                reader.read(length)
+                with self.lock:
+                    self.paths.append(path)
+                if path == "/cut":
+                    return
+                if path == "/hold":
+                    self.held.set()
+                    self.closed.clear()
+                    continue
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        self.closed.set()
+
+    def close_connections(self):
+        for connection in self.open:
+            connection.shutdown(socket.SHUT_RDWR)
+
+    def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.tasks.shutdown()
+
+
+@pytest.fixture
+def server():
+    started = CuttingServer()
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def call(server):
+    started = HttpCall(server.address)
+    assert isinstance(started.post("/warm", b"{}", TIMEOUT), HttpReply)
+    yield started
+    started.close()
+
+
+class TestHttpCall:
+    def test_keeps_its_connection_over_requests(self, server, call):
+        assert call.post("/a", b"{}", TIMEOUT) == HttpReply(200, b"ok")
+        assert call.get("/b", TIMEOUT) == HttpReply(200, b"ok")
+        assert call.post("/c", b"{}", TIMEOUT) == HttpReply(200, b"ok")
+        assert server.connections == 1
+
+    @pytest.mark.parametrize("method", ["post", "post_once"])
+    def test_never_resends_what_a_server_read_before_it_cut_the_connection(
+        self, server, call, method
+    ):
+        reply = getattr(call, method)("/cut", b'{"ticket": "t"}', TIMEOUT)
+        assert isinstance(reply, HttpLost) and reply.sent
+        assert call.post("/after", b"{}", TIMEOUT) == HttpReply(200, b"ok")
+        assert server.paths == ["/warm", "/cut", "/after"]
+
+    def test_opens_a_new_connection_where_the_kept_one_was_closed_meanwhile(self, server, call):
+        server.close_connections()
+        assert call.post("/a", b"{}", TIMEOUT) == HttpReply(200, b"ok")
+        assert server.paths == ["/warm", "/a"]
+
+    def test_says_that_nothing_left_where_no_connection_opens(self, server, call):
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            address = Address(f"127.0.0.1:{unused.getsockname()[1]}")
+        reply = HttpCall(address).post_once("/book", b"{}", TIMEOUT)
+        assert isinstance(reply, HttpLost) and not reply.sent
+
+    def test_closes_the_connection_of_a_request_that_timed_out(self, server, call):
+        assert isinstance(call.post("/hold", b"{}", Millis(50.0)), HttpLost)
+        assert server.closed.wait(5.0)
+
+
+class TestAbort:
+    def test_ends_the_request_in_progress_and_does_not_send_it_again(self, server, call):
+        with ThreadPoolExecutor(1) as tasks:
+            running = tasks.submit(call.post, "/hold", b"{}", TIMEOUT)
+            assert server.held.wait(5.0)
+            call.abort()
+            assert isinstance(running.result(5.0), HttpLost)
+        assert server.paths == ["/warm", "/hold"]
+
+    def test_before_the_request_keeps_it_from_leaving(self, server, call):
+        call.abort()
+        assert isinstance(call.post("/never", b"{}", TIMEOUT), HttpLost)
+        call.allow()
+        assert call.post("/a", b"{}", TIMEOUT) == HttpReply(200, b"ok")
+        assert server.paths == ["/warm", "/a"]
