Model-check bookings, answers, hand-over, adoption and drain with z3

Change: five specifications by life span; each property is proved by induction for any number of steps with a stated fixed size, and each seeded fault is found in a bounded run.

--- /dev/null
+++ b/model/specifications.py
@@ -0,0 +1,13 @@
+"""All specifications of the core protocol."""
+
+from model.process import handover
+from model.request import answer, booking
+from model.version import adoption, drain
+
+SPECIFICATIONS = (
+    booking.SPECIFICATION,
+    answer.SPECIFICATION,
+    handover.SPECIFICATION,
+    adoption.SPECIFICATION,
+    drain.SPECIFICATION,
+)
--- /dev/null
+++ b/model/version/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of what lives as long as one version."""
