Add the demo, which audits every answer

Change: both deployments' texts, three entry hosts each; searches of all ranks, a booking and its retry, a lost searcher, a departure; each answer is recounted from the shard map and the searchers' logs.

--- a/bench/process/_comparison.py
+++ b/bench/process/_comparison.py
@@ -18,7 +18,7 @@
     whole_new: float | None
     whole_naive: float | None
     kept_new: float | None
-    """Work finished over the work finished at saturation, of the same routing."""
+    """Work finished over the work finished at saturation, of the same routing; for floods."""
 
     kept_naive: float | None
 
@@ -56,7 +56,7 @@
 
 
 def _kept(found: dict[tuple[str, str, str], Trial], trial: Trial | None) -> float | None:
-    if trial is None:
+    if trial is None or not trial.flooded:
         return None
     saturated = found.get((trial.deployment, SATURATED, trial.routing))
     return trial.finished_rate / saturated.finished_rate if saturated else None
--- /dev/null
+++ b/bench/process/demo.py
@@ -0,0 +1,42 @@
+"""Shows both deployments at work: ``python -m bench.process.demo``.
+
+Exits with 0 only if every answer was whole or said honestly what was missing.
+"""
+
+import sys
+
+import click
+from tests.standins.fleet import Fleet
+
+from bench.version import DEPLOYMENTS, Deployment
+
+from ._demo_run import HOSTS, DemoRun
+
+SERVICE_MS = 12.0
+
+
+def run_deployment(deployment: Deployment) -> list[str]:
+    """Start one deployment, run its part of the demo and end it."""
+    fleet = Fleet(deployment.text, HOSTS, searcher_processes=2, knobs={"service_ms": SERVICE_MS})
+    with fleet:
+        services = [s for s in fleet.configuration.services.values() if s.searchers]
+        searchers = sum(len(service.searchers) for service in services)
+        click.echo(
+            f"\n{deployment.name}: {len(services)} services, {searchers} searchers, "
+            f"{HOSTS} entry hosts"
+        )
+        return DemoRun(fleet, deployment).run()
+
+
+def main() -> int:
+    """Run the demo; return the exit status."""
+    problems = [p for deployment in DEPLOYMENTS.values() for p in run_deployment(deployment)]
+    if problems:
+        click.echo(f"\n{len(problems)} untrue or failed answers")
+        return 1
+    click.echo("\nEvery answer was whole or said what was missing, as the searchers' logs confirm.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/version/_deployment.py
+++ b/bench/version/_deployment.py
@@ -22,6 +22,8 @@
     """A service that depends on the wide group and on the department that leaves."""
 
     leaving: str
+    bookings: str
+    """A service that takes bookings."""
 
     @property
     def text(self) -> str:
@@ -48,6 +50,8 @@
 
 
 DEPLOYMENTS = {
-    "kerala": Deployment("kerala", 7, "safety-desk", 20, 2, 2, "unit-history", "parts-ledger"),
-    "norte": Deployment("norte", 6, "balcao", 20, 2, 2, "kit-history", "reparos"),
+    "kerala": Deployment(
+        "kerala", 7, "safety-desk", 20, 2, 2, "unit-history", "parts-ledger", "work-orders"
+    ),
+    "norte": Deployment("norte", 6, "balcao", 20, 2, 2, "kit-history", "reparos", "arquivo"),
 }
