Detect failed hosts and spread beliefs as deltas

Cause: every host sent all beliefs to all peers each 500 ms and nobody was ever declared dead.

Change: each host watches the next 6 hosts on a ring of hashed ids and 2 in other failure domains. A silent neighbour is suspect after 3 intervals, dead after 4 more unless it refutes with a higher counter; leaving is sticky within an incarnation. Changed beliefs go with heartbeats a bounded number of times; a digest of 64 buckets to one neighbour in turn mends what was lost. The dead are tried again, forgotten after two hours, and their old beliefs stay refused. After a gap in its own heartbeats a host gives everyone a fresh interval. A link counts as silent when a heartbeat stays unanswered; waiting searches ask for that sign of life. A stopping host spreads that it leaves, refuses callers as "not run" for a second, and ends searcher tasks before its links.

--- a/src/masticgate/connection/_caller_server.py
+++ b/src/masticgate/connection/_caller_server.py
@@ -35,6 +35,12 @@
         self.connection.settimeout(self.server.timeout / 1000)
         super().setup()
 
+    def parse_request(self) -> bool:
+        """Parse a request whose first line came; from now on it is in progress."""
+        with self.server.lock:
+            self.server.idle.discard(self.connection)
+        return super().parse_request()
+
     def do_GET(self) -> None:  # noqa: N802
         """Serve a GET request."""
         self._serve()
@@ -69,7 +75,7 @@
             status.extend((line, headers))
 
         chunks = list(self.server.app(self._environ(body), start_response))
-        if self.server.stopping:
+        if self.server.refusing:
             self.close_connection = True
         self._send(status[0], status[1], b"".join(chunks))
 
@@ -142,6 +148,8 @@
     def __exit__(self, *_: object) -> None:
         with self.server.lock:
             self.server.idle.add(self.connection)
+            if self.server.stopping:
+                _end_reading(self.connection)
 
 
 class CallerServer:
@@ -163,6 +171,7 @@
         self.lock = Condition()
         self.open: set[socket.socket] = set()
         self.idle: set[socket.socket] = set()
+        self.refusing = False
         self.stopping = False
 
     def run(self) -> None:
@@ -199,8 +208,13 @@
         """Return a context in which ``connection`` is not closed by :meth:`stop`."""
         return _Busy(self, connection)
 
+    def refuse_new(self) -> None:
+        """Close each connection after its next response, so that callers go elsewhere."""
+        self.refusing = True
+
     def stop(self) -> None:
         """Stop accepting and let idle connections end; requests in progress go on."""
+        self.refusing = True
         self.stopping = True
         with suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
@@ -208,8 +222,15 @@
         with self.lock:
             idle = list(self.idle)
         for connection in idle:
+            _end_reading(connection)
+
+    def abort(self) -> None:
+        """Close the connections that are still open, whatever runs on them."""
+        with self.lock:
+            connections = list(self.open)
+        for connection in connections:
             with suppress(OSError):
-                connection.shutdown(socket.SHUT_RD)
+                connection.shutdown(socket.SHUT_RDWR)
 
     def await_closed(self, timeout: Millis) -> bool:
         """Wait until every connection has ended; return ``False`` where some did not in time."""
@@ -217,6 +238,12 @@
             return self.lock.wait_for(lambda: not self.open, timeout / 1000)
 
 
+def _end_reading(connection: socket.socket) -> None:
+    """Let the connection's task see the end once it has read what came."""
+    with suppress(OSError):
+        connection.shutdown(socket.SHUT_RD)
+
+
 def _refuse(connection: socket.socket) -> None:
     """Say "not run" to a caller beyond the limit and close."""
     response = failure_response(NotRun(Reason.OVERLOAD, Step.READ, detail="too many callers"))
--- a/src/masticgate/connection/_frames.py
+++ b/src/masticgate/connection/_frames.py
@@ -376,11 +376,15 @@
     target.sequence = heartbeat.sequence
     _write_versions(target.init("versions"), heartbeat.versions)
     _write_list(target.init("members", len(heartbeat.members)), heartbeat.members, _write_member)
+    if heartbeat.digest:
+        target.digest = list(heartbeat.digest)
 
 
-def _read_heartbeat(source: Any) -> tuple[int, Versions, tuple[Member, ...]]:
+def _read_heartbeat(
+    source: Any,
+) -> tuple[int, Versions, tuple[Member, ...], tuple[int, ...]]:
     members = tuple(_read_member(item) for item in source.members)
-    return source.sequence, _read_versions(source.versions), members
+    return source.sequence, _read_versions(source.versions), members, tuple(source.digest)
 
 
 def _write_member(target: Any, member: Member) -> None:
@@ -389,6 +393,7 @@
     target.failureDomain = member.failure_domain
     target.incarnation = member.incarnation
     target.state = member.state.value
+    target.counter = member.counter
 
 
 def _read_member(source: Any) -> Member:
@@ -398,6 +403,7 @@
         FailureDomainId(source.failureDomain),
         Incarnation(source.incarnation),
         MemberState(source.state),
+        source.counter,
     )
 
 
--- a/src/masticgate/connection/_peer.py
+++ b/src/masticgate/connection/_peer.py
@@ -10,7 +10,7 @@
 
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._ids import Address, HostId, Incarnation, Millis
-from ..process import Hello
+from ..process import Heartbeat, Hello
 from ._frames import BadFrameError, Message
 from ._socket import FrameSocket, listen_on, open_socket
 
@@ -39,6 +39,10 @@
         """Return this host's own hello."""
         ...
 
+    def sign_of_life(self) -> Heartbeat:
+        """Return a heartbeat that only asks for an answer."""
+        ...
+
     def receive(self, peer: Hello, message: Message, answer: Callable[[Message], bool]) -> None:
         """Handle one message from ``peer``; ``answer`` sends on the same connection."""
         ...
@@ -71,6 +75,8 @@
         self.incarnation = Incarnation(0)
         self.frames: FrameSocket | None = None
         self.last_received = clock.now()
+        self.last_used = clock.now()
+        self.unanswered_since: Millis | None = None
         self.stopping = Event()
 
     def run(self) -> None:
@@ -85,7 +91,11 @@
     def send(self, message: Message) -> bool:
         """Send ``message``; ``False`` means that the peer did not receive it whole."""
         frames = self.frames
-        return self.state is LinkState.OPEN and frames is not None and frames.send(message)
+        if self.state is not LinkState.OPEN or frames is None:
+            return False
+        if isinstance(message, Heartbeat) and self.unanswered_since is None:
+            self.unanswered_since = self.clock.now()
+        return frames.send(message)
 
     def stop(self) -> None:
         """Close the link for good."""
@@ -111,7 +121,7 @@
             opened = True
             self._open(frames, peer)
             for message in messages:
-                self.last_received = self.clock.now()
+                self._note_received()
                 self.handler.receive(peer, message, frames.send)
         except (OSError, BadFrameError):
             pass
@@ -125,10 +135,14 @@
     def _is_expected(self, peer: Hello) -> bool:
         return peer.host == self.host and speaks_with(self.handler.hello(), peer)
 
+    def _note_received(self) -> None:
+        self.last_received = self.clock.now()
+        self.unanswered_since = None
+
     def _open(self, frames: FrameSocket, peer: Hello) -> None:
         self.frames = frames
         self.incarnation = peer.incarnation
-        self.last_received = self.clock.now()
+        self._note_received()
         self.state = LinkState.OPEN
         self.handler.link_opened(peer)
         if self.stopping.is_set():
--- a/src/masticgate/connection/peer.capnp
+++ b/src/masticgate/connection/peer.capnp
@@ -123,12 +123,14 @@
   failureDomain @2 :Text;
   incarnation @3 :UInt64;
   state @4 :UInt8;
+  counter @5 :UInt32;
 }
 
 struct Heartbeat {
   sequence @0 :UInt64;
   versions @1 :Versions;
   members @2 :List(Member);
+  digest @3 :List(UInt32);
 }
 
 struct RefusedCount {
--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -19,6 +19,7 @@
     Versions,
     should_watch,
 )
+from ._host_list import HostList
 from ._links import Links
 from ._members import Members
 from ._messages import Heartbeat, Hello
@@ -26,7 +27,7 @@
 from ._startup import START_WAIT, Startup
 from ._timeline import EventKind, TimeLine
 from ._versions import Offered, VersionStore
-from ._watch import HostListWatch, KeyWatch, listed_members
+from ._watch import HostListWatch, KeyWatch
 from ._watch_role import WatchRole
 
 Answer = Callable[[Message], bool]
@@ -55,6 +56,7 @@
         self.timeline = timeline
         self.clock = clock
         self.role = WatchRole(timeline)
+        self.host_list = HostList(members.get)
         seeds = {
             HostId(seed.host): FailureDomainId(seed.failure_domain)
             for seed in settings.seeds
@@ -194,7 +196,7 @@
         self._settle(self.versions.offer_catalogue(value.text))
 
     def _take_hosts(self, hosts: tuple[ListedHost, ...]) -> None:
-        self.members.hear(listed_members(hosts))
+        self.members.hear(self.host_list.read(hosts, self.clock.now()))
         self.update_role()
 
 
--- /dev/null
+++ b/src/masticgate/process/_heartbeats.py
@@ -0,0 +1,123 @@
+"""The task that sends heartbeats, watches the neighbours and looks for lost hosts."""
+
+from collections.abc import Callable
+from threading import Event
+
+from .._clock import MILLIS_PER_SECOND
+from .._ids import HostId, Millis
+from ._beliefs import choose_neighbours, is_usable
+from ._detector import Detector
+from ._links import Links
+from ._members import Members
+from ._messages import Heartbeat, Member, MemberState
+from ._versions import VersionStore
+
+SHORT_INTERVAL = Millis(500.0)
+LONG_INTERVAL = Millis(1000.0)
+SMALL_FLEET = 32
+"""Up to this many hosts heartbeats go at the short interval."""
+
+KEEP_BEATS = 2
+"""Links to hosts that are no neighbours get every second heartbeat, which keeps them open."""
+
+DIGEST_BEATS = 4
+"""A digest goes to one neighbour in turn each this many heartbeats."""
+
+PROBE_BEATS = 4
+"""A lost host is tried, one in turn, each this many heartbeats."""
+
+
+class Heartbeats:
+    """Keeps up the links and the beliefs of this host."""
+
+    def __init__(
+        self,
+        members: Members,
+        links: Links,
+        versions: VersionStore,
+        detector: Detector,
+        seeds: list[Member],
+        on_beat: Callable[[], None],
+    ) -> None:
+        self.members = members
+        self.links = links
+        self.versions = versions
+        self.detector = detector
+        self.seeds = seeds
+        self.on_beat = on_beat
+        self.sequence = 0
+        self.usable: list[HostId] = []
+        self.neighbours: list[HostId] = []
+
+    def run(self, stopping: Event) -> None:
+        """Send heartbeats until the process stops."""
+        while not stopping.wait(self.interval() / MILLIS_PER_SECOND):
+            self.beat()
+            self.on_beat()
+
+    def interval(self) -> Millis:
+        """Return the time between two heartbeats."""
+        small = len(self.members.usable()) <= SMALL_FLEET
+        return SHORT_INTERVAL if small else LONG_INTERVAL
+
+    def beat(self) -> None:
+        """Do what is due once an interval."""
+        self.sequence += 1
+        neighbours = self._watched()
+        self.detector.check(neighbours, self.interval())
+        for member in neighbours:
+            self.links.ensure(member.host, member.address)
+        keep = self.sequence % KEEP_BEATS == 0
+        for host in self.links.open_hosts():
+            if keep or host in self.neighbours:
+                self._send(host, with_digest=host == self._partner())
+        if self.sequence % PROBE_BEATS == 0:
+            self._probe_lost()
+        self.links.drop_unused(self.neighbours)
+        self.members.forget_old()
+
+    def announce(self) -> None:
+        """Tell every host with an open link at once what a heartbeat would tell later."""
+        for host in self.links.open_hosts():
+            self._send(host, with_digest=False)
+
+    def _watched(self) -> list[Member]:
+        """Return the neighbours, chosen anew where the usable hosts changed."""
+        usable = self.members.usable()
+        if usable is not self.usable:
+            others = [m for host in usable if (m := self.members.get(host)) is not None]
+            own = self.members.own
+            chosen = choose_neighbours(own, [m for m in others if m.host != own.host])
+            self.usable = usable
+            self.neighbours = [member.host for member in chosen]
+        watched = [self.members.get(host) for host in self.neighbours]
+        return [member for member in watched if member is not None and is_usable(member)]
+
+    def _partner(self) -> HostId | None:
+        """Return the neighbour whose turn it is to compare digests."""
+        turn, rest = divmod(self.sequence, DIGEST_BEATS)
+        if rest or not self.neighbours:
+            return None
+        return self.neighbours[turn % len(self.neighbours)]
+
+    def _send(self, host: HostId, *, with_digest: bool) -> None:
+        news = self.members.take_news()
+        member = self.members.get(host)
+        if member is not None and member.state is not MemberState.ALIVE and member not in news:
+            news = (*news, member)
+        digest = tuple(self.members.digest) if with_digest else ()
+        beat = Heartbeat(self.sequence, self.versions.versions(), news, digest)
+        self.links.send(host, beat)
+
+    def _probe_lost(self) -> None:
+        """Try one host that is believed dead: a split may have healed."""
+        lost = [m for m in self.members.list_members() if m.state is MemberState.DEAD]
+        known = {member.host for member in lost}
+        lost += [s for s in self.seeds if s.host not in known and not self._is_usable(s.host)]
+        if lost:
+            member = lost[self.sequence // PROBE_BEATS % len(lost)]
+            self.links.ensure(member.host, member.address)
+
+    def _is_usable(self, host: HostId) -> bool:
+        member = self.members.get(host)
+        return member is not None and member.state is not MemberState.DEAD
--- /dev/null
+++ b/src/masticgate/process/_host_list.py
@@ -0,0 +1,42 @@
+"""The platform's host list as beliefs; the list lags and knows no incarnations."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from .._ids import HostId, Incarnation, Millis
+from ..connection import ListedHost
+from ._messages import Member, MemberState
+
+LIST_LAG = Millis(10_000.0)
+"""The host list may lag by this much."""
+
+
+class HostList:
+    """Turns each reading of the host list into beliefs; only the reading task calls it.
+
+    The list's word that a host leaves counts for an incarnation that has been known for
+    ``LIST_LAG``; of a younger one it may be a late word about the run before.
+    """
+
+    def __init__(self, known: Callable[[HostId], Member | None]) -> None:
+        self.known = known
+        self.since: dict[HostId, tuple[Incarnation, Millis]] = {}
+
+    def read(self, hosts: Iterable[ListedHost], now: Millis) -> list[Member]:
+        """Return the beliefs that ``hosts`` gives rise to."""
+        beliefs = [self._believe(host, now) for host in hosts]
+        named = {belief.host for belief in beliefs}
+        self.since = {host: since for host, since in self.since.items() if host in named}
+        return beliefs
+
+    def _believe(self, listed: ListedHost, now: Millis) -> Member:
+        state = MemberState.LEAVING if listed.leaving else MemberState.ALIVE
+        unknown = Member(listed.host, listed.address, listed.failure_domain, Incarnation(0), state)
+        known = self.known(listed.host) or unknown
+        incarnation, since = self.since.get(listed.host, (None, now))
+        if incarnation != known.incarnation:
+            since = now
+            self.since[listed.host] = (known.incarnation, now)
+        if listed.leaving and now - since >= LIST_LAG:
+            return replace(known, state=MemberState.LEAVING)
+        return unknown
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -18,6 +18,9 @@
 from ._tickets import parse_ticket
 from ._versions import VersionStore
 
+LINKED_OWNERS = 2
+"""Links to the first hosts of a service's ranking are opened when its work comes."""
+
 
 class HostTier:
     """Routes the messages of requests to owners, this host included."""
@@ -46,12 +49,19 @@
         self.owner = owner
         self.admission = admission
         self.table: dict[ServiceId, list[HostId]] = {}
+        self.table_hosts: list[HostId] = []
 
     def refresh_table(self) -> None:
-        """Work out the owners anew, after a change of hosts or of the configuration."""
+        """Work out the owners anew, after a change of the configuration."""
         configuration = self.versions.configuration
         if configuration is not None:
-            self.table = owner_table(configuration, self.members.usable())
+            self.table_hosts = self.members.usable()
+            self.table = owner_table(configuration, self.table_hosts)
+
+    def refresh_hosts(self) -> None:
+        """Work out the owners anew where the usable hosts changed."""
+        if self.members.usable() is not self.table_hosts:
+            self.refresh_table()
 
     def configuration(self) -> Configuration | None:
         """Return the configuration in force."""
@@ -85,9 +95,7 @@
             case LocalRouting():
                 return [self.own]
             case OwnerRouting():
-                ranked = self.table.get(service, [])
-                reachable = [host for host in ranked if self._is_reachable(host)]
-                return reachable or self._any_reachable(service)
+                return self._reachable_owners(service)
 
     def open_inbox(self) -> Inbox:
         """Return a new inbox for the replies to one request."""
@@ -117,6 +125,11 @@
         """Tell whether ``host`` has sent nothing for longer than a live host would."""
         return host != self.own and self.links.is_silent(host)
 
+    def probe(self, host: HostId) -> None:
+        """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
+        if host != self.own:
+            self.links.probe(host)
+
     def is_own_ticket(self, ticket: TicketId) -> bool:
         """Tell whether this incarnation minted ``ticket``."""
         parts = parse_ticket(ticket)
@@ -138,9 +151,25 @@
     def _deliver_own(self, reply: Reply | BookReply) -> None:
         self.mailboxes.deliver(self.own, reply)
 
+    def _reachable_owners(self, service: ServiceId) -> list[HostId]:
+        """Return the owners with an open link, silent ones last, else whoever can be reached."""
+        ranked = self.table.get(service, [])
+        self._open_links(ranked[:LINKED_OWNERS])
+        reachable = [host for host in ranked if self._is_reachable(host)]
+        return sorted(reachable, key=self.is_silent) or self._any_reachable(service)
+
+    def _open_links(self, hosts: Sequence[HostId]) -> None:
+        for host in hosts:
+            member = self.members.get(host)
+            if member is not None and host != self.own and not self.links.is_open(host):
+                self.links.ensure(host, member.address)
+
     def _is_reachable(self, host: HostId) -> bool:
         return host == self.own or self.links.is_open(host)
 
     def _any_reachable(self, service: ServiceId) -> list[HostId]:
         hosts = [host for host in self.members.usable() if self._is_reachable(host)]
-        return rank_hosts(f"service:{service}", hosts)
+        ranked = rank_hosts(f"service:{service}", hosts)
+        if ranked or self.owner.stopping:
+            return ranked
+        return [self.own]
--- a/src/masticgate/process/_links.py
+++ b/src/masticgate/process/_links.py
@@ -1,19 +1,27 @@
 """The links to peers, and how a message finds its way to a host."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from threading import Lock
 
 from .._clock import Clock
 from .._failures import NotRun, Reason, Step
 from .._ids import Address, HostId, Millis
 from ..connection import LinkState, Message, PeerHandler, PeerLink
+from ..request import Ask, Book, Forward
+from ._messages import Heartbeat
 
 SILENCE = Millis(60.0)
-"""A host that has sent nothing for this long, though asked, counts as silent."""
+"""A host that has left a heartbeat unanswered for this long counts as silent."""
+
+QUIET = Millis(20.0)
+"""A host that has sent nothing for this long is asked for a sign of life with the next work."""
+
+LINK_IDLE = Millis(30_000.0)
+"""A link that is not to a neighbour is closed after this long without work."""
 
 
 class Links:
-    """One link to each known peer, opened when the peer is first heard of."""
+    """One link to each neighbour, and to each other host that work is sent to."""
 
     def __init__(
         self, handler: PeerHandler, clock: Clock, start: Callable[[Callable[[], None]], None]
@@ -44,6 +52,13 @@
         if link is not None:
             link.stop()
 
+    def drop_unused(self, neighbours: Collection[HostId]) -> None:
+        """Close the links to hosts, other than ``neighbours``, that no work goes to any more."""
+        limit = self.clock.now() - LINK_IDLE
+        for link in self.list_links():
+            if link.host not in neighbours and link.last_used < limit:
+                self.drop(link.host)
+
     def is_open(self, host: HostId) -> bool:
         """Tell whether messages can be sent to ``host``."""
         link = self.links.get(host)
@@ -55,14 +70,32 @@
         return link is not None and link.state is LinkState.CLOSED
 
     def is_silent(self, host: HostId) -> bool:
-        """Tell whether ``host`` has sent nothing for a while."""
+        """Tell whether ``host`` has left a heartbeat unanswered for too long."""
+        link = self.links.get(host)
+        return link is None or self._unanswered(link) > SILENCE
+
+    def probe(self, host: HostId) -> None:
+        """Ask ``host`` for a sign of life unless it gave one lately or was asked already."""
         link = self.links.get(host)
-        return link is None or self.clock.now() - link.last_received > SILENCE
+        if link is None or link.unanswered_since is not None:
+            return
+        if self.clock.now() - link.last_received > QUIET:
+            link.send(self._sign_of_life())
+
+    def heard_at(self, host: HostId) -> Millis | None:
+        """Return when ``host`` last sent something over its link."""
+        link = self.links.get(host)
+        return link.last_received if link is not None else None
 
     def send(self, host: HostId, message: Message) -> NotRun | None:
         """Send ``message``; ``NotRun`` means that the host did not receive it."""
         link = self.links.get(host)
-        if link is None or not link.send(message):
+        if link is None:
+            return NotRun(Reason.OWNER_LOST, Step.FORWARD, peer=host)
+        if isinstance(message, Ask | Book | Forward):
+            link.last_used = self.clock.now()
+            self.probe(host)
+        if not link.send(message):
             return NotRun(Reason.OWNER_LOST, Step.FORWARD, peer=host)
         return None
 
@@ -71,6 +104,10 @@
         for link in self.list_links():
             link.send(message)
 
+    def open_hosts(self) -> list[HostId]:
+        """Return the hosts that messages can be sent to."""
+        return [link.host for link in self.list_links() if link.state is LinkState.OPEN]
+
     def list_links(self) -> list[PeerLink]:
         """Return all links."""
         with self.lock:
@@ -83,3 +120,10 @@
             links = list(self.links.values())
         for link in links:
             link.stop()
+
+    def _unanswered(self, link: PeerLink) -> Millis:
+        since = link.unanswered_since
+        return Millis(0.0) if since is None else Millis(self.clock.now() - since)
+
+    def _sign_of_life(self) -> Heartbeat:
+        return self.handler.sign_of_life()
--- a/src/masticgate/process/_members.py
+++ b/src/masticgate/process/_members.py
@@ -1,29 +1,85 @@
-"""What this host believes of the other hosts."""
+"""What this host believes of the other hosts, and what it still has to tell them."""
 
-from collections.abc import Callable, Iterable
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from math import ceil, log2
 from threading import Lock
 
-from .._ids import HostId
+from sortedcontainers import SortedSet
+
+from .._clock import Clock
+from .._ids import HostId, Millis
+from ._beliefs import (
+    bucket_of,
+    contradicts,
+    differing_buckets,
+    digest_of,
+    fingerprint,
+    is_usable,
+    supersedes,
+)
 from ._messages import Member, MemberState
 from ._timeline import EventKind, TimeLine
 
+SPREAD_FACTOR = 3
+"""A changed belief is told this many times the logarithm of the number of hosts."""
+
+MAX_NEWS = 20
+"""The most changed beliefs that one message carries."""
+
+FORGET_AFTER = Millis(7_200_000.0)
+"""A host that left or died is listed and probed for this long."""
+
+MAX_FORGOTTEN = 10_000
+"""The number of forgotten hosts of which old beliefs are still refused, the latest."""
+
 
 class Members:
-    """Beliefs about hosts; a later incarnation wins, then a higher state."""
+    """Beliefs about hosts, merged by :func:`supersedes`."""
 
     def __init__(
-        self, own: Member, timeline: TimeLine, on_change: Callable[[Member], None]
+        self,
+        own: Member,
+        clock: Clock,
+        timeline: TimeLine,
+        on_change: Callable[[Sequence[Member]], None],
     ) -> None:
         self.own = own
+        self.clock = clock
         self.timeline = timeline
         self.on_change = on_change
         self.lock = Lock()
         self.members: dict[HostId, Member] = {own.host: own}
+        self.forgotten: OrderedDict[HostId, Member] = OrderedDict()
+        self.changed_at: dict[HostId, Millis] = {own.host: clock.now()}
+        self.untold: dict[HostId, int] = {}
+        self.usable_hosts = SortedSet([own.host])
+        self.usable_list: list[HostId] | None = None
+        self.digest = list(digest_of([own]))
 
-    def hear(self, members: Iterable[Member]) -> None:
-        """Take over what is newer in ``members``."""
-        for member in members:
-            self._hear_one(member)
+    def hear(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        """Take over what is newer; return what whoever told these beliefs should hear instead."""
+        changed: list[Member] = []
+        corrections: list[Member] = []
+        with self.lock:
+            for member in members:
+                self._hear_one(member, changed, corrections)
+        if changed:
+            self.on_change(changed)
+        return tuple(corrections)
+
+    def declare(self, member: Member, state: MemberState) -> None:
+        """Believe ``state`` of the host of ``member`` unless something newer is known."""
+        self.hear([replace(member, state=state)])
+
+    def leave(self) -> None:
+        """Believe for good that this host leaves."""
+        self.declare(self.own, MemberState.LEAVING)
+
+    def get(self, host: HostId) -> Member | None:
+        """Return the belief about ``host``."""
+        return self.members.get(host)
 
     def list_members(self) -> list[Member]:
         """Return all beliefs, own host included, by host."""
@@ -31,22 +87,98 @@
             return sorted(self.members.values(), key=lambda member: member.host)
 
     def usable(self) -> list[HostId]:
-        """Return the hosts that may own services."""
-        barred = (MemberState.LEAVING, MemberState.DEAD)
-        return [m.host for m in self.list_members() if m.state not in barred]
+        """Return the hosts that may own services; the same list until it changes."""
+        with self.lock:
+            if self.usable_list is None:
+                self.usable_list = list(self.usable_hosts)
+            return self.usable_list
+
+    def take_news(self) -> tuple[Member, ...]:
+        """Return the changed beliefs for one message, and count them as told once more."""
+        with self.lock:
+            hosts = sorted(self.untold, key=lambda host: -self.untold[host])[:MAX_NEWS]
+            for host in hosts:
+                self.untold[host] -= 1
+                if self.untold[host] <= 0:
+                    del self.untold[host]
+            return tuple(self.members[host] for host in hosts if host in self.members)
+
+    def compare(self, theirs: Sequence[int]) -> tuple[tuple[Member, ...], bool]:
+        """Return what to tell a host with the digest ``theirs``, and whether it differs."""
+        with self.lock:
+            differing = differing_buckets(self.digest, theirs)
+            if not differing:
+                return (), False
+            held = [*self.members.values(), *self.forgotten.values()]
+        return tuple(m for m in held if bucket_of(m.host) in differing), True
 
-    def _hear_one(self, member: Member) -> None:
+    def forget_old(self) -> None:
+        """Drop hosts that left or died long ago; older beliefs about them stay refused."""
+        limit = self.clock.now() - FORGET_AFTER
+        with self.lock:
+            for host, member in list(self.members.items()):
+                if is_usable(member) or host == self.own.host or self.changed_at[host] > limit:
+                    continue
+                self.forgotten[host] = self.members.pop(host)
+                del self.changed_at[host]
+                self.untold.pop(host, None)
+            while len(self.forgotten) > MAX_FORGOTTEN:
+                self.forgotten.popitem(last=False)
+
+    def _hear_one(self, member: Member, changed: list[Member], corrections: list[Member]) -> None:
         if member.host == self.own.host:
+            self._hear_of_self(member, changed, corrections)
             return
-        with self.lock:
-            known = self.members.get(member.host)
-            if known is not None and _order(member) <= _order(known):
-                return
-            self.members[member.host] = member
-            detail = f"{member.state.name.lower()}, incarnation {member.incarnation}"
-            self.timeline.add(EventKind.MEMBER_CHANGED, member.host, detail)
-        self.on_change(member)
+        known = self.members.get(member.host) or self.forgotten.get(member.host)
+        if known is None or supersedes(member, known):
+            self._put(member)
+            changed.append(member)
+        elif contradicts(member, known):
+            corrections.append(known)
 
+    def _hear_of_self(
+        self, member: Member, changed: list[Member], corrections: list[Member]
+    ) -> None:
+        refuted = self._refuted(member)
+        if refuted is not None:
+            self._put(refuted)
+            changed.append(refuted)
+        if refuted is not None or contradicts(member, self.own):
+            corrections.append(self.own)
+
+    def _refuted(self, member: Member) -> Member | None:
+        """Return the new belief about this host itself, ``None`` where nothing changes."""
+        own = self.own
+        if member.incarnation != own.incarnation or not supersedes(member, own):
+            return None
+        match member.state:
+            case MemberState.LEAVING:
+                return replace(own, state=MemberState.LEAVING)
+            case _:
+                return replace(own, counter=member.counter + 1)
 
-def _order(member: Member) -> tuple[int, int]:
-    return member.incarnation, member.state.value
+    def _put(self, member: Member) -> None:
+        if member.host == self.own.host:
+            self.own = member
+        self.forgotten.pop(member.host, None)
+        known = self.members.get(member.host)
+        if known is not None and is_usable(known):
+            self.digest[bucket_of(known.host)] ^= fingerprint(known)
+        self.members[member.host] = member
+        self.changed_at[member.host] = self.clock.now()
+        self.untold[member.host] = SPREAD_FACTOR * ceil(log2(len(self.members) + 1))
+        self._count(member)
+        detail = f"{member.state.name.lower()}, incarnation {member.incarnation}"
+        self.timeline.add(EventKind.MEMBER_CHANGED, member.host, detail)
+
+    def _count(self, member: Member) -> None:
+        """Bring the digest and the list of usable hosts up to date."""
+        if is_usable(member):
+            self.digest[bucket_of(member.host)] ^= fingerprint(member)
+        if is_usable(member) == (member.host in self.usable_hosts):
+            return
+        self.usable_list = None
+        if is_usable(member):
+            self.usable_hosts.add(member.host)
+        else:
+            self.usable_hosts.remove(member.host)
--- a/src/masticgate/process/_messages.py
+++ b/src/masticgate/process/_messages.py
@@ -9,7 +9,7 @@
 
 
 class MemberState(IntEnum):
-    """What is believed of a host; a higher value wins within one incarnation."""
+    """What is believed of a host; the values are part of the protocol."""
 
     ALIVE = 0
     SUSPECT = 1
@@ -19,13 +19,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One belief about one host, as it spreads from host to host."""
+    """One belief about one host, as it spreads from host to host.
+
+    The host raises ``counter`` to refute that it is suspect or dead. The incarnation is 0 where
+    only the platform's host list named the host.
+    """
 
     host: HostId
     address: Address
     failure_domain: FailureDomainId
     incarnation: Incarnation
     state: MemberState
+    counter: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,20 +50,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Says that the sender lives; carries changed beliefs and what versions it has."""
+    """Says that the sender lives; carries changed beliefs and what versions it has.
+
+    ``digest`` sums up the hosts that the sender believes usable, where it carries one.
+    """
 
     sequence: int
     versions: Versions
     members: tuple[Member, ...]
+    digest: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
-    """Answers a heartbeat."""
+    """Answers a heartbeat; carries what the sender of the heartbeat should hear."""
 
     sequence: int
     versions: Versions
     members: tuple[Member, ...]
+    digest: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -53,11 +53,17 @@
         """Return this host's own hello."""
         return self.own
 
+    def sign_of_life(self) -> Heartbeat:
+        """Return a heartbeat that only asks for an answer."""
+        return Heartbeat(0, self.versions.versions(), ())
+
     def link_opened(self, peer: Hello) -> None:
-        """Note that the link to ``peer`` is open."""
+        """Note that the link to ``peer`` is open; tell it what was believed of it."""
         self.timeline.add(EventKind.LINK_OPENED, peer.host, f"incarnation {peer.incarnation}")
-        self.members.hear([member_of(peer)])
-        self.links.send(peer.host, Heartbeat(0, self.versions.versions(), ()))
+        believed = self.members.hear([member_of(peer)])
+        digest = tuple(self.members.digest)
+        beat = Heartbeat(0, self.versions.versions(), (self.members.own, *believed), digest)
+        self.links.send(peer.host, beat)
 
     def link_lost(self, host: HostId) -> None:
         """Fail the requests that wait for ``host``."""
@@ -78,13 +84,10 @@
                 self.mailboxes.deliver(peer.host, message)
             case Forward():
                 self.run_forward(message, answer)
-            case Heartbeat(sequence=sequence, versions=versions, members=members):
-                self.members.hear(members)
-                self.distribution.hear_versions(peer, versions, answer)
-                answer(HeartbeatReply(sequence, self.versions.versions(), ()))
-            case HeartbeatReply(versions=versions, members=members):
-                self.members.hear(members)
-                self.distribution.hear_versions(peer, versions, answer)
+            case Heartbeat():
+                self._answer_heartbeat(peer, message, answer)
+            case HeartbeatReply():
+                self._take_reply(peer, message, answer)
             case FetchVersions(have=have):
                 self.distribution.answer_fetch(have, answer)
             case TextPush() | SectionsPush() | CataloguePush():
@@ -96,6 +99,25 @@
             case Hello():
                 return
 
+    def _answer_heartbeat(
+        self, peer: Hello, beat: Heartbeat, answer: Callable[[Message], bool]
+    ) -> None:
+        corrections = self.members.hear(beat.members)
+        self.distribution.hear_versions(peer, beat.versions, answer)
+        missing, differs = self.members.compare(beat.digest)
+        digest = tuple(self.members.digest) if differs else ()
+        versions = self.versions.versions()
+        answer(HeartbeatReply(beat.sequence, versions, corrections + missing, digest))
+
+    def _take_reply(
+        self, peer: Hello, reply: HeartbeatReply, answer: Callable[[Message], bool]
+    ) -> None:
+        corrections = self.members.hear(reply.members)
+        self.distribution.hear_versions(peer, reply.versions, answer)
+        missing, _ = self.members.compare(reply.digest)
+        if corrections or missing:
+            answer(Heartbeat(0, self.versions.versions(), corrections + missing))
+
 
 def member_of(peer: Hello) -> Member:
     """Return the belief that a hello gives rise to."""
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -1,11 +1,11 @@
 """Puts an entry host together, starts its tasks and stops them."""
 
 import time
-from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from threading import Event
 
-from .._clock import MILLIS_PER_SECOND, Clock, SystemClock
+from .._clock import MILLIS_PER_SECOND, Clock, SystemClock, seconds_until
 from .._ids import Address, FailureDomainId, HostId, Incarnation, Millis
 from ..connection import (
     CallerApp,
@@ -17,12 +17,14 @@
 from ..version import Configuration, Searcher
 from ._admission import AdmissionControl
 from ._caller_service import CallerService
+from ._detector import Detector
 from ._distribution import Distribution
+from ._heartbeats import Heartbeats
 from ._host_tier import HostTier
 from ._links import Links
 from ._mailboxes import Mailboxes
 from ._members import Members
-from ._messages import Heartbeat, Hello, Member, MemberState
+from ._messages import Hello, Member, MemberState
 from ._owner import Owner
 from ._peer_service import PeerService, member_of
 from ._policy import NAIVE_POLICY, OWNER_POLICY, Policy
@@ -37,7 +39,8 @@
 PROTOCOL_OLDEST = 1
 PROTOCOL_NEWEST = 1
 MAX_TASKS = 4096
-HEARTBEAT_INTERVAL = Millis(500.0)
+NOTICE = Millis(1000.0)
+"""How long a stopping host still answers callers, with "not run", before it stops listening."""
 
 
 class Host:
@@ -56,7 +59,7 @@
         self.mailboxes = Mailboxes(self.tickets.learn)
         self.versions = VersionStore(self.timeline, self._configuration_changed, starting=True)
         own = self._hello()
-        self.members = Members(member_of(own), self.timeline, self._member_changed)
+        self.members = Members(member_of(own), self.clock, self.timeline, self._members_changed)
         self.peers = PeerService(own, self.members, self.versions, self.timeline, self.mailboxes)
         self.links = Links(self.peers, self.clock, self.start_task)
         self.distribution = Distribution(
@@ -101,30 +104,49 @@
             settings.max_callers,
             Millis(float(settings.caller_timeout_ms)),
         )
+        detector = Detector(self.members, self.links.heard_at, self.clock, self.timeline)
+        self.heartbeats = Heartbeats(
+            self.members,
+            self.links,
+            self.versions,
+            detector,
+            seeds_of(settings),
+            self._after_beat,
+        )
+        self.connections: set[Future[None]] = set()
 
     def start(self) -> None:
         """Start every task; callers are refused until the versions in force are known."""
         self.timeline.add(EventKind.STARTED, self.id, f"incarnation {self.incarnation}")
         self.start_task(self.peer_server.run)
-        for seed in self.settings.seeds:
-            if seed.host != self.id:
-                self.links.ensure(HostId(seed.host), Address(seed.address))
+        for seed in self.heartbeats.seeds:
+            self.links.ensure(seed.host, seed.address)
         self.distribution.start(self.start_task)
-        self.start_task(self._run_heartbeats)
+        self.start_task(lambda: self.heartbeats.run(self.stopping))
         self.start_task(self._run_pressure)
         self.start_task(self.caller_server.run)
 
     def stop(self) -> None:
-        """Stop gracefully: refuse new work, finish what is in progress, leave."""
+        """Stop gracefully: refuse new work, finish what is in progress, leave.
+
+        Work that is queued when the callers' requests have ended is handed back as not run.
+        """
+        end = Millis(self.clock.now() + self.settings.shutdown_ms)
         self.timeline.add(EventKind.STOPPING, self.id)
+        self.members.leave()
+        self.heartbeats.announce()
         self.owner.stopping = True
+        self.caller_server.refuse_new()
+        self.stopping.wait(min(NOTICE, self.settings.shutdown_ms / 4) / MILLIS_PER_SECOND)
         self.caller_server.stop()
-        self.caller_server.await_closed(Millis(float(self.settings.shutdown_ms)))
+        self.caller_server.await_closed(Millis(max(0.0, end - self.clock.now())))
         self.pools.stop()
+        wait(list(self.connections), seconds_until(end, self.clock))
         self.stopping.set()
         self.distribution.stop()
         self.links.stop()
         self.peer_server.stop()
+        self.caller_server.abort()
         self.tasks.shutdown(wait=True)
         self.timeline.add(EventKind.STOPPED, self.id)
 
@@ -143,41 +165,34 @@
             PROTOCOL_NEWEST,
         )
 
-    def _run_heartbeats(self) -> None:
-        sequence = 0
-        while not self.stopping.wait(HEARTBEAT_INTERVAL / MILLIS_PER_SECOND):
-            sequence += 1
-            self._send_heartbeats(sequence)
-            self.distribution.update_role()
-            configuration = self.versions.configuration
-            if configuration is not None:
-                owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
-                self.pools.close_unused(configuration, owned)
+    def _after_beat(self) -> None:
+        self.distribution.update_role()
+        configuration = self.versions.configuration
+        if configuration is not None:
+            owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
+            self.pools.close_unused(configuration, owned)
 
     def _run_pressure(self) -> None:
         while not self.stopping.wait(PRESSURE_INTERVAL / MILLIS_PER_SECOND):
             self.pressure.run_once(self.links.send)
 
-    def _send_heartbeats(self, sequence: int) -> None:
-        members = tuple(self.members.list_members())
-        self.links.broadcast(Heartbeat(sequence, self.versions.versions(), members))
-
     def _configuration_changed(self, configuration: Configuration) -> None:
         self.tier.refresh_table()
         self.pools.close_unused(configuration, set())
 
-    def _member_changed(self, member: Member) -> None:
-        if member.state in (MemberState.DEAD, MemberState.LEAVING):
-            self.links.drop(member.host)
-        else:
-            self.links.ensure(member.host, member.address)
-        self.tier.refresh_table()
+    def _members_changed(self, members: Sequence[Member]) -> None:
+        for member in members:
+            if member.state is MemberState.DEAD:
+                self.links.drop(member.host)
+        self.tier.refresh_hosts()
 
     def _count_hosts(self) -> int:
         return len(self.members.list_members())
 
     def _start_connection(self, pool: ServicePool, searcher: Searcher) -> None:
-        self.start_task(lambda: run_searcher_connection(pool, searcher, self.clock))
+        task = self.tasks.submit(run_searcher_connection, pool, searcher, self.clock)
+        self.connections.add(task)
+        task.add_done_callback(self.connections.discard)
 
     def _run_forward(self, forward: Forward, answer: Callable[[ForwardReply], object]) -> None:
         def run() -> None:
@@ -186,6 +201,21 @@
         self.start_task(run)
 
 
+def seeds_of(settings: Settings) -> list[Member]:
+    """Return the other hosts that the settings name; their incarnations are unknown."""
+    return [
+        Member(
+            HostId(seed.host),
+            Address(seed.address),
+            FailureDomainId(seed.failure_domain),
+            Incarnation(0),
+            MemberState.ALIVE,
+        )
+        for seed in settings.seeds
+        if seed.host != settings.host
+    ]
+
+
 def policy_of(settings: Settings) -> Policy:
     """Return the policy that the settings name."""
     return NAIVE_POLICY if settings.routing == "naive" else OWNER_POLICY
--- a/src/masticgate/process/_watch.py
+++ b/src/masticgate/process/_watch.py
@@ -9,11 +9,10 @@
 
 from .._clock import Clock
 from .._failures import Unknown
-from .._ids import HostId, Incarnation, Millis, Revision
+from .._ids import Millis, Revision
 from ..connection import ListedHost, PlatformReader, Unchanged, Value
 from ..version import WATCHERS_PER_DOMAIN
 from ._backoff import LEAST_JITTER, RETRY_LONGEST, Backoff
-from ._messages import Member, MemberState
 from ._timeline import EventKind, TimeLine
 from ._watch_role import WatchRole
 
@@ -132,12 +131,3 @@
         self.backoff.reset()
         self.on_hosts(hosts)
         return HOST_LIST_INTERVAL
-
-
-def listed_members(hosts: tuple[ListedHost, ...]) -> list[Member]:
-    """Return the beliefs that a host list gives rise to; its incarnations are unknown."""
-    return [
-        Member(HostId(h.host), h.address, h.failure_domain, Incarnation(0), MemberState.ALIVE)
-        for h in hosts
-        if not h.leaving
-    ]
--- a/src/masticgate/request/_search.py
+++ b/src/masticgate/request/_search.py
@@ -193,6 +193,8 @@
 
     def _leave_silent_owners(self, now: Millis) -> None:
         self.next_check = Millis(now + SILENCE_CHECK)
+        for owner in {self.tried[service][-1] for service in self.merge.waiting}:
+            self.tier.probe(owner)
         silent = [
             service
             for service in self.merge.waiting
--- a/src/masticgate/request/_tier.py
+++ b/src/masticgate/request/_tier.py
@@ -73,6 +73,10 @@
         """Tell whether ``host`` has sent nothing for longer than a live host would."""
         ...
 
+    def probe(self, host: HostId) -> None:
+        """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
+        ...
+
     def is_own_ticket(self, ticket: TicketId) -> bool:
         """Tell whether this incarnation minted ``ticket``."""
         ...
--- /dev/null
+++ b/tests/process/test_members.py
@@ -0,0 +1,243 @@
+"""Beliefs about hosts and failure detection."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from masticgate import Address, FailureDomainId, HostId, Incarnation, ManualClock, Millis
+from masticgate.connection import ListedHost
+from masticgate.process import Member, MemberState
+from masticgate.process._beliefs import choose_neighbours, digest_of, is_usable, supersedes
+from masticgate.process._detector import Detector
+from masticgate.process._host_list import LIST_LAG, HostList
+from masticgate.process._members import FORGET_AFTER, Members
+from masticgate.process._timeline import EventKind, TimeLine
+
+INTERVAL = Millis(500.0)
+
+
+def member(name, state=MemberState.ALIVE, incarnation=1, counter=0, domain="north"):
+    address = Address("127.0.0.1:7001")
+    place = FailureDomainId(domain)
+    return Member(HostId(name), address, place, Incarnation(incarnation), state, counter)
+
+
+def members_of(name, clock=None, count=0):
+    clock = clock or ManualClock()
+    own = member(name)
+    known = Members(own, clock, TimeLine(own.host, clock), lambda changed: None)
+    known.hear([member(f"h{n}") for n in range(count)])
+    return known
+
+
+beliefs = st.builds(
+    member,
+    st.sampled_from(["x", "y"]),
+    st.sampled_from(MemberState),
+    st.integers(1, 3),
+    st.integers(0, 3),
+)
+
+
+class TestMerge:
+    @settings(derandomize=True)
+    @given(st.lists(beliefs, max_size=8), st.randoms(use_true_random=False))
+    def test_ends_the_same_in_any_order_and_repeated(self, heard, random):
+        one, other = members_of("a"), members_of("b")
+        shuffled = heard * 2
+        random.shuffle(shuffled)
+        one.hear(heard)
+        other.hear(shuffled)
+        assert one.get("x") == other.get("x")
+        assert one.get("y") == other.get("y")
+
+    @settings(derandomize=True)
+    @given(st.lists(beliefs, max_size=12))
+    def test_leaving_is_sticky_for_its_incarnation(self, heard):
+        known = members_of("a")
+        left = 0
+        for belief in heard:
+            known.hear([belief])
+            if belief.host == "x" and belief.state is MemberState.LEAVING:
+                left = max(left, belief.incarnation)
+            now = known.get("x")
+            assert now is None or now.incarnation >= left
+            assert now is None or now.incarnation > left or now.state is MemberState.LEAVING
+
+    @settings(derandomize=True)
+    @given(st.lists(beliefs, max_size=12))
+    def test_digest_and_usable_hosts_follow_the_beliefs(self, heard):
+        known = members_of("a")
+        known.hear(heard)
+        listed = known.list_members()
+        assert tuple(known.digest) == digest_of(listed)
+        assert known.usable() == [m.host for m in listed if is_usable(m)]
+
+    def test_a_restarted_host_wins_at_once_over_its_death(self):
+        assert supersedes(member("x", incarnation=2), member("x", MemberState.DEAD, counter=9))
+
+
+class TestRefutation:
+    def test_a_host_called_dead_raises_its_counter(self):
+        known = members_of("a")
+        told = known.hear([member("a", MemberState.DEAD, counter=4)])
+        assert told == (member("a", counter=5),)
+        assert supersedes(told[0], member("a", MemberState.DEAD, counter=4))
+
+    def test_a_host_called_leaving_leaves(self):
+        known = members_of("a")
+        known.hear([member("a", MemberState.LEAVING)])
+        known.hear([member("a", MemberState.DEAD, counter=4)])
+        assert known.own.state is MemberState.LEAVING
+        assert known.usable() == []
+
+
+class TestForgetting:
+    def test_a_forgotten_host_does_not_return_from_old_gossip(self):
+        clock = ManualClock()
+        known = members_of("a", clock)
+        known.hear([member("x", MemberState.DEAD, counter=2)])
+        clock.advance(Millis(FORGET_AFTER + 1))
+        known.forget_old()
+        assert known.get("x") is None
+        dead = member("x", MemberState.DEAD, counter=2)
+        assert known.hear([member("x", counter=2)]) == (dead,)
+        assert known.get("x") is None
+        known.hear([member("x", incarnation=2)])
+        assert known.get("x") == member("x", incarnation=2)
+
+
+class TestNeighbours:
+    def test_few_hosts_all_watch_each_other(self):
+        others = [member(f"h{n}") for n in range(6)]
+        assert len(choose_neighbours(member("a"), others)) == 6
+
+    def test_many_hosts_are_each_watched_by_a_bounded_number(self):
+        hosts = [member(f"h{n}", domain=f"d{n % 17}") for n in range(400)]
+        watchers = {host.host: 0 for host in hosts}
+        for own in hosts:
+            chosen = choose_neighbours(own, [h for h in hosts if h is not own])
+            assert len(chosen) <= 8
+            assert any(h.failure_domain != own.failure_domain for h in chosen)
+            for host in chosen:
+                watchers[host.host] += 1
+        assert min(watchers.values()) >= 6
+
+
+class TestDetector:
+    def setup_method(self):
+        self.clock = ManualClock()
+        self.known = members_of("a", self.clock, 2)
+        self.heard = {HostId("h0"): Millis(0.0), HostId("h1"): Millis(0.0)}
+        self.timeline = TimeLine(HostId("a"), self.clock)
+        self.detector = Detector(self.known, self.heard.get, self.clock, self.timeline)
+        self.beat(1, ["h0", "h1"])
+
+    def beat(self, times, speaking=()):
+        for _ in range(times):
+            self.clock.advance(INTERVAL)
+            for host in speaking:
+                self.heard[host] = self.clock.now()
+            watched = [self.known.get(h) for h in ("h0", "h1")]
+            self.detector.check([m for m in watched if is_usable(m)], INTERVAL)
+
+    def state(self, host):
+        return self.known.get(host).state
+
+    def test_a_silent_host_becomes_suspect_then_dead(self):
+        self.beat(3, ["h0"])
+        assert self.state("h1") is MemberState.ALIVE
+        self.beat(1, ["h0"])
+        assert self.state("h1") is MemberState.SUSPECT
+        self.beat(5, ["h0"])
+        assert (self.state("h0"), self.state("h1")) == (MemberState.ALIVE, MemberState.DEAD)
+
+    def test_a_suspect_that_refutes_stays_usable_and_is_waited_for_longer(self):
+        self.beat(4, ["h0"])
+        self.known.hear([member("h1", counter=1)])
+        self.beat(2, ["h0"])
+        assert self.state("h1") is MemberState.ALIVE
+
+    def test_after_a_pause_everyone_gets_a_fresh_interval(self):
+        self.beat(2, ["h0", "h1"])
+        self.clock.advance(Millis(60_000.0))
+        self.beat(1)
+        assert {self.state("h0"), self.state("h1")} == {MemberState.ALIVE}
+        assert [e.kind for e in self.timeline.list_events()] == [EventKind.PAUSED]
+        self.beat(4)
+        assert self.state("h0") is MemberState.SUSPECT
+
+
+class TestHostList:
+    def setup_method(self):
+        self.known = members_of("a", count=1)
+        self.list = HostList(self.known.get)
+
+    def read(self, leaving, at):
+        listed = ListedHost(HostId("h0"), Address("127.0.0.1:7001"), FailureDomainId("n"), leaving)
+        self.known.hear(self.list.read([listed], Millis(at)))
+        return self.known.get("h0").state
+
+    def test_its_word_that_a_host_leaves_counts(self):
+        assert self.read(False, 0.0) is MemberState.ALIVE
+        assert self.read(True, LIST_LAG) is MemberState.LEAVING
+        assert self.read(False, LIST_LAG + 1) is MemberState.LEAVING
+
+    def test_a_late_word_does_not_stop_the_restarted_host(self):
+        self.read(False, 0.0)
+        self.known.hear([member("h0", incarnation=2)])
+        assert self.read(True, LIST_LAG) is MemberState.ALIVE
+        assert self.read(False, 2 * LIST_LAG) is MemberState.ALIVE
+
+
+class Gossip(RuleBasedStateMachine):
+    """Three hosts tell each other beliefs; whatever was lost, digests bring them together."""
+
+    def __init__(self):
+        super().__init__()
+        self.hosts = [members_of(name) for name in ("a", "b", "c")]
+        self.left: set[str] = set()
+
+    @rule(teller=st.integers(0, 2), hearer=st.integers(0, 2), lost=st.booleans())
+    def tell_news(self, teller, hearer, lost):
+        news = self.hosts[teller].take_news()
+        if not lost:
+            self.hosts[hearer].hear(news)
+
+    @rule(teller=st.integers(0, 2), about=st.sampled_from("abcxy"), state=st.sampled_from([1, 3]))
+    def accuse(self, teller, about, state):
+        known = self.hosts[teller].get(HostId(about)) or member(about)
+        self.hosts[teller].declare(known, MemberState(state))
+
+    @rule(host=st.integers(0, 2))
+    def leave(self, host):
+        self.hosts[host].leave()
+        self.left.add(self.hosts[host].own.host)
+
+    @rule()
+    def compare_digests(self):
+        for _ in range(4):
+            for one in self.hosts:
+                for other in self.hosts:
+                    self.exchange(one, other)
+        views = {tuple(host.usable()) for host in self.hosts}
+        assert len(views) == 1
+        assert {h.own.host for h in self.hosts} - self.left <= set(views.pop())
+
+    def exchange(self, one, other):
+        other.hear([one.own])
+        missing, _ = other.compare(tuple(one.digest))
+        other.hear(one.hear(missing))
+        missing, _ = one.compare(tuple(other.digest))
+        one.hear(other.hear(missing))
+
+    @invariant()
+    def nobody_takes_itself_for_dead(self):
+        for host in self.hosts:
+            assert host.own.state in (MemberState.ALIVE, MemberState.LEAVING)
+            assert (host.own.host in self.left) <= (host.own.state is MemberState.LEAVING)
+            assert host.get(host.own.host) == host.own
+
+
+TestGossip = Gossip.TestCase
+TestGossip.settings = settings(derandomize=True, max_examples=40, stateful_step_count=20)
--- a/tests/request/script_tier.py
+++ b/tests/request/script_tier.py
@@ -101,5 +101,8 @@
     def is_silent(self, host):
         return host in self.silent
 
+    def probe(self, host):
+        return None
+
     def is_own_ticket(self, ticket):
         return ticket in self.minted
