--- /dev/null
+++ b/tests/process/test_recovery.py
@@ -0,0 +1,107 @@
+"""Hosts that die, pause, are replaced or stop, under load."""
+
+import signal
+import time
+from threading import Thread
+
+import pytest
+
+from tests.standins.fleet import Fleet, call
+from tests.standins.load import Load
+from tests.texts import SMALL
+
+SETTLE_SECONDS = 15.0
+
+
+@pytest.fixture(scope="class")
+def fleet():
+    with Fleet(SMALL, knobs={"service_ms": 5.0}) as started:
+        yield started
+
+
+def believed(fleet, index, host):
+    """Return what one host believes of another."""
+    peers = {peer["host"]: peer for peer in fleet.status(index)["peers"]}
+    return peers.get(host, {"state": "unknown", "incarnation": 0})
+
+
+def owned(fleet, index):
+    return set(fleet.status(index)["owned"])
+
+
+def await_state(fleet, host, state, observers):
+    fleet.wait_until(
+        lambda: all(believed(fleet, index, host)["state"] == state for index in observers),
+        SETTLE_SECONDS,
+        f"{host} is not {state} for all",
+    )
+
+
+class TestHostLoss:
+    def test_its_services_move_and_return_with_its_new_incarnation(self, fleet):
+        before = [owned(fleet, index) for index in range(3)]
+        lost = max(range(3), key=lambda index: len(before[index]))
+        others = [index for index in range(3) if index != lost]
+        host = fleet.hosts[lost]["host"]
+        incarnation = believed(fleet, others[0], host)["incarnation"]
+        fleet.kill(host)
+        assert all(fleet.search(index, ["desk/1"]).body["whole"] for index in others)
+        await_state(fleet, host, "dead", others)
+        assert set().union(*(owned(fleet, index) for index in others)) == set().union(*before)
+        fleet.start_host(lost)
+        fleet.wait_until(fleet.is_ready, SETTLE_SECONDS, "the host did not come back")
+        await_state(fleet, host, "alive", others)
+        assert believed(fleet, others[0], host)["incarnation"] > incarnation
+        assert [owned(fleet, index) for index in range(3)] == before
+
+    def test_a_paused_host_costs_no_answer_and_refutes_its_suspicion(self, fleet):
+        host = fleet.hosts[0]["host"]
+        fleet.signal(host, signal.SIGSTOP)
+        end = time.monotonic() + 2.0
+        while time.monotonic() < end:
+            assert fleet.search(1, ["desk/1"]).body["whole"]
+            assert fleet.search(2, ["desk/1"]).body["whole"]
+        fleet.signal(host, signal.SIGCONT)
+        await_state(fleet, host, "alive", [0, 1, 2])
+        assert "paused" in {event["kind"] for event in events(fleet, 0)["events"]}
+        assert {believed(fleet, 0, h["host"])["state"] for h in fleet.hosts} == {"alive"}
+
+
+class TestReplacement:
+    def test_all_hosts_one_after_another_cut_no_request(self, fleet):
+        with Load(fleet, ["desk/1"]) as load:
+            for index, host in enumerate(fleet.hosts):
+                time.sleep(0.5)
+                process = fleet.processes[host["host"]]
+                fleet.signal(host["host"], signal.SIGTERM)
+                assert process.wait(SETTLE_SECONDS) == 0, fleet.log_of(host["host"])
+                fleet.start_host(index)
+                fleet.wait_until(fleet.is_ready, SETTLE_SECONDS, "the host did not come back")
+        kinds = load.kinds()
+        assert kinds.pop("whole") > 100
+        assert set(kinds) <= {"shutting_down", "unreachable"}, kinds
+
+    def test_a_booking_in_flight_at_shutdown_finishes(self, fleet):
+        host = fleet.hosts[0]["host"]
+        fleet.turn(["oa", "ob"], service_ms=800.0)
+        ticket = fleet.mint(0)
+        process = fleet.processes[host]
+        replies = []
+        thread = Thread(
+            target=lambda: replies.append(fleet.book(0, ticket, "orders", remaining_ms=5000.0))
+        )
+        thread.start()
+        fleet.wait_until(lambda: started(fleet) > 0, SETTLE_SECONDS, "the booking did not start")
+        fleet.signal(host, signal.SIGTERM)
+        thread.join()
+        assert replies[0].body["outcome"] == "ran"
+        assert process.wait(SETTLE_SECONDS) == 0
+
+
+def started(fleet):
+    counts = [s["counts"] for s in fleet.searchers().values() if s["service"] == "orders"]
+    return sum(count.get("started", 0) for count in counts)
+
+
+def events(fleet, index):
+    return call(fleet.callers[index], "GET", "/v1/events").body
--- /dev/null
+++ b/tests/standins/load.py
@@ -0,0 +1,90 @@
+"""Callers that ask without a break, and remember what became of each request."""
+
+import http.client
+import json
+import time
+from dataclasses import dataclass
+from threading import Event, Lock, Thread
+from typing import Any
+
+from tests.standins.fleet import CALL_SECONDS, Fleet
+
+REFUSED_WAIT_SECONDS = 0.05
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """One request: when it was sent, through which host, and its answer."""
+
+    at: float
+    host: int
+    kind: str
+    body: Any = None
+
+
+class Load:
+    """Two callers a host; a caller whose host refuses as shutting down goes to the next."""
+
+    def __init__(self, fleet: Fleet, services: list[str], callers: int = 2) -> None:
+        self.fleet = fleet
+        self.services = services
+        self.lock = Lock()
+        self.outcomes: list[Outcome] = []
+        self.ended = Event()
+        starts = [index for index in range(len(fleet.hosts)) for _ in range(callers)]
+        self.threads = [Thread(target=self.run, args=(index,)) for index in starts]
+
+    def __enter__(self) -> "Load":
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, host: int) -> None:
+        while not self.ended.is_set():
+            host = self.call_repeatedly(host)
+
+    def call_repeatedly(self, host: int) -> int:
+        """Use one connection to a host until it fails; return the host to use next."""
+        connection = http.client.HTTPConnection(self.fleet.callers[host], timeout=CALL_SECONDS)
+        try:
+            connection.connect()
+        except OSError:
+            self.note(Outcome(time.monotonic(), host, "unreachable"))
+            self.ended.wait(REFUSED_WAIT_SECONDS)
+            return (host + 1) % len(self.fleet.hosts)
+        while not self.ended.is_set():
+            outcome = self.call(connection, host)
+            self.note(outcome)
+            if outcome.kind in ("cut", "shutting_down"):
+                connection.close()
+                return (host + 1) % len(self.fleet.hosts)
+        connection.close()
+        return host
+
+    def call(self, connection: http.client.HTTPConnection, host: int) -> Outcome:
+        fields = {"services": self.services, "text": "lamp", "remaining_ms": 1000.0}
+        at = time.monotonic()
+        try:
+            connection.request("POST", "/v1/search", json.dumps(fields))
+            response = connection.getresponse()
+            body = json.loads(response.read())
+        except (OSError, http.client.HTTPException):
+            return Outcome(at, host, "cut")
+        if response.status == 200:
+            return Outcome(at, host, "whole" if body["whole"] else "partial", body)
+        return Outcome(at, host, body["reason"], body)
+
+    def note(self, outcome: Outcome) -> None:
+        with self.lock:
+            self.outcomes.append(outcome)
+
+    def kinds(self, since: float = 0.0) -> dict[str, int]:
+        """Return how often each outcome occurred among requests sent since then."""
+        with self.lock:
+            kinds = [o.kind for o in self.outcomes if o.at >= since]
+        return {kind: kinds.count(kind) for kind in set(kinds)}
