Let heartbeats carry the time line, so that events merge by cause

Cause: no message told a host how far the others' time lines had come. Change: the unused sequence of a heartbeat becomes the number of the sender's latest event. Measured: in a merge of three hosts' events no event precedes one its host had heard of.

--- a/src/masticgate/connection/_frames.py
+++ b/src/masticgate/connection/_frames.py
@@ -373,7 +373,7 @@
 
 
 def _write_heartbeat(target: Any, heartbeat: Heartbeat | HeartbeatReply) -> None:
-    target.sequence = heartbeat.sequence
+    target.events = heartbeat.events
     _write_versions(target.init("versions"), heartbeat.versions)
     _write_list(target.init("members", len(heartbeat.members)), heartbeat.members, _write_member)
     if heartbeat.digest:
@@ -384,7 +384,7 @@
     source: Any,
 ) -> tuple[int, Versions, tuple[Member, ...], tuple[int, ...]]:
     members = tuple(_read_member(item) for item in source.members)
-    return source.sequence, _read_versions(source.versions), members, tuple(source.digest)
+    return source.events, _read_versions(source.versions), members, tuple(source.digest)
 
 
 def _write_member(target: Any, member: Member) -> None:
--- a/src/masticgate/connection/peer.capnp
+++ b/src/masticgate/connection/peer.capnp
@@ -127,7 +127,7 @@
 }
 
 struct Heartbeat {
-  sequence @0 :UInt64;
+  events @0 :UInt64;
   versions @1 :Versions;
   members @2 :List(Member);
   digest @3 :List(UInt32);
--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -124,7 +124,7 @@
 
     def announce(self) -> None:
         """Tell the peers at once; the next heartbeat would tell them a little later."""
-        self.links.broadcast(Heartbeat(0, self.versions.versions(), ()))
+        self.links.broadcast(Heartbeat(self.timeline.sequence, self.versions.versions(), ()))
 
     def _take_sections(self, push: SectionsPush, answer: Answer) -> None:
         match self.versions.offer_sections(push):
--- a/src/masticgate/process/_heartbeats.py
+++ b/src/masticgate/process/_heartbeats.py
@@ -10,6 +10,7 @@
 from ._links import Links
 from ._members import Members
 from ._messages import Heartbeat, Member, MemberState
+from ._timeline import TimeLine
 from ._versions import VersionStore
 
 SHORT_INTERVAL = Millis(500.0)
@@ -37,6 +38,7 @@
         versions: VersionStore,
         detector: Detector,
         seeds: list[Member],
+        timeline: TimeLine,
         on_beat: Callable[[], None],
     ) -> None:
         self.members = members
@@ -44,6 +46,7 @@
         self.versions = versions
         self.detector = detector
         self.seeds = seeds
+        self.timeline = timeline
         self.on_beat = on_beat
         self.sequence = 0
         self.usable: list[HostId] = []
@@ -106,7 +109,7 @@
         if member is not None and member.state is not MemberState.ALIVE and member not in news:
             news = (*news, member)
         digest = tuple(self.members.digest) if with_digest else ()
-        beat = Heartbeat(self.sequence, self.versions.versions(), news, digest)
+        beat = Heartbeat(self.timeline.sequence, self.versions.versions(), news, digest)
         self.links.send(host, beat)
 
     def _probe_lost(self) -> None:
--- a/src/masticgate/process/_messages.py
+++ b/src/masticgate/process/_messages.py
@@ -52,10 +52,11 @@
 class Heartbeat:
     """Says that the sender lives; carries changed beliefs and what versions it has.
 
-    ``digest`` sums up the hosts that the sender believes usable, where it carries one.
+    ``events`` is the number of the latest event on the sender's time line. ``digest`` sums up the
+    hosts that the sender believes usable, where it carries one.
     """
 
-    sequence: int
+    events: int
     versions: Versions
     members: tuple[Member, ...]
     digest: tuple[int, ...] = ()
@@ -65,7 +66,7 @@
 class HeartbeatReply:
     """Answers a heartbeat; carries what the sender of the heartbeat should hear."""
 
-    sequence: int
+    events: int
     versions: Versions
     members: tuple[Member, ...]
     digest: tuple[int, ...] = ()
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -55,14 +55,16 @@
 
     def sign_of_life(self) -> Heartbeat:
         """Return a heartbeat that only asks for an answer."""
-        return Heartbeat(0, self.versions.versions(), ())
+        return Heartbeat(self.timeline.sequence, self.versions.versions(), ())
 
     def link_opened(self, peer: Hello) -> None:
         """Note that the link to ``peer`` is open; tell it what was believed of it."""
         self.timeline.add(EventKind.LINK_OPENED, peer.host, f"incarnation {peer.incarnation}")
         believed = self.members.hear([member_of(peer)])
         digest = tuple(self.members.digest)
-        beat = Heartbeat(0, self.versions.versions(), (self.members.own, *believed), digest)
+        beat = Heartbeat(
+            self.timeline.sequence, self.versions.versions(), (self.members.own, *believed), digest
+        )
         self.links.send(peer.host, beat)
 
     def link_lost(self, host: HostId) -> None:
@@ -102,21 +104,25 @@
     def _answer_heartbeat(
         self, peer: Hello, beat: Heartbeat, answer: Callable[[Message], bool]
     ) -> None:
+        self.timeline.hear(peer.host, beat.events)
         corrections = self.members.hear(beat.members)
         self.distribution.hear_versions(peer, beat.versions, answer)
         missing, differs = self.members.compare(beat.digest)
         digest = tuple(self.members.digest) if differs else ()
         versions = self.versions.versions()
-        answer(HeartbeatReply(beat.sequence, versions, corrections + missing, digest))
+        answer(HeartbeatReply(self.timeline.sequence, versions, corrections + missing, digest))
 
     def _take_reply(
         self, peer: Hello, reply: HeartbeatReply, answer: Callable[[Message], bool]
     ) -> None:
+        self.timeline.hear(peer.host, reply.events)
         corrections = self.members.hear(reply.members)
         self.distribution.hear_versions(peer, reply.versions, answer)
         missing, _ = self.members.compare(reply.digest)
         if corrections or missing:
-            answer(Heartbeat(0, self.versions.versions(), corrections + missing))
+            answer(
+                Heartbeat(self.timeline.sequence, self.versions.versions(), corrections + missing)
+            )
 
 
 def member_of(peer: Hello) -> Member:
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -116,6 +116,7 @@
             self.versions,
             detector,
             seeds_of(settings),
+            self.timeline,
             self._after_beat,
         )
         self.connections: set[Future[None]] = set()
--- a/tests/process/test_commands.py
+++ b/tests/process/test_commands.py
@@ -122,3 +122,17 @@
         with Fleet(SMALL, hosts=1) as fleet:
             fleet.signal("h1", signal.SIGTERM)
             assert fleet.processes["h1"].wait(15) == 0
+
+
+class TestTimelineOfAFleet:
+    def test_no_event_comes_before_one_that_its_host_had_heard_of(self, fleet):
+        revision = fleet.put_text(fleet.text + "\n")
+        fleet.wait_until(
+            lambda: all(fleet.status(n)["revision"] == revision for n in range(3)), 10, "no text"
+        )
+        result = run("timeline", *fleet.callers, "--json")
+        events = [json.loads(line) for line in result.output.splitlines()]
+        place = {(e["host"], e["sequence"]): index for index, e in enumerate(events)}
+        heard = [(e, seen) for e in events for seen in e["seen"].items()]
+        assert heard
+        assert all(place[seen] < place[e["host"], e["sequence"]] for e, seen in heard)
