--- a/bench/process/_trial.py
+++ b/bench/process/_trial.py
@@ -7,7 +7,7 @@
 from tests.standins.fleet import Fleet
 
 from bench.request import Result
-from bench.version import SERVICE_MS, Deployment
+from bench.version import SEARCHER_KNOBS, Deployment
 
 from ._cpu import busiest, cpu_by_process
 from ._events import Happenings
@@ -71,7 +71,7 @@
         deployment.hosts,
         routing=routing,
         searcher_processes=SEARCHER_PROCESSES,
-        knobs={"service_ms": SERVICE_MS},
+        knobs=SEARCHER_KNOBS,
     )
     with fleet:
         if scenario.knobs:
--- a/bench/version/_deployment.py
+++ b/bench/version/_deployment.py
@@ -7,6 +7,11 @@
 SERVICE_MS = 30.0
 """Mean service time of a searcher: one machine carries 20 busy services at this."""
 
+SPREAD_SHARE = 0.2
+"""The part of the service time that varies; without it, stragglers are the only tail."""
+
+SEARCHER_KNOBS = {"service_ms": SERVICE_MS, "spread_share": SPREAD_SHARE}
+
 
 @dataclass(frozen=True)
 class Deployment:
