Build the syntax tree only for a text with comments or a problem

Cause: acceptance walked the whole syntax tree three times, although only a text with comments or a problem needs it; the texts that hosts pass on have neither.

Change: the value is loaded first, with doubled keys and depth checked on it; the tree is built when that fails or when a place is asked for. Doubled keys are compared as values, so an escaped spelling counts as the same key. A table of refused texts and a hypothesis fuzz of the text, the settings and the catalogue come with it.

--- a/src/masticgate/version/_jsonc.py
+++ b/src/masticgate/version/_jsonc.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Any
 
 import tree_sitter_json
@@ -28,12 +29,21 @@
     message: str
 
 
-@dataclass(frozen=True, slots=True)
+class _DoubledKeyError(ValueError):
+    """A key stands twice in one object."""
+
+
+@dataclass(frozen=True)
 class Document:
-    """A parsed text: its value, and the tree that finds a value's place."""
+    """A parsed text: its value, and the source that a value's place is found in."""
 
     value: Any
-    root: Node
+    source: bytes
+
+    @cached_property
+    def root(self) -> Node:
+        """The syntax tree, built once a place is asked for."""
+        return _parse_tree(self.source)
 
     def locate(self, path: Sequence[str | int]) -> Position:
         """Return the position of the value at ``path``, or of its nearest parent."""
@@ -47,22 +57,68 @@
 
 
 def parse_document(text: str) -> Document | SyntaxProblem:
-    """Parse ``text``; comments are allowed, doubled keys and trailing commas are not."""
+    """Parse ``text``; comments are allowed, doubled keys and trailing commas are not.
+
+    The syntax tree, which costs far more than the value, is built only for a text with comments
+    or with a problem.
+    """
     source = text.encode("utf-8", errors="replace")
-    root = Parser(LANGUAGE).parse(source).root_node
+    try:
+        value = _load(source.decode("utf-8"))
+    except (RecursionError, ValueError):
+        return _parse_with_tree(source)
+    return _parse_with_tree(source) if _is_too_deep(value) else Document(value, source)
+
+
+def _parse_with_tree(source: bytes) -> Document | SyntaxProblem:
+    root = _parse_tree(source)
     too_deep = _find_too_deep(root)
     if too_deep is not None:
         return SyntaxProblem(_position(too_deep), f"nested deeper than {MAX_DEPTH} levels")
     try:
-        value = json.loads(_blank_comments(source, root))
+        return Document(_load(_blank_comments(source, root)), source)
+    except _DoubledKeyError:
+        return _describe_doubled_key(root)
     except json.JSONDecodeError as error:
         return SyntaxProblem(Position(error.lineno, error.colno), error.msg)
     except (RecursionError, ValueError) as error:
         return SyntaxProblem(Position(1, 1), str(error))
+
+
+def _load(text: str) -> Any:
+    return json.loads(text, object_pairs_hook=_build_object)
+
+
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    built = dict(pairs)
+    if len(built) < len(pairs):
+        raise _DoubledKeyError
+    return built
+
+
+def _is_too_deep(value: Any) -> bool:
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        containers = [item for item in level if isinstance(item, dict | list)]
+        level = [
+            child
+            for item in containers
+            for child in (item.values() if isinstance(item, dict) else item)
+        ]
+        if not level:
+            return False
+    return any(isinstance(item, dict | list) for item in level)
+
+
+def _parse_tree(source: bytes) -> Node:
+    return Parser(LANGUAGE).parse(source).root_node
+
+
+def _describe_doubled_key(root: Node) -> SyntaxProblem:
     doubled = _find_doubled_key(root)
-    if doubled is not None:
-        return SyntaxProblem(_position(doubled), f"key {_text(doubled)} is given twice")
-    return Document(value, root)
+    if doubled is None:
+        return SyntaxProblem(Position(1, 1), "a key is given twice")
+    return SyntaxProblem(_position(doubled), f"key {_text(doubled)} is given twice")
 
 
 def _blank_comments(source: bytes, root: Node) -> str:
@@ -100,9 +156,10 @@
                 key = pair.child_by_field_name("key")
                 if key is None:
                     continue
-                if _text(key) in keys:
+                name = _key_name(key)
+                if name in keys:
                     return key
-                keys.add(_text(key))
+                keys.add(name)
         pending.extend(node.named_children)
     return None
 
@@ -120,11 +177,18 @@
         return items[step] if 0 <= step < len(items) else None
     for pair in node.named_children:
         key = pair.child_by_field_name("key")
-        if key is not None and json.loads(_text(key)) == step:
+        if key is not None and _key_name(key) == step:
             return pair.child_by_field_name("value") or pair
     return None
 
 
+def _key_name(key: Node) -> str:
+    try:
+        return str(json.loads(_text(key)))
+    except ValueError:
+        return _text(key)
+
+
 def _position(node: Node) -> Position:
     return Position(node.start_point.row + 1, node.start_point.column + 1)
 
--- /dev/null
+++ b/tests/version/test_text.py
@@ -0,0 +1,134 @@
+"""Acceptance of the operators' text."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticgate import Revision
+from masticgate.process import BadSettings, Settings, check_settings
+from masticgate.version import (
+    Accepted,
+    Document,
+    Refused,
+    SnapshotCatalogue,
+    SyntaxProblem,
+    accept_text,
+    parse_document,
+    read_catalogue,
+)
+from tests.texts import SMALL, example
+
+DESK = '"depends_on": ["ledger/1"]'
+RUNS = settings(derandomize=True, deadline=None, max_examples=150)
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.sampled_from(["format", "departments", "desk", "x"]), inner, max_size=4),
+    max_leaves=12,
+)
+PIECES = ["{", "}", "[", "]", '"', ":", ",", "//", "/*", "*/", "\n", "\\", "\ud800", "1e999", "a"]
+JUNK = st.lists(st.sampled_from(PIECES), max_size=40).map("".join) | st.text(max_size=60)
+
+
+def problems_of(text: str) -> list[str]:
+    judged = accept_text(text, Revision(1))
+    assert isinstance(judged, Refused)
+    return [str(problem) for problem in judged.problems]
+
+
+def replace(old: str, new: str) -> str:
+    assert old in SMALL
+    return SMALL.replace(old, new, 1)
+
+
+def mutate(text: str, place: float, cut: int, junk: str) -> str:
+    start = int(place * len(text))
+    return text[:start] + junk + text[start + cut :]
+
+
+class TestAcceptedText:
+    @pytest.mark.parametrize("name", ["kerala", "norte"])
+    def test_holds_every_service_of_the_examples(self, name):
+        judged = accept_text(example(name), Revision(3))
+        assert isinstance(judged, Accepted)
+        searchers = [s for v in judged.configuration.services.values() for s in v.searchers]
+        assert len(searchers) == (108 if name == "kerala" else 106)
+        assert judged.configuration.revision == 3
+
+
+class TestRefusedText:
+    @pytest.mark.parametrize(
+        ("text", "line", "words"),
+        [
+            (replace(DESK, '"depends_on": ["desk/1"]'), 8, "cycle: desk/1 -> desk/1"),
+            (replace(DESK, '"depends_on": ["gone"]'), 8, "'desk/1' depends on 'gone'"),
+            (replace('"ledger": {}, ', ""), 13, "no department 'ledger'"),
+            (replace('"format": 1,', '"format": 1, "format": 1,'), 4, '"format" is given twice'),
+            (replace('"slots": 2', '"slots": "2"'), 9, "valid integer"),
+            (replace('"slots": 2', '"slots": 0'), 9, "greater than or equal to 1"),
+            (replace('"desk": {}', '"desk": {"closing": true}'), 6, "closing: Extra inputs"),
+            (replace('"orders": {}}', '"orders": {}'), 25, "delimiter"),
+            (replace('"format": 1', '"format": 2'), 4, "this release reads format 1"),
+            (replace('"id": "d1b"', '"id": "d1a"'), 11, "'d1a' is already used by 'desk/1'"),
+            (replace("127.0.0.1:20003", "127.0.0.1:20001"), 14, "is already used by 'desk/1'"),
+            (replace("127.0.0.1:20003", "ledger.example:1"), 14, "match pattern"),
+            (SMALL + "/" * 1_000_000, 1, "longer than 1000000 bytes"),
+            ("\n" + "[" * 65 + "]" * 65, 2, "nested deeper than 64 levels"),
+            ("[" * 100_000, 1, ""),
+        ],
+    )
+    def test_names_line_and_cause(self, text, line, words):
+        found = problems_of(text)
+        assert any(f"line {line}, " in problem and words in problem for problem in found), found
+
+    def test_names_the_remaining_dependant_of_a_removed_department(self):
+        document = parse_document(SMALL).value
+        del document["departments"]["ledger"], document["services"]["ledger/1"]
+        (problem,) = problems_of(json.dumps(document, indent=1))
+        assert "services > desk/1 > depends_on > 0" in problem
+        assert "depends on 'ledger/1', which is not in the text" in problem
+
+    def test_names_every_problem_at_once(self):
+        text = replace('"ledger": {}, ', "").replace('["ledger/1"]', '["gone"]')
+        assert len(problems_of(text)) == 2
+
+
+class TestAnyInput:
+    """Whatever a stranger publishes, a value comes back and nothing is raised."""
+
+    @RUNS
+    @given(JUNK | VALUES.map(json.dumps))
+    def test_a_text_gets_a_verdict(self, text):
+        assert isinstance(parse_document(text), Document | SyntaxProblem)
+        assert isinstance(accept_text(text, Revision(1)), Accepted | Refused)
+        assert isinstance(check_settings(text, "x"), Settings | BadSettings)
+        assert isinstance(read_catalogue(text), SnapshotCatalogue | None)
+
+    @RUNS
+    @given(st.floats(0, 0.999), st.integers(0, 30), JUNK)
+    def test_a_damaged_text_gets_the_same_verdict_twice(self, place, cut, junk):
+        text = mutate(SMALL, place, cut, junk)
+        judged = accept_text(text, Revision(1))
+        assert isinstance(judged, Accepted | Refused)
+        assert judged == accept_text(text, Revision(1))
+
+    @RUNS
+    @given(st.recursive(SCALARS, lambda inner: st.lists(inner), max_leaves=5))
+    def test_a_catalogue_with_any_version_gets_a_verdict(self, value):
+        text = json.dumps({"versions": [{"version": value, "shards": {"a": {"a/1": value}}}]})
+        assert isinstance(read_catalogue(text), SnapshotCatalogue | None)
+
+
+class TestComments:
+    @RUNS
+    @given(VALUES, st.sampled_from(["// c\n", "/* c */", "//\n//\n", "/* \n */"]))
+    def test_change_no_value(self, value, comment):
+        text = json.dumps(value)
+        parsed = parse_document(comment + text + comment)
+        assert json.dumps(parsed.value) == text
+
+    def test_inside_a_string_are_text(self):
+        assert parse_document('// a\n["// b /* c */"]').value == ["// b /* c */"]
