Let a refused text hide no acceptable one below it

Cause: found by the state machine of VersionStore: a host that heard a refused revision first took no lower one any more. A host that started while the platform's latest text was refused would have had no configuration.

Change: what is refused is remembered by revision; what is in force still only rises.

--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -85,17 +85,23 @@
     def stop(self) -> None:
         """End every read in progress and every wait."""
         self.role.stop()
-        for reader in list(self.readers):
-            reader.abort()
+        self._abort_reads()
 
     def update_role(self) -> None:
-        """Decide anew whether this host watches the platform; a starting host does not yet."""
+        """Decide anew whether this host watches the platform; a starting host does not yet.
+
+        Call it at every heartbeat: a read that began just as the role was given up is ended by
+        the next call.
+        """
         if self.versions.starting:
             return
         usable = set(self.members.usable())
         members = [m.host for m in self.members.list_members() if m.failure_domain == self.domain]
         in_domain = [host for host in members if host in usable]
-        self.role.update(should_watch(self.own, self.domain, in_domain, _Reachable(self.links)))
+        watching = should_watch(self.own, self.domain, in_domain, _Reachable(self.links))
+        self.role.update(watching)
+        if not watching:
+            self._abort_reads()
 
     def hear_versions(self, peer: Hello, theirs: Versions, answer: Answer) -> None:
         """Ask ``peer`` for what it has newer, unless another was just asked for as much."""
@@ -144,8 +150,8 @@
 
     def _is_worth_fetching(self, theirs: Versions) -> bool:
         """Tell whether to ask for ``theirs``; a refused revision is not asked for again."""
-        own = Versions(self.versions.known_revision(), self.versions.catalogue.newest)
-        if not _is_newer(theirs, own):
+        judged = self.versions.has_judged(theirs.revision)
+        if judged and theirs.catalogue <= self.versions.catalogue.newest:
             return False
         with self.lock:
             now = self.clock.now()
@@ -183,6 +189,10 @@
             self.readers.remove(reader)
             reader.close()
 
+    def _abort_reads(self) -> None:
+        for reader in list(self.readers):
+            reader.abort()
+
     def _open_reader(self) -> PlatformReader:
         platform = self.settings.platform
         reader = PlatformReader(Address(platform.configuration), Address(platform.hosts))
--- a/src/masticgate/process/_startup.py
+++ b/src/masticgate/process/_startup.py
@@ -5,7 +5,7 @@
 from threading import Condition
 
 from .._clock import Clock, seconds_until
-from .._ids import FailureDomainId, HostId, Millis
+from .._ids import FailureDomainId, HostId, Millis, Revision
 from ..version import Versions
 from ._versions import VersionStore
 
@@ -91,5 +91,5 @@
     def _has_highest(self) -> bool:
         revision = max((v.revision for _, v in self.heard.values()), default=0)
         catalogue = max((v.catalogue for _, v in self.heard.values()), default=0)
-        own = self.versions.versions()
-        return self.versions.known_revision() >= revision and own.catalogue >= catalogue
+        has_catalogue = self.versions.versions().catalogue >= catalogue
+        return self.versions.has_judged(Revision(revision)) and has_catalogue
--- a/src/masticgate/process/_versions.py
+++ b/src/masticgate/process/_versions.py
@@ -27,6 +27,8 @@
 MAX_OUTLINES = 64
 """How many earlier revisions' digests are kept, to send others only what changed since."""
 
+MAX_REFUSALS = 64
+
 
 class Offered(Enum):
     """What became of a text that was offered."""
@@ -62,6 +64,7 @@
         self.sections = NO_SECTIONS
         self.outlines: dict[Revision, Mapping[SectionId, Digest]] = {}
         self.refused = Revision(0)
+        self.refusals: frozenset[Revision] = frozenset()
         self.problems: tuple[str, ...] = ()
         self.catalogue = SnapshotCatalogue()
         self.catalogue_text = ""
@@ -78,9 +81,9 @@
         revision = accepted.revision if accepted else Revision(0)
         return Versions(revision, self.catalogue.newest)
 
-    def known_revision(self) -> Revision:
-        """Return the highest revision that this host has judged."""
-        return max(self.versions().revision, self.refused)
+    def has_judged(self, revision: Revision) -> bool:
+        """Tell whether ``revision`` can change nothing here: it is refused, or not newer."""
+        return revision <= self.versions().revision or revision in self.refusals
 
     def open(self) -> None:
         """Put what a starting host has accepted in force."""
@@ -143,7 +146,7 @@
             self.gone = {**self.gone, service: frozenset(lacking & published)}
 
     def _judge_sections(self, push: SectionsPush) -> Offered:
-        if push.revision <= self.known_revision():
+        if self.has_judged(push.revision):
             return Offered.NOT_NEWER
         if push.base != self.versions().revision:
             return Offered.OTHER_BASE
@@ -154,24 +157,30 @@
         return self._judge(text, push.revision)
 
     def _judge(self, text: str, revision: Revision) -> Offered:
-        if revision <= self.known_revision():
+        if self.has_judged(revision):
             return Offered.NOT_NEWER
         match accept_text(text, revision):
             case Accepted(configuration=configuration):
                 self._put_in_force(configuration)
                 return Offered.IN_FORCE
             case Refused(problems=problems):
-                self.refused = revision
-                self.problems = tuple(map(str, problems))
-                self.timeline.add(EventKind.TEXT_REFUSED, f"revision {revision}", self.problems[0])
+                self._refuse(revision, tuple(map(str, problems)))
                 return Offered.REFUSED
 
+    def _refuse(self, revision: Revision, problems: tuple[str, ...]) -> None:
+        self.refusals = frozenset(sorted({*self.refusals, revision})[-MAX_REFUSALS:])
+        if revision > self.refused:
+            self.refused = revision
+            self.problems = problems
+        self.timeline.add(EventKind.TEXT_REFUSED, f"revision {revision}", problems[0])
+
     def _put_in_force(self, configuration: Configuration) -> None:
         before = self.accepted.leaving if self.accepted else frozenset()
         self.sections = split_sections(configuration)
         self._keep_outline(configuration.revision, self.sections)
         self.accepted = configuration
-        self.problems = ()
+        if configuration.revision > self.refused:
+            self.problems = ()
         self.timeline.add(EventKind.TEXT_ACCEPTED, f"revision {configuration.revision}")
         for department in sorted(configuration.leaving - before):
             self.timeline.add(EventKind.DEPARTMENT_LEAVING, department)
--- a/src/masticgate/process/_watch.py
+++ b/src/masticgate/process/_watch.py
@@ -73,10 +73,10 @@
     def run(self) -> None:
         """Watch whenever this host is a watcher, until the process stops."""
         while self.role.await_turn():
-            self.role.rest(self._read_once())
+            self.role.rest(self.read_once())
         self.reader.close()
 
-    def _read_once(self) -> Millis:
+    def read_once(self) -> Millis:
         """Wait for one newer value and return the rest before the next read.
 
         A platform that answers at once with nothing newer, such as a stale replica, is read no
@@ -84,6 +84,8 @@
         """
         started = self.clock.now()
         result = self.reader.watch(self.key, self.revision, WATCH_WAIT)
+        if isinstance(result, Unknown) and not self.role.watching:
+            return Millis(0.0)
         self._note_lost(isinstance(result, Unknown))
         match result:
             case Value(revision=revision) if revision > self.revision:
@@ -121,10 +123,11 @@
     def run(self) -> None:
         """Read whenever this host is a watcher; a failed read changes nothing."""
         while self.role.await_turn():
-            self.role.rest(self._read_once())
+            self.role.rest(self.read_once())
         self.reader.close()
 
-    def _read_once(self) -> Millis:
+    def read_once(self) -> Millis:
+        """Read the list and return the rest before the next read."""
         hosts = self.reader.list_hosts()
         if isinstance(hosts, Unknown):
             return max(HOST_LIST_INTERVAL, self.backoff.next())
--- /dev/null
+++ b/tests/process/test_versions.py
@@ -0,0 +1,259 @@
+"""The versions in force on one host, and what a starting host waits for."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from masticgate import (
+    FailureDomainId,
+    HostId,
+    ManualClock,
+    Millis,
+    Reason,
+    Revision,
+    Step,
+    SystemClock,
+    Unknown,
+)
+from masticgate.connection import Unchanged, Value
+from masticgate.process._backoff import RETRY_LONGEST, Backoff
+from masticgate.process._startup import StartState, Startup
+from masticgate.process._timeline import EventKind, TimeLine
+from masticgate.process._versions import MAX_OUTLINES, Offered, VersionStore
+from masticgate.process._watch import (
+    LEAST_READ_INTERVAL,
+    KeyWatch,
+    most_outage_reads_per_second,
+    most_reads,
+)
+from masticgate.process._watch_role import WatchRole
+from masticgate.version import SectionsPush, TextPush, Versions
+from tests.texts import SMALL
+
+REVISIONS = st.integers(1, 12)
+BAD_REVISIONS = {4, 9}
+
+
+def text_at(revision: int) -> str:
+    """Return the one text that the platform published as ``revision``."""
+    text = SMALL.replace('"slots": 2', f'"slots": {revision}', 1)
+    return text.replace('"desk/1": {', '"desk/1": }') if revision in BAD_REVISIONS else text
+
+
+def catalogue_at(version: int) -> str:
+    return json.dumps({"versions": [{"version": version, "shards": {"desk/1": {"a": 1.0}}}]})
+
+
+def new_store(on_configuration=lambda configuration: None, starting=False) -> VersionStore:
+    return VersionStore(TimeLine(HostId("h1"), ManualClock()), on_configuration, starting)
+
+
+def kinds(store: VersionStore) -> list[EventKind]:
+    return [event.kind for event in store.timeline.list_events()]
+
+
+class VersionStores(RuleBasedStateMachine):
+    """Two hosts that hear of the same texts in any order, doubled, late and from each other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.told: list[int] = []
+        self.stores = [
+            new_store(lambda c: self.told.append(c.revision)),
+            new_store(),
+        ]
+        self.offered: list[set[int]] = [set(), set()]
+        self.highest = [Versions(0, 0)] * 2
+
+    @rule(index=st.integers(0, 1), revision=REVISIONS)
+    def hear_the_platform(self, index, revision):
+        self.stores[index].offer_text(text_at(revision), Revision(revision))
+        self.offered[index].add(revision)
+
+    @rule(index=st.integers(0, 1), version=REVISIONS)
+    def hear_a_catalogue(self, index, version):
+        self.stores[index].offer_catalogue(catalogue_at(version))
+
+    @rule(index=st.integers(0, 1), have=st.integers(0, 12))
+    def hear_the_peer(self, index, have):
+        store, peer = self.stores[index], self.stores[1 - index]
+        asked = store.versions().revision if have > 6 else Revision(have)
+        match peer.newer_than(asked):
+            case SectionsPush(base=base) as push:
+                fits = base == store.versions().revision
+                offered = store.offer_sections(push)
+                assert fits or offered in (Offered.OTHER_BASE, Offered.NOT_NEWER)
+                self.offered[index].add(store.versions().revision)
+            case TextPush(revision=revision, text=text):
+                store.offer_text(text, revision)
+                self.offered[index].add(revision)
+
+    @invariant()
+    def never_reverts(self):
+        for index, store in enumerate(self.stores):
+            now = store.versions()
+            assert now.revision >= self.highest[index].revision
+            assert now.catalogue >= self.highest[index].catalogue
+            self.highest[index] = now
+
+    @invariant()
+    def tells_of_rising_revisions(self):
+        assert self.told == sorted(set(self.told))
+
+    @invariant()
+    def holds_the_highest_acceptable_text(self):
+        for store, offered in zip(self.stores, self.offered, strict=True):
+            assert store.versions().revision == max(offered - BAD_REVISIONS, default=0)
+            if store.configuration is not None:
+                slots = store.configuration.services["desk/1"].searchers[0].slots
+                assert slots == store.configuration.revision
+
+
+class TestVersionStore(VersionStores.TestCase):
+    settings = settings(derandomize=True, max_examples=60, stateful_step_count=25, deadline=None)
+
+
+class TestRefusedText:
+    def test_changes_nothing_and_says_where(self):
+        store = new_store()
+        store.offer_text(text_at(3), Revision(3))
+        assert not store.offer_text(text_at(4), Revision(4))
+        assert store.configuration.revision == 3
+        assert store.problems[0].startswith("line 8, column ")
+        assert kinds(store) == [EventKind.TEXT_ACCEPTED, EventKind.TEXT_REFUSED]
+        assert store.newer_than(Revision(3)) is None
+        assert store.offer_text(text_at(5), Revision(5))
+        assert store.problems == ()
+
+
+class TestOutlines:
+    def test_are_kept_for_the_latest_revisions_only(self):
+        store = new_store()
+        for revision in range(1, MAX_OUTLINES + 3):
+            store.offer_text(text_at(1), Revision(revision))
+        assert isinstance(store.newer_than(Revision(1)), TextPush)
+        assert isinstance(store.newer_than(Revision(3)), SectionsPush)
+
+    def test_of_another_text_under_the_same_revision_are_noticed(self):
+        ours, theirs = new_store(), new_store()
+        ours.offer_text(text_at(1), Revision(1))
+        theirs.offer_text(text_at(2).replace('"orders": {}', '"orders": {"leaving": true}'), 1)
+        theirs.offer_text(text_at(3).replace('"orders": {}', '"orders": {"leaving": true}'), 2)
+        assert ours.offer_sections(theirs.newer_than(Revision(1))) is Offered.OTHER_TEXT
+        whole = theirs.newer_than(Revision(0))
+        assert ours.offer_text(whole.text, whole.revision)
+        assert ours.configuration == theirs.configuration
+
+
+class TestStart:
+    seeds = {HostId(f"h{n}"): FailureDomainId("north" if n < 4 else "south") for n in range(2, 6)}
+
+    def startup(self) -> Startup:
+        return Startup(self.seeds, new_store(starting=True), SystemClock())
+
+    def hear(self, startup: Startup, *names: str, revision: int = 0) -> None:
+        for name in names:
+            startup.hear_peer(HostId(name), self.seeds[HostId(name)], Versions(revision, 0))
+
+    def wait(self, startup: Startup, duration: float = 0.0) -> StartState:
+        return startup.wait(Millis(startup.clock.now() + duration))
+
+    def test_nothing_is_in_force_before_the_store_opens(self):
+        told = []
+        store = new_store(told.append, starting=True)
+        store.offer_text(text_at(1), Revision(1))
+        assert store.configuration is None and not told
+        assert isinstance(store.newer_than(Revision(0)), TextPush)
+        store.open()
+        assert [c.revision for c in told] == [1] and store.configuration.revision == 1
+
+    def test_needs_the_platform_and_peers_in_two_failure_domains(self):
+        startup = self.startup()
+        assert self.wait(startup) is StartState.ALONE
+        self.hear(startup, "h2", "h3")
+        startup.hear_platform(True)
+        assert self.wait(startup) is StartState.PARTIAL
+        self.hear(startup, "h4")
+        assert self.wait(startup) is StartState.COMPLETE
+
+    def test_goes_on_without_the_platform_once_peers_answered(self):
+        startup = self.startup()
+        self.hear(startup, "h2", "h3", "h4")
+        startup.hear_platform(False)
+        assert self.wait(startup) is StartState.COMPLETE
+
+    def test_waits_for_the_highest_version_that_a_peer_has(self):
+        startup = self.startup()
+        startup.hear_platform(True)
+        self.hear(startup, "h2", "h4")
+        self.hear(startup, "h3", revision=7)
+        startup.versions.offer_text(text_at(1), Revision(5))
+        assert self.wait(startup) is StartState.PARTIAL
+        with ThreadPoolExecutor(1) as tasks:
+            waiting = tasks.submit(self.wait, startup, 10_000.0)
+            startup.versions.offer_text(text_at(1), Revision(7))
+            startup.note_change()
+            assert waiting.result() is StartState.COMPLETE
+
+
+class TestReadRate:
+    def test_does_not_grow_with_the_hosts_of_a_failure_domain(self):
+        assert most_reads(17, Millis(1000.0), changes=1, starts=0) < 2000
+
+    def test_stays_bounded_in_an_outage_with_every_host_cut_off(self):
+        assert most_outage_reads_per_second(3300) <= 2000
+
+    def test_backs_off_with_jitter_up_to_a_cap(self):
+        backoff = Backoff()
+        waits = [backoff.next() for _ in range(200)]
+        assert waits[0] <= 500 and max(waits) <= RETRY_LONGEST
+        assert min(waits[10:]) >= RETRY_LONGEST / 2
+        assert len(set(waits)) > 150
+        backoff.reset()
+        assert backoff.next() <= 500
+
+
+class StaleReader:
+    """A platform that answers every watch at once, with the results of a script."""
+
+    def __init__(self, *results) -> None:
+        self.results = list(results)
+
+    def watch(self, key, after, wait):
+        return self.results.pop(0)
+
+
+class TestKeyWatch:
+    def watch(self, *results) -> tuple[KeyWatch, list[int]]:
+        taken: list[int] = []
+        timeline = TimeLine(HostId("h1"), ManualClock())
+        role = WatchRole(timeline)
+        role.update(True)
+        reader = StaleReader(*results)
+        watch = KeyWatch(
+            "k", reader, timeline, lambda v: taken.append(v.revision), role, ManualClock()
+        )
+        return watch, taken
+
+    def test_takes_no_older_value_and_does_not_ask_for_it_again(self):
+        old, new = (Value(Revision(revision), "") for revision in (3, 5))
+        watch, taken = self.watch(new, old, new, old)
+        rests = [watch.read_once() for _ in range(4)]
+        assert taken == [5] and watch.revision == 5
+        assert rests[0] == LEAST_READ_INTERVAL and min(rests[1:]) >= 250
+        assert rests[3] > rests[1]
+
+    def test_does_not_spin_where_every_watch_returns_at_once(self):
+        watch, _ = self.watch(*[Unchanged()] * 9)
+        assert [watch.read_once() for _ in range(9)][-1] >= RETRY_LONGEST / 2
+
+    def test_notes_an_outage_and_its_end_once(self):
+        lost = Unknown(Reason.PLATFORM, Step.READ)
+        watch, _ = self.watch(lost, lost, Value(Revision(1), ""))
+        for _ in range(3):
+            watch.read_once()
+        kinds = [event.kind for event in watch.timeline.list_events()]
+        assert kinds[1:] == [EventKind.PLATFORM_LOST, EventKind.PLATFORM_BACK]
