Test that an edit reaches every host and never reverts

Cause: what must hold for the text had no test over real processes.

The platform's stand-in can serve what stood before the last edit, answers its watches when it goes down or stale, and counts standing ones.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -145,7 +145,7 @@
         self.put_text(self.text)
         self.list_hosts(self.hosts)
 
-    def start_host(self, index: int) -> None:
+    def start_host(self, index: int, **overrides: Any) -> None:
         """Start one entry host, as a new incarnation with no memory."""
         host = self.hosts[index]
         settings = {
@@ -157,6 +157,7 @@
             "seeds": [h for h in self.hosts if h is not host],
             "routing": self.routing,
             **self.extra_settings,
+            **overrides,
         }
         path = self.folder / f"{host['host']}.jsonc"
         path.write_text(json.dumps(settings))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,15 +16,33 @@
         self.waiting: list[tuple[str, int, Exchange]] = []
         self.down = False
         self.frozen_values: dict[str, tuple[int, str]] = {}
+        self.previous: dict[str, tuple[int, str]] = {}
         self.reads = 0
 
     def put(self, key: str, value: str) -> int:
         revision = max((r for r, _ in self.values.values()), default=0) + 1
+        self.previous = dict(self.values)
         self.values[key] = (revision, value)
+        self.answer_waiting(key)
+        return revision
+
+    def answer_waiting(self, key: str) -> None:
+        """Answer the watches on ``key`` with what it holds now, be it newer or not."""
         for watched, _, exchange in [w for w in self.waiting if w[0] == key]:
             self.answer_value(exchange, watched)
         self.waiting = [w for w in self.waiting if w[0] != key]
-        return revision
+
+    def freeze(self, values: dict[str, tuple[int, str]]) -> None:
+        """Serve ``values`` whatever is put, or the true ones again where there are none."""
+        self.frozen_values = values
+        for key in self.values:
+            self.answer_waiting(key)
+
+    def set_down(self, down: bool) -> None:
+        self.down = down
+        for _, _, exchange in self.waiting if down else ():
+            exchange.answer(503, {"error": "down"})
+        self.waiting = [] if down else self.waiting
 
     def handle(self, exchange: Exchange) -> None:
         self.reads += 1
@@ -79,13 +97,14 @@
                 self.hosts = body["hosts"]
                 exchange.answer(200, {})
             case "down":
-                self.down = body["down"]
+                self.set_down(body["down"])
                 exchange.answer(200, {})
             case "freeze":
-                self.frozen_values = dict(self.values) if body["freeze"] else {}
+                values = self.previous if body.get("previous") else self.values
+                self.freeze(dict(values) if body["freeze"] else {})
                 exchange.answer(200, {})
             case _:
-                exchange.answer(200, {"reads": self.reads})
+                exchange.answer(200, {"reads": self.reads, "waiting": len(self.waiting)})
 
 
 async def serve_platform(platform: Platform, address: str, control: str) -> None:
