Refuse weights and floors that would make answers lie

Cause: the fuzz of the catalogue let weights of NaN, infinity and below zero through, and a shard or a version given twice, each of which makes a coverage wrong. The limit on the sum of the floors was named and not kept.

Change: weights are positive and finite, keys and versions stand once; a refused catalogue changes nothing and is noted on the time line. Floors that sum to more than 0.9 are refused.

Checked on a scratch copy that the tests fail without each check.

--- a/src/masticgate/process/_timeline.py
+++ b/src/masticgate/process/_timeline.py
@@ -20,6 +20,7 @@
     STOPPED = "stopped"
     TEXT_ACCEPTED = "text_accepted"
     TEXT_REFUSED = "text_refused"
+    CATALOGUE_REFUSED = "catalogue_refused"
     CATALOGUE_CHANGED = "catalogue_changed"
     SERVING = "serving"
     WATCH_CHANGED = "watch_changed"
--- a/src/masticgate/process/_versions.py
+++ b/src/masticgate/process/_versions.py
@@ -120,8 +120,11 @@
     def offer_catalogue(self, text: str) -> bool:
         """Take over a newer snapshot catalogue; tell whether it was newer."""
         catalogue = read_catalogue(text)
+        if catalogue is None:
+            self.timeline.add(EventKind.CATALOGUE_REFUSED, "snapshots")
+            return False
         with self.lock:
-            if catalogue is None or catalogue.newest <= self.catalogue.newest:
+            if catalogue.newest <= self.catalogue.newest:
                 return False
             self.catalogue = catalogue
             self.catalogue_text = text
--- a/src/masticgate/version/_snapshot.py
+++ b/src/masticgate/version/_snapshot.py
@@ -1,18 +1,23 @@
 """Index snapshots and the shard map that the denominator of a coverage comes from."""
 
-import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Annotated
 
 from pydantic import Field, ValidationError
 
 from .._ids import ServiceId, ShardId, SnapshotVersion
+from ._jsonc import SyntaxProblem, parse_document
 from ._schema import Name, StrictModel
 
+MAX_WEIGHT = 1e9
+
+_Weight = Annotated[float, Field(gt=0.0, le=MAX_WEIGHT, allow_inf_nan=False)]
+
 
 class _SnapshotText(StrictModel):
     version: int = Field(ge=1)
-    shards: dict[Name, dict[Name, float]]
+    shards: dict[Name, dict[Name, _Weight]]
 
 
 class _CatalogueText(StrictModel):
@@ -65,10 +70,18 @@
 
 
 def read_catalogue(text: str) -> SnapshotCatalogue | None:
-    """Parse the platform's snapshot document; return ``None`` where it is not one."""
+    """Parse the platform's snapshot document; return ``None`` where it is not one.
+
+    A weight that is not positive, or a key or a version given twice, would make a coverage lie.
+    """
+    document = parse_document(text)
+    if isinstance(document, SyntaxProblem):
+        return None
     try:
-        checked = _CatalogueText.model_validate(json.loads(text))
-    except (ValidationError, ValueError, RecursionError):
+        checked = _CatalogueText.model_validate(document.value)
+    except ValidationError:
+        return None
+    if len({item.version for item in checked.versions}) < len(checked.versions):
         return None
     snapshots = [
         Snapshot(
--- a/src/masticgate/version/_text.py
+++ b/src/masticgate/version/_text.py
@@ -10,7 +10,7 @@
 from ._configuration import Configuration, Department, Searcher, Service
 from ._graph import find_cycle
 from ._jsonc import Document, Position, SyntaxProblem, parse_document
-from ._schema import SUPPORTED_FORMAT, ConfigurationText, ServiceText
+from ._schema import MAX_FLOOR_SUM, SUPPORTED_FORMAT, ConfigurationText, ServiceText
 
 MAX_TEXT_BYTES = 1_000_000
 
@@ -74,6 +74,9 @@
 def _find_conflicts(checked: ConfigurationText) -> Iterator[tuple[Path, str]]:
     if checked.format != SUPPORTED_FORMAT:
         yield ("format",), f"this release reads format {SUPPORTED_FORMAT}"
+    floor_sum = checked.floors.standard + checked.floors.bulk
+    if floor_sum > MAX_FLOOR_SUM:
+        yield ("floors",), f"the floors sum to {floor_sum:g}, more than {MAX_FLOOR_SUM:g}"
     for name, service in checked.services.items():
         yield from _find_service_conflicts(checked, name, service)
     yield from _find_doubled_searchers(checked)
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -129,6 +129,15 @@
         assert store.problems == ()
 
 
+class TestCatalogue:
+    def test_that_is_none_changes_nothing_and_is_noted(self):
+        store = new_store()
+        assert store.offer_catalogue(catalogue_at(2))
+        assert not store.offer_catalogue(catalogue_at(3).replace("1.0", "-1.0"))
+        assert store.versions().catalogue == 2
+        assert kinds(store) == [EventKind.CATALOGUE_CHANGED, EventKind.CATALOGUE_REFUSED]
+
+
 class TestOutlines:
     def test_are_kept_for_the_latest_revisions_only(self):
         store = new_store()
--- a/tests/version/test_text.py
+++ b/tests/version/test_text.py
@@ -78,6 +78,11 @@
             (SMALL + "/" * 1_000_000, 1, "longer than 1000000 bytes"),
             ("\n" + "[" * 65 + "]" * 65, 2, "nested deeper than 64 levels"),
             ("[" * 100_000, 1, ""),
+            (
+                replace('"format": 1,', '"format": 1, "floors": {"standard": 0.5, "bulk": 0.5},'),
+                4,
+                "the floors sum to 1, more than 0.9",
+            ),
         ],
     )
     def test_names_line_and_cause(self, text, line, words):
@@ -122,6 +127,25 @@
         assert isinstance(read_catalogue(text), SnapshotCatalogue | None)
 
 
+class TestCatalogue:
+    def test_lists_the_newest_snapshot_first(self):
+        shards = {"a": {"a/1": 1}}
+        text = json.dumps({"versions": [{"version": n, "shards": shards} for n in (3, 5, 4)]})
+        assert [s.version for s in read_catalogue(text).snapshots] == [5, 4, 3]
+
+    @pytest.mark.parametrize("weight", ["0", "-1.0", "NaN", "Infinity", "1e999", '"1"', "null"])
+    def test_with_a_weight_that_is_not_positive_is_none(self, weight):
+        text = '{"versions": [{"version": 1, "shards": {"a": {"a/1": %s}}}]}'
+        assert read_catalogue(text % weight) is None
+        assert read_catalogue(text % "0.5") is not None
+
+    def test_with_a_shard_or_a_version_given_twice_is_none(self):
+        one = '{"version": 1, "shards": {"a": {"a/1": 1.0}}}'
+        assert read_catalogue('{"versions": [' + f"{one}, {one}" + "]}") is None
+        doubled = one.replace('"a/1": 1.0', '"a/1": 1.0, "a/1": 2.0')
+        assert read_catalogue('{"versions": [' + doubled + "]}") is None
+
+
 class TestComments:
     @RUNS
     @given(VALUES, st.sampled_from(["// c\n", "/* c */", "//\n//\n", "/* \n */"]))
