Prove the searchers' limits, the return of a restarted searcher and cut bookings

Writing the test showed that a change of floors alone never reached an open pool. Change: Pools compares the floors too. Two fleets whose shares add up to exactly the searchers' limit: one pauses, kills and restarts the owner under load and changes the text, the other changes the text of a single owner; the stand-in's most_open stays within the limit.

--- a/src/masticgate/process/_pools.py
+++ b/src/masticgate/process/_pools.py
@@ -1,10 +1,11 @@
 """The service pools that this host has open."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from threading import Lock
 
 from .._clock import Clock
 from .._ids import Millis, SearcherId, ServiceId
+from .._ranks import Rank
 from ..version import Configuration, Searcher, Service, service_connections
 from ._policy import Policy
 from ._searcher_health import SearcherState
@@ -34,7 +35,7 @@
         self.lock = Lock()
         self.pools: dict[ServiceId, ServicePool] = {}
         self.closing: dict[ServiceId, ServicePool] = {}
-        self.configured: dict[ServiceId, tuple[Service, int]] = {}
+        self.configured: dict[ServiceId, tuple[Service, int, Mapping[Rank, float]]] = {}
 
     def get(self, configuration: Configuration, service: Service, hosts: int) -> ServicePool:
         """Return the pool of ``service``, with the searchers and shares now in force."""
@@ -42,7 +43,7 @@
             pool = self.pools.get(service.id)
             if pool is None:
                 return self._open(configuration, service, hosts)
-            if self.configured[service.id] != (service, hosts):
+            if self.configured[service.id] != (service, hosts, configuration.floors):
                 self._change(pool, configuration, service, hosts)
             return pool
 
@@ -90,7 +91,7 @@
     ) -> None:
         """Put the shares in force; only connections beyond those still open are started."""
         shares = [(s, service_connections(s, hosts)) for s in service.searchers]
-        self.configured[service.id] = (service, hosts)
+        self.configured[service.id] = (service, hosts, configuration.floors)
         for searcher in pool.change(shares, configuration.floors):
             self.start_connection(pool, searcher)
 
--- /dev/null
+++ b/tests/process/test_owner_faults.py
@@ -0,0 +1,126 @@
+"""An owner, its searchers and their limits under faults, with real processes."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event
+
+import pytest
+
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
+
+
+class Load:
+    """Searches through some hosts of a fleet, one after another in each of some tasks."""
+
+    def __init__(self, fleet, hosts=(0, 1, 2), tasks=12):
+        self.fleet = fleet
+        self.hosts = hosts
+        self.stopping = Event()
+        self.replies = []
+        self.tasks = ThreadPoolExecutor(tasks)
+        self.number = tasks
+
+    def __enter__(self):
+        for task in range(self.number):
+            self.tasks.submit(self.run, task)
+        return self
+
+    def __exit__(self, *_):
+        self.stopping.set()
+        self.tasks.shutdown()
+
+    def run(self, index):
+        while not self.stopping.is_set():
+            try:
+                reply = self.fleet.search(
+                    self.hosts[index % len(self.hosts)], ["desk/1"], remaining_ms=300.0
+                )
+                self.replies.append(reply.body)
+            except OSError:
+                self.stopping.wait(0.05)
+
+
+FEW_CONNECTIONS = SMALL.replace('"connections": 25', '"connections": 6')
+
+
+@pytest.fixture(scope="class")
+def fleet():
+    with Fleet(FEW_CONNECTIONS, knobs={"service_ms": 10.0}) as started:
+        yield started
+
+
+def owner_of(fleet, service):
+    return next(i for i in range(3) if service in fleet.status(i)["owned"])
+
+
+class TestSearcherLimits:
+    def test_hold_in_sum_while_owners_pause_die_and_change(self, fleet):
+        owner = owner_of(fleet, "desk/1")
+        name = fleet.hosts[owner]["host"]
+        with Load(fleet):
+            time.sleep(1.0)
+            fleet.signal(name, signal.SIGSTOP)
+            time.sleep(1.5)
+            fleet.signal(name, signal.SIGCONT)
+            fleet.put_text(
+                FEW_CONNECTIONS.replace('"format": 1,', '"format": 1, "floors": {"bulk": 0.2},')
+            )
+            time.sleep(1.0)
+            fleet.kill(name)
+            time.sleep(1.0)
+            fleet.start_host(owner)
+            fleet.wait_until(fleet.is_ready, 15.0, "the host did not come back")
+            time.sleep(0.5)
+        limits = {
+            searcher.id: searcher.connections
+            for service in fleet.configuration.services.values()
+            for searcher in service.searchers
+        }
+        opened = {n: s["counts"].get("most_open", 0) for n, s in fleet.searchers().items()}
+        assert opened["d1a"] and opened["d1b"]
+        assert all(opened[searcher] <= limits[searcher] for searcher in limits), opened
+
+
+class TestShareOfOneOwner:
+    def test_holds_while_the_text_changes_under_load(self):
+        text = SMALL.replace('"connections": 25', '"connections": 3')
+        with Fleet(text, hosts=1, knobs={"service_ms": 30.0}) as fleet, Load(fleet, [0]):
+            for floor in (0.1, 0.2, 0.3):
+                floors = f'"format": 1, "floors": {{"bulk": {floor}}},'
+                revision = fleet.put_text(text.replace('"format": 1,', floors))
+                fleet.wait_until(
+                    lambda r=revision: fleet.status(0)["revision"] == r, 10.0, "no new revision"
+                )
+                time.sleep(0.3)
+            opened = {n: s["counts"].get("most_open", 0) for n, s in fleet.searchers().items()}
+        assert (opened["d1a"], opened["d1b"]) == (3, 3)
+
+
+class TestRestartedSearcher:
+    def test_gets_no_work_while_it_drains_and_work_again_as_a_new_incarnation(self, fleet):
+        def received():
+            return fleet.searchers()["d1a"]["counts"].get("completed", 0)
+
+        with Load(fleet, [owner_of(fleet, "desk/1")], tasks=3):
+            fleet.turn(["d1a"], draining=True, incarnation="1")
+            time.sleep(0.5)
+            fleet.turn(["d1a"], draining=False)
+            before = received()
+            time.sleep(1.0)
+            assert received() == before
+            fleet.turn(["d1a"], incarnation="2")
+            fleet.wait_until(lambda: received() > before, 20.0, "d1a got no work again")
+
+
+class TestCutBooking:
+    def test_is_unknown_and_ran_once_after_a_warm_connection(self, fleet):
+        first = fleet.book(0, fleet.mint(0), "orders")
+        assert first.body["outcome"] == "ran"
+        fleet.turn(["oa", "ob"], book_then_cut=True)
+        ticket = fleet.mint(0)
+        reply = fleet.book(0, ticket, "orders")
+        assert reply.body["outcome"] == "unknown"
+        ran = [b for s in fleet.searchers().values() for b in s["bookings"]]
+        assert [b["ticket"] for b in ran].count(ticket) == 1
