--- a/tests/request/test_search_faults.py
+++ b/tests/request/test_search_faults.py
@@ -16,7 +16,16 @@
 from tests.texts import SMALL
 
 SERVICES = (ServiceId("desk/1"), ServiceId("ledger/1"))
-FAULTS = ("late", "doubled", "lost", "wrong version", "other version", "failure", "owner lost")
+FAULTS = (
+    "late",
+    "slow",
+    "doubled",
+    "lost",
+    "wrong version",
+    "other version",
+    "failure",
+    "owner lost",
+)
 DEADLINE = 230.0
 
 
@@ -96,6 +105,7 @@
         query = Query(name, rank, end, 0.5, (SERVICES[0],), "lamp", 50)
         result = run_search(query, self.tier)
         assert self.tier.clock.now() <= end
+        assert {m.query for _, m in self.tier.sent} <= self.tier.forgotten
         if isinstance(result, Answer):
             self.check_answer(result, name)
         else:
@@ -108,7 +118,7 @@
 
     def answer_part(self, ask, part, deliver):
         faults = self.faults[part.service]
-        delay = 300.0 if "late" in faults else 10.0
+        delay = 300.0 if "late" in faults else 100.0 if "slow" in faults else 10.0
         if "owner lost" in faults:
             lost = Unknown(Reason.OWNER_LOST, Step.FORWARD)
             deliver(5.0, Reply(ask.query, part.service, lost))
@@ -186,10 +196,16 @@
     def test_keeps_the_other_services_where_the_only_snapshot_is_gone_from_one(self):
         machine = self.machine()
         machine.searchers.held[SERVICES[1]].clear()
+        machine.faults[SERVICES[0]] = ["slow"]
         answer = self.search(machine)
         assert answer.coverage == 0.5
         assert {m.failure.reason for m in answer.missing} == {Reason.VERSION_GONE}
 
+    def test_goes_on_where_a_version_it_did_not_ask_for_is_gone(self):
+        machine = self.machine()
+        machine.faults[SERVICES[1]] = ["wrong version", "doubled"]
+        assert self.search(machine).whole
+
     def test_restarts_whole_on_an_older_snapshot(self):
         machine = self.machine()
         machine.publish_snapshot(3, 1)
