Test bookings over real processes under kills, pauses and cuts

Change: retries through other hosts while the first runs, a searcher that books and cuts, a refusal, an owner paused and killed, a minter killed and back; the runs are counted in the searchers' own logs.

--- /dev/null
+++ b/tests/process/test_bookings.py
@@ -0,0 +1,110 @@
+"""Bookings through real processes, counted in the searchers' own logs."""
+
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
+
+
+@pytest.fixture(scope="class")
+def fleet():
+    with Fleet(SMALL, knobs={"service_ms": 5.0}) as started:
+        yield started
+
+
+def runs_of(fleet, ticket):
+    booked = [b for s in fleet.searchers().values() for b in s["bookings"]]
+    return sum(b["ticket"] == ticket for b in booked)
+
+
+def owner_of(fleet, service):
+    """Return the index of the host that owns ``service``."""
+    owners = [n for n in range(len(fleet.hosts)) if service in fleet.status(n)["owned"]]
+    assert len(owners) == 1
+    return owners[0]
+
+
+def outcome(fleet, index, ticket, **fields):
+    return fleet.book(index, ticket, "orders", **fields).body["outcome"]
+
+
+def await_arrival(fleet, before):
+    fleet.wait_until(lambda: received(fleet) > before, 5, "no booking reached a searcher")
+
+
+def received(fleet):
+    logs = fleet.searchers()
+    return sum(logs[name]["counts"].get("started", 0) for name in ("oa", "ob"))
+
+
+class TestBookingUnderFaults:
+    def test_retry_through_another_host_shares_the_first_run(self, fleet):
+        fleet.turn([], service_ms=200.0, spread="fixed")
+        ticket = fleet.mint(0)
+        with ThreadPoolExecutor() as callers:
+            first = callers.submit(outcome, fleet, 0, ticket)
+            retries = [callers.submit(outcome, fleet, n, ticket) for n in (1, 2, 1)]
+            found = [call.result() for call in (first, *retries)]
+        fleet.turn([], service_ms=5.0)
+        assert found == ["ran"] * 4
+        assert runs_of(fleet, ticket) == 1
+
+    def test_searcher_that_books_and_cuts_leaves_it_unknown_and_run_once(self, fleet):
+        fleet.turn(["oa", "ob"], book_then_cut=True)
+        ticket = fleet.mint(0)
+        found = [outcome(fleet, n, ticket) for n in (0, 1)]
+        fleet.turn(["oa", "ob"], book_then_cut=False)
+        found.append(outcome(fleet, 2, ticket))
+        assert found == ["unknown"] * 3
+        assert runs_of(fleet, ticket) == 1
+
+    def test_refusal_by_the_searcher_did_not_run_and_may_be_retried(self, fleet):
+        fleet.turn(["oa", "ob"], shed_above=0)
+        ticket = fleet.mint(0)
+        assert outcome(fleet, 1, ticket) == "not_run"
+        assert runs_of(fleet, ticket) == 0
+        fleet.turn(["oa", "ob"], shed_above=1000)
+        assert outcome(fleet, 2, ticket) == "ran"
+        assert runs_of(fleet, ticket) == 1
+
+    def test_paused_owner_leaves_it_unknown_and_a_later_retry_learns_the_truth(self, fleet):
+        owner = owner_of(fleet, "orders")
+        minter = (owner + 1) % 3
+        ticket = fleet.mint(minter)
+        name = fleet.hosts[owner]["host"]
+        fleet.signal(name, signal.SIGSTOP)
+        first = outcome(fleet, minter, ticket, remaining_ms=400.0)
+        fleet.signal(name, signal.SIGCONT)
+        fleet.wait_until(lambda: outcome(fleet, minter, ticket) == "ran", 5, "still unknown")
+        assert first == "unknown"
+        assert runs_of(fleet, ticket) == 1
+
+    def test_killed_owner_leaves_it_unknown_and_run_at_most_once(self, fleet):
+        owner = owner_of(fleet, "orders")
+        minter = (owner + 1) % 3
+        fleet.turn(["oa", "ob"], service_ms=400.0, spread="fixed")
+        ticket, before = fleet.mint(minter), received(fleet)
+        with ThreadPoolExecutor() as callers:
+            call = callers.submit(outcome, fleet, minter, ticket)
+            await_arrival(fleet, before)
+            fleet.kill(fleet.hosts[owner]["host"])
+            assert call.result() == "unknown"
+        fleet.turn(["oa", "ob"], service_ms=5.0)
+        assert outcome(fleet, (owner + 2) % 3, ticket) == "unknown"
+        assert runs_of(fleet, ticket) <= 1
+        fleet.start_host(owner)
+        fleet.wait_until(fleet.is_ready, 20, "the host did not come back")
+
+    def test_killed_minter_leaves_it_unknown_also_after_its_return(self, fleet):
+        used, unused = fleet.mint(0), fleet.mint(0)
+        assert outcome(fleet, 1, used) == "ran"
+        fleet.kill("h1")
+        assert [outcome(fleet, n, t) for n, t in ((1, used), (2, unused))] == ["unknown"] * 2
+        fleet.start_host(0)
+        fleet.wait_until(fleet.is_ready, 20, "the host did not come back")
+        assert [outcome(fleet, n, used) for n in (0, 1)] == ["unknown"] * 2
+        assert runs_of(fleet, used) == 1
+        assert runs_of(fleet, unused) == 0
