--- /dev/null
+++ b/tests/process/test_against_naive.py
@@ -0,0 +1,62 @@
+"""The owner routing against the naive one: same questions, same index, same answers."""
+
+import itertools
+
+import pytest
+
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
+
+TEXTS = ("lamp", "tube 7", "overdue kits")
+SCOPES = (["desk/1"], ["ledger/1"], ["desk/1", "orders"])
+
+
+@pytest.fixture(scope="class")
+def fleets():
+    knobs = {"service_ms": 5.0}
+    with (
+        Fleet(SMALL, routing="owner", knobs=knobs) as owner,
+        Fleet(SMALL, routing="naive", knobs=knobs) as naive,
+    ):
+        yield owner, naive
+
+
+def contents(reply):
+    """What must not depend on the routing."""
+    body = reply.body
+    return body["snapshot"], body["coverage"], body["hits"], body["missing"]
+
+
+def compare(fleets, minimum):
+    """Ask both fleets the same; return how many pairs of answers were whole and equal."""
+    compared = 0
+    for index, text, scope in itertools.product(range(3), TEXTS, SCOPES):
+        replies = [fleet.search(index, scope, text=text) for fleet in fleets]
+        if all(reply.status == 200 and reply.body["whole"] for reply in replies):
+            assert contents(replies[0]) == contents(replies[1])
+            compared += 1
+    assert compared >= minimum
+
+
+class TestAgainstNaive:
+    def test_gives_equal_answers(self, fleets):
+        compare(fleets, minimum=27)
+
+    def test_gives_equal_answers_from_a_new_snapshot_with_other_shards(self, fleets):
+        for fleet in fleets:
+            fleet.turn([], held=[1, 2])
+            shards = {s: {f"{s}/n{n}": 1.0 for n in range(3)} for s in fleet.snapshots[0]["shards"]}
+            fleet.put_snapshots([*fleet.snapshots, {"version": 2, "shards": shards}])
+            for index in range(3):
+                fleet.wait_until(
+                    lambda f=fleet, i=index: 2 in f.status(i)["snapshots"], 5, "no snapshot 2"
+                )
+        compare(fleets, minimum=27)
+
+    @pytest.mark.parametrize("knobs", [{"draining": True}, {"loss_share": 1.0}])
+    def test_gives_equal_answers_with_a_searcher_gone(self, fleets, knobs):
+        for fleet in fleets:
+            fleet.turn(["d1a", "l1b"], **knobs)
+        compare(fleets, minimum=9)
+        for fleet in fleets:
+            fleet.turn(["d1a", "l1b"], draining=False, loss_share=0.0)
