--- /dev/null
+++ b/tests/process/faults.py
@@ -0,0 +1,130 @@
+"""Random faults of a fleet: the same seed gives the same schedule."""
+
+import random
+import signal
+from dataclasses import dataclass
+
+from tests.standins.fleet import Fleet
+
+DESK, LEDGER = ("d1a", "d1b"), ("l1a", "l1b")
+ORDERS = ("oa", "ob")
+SEARCHERS = DESK + LEDGER + ORDERS
+
+
+@dataclass(frozen=True)
+class HostKilled:
+    host: int
+
+
+@dataclass(frozen=True)
+class HostPaused:
+    host: int
+
+
+@dataclass(frozen=True)
+class SearcherTurned:
+    """Knobs of one searcher, and their values without the fault."""
+
+    searcher: str
+    knob: str
+    value: object
+    normal: object
+
+
+@dataclass(frozen=True)
+class SnapshotPublished:
+    """Another partition of the index; the old one goes away when the fault ends."""
+
+    shards: int
+
+
+@dataclass(frozen=True)
+class TextEdited:
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class PlatformDown:
+    pass
+
+
+Fault = HostKilled | HostPaused | SearcherTurned | SnapshotPublished | TextEdited | PlatformDown
+
+
+@dataclass(frozen=True)
+class Step:
+    """One or two faults at once, for a while, and a while without."""
+
+    faults: tuple[Fault, ...]
+    seconds: float
+    calm: float
+
+
+def plan_step(source: random.Random, hosts: int) -> Step:
+    kinds = source.sample(range(6), source.choice((1, 2)))
+    faults = tuple(plan_fault(source, kind, hosts) for kind in kinds)
+    return Step(faults, source.uniform(0.3, 1.5), source.uniform(0.2, 0.8))
+
+
+def plan_fault(source: random.Random, kind: int, hosts: int) -> Fault:
+    turns = [
+        ("draining", True, False),
+        ("loss_share", 0.5, 0.0),
+        ("error_share", 0.5, 0.0),
+        ("frozen", True, False),
+        ("book_then_cut", True, False),
+        ("wrong_version", 999, 0),
+        ("shed_above", 0, 1000),
+    ]
+    leaving = ('"ledger": {}', '"ledger": {"leaving": true}')
+    floors = ('"deployment"', '"floors": {"bulk": 0.2}, "deployment"')
+    return (
+        lambda: HostKilled(source.randrange(hosts)),
+        lambda: HostPaused(source.randrange(hosts)),
+        lambda: SearcherTurned(source.choice(SEARCHERS), *source.choice(turns)),
+        lambda: SnapshotPublished(source.randint(1, 3)),
+        lambda: TextEdited(*source.choice((leaving, floors))),
+        PlatformDown,
+    )[kind]()
+
+
+def begin(fleet: Fleet, fault: Fault) -> None:
+    match fault:
+        case HostKilled(host=host):
+            fleet.kill(fleet.hosts[host]["host"])
+        case HostPaused(host=host):
+            if fleet.is_running(fleet.hosts[host]["host"]):
+                fleet.signal(fleet.hosts[host]["host"], signal.SIGSTOP)
+        case SearcherTurned(searcher=searcher, knob=knob, value=value):
+            fleet.turn([searcher], **{knob: value})
+        case SnapshotPublished(shards=count):
+            version = fleet.snapshots[-1]["version"] + 1
+            maps = {
+                service: {f"{service}/v{version}s{n}": 1.0 + n for n in range(count)}
+                for service in fleet.snapshots[0]["shards"]
+            }
+            fleet.snapshots.append({"version": version, "shards": maps})
+            fleet.turn([], held=[s["version"] for s in fleet.snapshots[-2:]])
+            fleet.put_snapshots(fleet.snapshots[-2:])
+        case TextEdited(old=old, new=new):
+            fleet.put_text(fleet.text.replace(old, new))
+        case PlatformDown():
+            fleet.platform("down", down=True)
+
+
+def end(fleet: Fleet, fault: Fault) -> None:
+    match fault:
+        case HostKilled(host=host):
+            fleet.start_host(host)
+        case HostPaused(host=host):
+            if fleet.is_running(fleet.hosts[host]["host"]):
+                fleet.signal(fleet.hosts[host]["host"], signal.SIGCONT)
+        case SearcherTurned(searcher=searcher, knob=knob, normal=normal):
+            fleet.turn([searcher], **{knob: normal})
+        case SnapshotPublished():
+            fleet.turn([], held=[fleet.snapshots[-1]["version"]])
+        case TextEdited():
+            fleet.put_text(fleet.text)
+        case PlatformDown():
+            fleet.platform("down", down=False)
--- /dev/null
+++ b/tests/process/test_soak.py
@@ -0,0 +1,153 @@
+"""A fleet under random faults, two at a time too, audited from the searchers' own logs."""
+
+import math
+import os
+import random
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from threading import Event, Thread
+
+import pytest
+
+from tests.process.faults import begin, end, plan_step
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
+
+SECONDS = float(os.environ.get("MASTICGATE_SOAK_SECONDS", "60"))
+SEED = int(os.environ.get("MASTICGATE_SOAK_SEED", "1"))
+HOSTS = 4
+WORKERS = 4
+SCOPE = ("desk/1", "ledger/1")
+
+
+@dataclass
+class Records:
+    """What callers were told, and what the searchers logged."""
+
+    answers: list = field(default_factory=list)
+    refused: int = 0
+    told: dict = field(default_factory=lambda: defaultdict(list))
+    served: set = field(default_factory=set)
+
+    def collect(self, fleet):
+        for searcher in fleet.searchers().values():
+            for entry in searcher["log"]:
+                query, _, _ = entry["query"].rpartition(".")
+                self.served |= {(query, entry["snapshot"], shard) for shard in entry["shards"]}
+
+
+def run_caller(fleet, records, source, stopping):
+    while not stopping.is_set():
+        try:
+            if source.random() < 0.7:
+                search(fleet, records, source)
+            else:
+                book(fleet, records, source)
+        except (OSError, KeyError, TypeError):
+            stopping.wait(0.05)  # The host is down or mints no tickets at present.
+
+
+def search(fleet, records, source):
+    reply = fleet.search(source.randrange(HOSTS), ["desk/1"], remaining_ms=400.0)
+    if reply.body["outcome"] == "ran":
+        records.answers.append(reply.body)
+    else:
+        records.refused += 1
+
+
+def book(fleet, records, source):
+    ticket = fleet.mint(source.randrange(HOSTS))
+    told = records.told[ticket]
+    for _ in range(source.randint(1, 3)):
+        try:
+            reply = fleet.book(source.randrange(HOSTS), ticket, "orders", remaining_ms=400.0)
+            told.append(reply.body["outcome"])
+        except OSError:
+            told.append("lost")
+
+
+def check_answer(fleet, records, answer):
+    version = answer["snapshot"]
+    (snapshot,) = (s for s in fleet.snapshots if s["version"] == version)
+    weights = {k: w for name in SCOPE for k, w in snapshot["shards"][name].items()}
+    hits = [hit["shard"] for hit in answer["hits"]]
+    assert len(hits) == len(set(hits))
+    assert {hit["document"]["snapshot"] for hit in answer["hits"]} <= {version}
+    assert {(answer["query"], version, shard) for shard in hits} <= records.served
+    assert {missing["shard"] for missing in answer["missing"]} == set(weights) - set(hits)
+    true = sum(weights[shard] for shard in hits) / sum(weights.values())
+    assert math.isclose(answer["coverage"], true, abs_tol=2e-6)
+
+
+def check_bookings(fleet, records):
+    runs = defaultdict(int)
+    for searcher in fleet.searchers().values():
+        for booking in searcher["bookings"]:
+            runs[booking["ticket"]] += 1
+    assert max(runs.values(), default=0) <= 1
+    for ticket, told in records.told.items():
+        if "ran" in told:
+            assert runs[ticket] == 1, told
+        if set(told) == {"not_run"}:
+            assert runs[ticket] == 0, told
+
+
+def run_faults(fleet, records, seed, seconds):
+    source = random.Random(seed)
+    stop = time.monotonic() + seconds
+    while time.monotonic() < stop:
+        step = plan_step(source, HOSTS)
+        for fault in step.faults:
+            begin(fleet, fault)
+        time.sleep(step.seconds)
+        for fault in reversed(step.faults):
+            end(fleet, fault)
+        time.sleep(step.calm)
+        records.collect(fleet)
+
+
+def soak(seed, seconds):
+    records, stopping = Records(), Event()
+    with Fleet(SMALL, hosts=HOSTS, knobs={"service_ms": 5.0}) as fleet:
+        sources = [random.Random(f"{seed}-{number}") for number in range(WORKERS)]
+        arguments = [(fleet, records, source, stopping) for source in sources]
+        callers = [Thread(target=run_caller, args=each) for each in arguments]
+        for caller in callers:
+            caller.start()
+        try:
+            run_faults(fleet, records, seed, seconds)
+        finally:
+            stopping.set()
+            for caller in callers:
+                caller.join()
+        time.sleep(1.0)  # Bookings that are still under way at the searchers come to their end.
+        records.collect(fleet)
+        for answer in records.answers:
+            check_answer(fleet, records, answer)
+        check_bookings(fleet, records)
+    whole = sum(answer["whole"] for answer in records.answers)
+    ran = sum("ran" in told for told in records.told.values())
+    print(
+        f"seed {seed}: {len(records.answers)} answers, {whole} whole, {records.refused} refused;"
+        f" {len(records.told)} tickets, {ran} ran"
+    )
+    assert whole and ran
+
+
+class TestSchedule:
+    def test_same_seed_gives_the_same_faults(self):
+        plans = [
+            [plan_step(source, HOSTS) for _ in range(50)]
+            for source in (random.Random(7), random.Random(7))
+        ]
+        assert plans[0] == plans[1]
+        assert {len(step.faults) for step in plans[0]} == {1, 2}
+
+
+class TestSoak:
+    @pytest.mark.soak
+    @pytest.mark.timeout(SECONDS + 120)
+    def test_promises_hold_under_random_faults(self):
+        print(f"seed {SEED}, {SECONDS:.0f} s")
+        soak(SEED, SECONDS)
