Remember booking attempts by ticket and attempt

Cause: the owner's log went by the query's id; an attempt is named by its ticket and number. Change: the key only. Conclusion: a doubled attempt is neither run nor refused, whatever its query's id.

--- a/src/masticgate/process/_booking_log.py
+++ b/src/masticgate/process/_booking_log.py
@@ -4,7 +4,7 @@
 from threading import Lock
 
 from .._clock import Clock
-from .._ids import Millis, QueryId
+from .._ids import Millis, TicketId
 
 RETENTION = Millis(300_000.0)
 """How long an attempt is remembered, longer than the outcome of a ticket is kept."""
@@ -23,19 +23,19 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.lock = Lock()
-        self.received: dict[QueryId, Millis] = {}
+        self.received: dict[tuple[TicketId, int], Millis] = {}
 
-    def take(self, query: QueryId) -> bool:
-        """Remember the attempt ``query``; return ``False`` where it has come before."""
+    def take(self, ticket: TicketId, attempt: int) -> bool:
+        """Remember the attempt; return ``False`` where it has come before."""
         now = self.clock.now()
         with self.lock:
             self._drop_old(now)
-            if query in self.received:
+            if (ticket, attempt) in self.received:
                 return False
-            self.received[query] = now
+            self.received[ticket, attempt] = now
             return True
 
     def _drop_old(self, now: Millis) -> None:
-        for query, received in list(islice(self.received.items(), DROPPED_AT_ONCE)):
+        for attempt, received in list(islice(self.received.items(), DROPPED_AT_ONCE)):
             if now - received > RETENTION or len(self.received) >= MAX_ATTEMPTS:
-                del self.received[query]
+                del self.received[attempt]
--- a/src/masticgate/process/_owner.py
+++ b/src/masticgate/process/_owner.py
@@ -48,7 +48,7 @@
 
         A message that comes twice is dropped: the first copy's outcome stands for both.
         """
-        if not self.bookings.take(book.query):
+        if not self.bookings.take(book.ticket, book.attempt):
             return
 
         def deliver(outcome: BookingOutcome) -> None:
--- a/tests/process/test_service_pool.py
+++ b/tests/process/test_service_pool.py
@@ -86,7 +86,7 @@
         self.results[query] = []
         deadline = Millis(self.clock.now() + 1000.0)
         deliver = self.results[query].append
-        if not self.bookings.take(QueryId(f"{ticket}.{attempt}")):
+        if not self.bookings.take(ticket, attempt):
             return query, NotRun(Reason.TICKET_IN_USE, Step.QUEUE)
         ticket = TicketId(ticket)
         work = BookingWork(query, SERVICE, ticket, attempt, Rank.URGENT, deadline, "{}", deliver)
