Wake the hedge timer once an interval, not at each send

Cause: an owner used more CPU a sub-query than before the rework: the timer was armed by waking a connection's task at nearly every send. Change: the timer waits on while work comes; the queue counts its size; one reused lock holder.

--- a/src/masticgate/process/_dispatcher.py
+++ b/src/masticgate/process/_dispatcher.py
@@ -41,22 +41,35 @@
         """Hand out all work that may be sent now; return the entries found expired."""
         expired = self._find_expired(now)
         if self.seats:
-            self._send_hedges(now, self.pending.first_rank())
-            while len(self.pending) and self._send_next(now, expired):
+            delay = self.budget.hedge_delay() if self.lone.entries else None
+            if delay is not None:
+                self._send_hedges(now, delay, self.pending.first_rank())
+            while self.pending.size and self._send_next(now, expired):
                 pass
-            self._send_hedges(now, None)
-        if self.seats.timer is None and (len(self.lone) or len(self.pending)):
-            self.seats.arm()
+            if delay is not None and not self.pending.size:
+                self._send_hedges(now, delay, None)
+            if self.is_watching():
+                self.seats.arm()
         return expired
 
+    def is_watching(self) -> bool:
+        """Tell whether something may fall due while nobody calls :meth:`run`."""
+        return bool(self.lone.entries) or self.pending.size > 0
+
+    def keeps_watch(self) -> bool:
+        """Tell whether the timer has to wait on, since work came after it last asked.
+
+        While work comes, one wake-up an interval is cheaper than to arm the timer at each send.
+        """
+        return self.lone.take_added() or self.is_watching()
+
     def next_due(self, now: Millis, latest: Millis) -> Millis:
         """Return when there may be a hedge to send or a searcher to try again."""
         times = [latest]
         delay = self.budget.hedge_delay()
-        due = None if delay is None else self.lone.next_due(now, delay)
-        if due is not None:
-            times.append(due)
-        eligible = self.searchers.next_eligible(now) if len(self.pending) else None
+        if delay is not None:
+            times.append(self.lone.next_due(now, delay))
+        eligible = self.searchers.next_eligible(now) if self.pending.size else None
         if eligible is not None:
             times.append(eligible)
         return min(times)
@@ -76,7 +89,7 @@
         self.lone.discard(entry)
 
     def _find_expired(self, now: Millis) -> list[Entry]:
-        if now < self.next_expiry or not len(self.pending):
+        if now < self.next_expiry or not self.pending.size:
             return []
         self.next_expiry = Millis(now + EXPIRY_INTERVAL)
         expired = [entry for entry in self.pending.entries() if entry.work.deadline <= now]
@@ -104,11 +117,8 @@
             barred += self.searchers.ejected()
         return self.searchers.best(self.seats.idle, now, barred)
 
-    def _send_hedges(self, now: Millis, first: Rank | None) -> None:
+    def _send_hedges(self, now: Millis, delay: Millis, first: Rank | None) -> None:
         """Send the hedges that are due, but none of a rank below ``first``."""
-        delay = self.budget.hedge_delay()
-        if delay is None or not self.seats:
-            return
         for entry in self.lone.due(now, delay):
             if first is not None and entry.work.rank > first:
                 return
--- a/src/masticgate/process/_lone_sends.py
+++ b/src/masticgate/process/_lone_sends.py
@@ -12,14 +12,13 @@
 
     def __init__(self) -> None:
         self.entries: dict[int, Entry] = {}
-
-    def __len__(self) -> int:
-        return len(self.entries)
+        self.added = False
 
     def add(self, entry: Entry) -> None:
         """Add an entry that was just sent, unless it may not be sent twice."""
         if isinstance(entry.work, SearchWork):
             self.entries[id(entry)] = entry
+            self.added = True
 
     def discard(self, entry: Entry) -> None:
         """Remove an entry that is hedged, retried or done."""
@@ -36,7 +35,14 @@
         found.sort(key=lambda entry: entry.work.rank)
         return found
 
-    def next_due(self, now: Millis, delay: Millis) -> Millis | None:
-        """Return when the next entry falls due that is not due yet."""
-        times = (Millis(entry.sent_at + delay) for entry in self.entries.values())
-        return next((time for time in times if time > now), None)
+    def next_due(self, now: Millis, delay: Millis) -> Millis:
+        """Return when the next entry falls due that is not due yet, or the next one sent would."""
+        for entry in self.entries.values():
+            if now - entry.sent_at < delay:
+                return Millis(entry.sent_at + delay)
+        return Millis(now + delay)
+
+    def take_added(self) -> bool:
+        """Tell whether an entry was added since the last call."""
+        added, self.added = self.added, False
+        return added
--- a/src/masticgate/process/_rank_queue.py
+++ b/src/masticgate/process/_rank_queue.py
@@ -26,13 +26,14 @@
 
     def __init__(self, order: Order, floors: Mapping[Rank, float]) -> None:
         self.order = order
+        self.size = 0
         self.floors = dict(floors)
         self.credit = dict.fromkeys(Rank, 0.0)
         self.by_age: dict[Rank, dict[int, Entry]] = {rank: {} for rank in Rank}
         self.by_number = {rank: SortedKeyList(key=_number) for rank in Rank}
 
     def __len__(self) -> int:
-        return sum(len(entries) for entries in self.by_age.values())
+        return self.size
 
     def depth(self, rank: Rank) -> int:
         """Return the number of pending entries of ``rank``."""
@@ -53,12 +54,14 @@
         rank = entry.work.rank
         self.by_age[rank][id(entry)] = entry
         self.by_number[rank].add(entry)
+        self.size += 1
 
     def remove(self, entry: Entry) -> None:
         """Remove an entry, pending or not."""
         rank = entry.work.rank
         if self.by_age[rank].pop(id(entry), None) is not None:
             self.by_number[rank].remove(entry)
+            self.size -= 1
 
     def first_rank(self) -> Rank | None:
         """Return the most urgent rank that waits."""
--- a/src/masticgate/process/_seats.py
+++ b/src/masticgate/process/_seats.py
@@ -60,6 +60,11 @@
             self.timer = next(iter(self))
             self.timer.ready.notify()
 
+    def arm_with(self, seat: Seat) -> None:
+        """Make ``seat`` the timer, unless there is one; its own task is about to wait."""
+        if self.timer is None and seat.send is None:
+            self.timer = seat
+
     def wake_all(self) -> None:
         """Let every idle connection look around."""
         for seat in self:
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -1,7 +1,6 @@
 """The one queue of a service at its owner, and the dispatch to its searchers' connections."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from threading import Lock
 
@@ -52,6 +51,22 @@
     """Nothing to do but to ask the searcher for its load."""
 
 
+class _Change:
+    """Holds a pool's lock, and delivers what was settled meanwhile after it is released."""
+
+    def __init__(self, pool: "ServicePool") -> None:
+        self.pool = pool
+
+    def __enter__(self) -> None:
+        self.pool.lock.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        settled, self.pool.settled = self.pool.settled, []
+        self.pool.lock.release()
+        for entry, result in settled:
+            entry.deliver(result)
+
+
 class ServicePool:
     """Queues one service's work and hands it to connections as they fall idle.
 
@@ -81,6 +96,7 @@
         self.stopping = False
         self.last_used = clock.now()
         self.settled: list[tuple[Entry, Result]] = []
+        self.change_of_state = _Change(self)
 
     @property
     def health(self) -> Mapping[SearcherId, SearcherHealth]:
@@ -219,14 +235,8 @@
 
     # All below runs under the lock.
 
-    @contextmanager
-    def _changing(self) -> Iterator[None]:
-        """Hold the lock, and deliver what was settled meanwhile after it is released."""
-        with self.lock:
-            yield
-            settled, self.settled = self.settled, []
-        for entry, result in settled:
-            entry.deliver(result)
+    def _changing(self) -> "_Change":
+        return self.change_of_state
 
     def _refuse(self, work: Work) -> NotRun | None:
         if self.stopping:
@@ -241,27 +251,34 @@
 
     def _wait_once(self, seat: Seat, end: Millis) -> Send | LookAround | Idle | Stopped | None:
         """Return what ``seat`` has to do, or ``None`` after one wait for it."""
-        if seat.send is None:
+        if seat.send is None and self.dispatcher.is_watching():
+            self.seats.arm_with(seat)
             self._dispatch()
         if seat.send is not None:
             return seat.send
         if seat.health.should_close():
-            self.seats.remove(seat)
+            self._stand_up(seat)
             return Stopped()
         now = self.clock.now()
         if now >= end:
-            self.seats.remove(seat)
+            self._stand_up(seat)
             return self._look_around(seat.health, now)
         if not self.settled:
             self._wait(seat, end, now)
         return None
 
+    def _stand_up(self, seat: Seat) -> None:
+        self.seats.remove(seat)
+        if self.dispatcher.is_watching():
+            self.seats.arm()
+
     def _wait(self, seat: Seat, end: Millis, now: Millis) -> None:
         if self.seats.timer is seat:
-            end = self.dispatcher.next_due(now, end)
+            if self.dispatcher.keeps_watch():
+                end = self.dispatcher.next_due(now, end)
+            else:
+                self.seats.timer = None
         seat.ready.wait((end - now) / MILLIS_PER_SECOND)
-        if self.seats.timer is seat:
-            self.seats.timer = None
 
     def _look_around(self, health: SearcherHealth, now: Millis) -> LookAround | Idle:
         if now < health.look_at:
