Run the real booking path over a network that errs

Cause: the specification stands apart from the code; the code needs the same properties checked. Change: a hypothesis machine drives run_booking, the ticket table, the owner and its pool with lost, late and doubled messages, owners and minters that restart, searchers that refuse, cut, or run and cut. Conclusion: no run twice, no "not run" that ran.

--- a/tests/request/script_tier.py
+++ b/tests/request/script_tier.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from masticgate import HostId, ManualClock, Millis, NotRun, Reason, Revision, Step
-from masticgate.request import Delivery
+from masticgate.request import BookReply, Delivery
 from masticgate.version import Accepted, SnapshotCatalogue, accept_text
 
 
@@ -49,6 +49,7 @@
         self.forgotten: set[str] = set()
         self.sent: list[tuple[HostId, Any]] = []
         self.minted: set[str] = set()
+        self.learn: Callable[[Any, Any], None] = lambda query, outcome: None
 
     def run_next(self, end: float) -> bool:
         if not self.events or self.events[0][0] > end:
@@ -89,6 +90,8 @@
             def put() -> None:
                 if inbox is not None and reply.query not in self.forgotten:
                     inbox.put(Delivery(host, reply))
+                elif isinstance(reply, BookReply):
+                    self.learn(reply.query, reply.outcome)
 
             self.at(delay, put)
 
--- /dev/null
+++ b/tests/request/test_booking_faults.py
@@ -0,0 +1,186 @@
+"""The real booking path, from ticket to searcher's connection, over a network that errs."""
+
+from collections import defaultdict
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from masticgate import (
+    HostId,
+    Incarnation,
+    Millis,
+    NotRun,
+    QueryId,
+    Rank,
+    Reason,
+    Revision,
+    SearcherId,
+    Step,
+    Unknown,
+)
+from masticgate.process import OWNER_POLICY
+from masticgate.process._owner import Owner
+from masticgate.process._pools import Pools
+from masticgate.process._seats import Seat
+from masticgate.process._tickets import TicketTable
+from masticgate.process._timeline import TimeLine
+from masticgate.process._versions import VersionStore
+from masticgate.request import Book, Booking, Cancel, Ran, run_booking
+from tests.request.script_tier import ScriptTier
+from tests.texts import SMALL
+
+MINTER = HostId("h9")
+LOST = Unknown(Reason.SEARCHER_LOST, Step.UPSTREAM)
+SHED = NotRun(Reason.SEARCHER_SHED, Step.UPSTREAM)
+DELAYS = st.sampled_from([1.0, 20.0, 250.0])
+NETWORK = st.fixed_dictionaries(
+    {
+        "book": st.lists(DELAYS, max_size=3),
+        "cancel": st.lists(DELAYS, max_size=2),
+        "reply": st.lists(DELAYS, max_size=2),
+        "idle": DELAYS,
+        "service": DELAYS,
+        "searcher": st.sampled_from(["run", "refuse", "cut", "run then cut"]),
+    }
+)
+"""The delays of each copy of a message, none where it is lost, and what the searcher does."""
+
+
+class OwnerHost:
+    """A real owner; its searchers' connections follow the plan."""
+
+    def __init__(self, tier, searched):
+        self.tier = tier
+        self.searched = searched
+        self.alive = True
+        timeline = TimeLine(HostId("owner"), tier.clock)
+        versions = VersionStore(timeline, lambda configuration: None)
+        versions.offer_text(SMALL, Revision(1))
+        self.pools = Pools(OWNER_POLICY, tier.clock, timeline, lambda pool, searcher: None)
+        self.owner = Owner(self.pools, versions, tier.clock, lambda: 3)
+        self.seats = []
+
+    def receive(self, message, answer, plan):
+        if not self.alive:
+            return
+        match message:
+            case Cancel():
+                self.owner.cancel(message)
+            case Book():
+                self.owner.book(message, answer)
+                self.tier.at(plan["idle"], lambda: self.sit(plan))
+
+    def sit(self, plan):
+        for pool in self.pools.list_pools():
+            with pool._changing():
+                seat = Seat(pool.lock, pool.health[SearcherId("oa")])
+                pool.seats.add(seat)
+                self.seats.append(seat)
+                pool._dispatch()
+            for seat in [seat for seat in self.seats if seat.send is not None]:
+                self.seats.remove(seat)
+                self.serve(pool, seat.send, plan)
+
+    def serve(self, pool, send, plan):
+        if not self.alive or not pool.may_send(send, lambda: None):
+            pool.abandon(send)
+            return
+        work = send.entry.work
+
+        def end():
+            if plan["searcher"].startswith("run"):
+                self.searched[work.ticket].append(work.query)
+            result = {"run": Ran("1"), "refuse": SHED}.get(plan["searcher"], LOST)
+            if self.alive:
+                pool.finish(send, result)
+
+        self.tier.at(plan["service"], end)
+
+
+class BookingMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.tier = ScriptTier(SMALL, self.react)
+        self.runs = defaultdict(list)
+        self.told = []
+        self.tickets = []
+        self.requests = 0
+        self.incarnation = 0
+        self.owners = {host: OwnerHost(self.tier, self.runs) for host in self.tier.hosts}
+
+    @initialize()
+    def start_minter(self):
+        self.restart_minter()
+
+    @rule()
+    def restart_minter(self):
+        """All tickets of the incarnation before are lost with it."""
+        self.incarnation += 1
+        self.tier.minted.clear()
+        self.table = TicketTable(MINTER, Incarnation(self.incarnation), self.tier.clock)
+        self.tier.learn = self.table.learn
+        self.mint()
+
+    @rule()
+    def mint(self):
+        self.tickets.append(self.table.mint())
+        self.tier.minted.add(self.tickets[-1])
+
+    @rule(host=st.sampled_from(["h0", "h1", "h2"]))
+    def restart_owner(self, host):
+        self.owners[host].alive = False
+        self.owners[host] = OwnerHost(self.tier, self.runs)
+
+    @rule(duration=st.sampled_from([30.0, 1000.0]))
+    def let_time_pass(self, duration):
+        end = self.tier.clock.now() + duration
+        while self.tier.run_next(end):
+            pass
+        self.tier.clock.current = Millis(end)
+
+    @rule(plan=NETWORK, newest=st.booleans(), doubled=st.booleans(), data=st.data())
+    def book(self, plan, newest, doubled, data):
+        """Submit a ticket, with a new request or with one that comes twice."""
+        ticket = self.tickets[-1] if newest else data.draw(st.sampled_from(self.tickets))
+        earlier = [request for used, request, _ in self.told if used == ticket]
+        self.requests += 1
+        name = earlier[-1] if doubled and earlier else QueryId(f"q{self.requests}")
+        self.plan = plan
+        outcome = run_booking(self.booking(ticket, name), self.table, self.tier)
+        self.told.append((ticket, name, outcome))
+
+    def booking(self, ticket, name):
+        end = Millis(self.tier.clock.now() + 200.0)
+        incarnation = Incarnation(self.incarnation)
+        return Booking(name, ticket, MINTER, incarnation, "orders", Rank.URGENT, end, "{}")
+
+    def react(self, host, message, deliver):
+        """Carry each copy of a message; a crash of the owner takes what is on the way."""
+        if host not in self.owners:
+            return
+        owner, plan = self.owners[host], self.plan
+
+        def answer(reply):
+            for delay in plan["reply"]:
+                deliver(delay, reply)
+
+        copies = plan["book"] if isinstance(message, Book) else plan["cancel"]
+        for delay in copies:
+            self.tier.at(delay, lambda: owner.receive(message, answer, plan))
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(len(runs) <= 1 for runs in self.runs.values())
+
+    @invariant()
+    def not_run_is_final_and_ran_is_true(self):
+        for ticket, request, outcome in self.told:
+            if isinstance(outcome, NotRun):
+                assert request not in self.runs[ticket]
+            if isinstance(outcome, Ran):
+                assert len(self.runs[ticket]) == 1
+
+
+class TestBookingUnderFaults(BookingMachine.TestCase):
+    settings = settings(derandomize=True, max_examples=100, stateful_step_count=25, deadline=None)
