Give the fetch tests real member beliefs

Cause: the host list now reads the beliefs when a host is put together, and the test passed none.

Change: the test builds them.

--- a/tests/process/test_fetches.py
+++ b/tests/process/test_fetches.py
@@ -12,6 +12,8 @@
 )
 from masticgate.process import Hello, Settings
 from masticgate.process._distribution import FETCH_TIMEOUT, Distribution
+from masticgate.process._members import Members
+from masticgate.process._peer_service import member_of
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
 from masticgate.version import CataloguePush, FetchVersions, SectionsPush, TextPush, Versions
@@ -49,12 +51,14 @@
         timeline = TimeLine(HostId(name), self.clock)
         self.versions = VersionStore(timeline, lambda configuration: None)
         self.links = NoLinks()
-        self.distribution = Distribution(
-            settings, self.versions, None, self.links, timeline, self.clock
-        )
         self.hello = Hello(
             HostId(name), Address(NOWHERE), FailureDomainId("north"), Incarnation(1), 1, 1
         )
+        own = member_of(self.hello)
+        members = Members(own, self.clock, timeline, lambda changed: None)
+        self.distribution = Distribution(
+            settings, self.versions, members, self.links, timeline, self.clock
+        )
         self.answers: list[object] = []
 
     def hears(self, other: "Node", revision: int, catalogue: int = 0) -> list[object]:
