--- a/tests/process/test_fetches.py
+++ b/tests/process/test_fetches.py
@@ -54,7 +54,8 @@
         self.hello = Hello(
             HostId(name), Address(NOWHERE), FailureDomainId("north"), Incarnation(1), 1, 1
         )
-        members = Members(member_of(self.hello), self.clock, timeline, lambda members: None)
+        own = member_of(self.hello)
+        members = Members(own, self.clock, timeline, lambda changed: None)
         self.distribution = Distribution(
             settings, self.versions, members, self.links, timeline, self.clock
         )
