--- a/src/masticgate/process/_heartbeats.py
+++ b/src/masticgate/process/_heartbeats.py
@@ -15,7 +15,7 @@
 
 SHORT_INTERVAL = Millis(500.0)
 LONG_INTERVAL = Millis(1000.0)
-SMALL_FLEET = 32
+SMALL_FLEET = 16
 """Up to this many hosts heartbeats go at the short interval."""
 
 KEEP_BEATS = 2
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -101,7 +101,9 @@
         self.peers.pressure = self.pressure
         self.peers.distribution = self.distribution
         self.peers.run_forward = self._run_forward
-        self.peer_server = PeerServer(Address(settings.peer_address), self.peers, self.tasks)
+        self.peer_server = PeerServer(
+            Address(settings.peer_listen_address or settings.peer_address), self.peers, self.tasks
+        )
         self.caller_server = CallerServer(
             Address(settings.caller_address),
             CallerApp(self.callers, settings.max_body_bytes),
--- a/src/masticgate/process/_settings.py
+++ b/src/masticgate/process/_settings.py
@@ -39,12 +39,17 @@
 
 
 class Settings(StrictModel):
-    """All settings of an entry host."""
+    """All settings of an entry host.
+
+    Peers connect to ``peer_address``; the host listens on ``peer_listen_address`` where that is
+    another.
+    """
 
     host: Name
     failure_domain: Name
     caller_address: AddressText
     peer_address: AddressText
+    peer_listen_address: AddressText | None = None
     platform: PlatformText
     seeds: list[SeedText] = Field(default=[], max_length=32)
     statsd: StatsdText | None = None
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -74,6 +74,7 @@
         searcher_processes: int = 1,
         knobs: dict[str, Any] | None = None,
         settings: dict[str, Any] | None = None,
+        host_settings: dict[int, dict[str, Any]] | None = None,
     ) -> None:
         self.network = own_network()
         self.text = text.replace("127.0.0.1:", f"{self.network}:")
@@ -84,6 +85,7 @@
         self.searcher_processes = searcher_processes
         self.knobs_at_start = knobs or {}
         self.extra_settings = settings or {}
+        self.host_settings = host_settings or {}
         self.folder = Path(tempfile.mkdtemp(prefix="masticgate-"))
         self.platform_address = f"{self.network}:9000"
         self.platform_control = f"{self.network}:9001"
@@ -157,6 +159,7 @@
             "seeds": [h for h in self.hosts if h is not host],
             "routing": self.routing,
             **self.extra_settings,
+            **self.host_settings.get(index, {}),
             **overrides,
         }
         path = self.folder / f"{host['host']}.jsonc"
