--- a/src/masticgate/request/_search.py
+++ b/src/masticgate/request/_search.py
@@ -27,9 +27,19 @@
 MAX_OWNERS_TRIED = 3
 
 OWNER_FAILURES = frozenset(
-    {Reason.OWNER_LOST, Reason.OWNER_SILENT, Reason.NO_OWNER, Reason.SHUTTING_DOWN}
+    {
+        Reason.OWNER_LOST,
+        Reason.OWNER_SILENT,
+        Reason.NO_OWNER,
+        Reason.SHUTTING_DOWN,
+        Reason.NO_CONFIGURATION,
+        Reason.UNKNOWN_SERVICE,
+    }
 )
-"""Failures of an owner, after which another host may be asked: a search is idempotent."""
+"""Failures of an owner, after which another host may be asked: a search is idempotent.
+
+An owner that has just started, or hears of an edit later, knows fewer services than this host.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/process/test_departure.py
+++ b/tests/process/test_departure.py
@@ -56,8 +56,7 @@
             assert received_after_leaving(fleet, searchers) == 0
         assert before > 0
         assert set(load.kinds()) == {"whole", "partial"}
-        partial = [outcome.body for outcome in load.outcomes if outcome.kind == "partial"]
-        lacking = {(m["service"], m["reason"]) for body in partial for m in body["missing"]}
+        lacking = {(service, reason) for service, reason, _, _ in load.missing()}
         assert lacking == {("ledger/1", "department_left")}
         for index in range(3):
             assert fleet.search(index, ["ledger/1"]).body["reason"] == "department_left"
--- a/tests/process/test_recovery.py
+++ b/tests/process/test_recovery.py
@@ -79,7 +79,7 @@
                 fleet.wait_until(fleet.is_ready, SETTLE_SECONDS, "the host did not come back")
         kinds = load.kinds()
         assert kinds.pop("whole") > 100
-        assert set(kinds) <= {"shutting_down", "unreachable"}, kinds
+        assert set(kinds) <= {"shutting_down", "unreachable"}, (kinds, load.missing())
 
     def test_a_booking_in_flight_at_shutdown_finishes(self, fleet):
         host = fleet.hosts[0]["host"]
--- /dev/null
+++ b/tests/request/test_owner_change.py
@@ -0,0 +1,33 @@
+"""A search whose owners change under it."""
+
+import pytest
+
+from masticgate import Millis, NotRun, QueryId, Rank, Reason, ServiceId, Step
+from masticgate.request import Hit, Hits, Query, Reply, run_search
+from masticgate.version import read_catalogue
+from tests.request.script_tier import ScriptTier
+from tests.texts import SMALL
+
+CATALOGUE = (
+    '{"versions": [{"version": 1, "shards": {"ledger/1": {"l/0": 1.0}, "desk/1": {"d/0": 1.0}}}]}'
+)
+
+
+class TestOwnerChange:
+    @pytest.mark.parametrize(
+        "reason", [Reason.NO_CONFIGURATION, Reason.UNKNOWN_SERVICE, Reason.SHUTTING_DOWN]
+    )
+    def test_an_owner_that_lacks_the_service_is_passed_over(self, reason):
+        def react(host, ask, deliver):
+            for part in ask.parts:
+                hits = Hits(1, part.shards, (Hit("x", 1.0, part.shards[0], "{}"),))
+                failure = NotRun(reason, Step.QUEUE, peer=host)
+                result = failure if host == "h0" else hits
+                deliver(1.0, Reply(ask.query, part.service, result))
+
+        tier = ScriptTier(SMALL, react)
+        tier.catalogue = read_catalogue(CATALOGUE)
+        services = (ServiceId("ledger/1"),)
+        query = Query(QueryId("q"), Rank.URGENT, Millis(200.0), 0.5, services, "lamp", 10)
+        assert run_search(query, tier).whole
+        assert [host for host, _ in tier.sent] == ["h0", "h1"]
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -83,6 +83,12 @@
         with self.lock:
             self.outcomes.append(outcome)
 
+    def missing(self) -> set[tuple[str, str, str, str]]:
+        """Return the services that partial answers lack, and why."""
+        partial = [outcome for outcome in self.outcomes if outcome.kind == "partial"]
+        lacking = [missing for outcome in partial for missing in outcome.body["missing"]]
+        return {(m["service"], m["reason"], m["step"], m["peer"]) for m in lacking}
+
     def kinds(self, since: float = 0.0) -> dict[str, int]:
         """Return how often each outcome occurred among requests sent since then."""
         with self.lock:
