Say in each trial how much of the machine others used

Cause: other programs took six of ten cores during trials, and nothing in the result showed it. Change: each trial states the cores that it and all other programs used. Conclusion: read a trial only where both sums stay clearly below the machine's cores.

--- a/bench/process/_cpu.py
+++ b/bench/process/_cpu.py
@@ -7,10 +7,15 @@
 
 from ._load import Load
 
+MACHINE = "machine"
 TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
 USER_TICKS, SYSTEM_TICKS = 11, 12
 """Places in ``/proc/PID/stat`` after the command's closing bracket."""
 
+IDLE_TICKS = slice(3, 5)
+ALL_TICKS = 8
+"""Places in the first line of ``/proc/stat``; guests' ticks after them are counted twice there."""
+
 KINDS = {"host": "h", "searchers": "searchers", "platform": "platform", "load": "load"}
 """Kinds of processes, by the beginning of their names."""
 
@@ -25,21 +30,35 @@
     return (int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])) / TICKS_A_SECOND
 
 
+def busy_seconds() -> float:
+    """Return the core seconds that the whole machine has been busy."""
+    ticks = [int(value) for value in Path("/proc/stat").read_text().splitlines()[0].split()[1:]]
+    idle = sum(ticks[IDLE_TICKS])
+    return (sum(ticks[:ALL_TICKS]) - idle) / TICKS_A_SECOND
+
+
 def cpu_by_process(fleet: Fleet, load: Load) -> dict[str, float]:
-    """Return the processor seconds of each process so far."""
-    used = {name: cpu_seconds(process.pid) for name, process in fleet.processes.items()}
+    """Return the processor seconds of each process so far, and of the whole machine."""
+    used = {MACHINE: busy_seconds()}
+    used |= {name: cpu_seconds(process.pid) for name, process in fleet.processes.items()}
     for number, process in enumerate(load.processes):
         used[f"load-{number}"] = cpu_seconds(process.pid)
     return used
 
 
 def busiest(before: dict[str, float], after: dict[str, float], seconds: float) -> dict[str, float]:
-    """Return the largest use of each kind of process, in cores."""
+    """Return the largest use of each kind of process, and what all other programs used, in cores.
+
+    Where all together need more than the machine's cores, the machine is the limit.
+    """
 
     def use(name: str) -> float:
         return max(0.0, after[name] - before[name]) / seconds
 
-    return {
-        kind: round(max(use(name) for name in before if name.startswith(beginning)), 2)
+    largest = {
+        kind: max(use(name) for name in before if name.startswith(beginning))
         for kind, beginning in KINDS.items()
     }
+    own = sum(use(name) for name in before if name != MACHINE)
+    totals = {"all of the trial": own, "other programs": max(0.0, use(MACHINE) - own)}
+    return {kind: round(cores, 2) for kind, cores in (largest | totals).items()}
--- a/bench/process/_trial.py
+++ b/bench/process/_trial.py
@@ -31,7 +31,7 @@
     ``extra_load`` is searches started over searches needed, less one. ``spare`` is the saturation
     less what the ranks that are not flooded finished. ``work_after_leaving`` is the searches that
     a department started once it should have had no more. ``cores`` gives the busiest process of
-    each kind, in cores.
+    each kind, and what the trial and all other programs used of the machine.
     """
 
     deployment: str
