Let a host that takes up watching again read the platform again

Cause: found by the new test: since an aborted HTTP call stays aborted until it is allowed again, a host that had once given up the role, as every host that watched while its peers started, never read the platform when it took the role over. With both watchers of a failure domain lost, nobody watched in it.

Change: a watch task allows its reader as it takes its turn, under the same lock that the role changes under, so that neither an abort nor the stop of the process is undone by a late turn.

--- a/src/masticgate/connection/_platform.py
+++ b/src/masticgate/connection/_platform.py
@@ -90,8 +90,13 @@
             for item in listed.hosts
         )
 
+    def allow(self) -> None:
+        """Allow the next read after an abort; only the reading task calls this."""
+        self.values.allow()
+        self.hosts.allow()
+
     def abort(self) -> None:
-        """End a read in progress, from another task."""
+        """End a read in progress, from another task; no other succeeds until :meth:`allow`."""
         self.values.abort()
         self.hosts.abort()
 
--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -88,19 +88,14 @@
         self._abort_reads()
 
     def update_role(self) -> None:
-        """Decide anew whether this host watches the platform; a starting host does not yet.
-
-        Call it at every heartbeat: a read that began just as the role was given up is ended by
-        the next call.
-        """
+        """Decide anew whether this host watches the platform; a starting host does not yet."""
         if self.versions.starting:
             return
         usable = set(self.members.usable())
         members = [m.host for m in self.members.list_members() if m.failure_domain == self.domain]
         in_domain = [host for host in members if host in usable]
         watching = should_watch(self.own, self.domain, in_domain, _Reachable(self.links))
-        self.role.update(watching)
-        if not watching:
+        if self.role.update(watching) and not watching:
             self._abort_reads()
 
     def hear_versions(self, peer: Hello, theirs: Versions, answer: Answer) -> None:
--- a/src/masticgate/process/_watch.py
+++ b/src/masticgate/process/_watch.py
@@ -72,7 +72,7 @@
 
     def run(self) -> None:
         """Watch whenever this host is a watcher, until the process stops."""
-        while self.role.await_turn():
+        while self.role.await_turn(self.reader.allow):
             self.role.rest(self.read_once())
         self.reader.close()
 
@@ -122,7 +122,7 @@
 
     def run(self) -> None:
         """Read whenever this host is a watcher; a failed read changes nothing."""
-        while self.role.await_turn():
+        while self.role.await_turn(self.reader.allow):
             self.role.rest(self.read_once())
         self.reader.close()
 
--- a/src/masticgate/process/_watch_role.py
+++ b/src/masticgate/process/_watch_role.py
@@ -1,5 +1,6 @@
 """Whether this host is one of the watchers of its failure domain."""
 
+from collections.abc import Callable
 from threading import Condition
 
 from .._clock import MILLIS_PER_SECOND
@@ -18,21 +19,28 @@
         self.watching = False
         self.stopped = False
 
-    def update(self, watching: bool) -> None:
-        """Take up or give up the role."""
+    def update(self, watching: bool) -> bool:
+        """Take up or give up the role; tell whether that is a change."""
         with self.condition:
             if watching == self.watching or self.stopped:
-                return
+                return False
             self.watching = watching
             self.condition.notify_all()
         what = "watches the platform" if watching else "hears of the platform by peers"
         self.timeline.add(EventKind.WATCH_CHANGED, self.timeline.host, what)
+        return True
 
-    def await_turn(self) -> bool:
-        """Wait until this host watches; return ``False`` once the process stops."""
+    def await_turn(self, allow: Callable[[], None]) -> bool:
+        """Wait until this host watches, then call ``allow``; return ``False`` at the stop.
+
+        An abort that follows the loss of the role cannot be undone by a late ``allow``, since the
+        two are told apart under one lock.
+        """
         with self.condition:
             while not self.watching and not self.stopped:
                 self.condition.wait(TURN_WAIT / MILLIS_PER_SECOND)
+            if not self.stopped:
+                allow()
             return not self.stopped
 
     def rest(self, duration: Millis) -> None:
--- a/tests/process/test_distribution.py
+++ b/tests/process/test_distribution.py
@@ -139,3 +139,32 @@
             assert read <= most_reads(len(domains), Millis(10_000.0), changes=1, starts=0)
             statuses = [fleet.status(index) for index in range(hosts)]
             assert sum(status["watcher"] for status in statuses) == watchers
+
+
+class TestWatchers:
+    def test_of_a_failure_domain_are_replaced_when_both_are_lost(self):
+        with Fleet(SMALL, hosts=7) as fleet:
+            standing = 4 * WATCHED_KEYS
+
+            def is_settled() -> bool:
+                return fleet.platform("reads")["waiting"] == standing
+
+            fleet.wait_until(is_settled, 10.0, "the watches are not those of the watchers")
+            lost = [
+                index
+                for index, host in enumerate(fleet.hosts)
+                if host["failure_domain"] == "north" and fleet.status(index)["watcher"]
+            ]
+            for index in lost:
+                fleet.kill(fleet.hosts[index]["host"])
+            fleet.wait_until(is_settled, 10.0, "the lost watchers are not replaced")
+            left = [index for index in range(7) if index not in lost]
+            revision = fleet.put_text(edit(3))
+
+            def is_in_force() -> bool:
+                return all(fleet.status(index)["revision"] == revision for index in left)
+
+            fleet.wait_until(is_in_force, IN_FORCE_SECONDS, "the edit is not in force")
+            watching = [index for index in left if fleet.status(index)["watcher"]]
+            domains = [fleet.hosts[index]["failure_domain"] for index in watching]
+            assert sorted(domains) == ["north", "north", "south", "south"]
