--- a/src/masticgate/connection/_caller_server.py
+++ b/src/masticgate/connection/_caller_server.py
@@ -132,6 +132,14 @@
             "wsgi.run_once": False,
         }
 
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Refuse what cannot be parsed as HTTP, in the same form as any other refusal."""
+        self.request_version = self.protocol_version
+        self.close_connection = True
+        response = failure_response(NotRun(Reason.BAD_REQUEST, Step.READ, detail=message or ""))
+        response.status_code = code
+        self._write(response)
+
     def log_message(self, format: str, *args: Any) -> None:
         """Log nothing: requests are counted, not logged."""
 
--- a/src/masticgate/connection/_platform.py
+++ b/src/masticgate/connection/_platform.py
@@ -7,6 +7,7 @@
 
 from .._failures import Reason, Step, Unknown
 from .._ids import Address, FailureDomainId, HostId, Millis, Revision
+from ..version import AddressText, Name
 from ._http_call import HttpCall, HttpReply
 
 READ_TIMEOUT = Millis(1000.0)
@@ -20,9 +21,9 @@
 
 class _HostText(BaseModel):
     model_config = ConfigDict(extra="ignore")
-    host: str
-    address: str
-    failure_domain: str
+    host: Name
+    address: AddressText
+    failure_domain: Name
     leaving: bool = False
 
 
--- a/src/masticgate/connection/_searcher.py
+++ b/src/masticgate/connection/_searcher.py
@@ -1,6 +1,6 @@
 """One task for each connection to a searcher: take work, send it, hand back the result."""
 
-from typing import Any
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic_core import to_json
@@ -51,7 +51,7 @@
 
 class _GoneText(BaseModel):
     model_config = ConfigDict(extra="ignore")
-    held: list[int]
+    held: list[Annotated[int, Field(ge=0, lt=2**63)]] = Field(max_length=64)
 
 
 class _RefusalText(BaseModel):
@@ -157,7 +157,7 @@
         held = _GoneText.model_validate_json(body).held
     except ValidationError:
         return Unknown(Reason.SEARCHER_ERROR, Step.UPSTREAM, searcher, "unreadable answer")
-    return VersionGone(work.snapshot, tuple(SnapshotVersion(v) for v in held if v >= 0))
+    return VersionGone(work.snapshot, tuple(map(SnapshotVersion, held)))
 
 
 def _book(call: HttpCall, work: BookingWork, send: Send, clock: Clock) -> BookingOutcome:
--- a/src/masticgate/version/_schema.py
+++ b/src/masticgate/version/_schema.py
@@ -1,16 +1,30 @@
 """The shape of the operators' text, checked by type."""
 
+from ipaddress import IPv4Address
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9./_-]{0,79}$"
-ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
 SUPPORTED_FORMAT = 1
+MAX_PORT = 65535
 MAX_FLOOR_SUM = 0.9
 
+
+def check_address(text: str) -> str:
+    """Return ``text`` where it is an IPv4 number and a port.
+
+    :raises ValueError: it is not.
+    """
+    number, _, port = text.rpartition(":")
+    IPv4Address(number)
+    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) <= MAX_PORT):
+        raise ValueError(f"no port from 1 to {MAX_PORT}")
+    return text
+
+
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
-AddressText = Annotated[str, StringConstraints(pattern=ADDRESS_PATTERN)]
+AddressText = Annotated[str, AfterValidator(check_address)]
 DateText = Annotated[str, StringConstraints(pattern=r"^\d{4}-\d{2}-\d{2}$")]
 
 
--- /dev/null
+++ b/tests/connection/test_caller_server.py
@@ -0,0 +1,214 @@
+"""Callers that send bad input, too much, too slowly, or more than one request at once."""
+
+import json
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticgate import Millis, NotRun, QueryId, Rank, Reason, SnapshotVersion, Step
+from masticgate.connection import CallerApp, CallerServer
+from masticgate.request import Answer, Ran
+
+MAX_BODY = 2000
+SEARCH = {"services": ["desk"], "text": "x", "remaining_ms": 100.0}
+
+
+class Handler:
+    """Answers every request; a search of ``wait`` blocks until the test lets it go."""
+
+    def __init__(self):
+        self.release = Event()
+        self.searches = 0
+
+    def search(self, request):
+        self.searches += 1
+        if request.text == "wait":
+            self.release.wait(10)
+        if request.text == "full":
+            return NotRun(Reason.OVERLOAD, Step.ADMISSION, "desk")
+        return Answer(QueryId(request.text), request.rank, SnapshotVersion(3), 1.0, (), ())
+
+    def mint_ticket(self):
+        return "t"
+
+    def book(self, request):
+        return Ran("{}")
+
+    def status(self):
+        return {}
+
+    def events(self):
+        return []
+
+
+class Served:
+    """A caller server on a free port."""
+
+    def __init__(self, max_callers=8, timeout=300.0):
+        self.handler = Handler()
+        self.tasks = ThreadPoolExecutor(max_callers + 2)
+        app = CallerApp(self.handler, MAX_BODY)
+        self.server = CallerServer("127.0.0.1:0", app, self.tasks, max_callers, Millis(timeout))
+        self.address = self.server.listener.getsockname()
+        self.tasks.submit(self.server.run)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.handler.release.set()
+        self.server.stop()
+        assert self.server.await_closed(Millis(5000.0)), "a task was left behind"
+        self.tasks.shutdown()
+
+    def open(self):
+        return socket.create_connection(self.address, timeout=5)
+
+    def exchange(self, data: bytes) -> tuple[int, dict]:
+        """Send ``data``, end the sending side and return the first response."""
+        with self.open() as caller:
+            caller.sendall(data)
+            caller.shutdown(socket.SHUT_WR)
+            return read_response(caller.makefile("rb"))
+
+
+def read_response(stream) -> tuple[int, dict]:
+    line = stream.readline()
+    if not line:
+        return 0, {}
+    length = 0
+    while (header := stream.readline()) not in (b"\r\n", b""):
+        name, _, value = header.partition(b":")
+        length = int(value) if name.lower() == b"content-length" else length
+    body = stream.read(length)
+    return int(line.split()[1]), json.loads(body) if body.startswith(b"{") else {}
+
+
+def post(body: bytes, path: str = "/v1/search", head: str = "") -> bytes:
+    length = f"Content-Length: {len(body)}\r\n"
+    return f"POST {path} HTTP/1.1\r\nHost: x\r\n{length}{head}\r\n".encode() + body
+
+
+def search(**fields) -> bytes:
+    return post(json.dumps({**SEARCH, **fields}).encode())
+
+
+@pytest.fixture(scope="class")
+def served():
+    with Served() as running:
+        yield running
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b"\xff\xfe",
+            b"[" * 900,
+            json.dumps({**SEARCH, "services": []}).encode(),
+            json.dumps({**SEARCH, "services": "desk"}).encode(),
+            json.dumps({**SEARCH, "rank": "most"}).encode(),
+            json.dumps({**SEARCH, "remaining_ms": -1}).encode(),
+            json.dumps({**SEARCH, "remaining_ms": "100"}).encode(),
+            json.dumps({**SEARCH, "limit": 0}).encode(),
+            json.dumps({**SEARCH, "other": 1}).encode(),
+            json.dumps(SEARCH).replace("100.0", "NaN").encode(),
+        ],
+    )
+    def test_a_wrong_body_is_refused_as_not_run(self, served, body):
+        status, answer = served.exchange(post(body))
+        assert (status, answer["outcome"], answer["reason"]) == (400, "not_run", "bad_request")
+
+    def test_a_huge_body_is_refused_before_it_is_read(self, served):
+        status, answer = served.exchange(post(b"x" * 500_000))
+        assert (status, answer["reason"]) == (413, "too_large")
+
+    @pytest.mark.parametrize(
+        ("data", "expected"),
+        [
+            (b"GET /v1/search HTTP/1.1\r\n\r\n", 405),
+            (post(b"{}", "/v2/search"), 404),
+            (b"POST /v1/search HTTP/1.1\r\n\r\n", 400),
+            (b"POST /v1/search HTTP/1.1\r\nContent-Length: -5\r\n\r\n", 400),
+            (b"POST /v1/search HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400),
+            (b"POST /v1/search HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            (b"GET /v1/status HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n", 431),
+            (b"GET /v1/status HTTP/1.1\r\n" + b"X: y\r\n" * 200 + b"\r\n", 431),
+            (b"GET /" + b"y" * 70_000 + b" HTTP/1.1\r\n\r\n", 414),
+            (b"nonsense\r\n\r\n", 400),
+            (b"BREW / HTTP/1.1\r\n\r\n", 501),
+        ],
+    )
+    def test_a_bad_request_line_or_header_gets_a_clear_status(self, served, data, expected):
+        status, answer = served.exchange(data)
+        assert (status, answer["outcome"]) == (expected, "not_run")
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.binary(max_size=300))
+    def test_any_body_gets_a_verdict_and_the_next_caller_is_served(self, data):
+        with Served() as served:
+            assert served.exchange(post(data))[0] in (200, 400, 404)
+            assert served.exchange(search())[0] == 200
+
+
+class TestConnections:
+    def test_pipelined_requests_are_answered_in_order(self, served):
+        with served.open() as caller:
+            caller.sendall(b"".join(search(text=text) for text in ("a", "b", "c")))
+            stream = caller.makefile("rb")
+            assert [read_response(stream)[1]["query"] for _ in range(3)] == ["a", "b", "c"]
+
+    def test_a_caller_that_ends_its_sending_side_gets_its_answer(self, served):
+        assert served.exchange(search(text="half"))[1]["query"] == "half"
+
+    def test_a_slow_sender_is_dropped_and_harms_no_other(self):
+        with Served(timeout=200.0) as served, served.open() as slow:
+            slow.sendall(search()[:40])
+            assert served.exchange(search())[0] == 200
+            assert slow.recv(100) == b""
+            assert served.handler.searches == 1
+
+    def test_a_truncated_body_does_not_run(self, served):
+        before = served.handler.searches
+        assert served.exchange(search()[:-5]) == (0, {})
+        assert served.handler.searches == before
+
+    def test_callers_beyond_the_limit_are_refused_as_not_run(self):
+        with Served(max_callers=1) as served, served.open() as first:
+            first.sendall(search())
+            assert read_response(first.makefile("rb"))[0] == 200
+            with served.open() as second:
+                status, answer = read_response(second.makefile("rb"))
+            assert (status, answer["outcome"]) == (429, "not_run")
+
+    def test_a_refusal_for_overload_says_when_to_try_again(self, served):
+        with served.open() as caller:
+            caller.sendall(search(text="full"))
+            head = caller.recv(4096).decode()
+        assert head.startswith("HTTP/1.1 429") and "Retry-After: 1" in head
+
+
+class TestStop:
+    def test_finishes_the_request_in_progress_and_closes_idle_connections(self):
+        with Served() as served, served.open() as busy, served.open() as idle:
+            busy.sendall(search(text="wait"))
+            while not served.handler.searches:
+                served.handler.release.wait(0.01)
+            served.server.stop()
+            assert idle.recv(100) == b""
+            served.handler.release.set()
+            status, answer = read_response(busy.makefile("rb"))
+            assert (status, answer["query"]) == (200, "wait")
+
+
+class TestRanks:
+    def test_every_rank_has_a_name_that_callers_use(self, served):
+        for rank in Rank:
+            assert served.exchange(search(rank=rank.label))[1]["rank"] == rank.label
--- a/tests/version/test_text.py
+++ b/tests/version/test_text.py
@@ -74,7 +74,7 @@
             (replace('"format": 1', '"format": 2'), 4, "this release reads format 1"),
             (replace('"id": "d1b"', '"id": "d1a"'), 11, "'d1a' is already used by 'desk/1'"),
             (replace("127.0.0.1:20003", "127.0.0.1:20001"), 14, "is already used by 'desk/1'"),
-            (replace("127.0.0.1:20003", "ledger.example:1"), 14, "match pattern"),
+            (replace("127.0.0.1:20003", "ledger.example:1"), 14, "Expected 4 octets"),
             (SMALL + "/" * 1_000_000, 1, "longer than 1000000 bytes"),
             ("\n" + "[" * 65 + "]" * 65, 2, "nested deeper than 64 levels"),
             ("[" * 100_000, 1, ""),
