Draw no bar for what was not run

Cause: a routing that was not run was drawn like one that measured 0. Change: such a bar is left out. Conclusion: the pictures say no more than the table.

--- a/bench/process/_plots.py
+++ b/bench/process/_plots.py
@@ -39,7 +39,7 @@
         shown = [row for row in rows if row.rank == rank]
         places = range(len(shown))
         for shift, routing in ((-0.5, "new"), (0.5, "naive")):
-            heights = [getattr(row, f"{measure}_{routing}") or 0.0 for row in shown]
+            heights = [_height(getattr(row, f"{measure}_{routing}")) for row in shown]
             axis.bar([p + shift * BAR_WIDTH for p in places], heights, BAR_WIDTH, label=routing)
         axis.set_ylabel(rank)
         axis.set_xticks(places, [row.scenario for row in shown], rotation=30, ha="right")
@@ -48,3 +48,8 @@
     figure.savefig(path)
     pyplot.close(figure)
     return path
+
+
+def _height(value: float | None) -> float:
+    """Return a bar's height; what was not run gets no bar, unlike what measured as 0."""
+    return float("nan") if value is None else value
