Let the hedge delay lean less on the budget, and use 4.8 % of it

Cause: with the delay between 0.8 and 1.8 times the 90th percentile the budget ran empty, and some stragglers were waited for.

--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -10,8 +10,8 @@
 HEDGE_PERCENTILE = 90.0
 """Low enough that the stragglers themselves do not move the delay."""
 
-MARGIN_FULL = 0.8
-MARGIN_EMPTY = 1.8
+MARGIN_FULL = 1.2
+MARGIN_EMPTY = 1.6
 """The delay over that percentile, with a full and with an empty budget.
 
 In between, the delay settles where hedges cost what the budget earns.
--- a/src/masticgate/process/_policy.py
+++ b/src/masticgate/process/_policy.py
@@ -46,7 +46,7 @@
 class Hedge:
     """A straggler is asked again elsewhere, within a share of the work sent."""
 
-    budget: float = 0.04
+    budget: float = 0.048
     minimum_delay: Millis = Millis(15.0)
 
 
