--- a/src/masticgate/process/_lone_sends.py
+++ b/src/masticgate/process/_lone_sends.py
@@ -28,7 +28,7 @@
         """Return what has been in flight for ``delay``, urgent first."""
         found: list[Entry] = []
         for entry in self.entries.values():
-            if now - entry.sent_at < delay:
+            if entry.sent_at + delay > now:
                 break
             if now < entry.work.deadline:
                 found.append(entry)
@@ -38,7 +38,7 @@
     def next_due(self, now: Millis, delay: Millis) -> Millis:
         """Return when the next entry falls due that is not due yet, or the next one sent would."""
         for entry in self.entries.values():
-            if now - entry.sent_at < delay:
+            if entry.sent_at + delay > now:
                 return Millis(entry.sent_at + delay)
         return Millis(now + delay)
 
