Limit the searches in progress at an entry, and correct capacity by how long work waits

Cause: when a flood starts no owner has spoken yet, so every query fans out: 17,000 sub-queries a second starve the hosts, the owners' word comes late and lapses, and the flood goes on unchecked. An estimate of capacity that is too low refused work that nothing waited for. Change: each host limits its searches in progress by rank; the limit rises while searches end in time and falls when the deadline cuts one short. Owners raise the capacity they grant while nothing waits 50 ms and lower it while work waits 150 ms.

--- a/src/masticgate/process/_caller_service.py
+++ b/src/masticgate/process/_caller_service.py
@@ -18,6 +18,7 @@
     run_booking,
     run_search,
 )
+from ._concurrency import ConcurrencyLimit
 from ._host_tier import HostTier
 from ._metrics import Metrics
 from ._status import status_fields
@@ -48,6 +49,7 @@
         self.role = role
         self.metrics = metrics
         self.random = random.Random()
+        self.concurrency = ConcurrencyLimit(clock)
 
     def search(self, request: SearchRequest) -> Answer | NotRun:
         """Run a search."""
@@ -61,7 +63,7 @@
             request.text,
             request.limit,
         )
-        result = run_search(query, self.tier)
+        result = self._run_search(query)
         self._count_search(request.rank, result, Millis(self.clock.now() - started))
         return result
 
@@ -114,6 +116,17 @@
         """Return the time line's events."""
         return [event_fields(event) for event in self.timeline.list_events()]
 
+    def _run_search(self, query: Query) -> Answer | NotRun:
+        if not self.concurrency.enter(query.rank):
+            return NotRun(Reason.OVERLOAD, Step.ADMISSION, peer=self.host)
+        late = True
+        try:
+            result = run_search(query, self.tier)
+            late = is_late(result)
+            return result
+        finally:
+            self.concurrency.leave(query.rank, late=late)
+
     def _count_search(self, rank: Rank, result: Answer | NotRun, duration: Millis) -> None:
         match result:
             case NotRun(reason=reason):
@@ -133,3 +146,12 @@
 
     def _new_id(self) -> QueryId:
         return QueryId(f"{self.host}-{self.random.getrandbits(64):016x}")
+
+
+def is_late(result: Answer | NotRun) -> bool:
+    """Tell whether the deadline cut a search short."""
+    match result:
+        case NotRun(reason=reason):
+            return reason is Reason.DEADLINE
+        case Answer(missing=missing):
+            return any(item.failure.reason is Reason.DEADLINE for item in missing)
--- /dev/null
+++ b/src/masticgate/process/_concurrency.py
@@ -0,0 +1,53 @@
+"""Limits the searches that one entry host has in progress, whatever the owners say."""
+
+from collections.abc import Mapping
+from threading import Lock
+
+from .._clock import Clock
+from .._ids import Millis
+from .._ranks import Rank
+
+FIRST_LIMIT = 16.0
+SMALLEST_LIMIT = 8.0
+LARGEST_LIMIT = 256.0
+DECREASE = 0.9
+DECREASE_INTERVAL = Millis(100.0)
+"""The limit falls at most once in this time, however many searches are late."""
+
+RANK_SHARES: Mapping[Rank, float] = {Rank.URGENT: 0.75, Rank.STANDARD: 0.5, Rank.BULK: 0.5}
+"""The part of the limit that one rank may fill, so that none keeps the others out."""
+
+
+class ConcurrencyLimit:
+    """Adapts the number of searches in progress: up while they end in time, down when late.
+
+    It holds when a flood starts, before any owner has said what it can take, and when this host
+    itself is short of processor time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.lock = Lock()
+        self.limit = FIRST_LIMIT
+        self.in_progress = dict.fromkeys(Rank, 0)
+        self.decreased_at = clock.now()
+
+    def enter(self, rank: Rank) -> bool:
+        """Count one search in; return ``False`` where its rank has too many in progress."""
+        with self.lock:
+            if self.in_progress[rank] >= self.limit * RANK_SHARES[rank]:
+                return False
+            self.in_progress[rank] += 1
+            return True
+
+    def leave(self, rank: Rank, *, late: bool) -> None:
+        """Count one search out; ``late`` tells that its deadline cut it short."""
+        with self.lock:
+            self.in_progress[rank] -= 1
+            if not late:
+                self.limit = min(LARGEST_LIMIT, self.limit + 1.0 / self.limit)
+                return
+            now = self.clock.now()
+            if now - self.decreased_at >= DECREASE_INTERVAL:
+                self.decreased_at = now
+                self.limit = max(SMALLEST_LIMIT, self.limit * DECREASE)
--- a/src/masticgate/process/_service_load.py
+++ b/src/masticgate/process/_service_load.py
@@ -11,8 +11,15 @@
 MINIMUM_EVIDENCE = 20.0
 """Completions under backlog before the capacity counts as known."""
 
-OVERSUBSCRIPTION = 1.05
-"""Admitted work over capacity; a little too much keeps the slots busy."""
+FIRST_HEADROOM = 1.05
+"""Admitted work over the estimated capacity; a little too much keeps the slots busy."""
+
+LARGEST_HEADROOM = 4.0
+HEADROOM_STEP = 0.04
+"""How much a tick changes the headroom: up while nothing waits long, down while work does."""
+
+SHORT_WAIT = Millis(50.0)
+LONG_WAIT = Millis(150.0)
 
 ENGAGE_WAIT = Millis(100.0)
 """Work has to wait this long before any is refused."""
@@ -40,6 +47,7 @@
         self.had_backlog = False
         self.last_tick = now
         self.last_wait = Millis(now - RELEASE_AFTER)
+        self.headroom = FIRST_HEADROOM
 
     def arrive(self, rank: Rank, count: int = 1) -> None:
         """Count work asked for, whether it came here or was refused at its entry."""
@@ -56,8 +64,7 @@
 
     def tick(self, now: Millis, longest_wait: Millis) -> None:
         """Fold the counts since the last tick into the averages."""
-        if longest_wait >= ENGAGE_WAIT:
-            self.last_wait = now
+        self._adapt(now, longest_wait)
         elapsed = max(1.0, now - self.last_tick)
         self.last_tick = now
         weight = 1.0 - exp(-elapsed / DEMAND_WINDOW)
@@ -74,7 +81,18 @@
         capacity = self.capacity(slots)
         if capacity is None or self.last_tick - self.last_wait >= RELEASE_AFTER:
             return dict.fromkeys(Rank, 1.0)
-        return share_capacity(capacity * OVERSUBSCRIPTION, self.demand, floors)
+        return share_capacity(capacity * self.headroom, self.demand, floors)
+
+    def _adapt(self, now: Millis, longest_wait: Millis) -> None:
+        """Correct an estimate that proves too low or too high by how long work waits."""
+        if longest_wait >= ENGAGE_WAIT:
+            self.last_wait = now
+        if longest_wait < SHORT_WAIT:
+            self.headroom = min(LARGEST_HEADROOM, self.headroom * (1 + HEADROOM_STEP))
+        elif longest_wait > LONG_WAIT:
+            self.headroom = max(1.0, self.headroom * (1 - HEADROOM_STEP))
+        if now - self.last_wait >= RELEASE_AFTER:
+            self.headroom = FIRST_HEADROOM
 
     def capacity(self, slots: int) -> float | None:
         """Return completions a millisecond over ``slots`` slots, ``None`` while unknown."""
--- a/tests/process/test_admission.py
+++ b/tests/process/test_admission.py
@@ -91,3 +91,36 @@
         assert control.admit(Rank.URGENT, 0.5, services("a")) is not None
         clock.advance(Millis(PRESSURE_LIFETIME + 1))
         assert control.admit(Rank.URGENT, 0.5, services("a")) is None
+
+
+class TestHeadroom:
+    def loaded(self) -> ServiceLoad:
+        load = ServiceLoad(Millis(0.0))
+        for n in range(1, 200):
+            load.complete(Millis(n * 10.0), slots=4, backlog=True)
+        return load
+
+    def bulk_share(self, load: ServiceLoad, now: float, wait: float) -> float:
+        load.arrive(Rank.BULK, 100)
+        load.tick(Millis(now), Millis(wait))
+        return load.shares(4, FLOORS)[Rank.BULK]
+
+    def test_nothing_is_refused_while_no_work_has_waited_long(self):
+        load = self.loaded()
+        assert self.bulk_share(load, 2200.0, 40.0) == 1.0
+
+    def test_a_capacity_estimated_too_low_is_corrected_while_nothing_waits(self):
+        load = self.loaded()
+        first = self.bulk_share(load, 2200.0, 120.0)
+        later = [self.bulk_share(load, 2200.0 + 200.0 * n, 0.0) for n in range(1, 8)]
+        assert first < 1.0 and later[-1] > 1.2 * later[0]
+
+    def test_an_estimate_too_high_is_corrected_while_work_waits_long(self):
+        load = self.loaded()
+        shares = [self.bulk_share(load, 2200.0 + 200.0 * n, 200.0) for n in range(30)]
+        assert shares[-1] <= shares[10] and load.headroom == 1.0
+
+    def test_all_is_taken_again_some_time_after_the_last_long_wait(self):
+        load = self.loaded()
+        assert self.bulk_share(load, 2200.0, 120.0) < 1.0
+        assert self.bulk_share(load, 4300.0, 0.0) == 1.0
