--- a/tests/test_operators_pages.py
+++ b/tests/test_operators_pages.py
@@ -1,13 +1,16 @@
 """The operators' pages name what the code reads."""
 
 import re
+import shlex
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from pydantic import BaseModel
 
 from masticgate.process import Settings, check_settings
 from masticgate.process._settings import PlatformText, SeedText, StatsdText
+from masticgate.process.commands import main
 from masticgate.version._schema import (
     ConfigurationText,
     DepartmentText,
@@ -15,6 +18,8 @@
     SearcherText,
     ServiceText,
 )
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
 
 PAGES = Path(__file__).resolve().parents[1] / "docs" / "operators"
 SETTINGS = {"": Settings, "platform.": PlatformText, "seeds[].": SeedText, "statsd.": StatsdText}
@@ -79,3 +84,39 @@
     def test_are_refused_with_place_expectation_and_finding(self, text, words):
         problems = check_settings(text, "x").problems
         assert any(problem.startswith(words) for problem in problems), problems
+
+
+COMMAND = re.compile(r"^(?: {4}|\s*)(?:\$ )?masticgate (\w+ .+)$", re.MULTILINE)
+
+
+def commands() -> list[str]:
+    """Return every command that a page shows on a line of its own, but for ``serve``."""
+    shown = [
+        line
+        for page in sorted(PAGES.glob("*.md"))
+        for line in COMMAND.findall(page.read_text(encoding="utf-8"))
+        if not line.startswith("serve ")
+    ]
+    return list(dict.fromkeys(shown))
+
+
+@pytest.fixture(scope="class")
+def fleet():
+    with Fleet(SMALL, knobs={"service_ms": 5.0}) as started:
+        yield started
+
+
+class TestShownCommands:
+    def test_there_are_some(self):
+        assert {"check", "query", "book", "status", "timeline"} <= {
+            c.split()[0] for c in commands()
+        }
+
+    @pytest.mark.parametrize("command", commands())
+    def test_run_as_shown(self, command, fleet, tmp_path, monkeypatch):
+        monkeypatch.chdir(tmp_path)
+        (tmp_path / "text.jsonc").write_text(SMALL)
+        for number, caller in enumerate(fleet.callers, 1):
+            command = command.replace(f"127.0.0.1:800{number}", caller)
+        result = CliRunner().invoke(main, shlex.split(command))
+        assert result.exit_code == 0, result.output
