Let the watcher test wait for the roles too, not only for the watches

Cause: one full run of the suite at load 16 was red: the count of standing watches can be right for a moment while the roles still change, and the test then took the wrong hosts for the watchers.

Change: settled means two watchers in each failure domain and their watches standing; exactly two are ended. Stricter than before.

--- a/tests/process/test_distribution.py
+++ b/tests/process/test_distribution.py
@@ -144,27 +144,35 @@
 class TestWatchers:
     def test_of_a_failure_domain_are_replaced_when_both_are_lost(self):
         with Fleet(SMALL, hosts=7) as fleet:
-            standing = 4 * WATCHED_KEYS
-
-            def is_settled() -> bool:
-                return fleet.platform("reads")["waiting"] == standing
-
-            fleet.wait_until(is_settled, 10.0, "the watches are not those of the watchers")
-            lost = [
-                index
-                for index, host in enumerate(fleet.hosts)
-                if host["failure_domain"] == "north" and fleet.status(index)["watcher"]
-            ]
+            fleet.wait_until(lambda: is_settled(fleet), 10.0, "not two watchers a failure domain")
+            lost = [index for index in watchers(fleet) if domain_of(fleet, index) == "north"]
+            assert len(lost) == 2
             for index in lost:
                 fleet.kill(fleet.hosts[index]["host"])
-            fleet.wait_until(is_settled, 10.0, "the lost watchers are not replaced")
-            left = [index for index in range(7) if index not in lost]
+            fleet.wait_until(lambda: is_settled(fleet), 10.0, "the watchers are not replaced")
             revision = fleet.put_text(edit(3))
+            left = running(fleet)
 
             def is_in_force() -> bool:
                 return all(fleet.status(index)["revision"] == revision for index in left)
 
             fleet.wait_until(is_in_force, IN_FORCE_SECONDS, "the edit is not in force")
-            watching = [index for index in left if fleet.status(index)["watcher"]]
-            domains = [fleet.hosts[index]["failure_domain"] for index in watching]
-            assert sorted(domains) == ["north", "north", "south", "south"]
+
+
+def running(fleet: Fleet) -> list[int]:
+    return [i for i, host in enumerate(fleet.hosts) if fleet.is_running(host["host"])]
+
+
+def domain_of(fleet: Fleet, index: int) -> str:
+    return str(fleet.hosts[index]["failure_domain"])
+
+
+def watchers(fleet: Fleet) -> list[int]:
+    return [index for index in running(fleet) if fleet.status(index)["watcher"]]
+
+
+def is_settled(fleet: Fleet) -> bool:
+    """Tell whether two hosts of each domain watch, and each of them waits at the platform."""
+    domains = sorted(domain_of(fleet, index) for index in watchers(fleet))
+    waiting = fleet.platform("reads")["waiting"]
+    return domains == ["north", "north", "south", "south"] and waiting == 4 * WATCHED_KEYS
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from masticgate import (
+    Address,
     FailureDomainId,
     HostId,
     ManualClock,
@@ -18,7 +19,7 @@
     SystemClock,
     Unknown,
 )
-from masticgate.connection import Unchanged, Value
+from masticgate.connection import PlatformReader, Unchanged, Value
 from masticgate.process._backoff import RETRY_LONGEST, Backoff
 from masticgate.process._startup import StartState, Startup
 from masticgate.process._timeline import EventKind, TimeLine
@@ -266,3 +267,17 @@
             watch.read_once()
         kinds = [event.kind for event in watch.timeline.list_events()]
         assert kinds[1:] == [EventKind.PLATFORM_LOST, EventKind.PLATFORM_BACK]
+
+
+class TestWatchRole:
+    def test_lets_an_aborted_reader_read_again_at_the_next_turn(self):
+        role = WatchRole(TimeLine(HostId("h1"), ManualClock()))
+        reader = PlatformReader(Address("127.0.0.1:9"), Address("127.0.0.1:9"))
+        reader.abort()
+        assert role.update(True) and not role.update(True)
+        assert role.await_turn(reader.allow)
+        assert not reader.values.aborted and not reader.hosts.aborted
+        reader.abort()
+        role.stop()
+        assert not role.await_turn(reader.allow)
+        assert reader.values.aborted and reader.hosts.aborted
