Split retries and the connections' orders from the service pool

Change: _retry.py decides what another send costs, with a match on the result; Stopped, Idle and LookAround stand beside the seats. Conclusion: no change of behaviour.

--- a/src/masticgate/process/__init__.py
+++ b/src/masticgate/process/__init__.py
@@ -16,10 +16,10 @@
 from ._policy import OWNER_POLICY as OWNER_POLICY
 from ._policy import Policy as Policy
 from ._searcher_health import LoadReport as LoadReport
-from ._service_pool import Idle as Idle
-from ._service_pool import LookAround as LookAround
+from ._seats import Idle as Idle
+from ._seats import LookAround as LookAround
+from ._seats import Stopped as Stopped
 from ._service_pool import ServicePool as ServicePool
-from ._service_pool import Stopped as Stopped
 from ._settings import BadSettings as BadSettings
 from ._settings import Settings as Settings
 from ._settings import check_settings as check_settings
--- a/src/masticgate/process/_seats.py
+++ b/src/masticgate/process/_seats.py
@@ -1,12 +1,28 @@
 """The idle connections of a service that wait for work."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from threading import Condition, Lock
 
 from ._searcher_health import SearcherHealth
 from ._work import Send
 
 
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """The connection is no longer wanted and has to close."""
+
+
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """Nothing to do within the wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class LookAround:
+    """Nothing to do but to ask the searcher for its load."""
+
+
 class Seat:
     """One idle connection; its task waits on ``ready``."""
 
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -1,7 +1,6 @@
 """The one queue of a service at its owner, and the dispatch to its searchers' connections."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from threading import Lock
 
 from .._clock import MILLIS_PER_SECOND, Clock
@@ -12,9 +11,10 @@
 from ..version import Searcher
 from ._dispatcher import Dispatcher
 from ._policy import NoHedge, Policy
+from ._retry import RetryCost, retry_cost
 from ._searcher_group import StateListener
 from ._searcher_health import LOOK_INTERVAL, LoadReport, SearcherHealth
-from ._seats import Seat
+from ._seats import Idle, LookAround, Seat, Stopped
 from ._service_load import ServiceLoad
 from ._work import BookingWork, Entry, Result, SearchWork, Send, SendState, Work, WorkState
 
@@ -24,32 +24,6 @@
 IDLE_WAIT = Millis(4000.0)
 """The longest that a connection waits for work before it looks around."""
 
-MAX_RETRIES = 2
-
-FREE_RETRY_REASONS = frozenset({Reason.SEARCHER_DRAINING, Reason.SEARCHER_REFUSED})
-"""Failures that cost the searcher no work; a retry after them is no extra load."""
-
-RETRY_REASONS = FREE_RETRY_REASONS | {
-    Reason.SEARCHER_SHED,
-    Reason.SEARCHER_LOST,
-    Reason.SEARCHER_ERROR,
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Stopped:
-    """The connection is no longer wanted and has to close."""
-
-
-@dataclass(frozen=True, slots=True)
-class Idle:
-    """Nothing to do within the wait."""
-
-
-@dataclass(frozen=True, slots=True)
-class LookAround:
-    """Nothing to do but to ask the searcher for its load."""
-
 
 class _Change:
     """Holds a pool's lock, and delivers what was settled meanwhile after it is released."""
@@ -314,15 +288,17 @@
             self._settle(entry, result)
 
     def _should_retry(self, entry: Entry, result: Result) -> bool:
-        if not isinstance(entry.work, SearchWork) or self.stopping:
-            return False
-        if not isinstance(result, NotRun | Unknown) or result.reason not in RETRY_REASONS:
-            return False
-        if self.clock.now() >= entry.work.deadline or entry.retries >= MAX_RETRIES:
+        if self.stopping or self.searchers.all_draining():
             return False
-        if self.searchers.all_draining() or isinstance(self.policy.hedging, NoHedge):
+        if isinstance(self.policy.hedging, NoHedge) or self.clock.now() >= entry.work.deadline:
             return False
-        return result.reason in FREE_RETRY_REASONS or self.budget.spend()
+        match retry_cost(entry, result):
+            case RetryCost.FREE:
+                return True
+            case RetryCost.TOKEN:
+                return self.budget.spend()
+            case RetryCost.FORBIDDEN:
+                return False
 
     def _settle_unsent(self, entry: Entry, reason: Reason) -> None:
         """Settle a pending entry; one that was sent before has the result of that send."""
--- a/tests/process/test_service_pool.py
+++ b/tests/process/test_service_pool.py
@@ -24,9 +24,9 @@
 )
 from masticgate.process import OWNER_POLICY, BookingWork, LoadReport, SearchWork, Send, ServicePool
 from masticgate.process._booking_log import BookingLog
+from masticgate.process._retry import FREE_RETRY_REASONS
 from masticgate.process._searcher_health import SearcherState
 from masticgate.process._seats import Seat
-from masticgate.process._service_pool import FREE_RETRY_REASONS
 from masticgate.process._work import SendState
 from masticgate.request import Hits, Ran
 from masticgate.version import Searcher
