--- /dev/null
+++ b/bench/process/_control_fleet.py
@@ -0,0 +1,111 @@
+"""Fleets whose hosts count their control work, idle and under load."""
+
+import json
+import sys
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from tests.standins.fleet import Fleet
+from tests.texts import SMALL
+
+from bench.version import DEPLOYMENTS, SEARCHER_KNOBS
+from bench.process._load import Load
+
+from .counted_host import WORK
+
+FLEET_SIZES = [3, 7, 15, 30]
+IDLE_SECONDS = 8.0
+SETTLE_SECONDS = 5.0
+BUSY_RATES = {"urgent": 2.0, "standard": 14.0, "bulk": 4.0}
+"""Wide queries a second over the whole fleet, each to 20 services."""
+
+
+
+@dataclass(frozen=True)
+class HostUse:
+    """What one host used a second, on the average of its fleet."""
+
+    hosts: int
+    control_cpu: float
+    all_cpu: float
+    control_sent: float
+    work_sent: float
+    resident: float
+    threads: float
+    by_kind: dict[str, float]
+    sent_by_kind: dict[str, float]
+
+
+class CountedFleet(Fleet):
+    """A fleet of hosts that write down what their control work costs."""
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        if "serve" in command:
+            settings, counts = command[-1], str(self.folder / f"{name}.counts")
+            command = [sys.executable, "-m", "bench.process.counted_host", settings, counts]
+        super()._spawn(name, command)
+
+    def counts(self) -> list[dict[str, Any]]:
+        """Return what each host last wrote."""
+        paths = [self.folder / f"{host['host']}.counts" for host in self.hosts]
+        return [json.loads(path.read_text()) for path in paths]
+
+
+def idle_use(hosts: int) -> HostUse:
+    """Run a small fleet without requests."""
+    with CountedFleet(SMALL, hosts) as fleet:
+        time.sleep(SETTLE_SECONDS)
+        before = fleet.counts()
+        time.sleep(IDLE_SECONDS)
+        return _use(before, fleet.counts())
+
+
+def kerala_use(*, busy: bool) -> HostUse:
+    """Run today's larger deployment, 7 hosts and 108 searchers, idle or under load."""
+    deployment = DEPLOYMENTS["kerala"]
+    with CountedFleet(
+        deployment.text, deployment.hosts, searcher_processes=2, knobs=SEARCHER_KNOBS
+    ) as fleet:
+        time.sleep(SETTLE_SECONDS)
+        load = Load(fleet, [deployment.wide], BUSY_RATES, 2 * IDLE_SECONDS)
+        if busy:
+            load.start()
+            time.sleep(SETTLE_SECONDS)
+        before = fleet.counts()
+        time.sleep(IDLE_SECONDS)
+        after = fleet.counts()
+        load.stop()
+        return _use(before, after)
+
+
+def _use(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> HostUse:
+    pairs = list(zip(before, after, strict=True))
+    by_kind = _rates(pairs, "seconds")
+    sent = _rates(pairs, "sent")
+    return HostUse(
+        hosts=len(pairs),
+        control_cpu=sum(rate for kind, rate in by_kind.items() if kind not in WORK),
+        all_cpu=_mean((b["cpu"] - a["cpu"]) / (b["at"] - a["at"]) for a, b in pairs),
+        control_sent=sum(rate for kind, rate in sent.items() if kind not in WORK),
+        work_sent=sum(rate for kind, rate in sent.items() if kind in WORK),
+        resident=_mean(b["resident"] for _, b in pairs),
+        threads=_mean(b["threads"] for _, b in pairs),
+        by_kind=by_kind,
+        sent_by_kind=sent,
+    )
+
+
+def _rates(pairs: list, field: str) -> dict[str, float]:
+    kinds = sorted({kind for _, after in pairs for kind in after[field]})
+    return {
+        kind: _mean(
+            (b[field].get(kind, 0) - a[field].get(kind, 0)) / (b["at"] - a["at"]) for a, b in pairs
+        )
+        for kind in kinds
+    }
+
+
+def _mean(values: Any) -> float:
+    listed = list(values)
+    return sum(listed) / len(listed)
--- /dev/null
+++ b/bench/process/_host_costs.py
@@ -0,0 +1,174 @@
+"""What a host's own state costs, in a host that is put together but not started."""
+
+import tracemalloc
+from collections.abc import Callable
+
+from tests.standins.fleet import own_network
+
+from bench.connection import belief
+from bench.version import accepted, flat_text, scaled_text
+from masticgate import (
+    Address,
+    FailureDomainId,
+    HostId,
+    Millis,
+    Rank,
+    Revision,
+    SearcherId,
+    ServiceId,
+    SystemClock,
+)
+from masticgate.connection import SearchRequest
+from masticgate.process import (
+    OWNER_POLICY,
+    Member,
+    MemberState,
+    ServicePool,
+    ServicePressure,
+    check_settings,
+)
+from masticgate.process.server import Host
+from masticgate.version import Searcher
+
+FAN_OUTS = [2, 8, 24, 72]
+MEMBER_COUNTS = [70, 700, 3300]
+POOL_COUNTS = [100, 200, 400]
+REMAINING = Millis(230.0)
+
+
+def idle_host(text: str) -> Host:
+    """Return a host with ``text`` in force, on an address of its own, without tasks."""
+    network = own_network()
+    settings = check_settings(
+        f'{{"host": "own", "failure_domain": "north", "caller_address": "{network}:8001",'
+        f' "peer_address": "{network}:7001", "log_level": "error",'
+        f' "platform": {{"configuration": "{network}:9000", "hosts": "{network}:9000"}}}}',
+        "settings",
+    )
+    host = Host(settings)  # type: ignore[arg-type]
+    assert host.versions.offer_text(text, Revision(1))
+    host.versions.open()
+    return host
+
+
+
+
+def refused_calls() -> list[Callable[[], object]]:
+    """Return one call for each fan-out that asks for a search and has it refused."""
+    host = idle_host(flat_text(FAN_OUTS))
+    catalogue = {
+        "versions": [
+            {"version": 1, "shards": {s: {f"{s}/0": 1.0} for s in host.versions.accepted.services}}
+        ]
+    }
+    assert host.versions.offer_catalogue(str(catalogue).replace("'", '"'))
+    return [_refused_call(host, size) for size in FAN_OUTS]
+
+
+def _refused_call(host: Host, size: int) -> Callable[[], object]:
+    services = tuple(ServiceId(f"d{size}/{n}") for n in range(size))
+    request = SearchRequest(services, "lamp", Rank.BULK, REMAINING, 10)
+    last = max(services)
+
+    def call() -> object:
+        host.admission.hear(HostId("other"), [ServicePressure(last, (0.0, 0.0, 0.0))])
+        result = host.callers.search(request)
+        assert "OVERLOAD" in repr(result), result
+        return result
+
+    return call
+
+
+def beat_calls() -> list[Callable[[], object]]:
+    """Return one call for each number of members that does a heartbeat's work but the sending."""
+    return [_beat_call(count) for count in MEMBER_COUNTS]
+
+
+def _beat_call(count: int) -> Callable[[], object]:
+    host = idle_host(scaled_text(1))
+    host.members.hear(belief(n) for n in range(count))
+
+    def call() -> None:
+        host.members.forget_old()
+        host.links.drop_unused(host.heartbeats.neighbours)
+        host.heartbeats.interval()
+        host._after_beat()
+
+    return call
+
+
+def change_calls() -> list[Callable[[], object]]:
+    """Return one call for each number of members that takes in a host's death or return."""
+    return [_change_call(count) for count in MEMBER_COUNTS]
+
+
+def _change_call(count: int) -> Callable[[], object]:
+    host = idle_host(scaled_text(1))
+    host.members.hear(belief(n) for n in range(count))
+    counter = 0
+
+    def call() -> None:
+        nonlocal counter
+        counter += 1
+        known = belief(0)
+        state = (MemberState.ALIVE, MemberState.DEAD)[counter % 2]
+        host.members.hear(
+            [
+                Member(
+                    known.host,
+                    known.address,
+                    known.failure_domain,
+                    known.incarnation,
+                    state,
+                    counter,
+                )
+            ]
+        )
+
+    return call
+
+
+def member_memory() -> list[float]:
+    """Return the bytes that the beliefs about each number of members hold on to."""
+    return [_member_memory(count) for count in MEMBER_COUNTS]
+
+
+def _member_memory(count: int) -> float:
+    host = idle_host(scaled_text(1))
+    tracemalloc.start()
+    host.members.hear(belief(n) for n in range(count))
+    host.tier.table = {}
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return float(held)
+
+
+def pool_memory() -> list[float]:
+    """Return the bytes that each number of service pools holds on to."""
+    return [_pool_memory(count) for count in POOL_COUNTS]
+
+
+def _pool_memory(count: int) -> float:
+    clock = SystemClock()
+    configuration = accepted(scaled_text(1))
+    tracemalloc.start()
+    pools = [
+        ServicePool(
+            ServiceId(f"s{n}"),
+            [(_searcher(n, side), 3) for side in (0, 1)],
+            configuration.floors,
+            OWNER_POLICY,
+            clock,
+            lambda *_: None,
+        )
+        for n in range(count)
+    ]
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(pools) == count
+    return float(held)
+
+
+def _searcher(number: int, side: int) -> Searcher:
+    address = Address(f"127.0.0.{side + 1}:{20000 + number}")
+    return Searcher(SearcherId(f"s{number}-{side}"), address, FailureDomainId("north"), 2, 25)
--- /dev/null
+++ b/bench/process/_path_costs.py
@@ -0,0 +1,96 @@
+"""Processor time of a search at its entry host and at the owners, in running processes."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from tests.standins.fleet import Fleet
+
+from bench.version import flat_text, scaled_text
+from masticgate import Address
+from masticgate.connection import PlatformReader, Value
+
+from ._cpu import cpu_seconds
+from ._host_costs import FAN_OUTS
+from ._slope import Slope
+from ._stopwatch import MILLION, cpu_micros
+
+QUERIES = 240
+CALLERS = 4
+TRIES = 240
+WATCH_COPIES = [1, 2, 4]
+
+
+@dataclass(frozen=True)
+class PathCosts:
+    """Slopes of a search's two ends, of a caller's exchange and of a read of the platform."""
+
+    entry: Slope
+    owner: Slope
+    watch: Slope
+    exchange_micros: float
+
+
+def measure_path() -> PathCosts:
+    """Search through one of two hosts, which own half of the services each.
+
+    The other host's time is that of its sub-queries; what the first used beyond as much is the
+    entry's.
+    """
+    with Fleet(flat_text(FAN_OUTS), 2, knobs={"service_ms": 1.0}) as fleet:
+        rows = [_search(fleet, size) for size in FAN_OUTS]
+        sizes = [float(size) for size in FAN_OUTS]
+        halves = [size / 2 for size in sizes]
+        return PathCosts(
+            Slope("query at its entry", "us", "sub-query", sizes, [row[0] for row in rows]),
+            Slope("sub-query at its owner", "us", "sub-query", halves, [row[1] for row in rows]),
+            _watch(fleet),
+            _exchange(fleet),
+        )
+
+
+def _search(fleet: Fleet, size: int) -> tuple[float, float]:
+    services = [f"d{size}/{n}" for n in range(size)]
+    fleet.search(0, services)
+    time.sleep(0.5)
+    before = _cpu(fleet)
+
+    def run(_: int) -> None:
+        reply = fleet.search(0, services, remaining_ms=5000.0)
+        assert reply.status == 200 and reply.body["whole"], reply
+
+    with ThreadPoolExecutor(CALLERS) as callers:
+        list(callers.map(run, range(QUERIES)))
+    first, second = (
+        (after - start) / QUERIES * MILLION
+        for start, after in zip(before, _cpu(fleet), strict=True)
+    )
+    return first - second, second
+
+
+def _exchange(fleet: Fleet) -> float:
+    """Return the processor microseconds of a caller's exchange that does next to nothing."""
+    before = _cpu(fleet)
+    for _ in range(TRIES):
+        fleet.mint(0)
+    return (_cpu(fleet)[0] - before[0]) / TRIES * MILLION
+
+
+def _cpu(fleet: Fleet) -> list[float]:
+    return [cpu_seconds(fleet.processes[host["host"]].pid) for host in fleet.hosts]
+
+
+def _watch(fleet: Fleet) -> Slope:
+    reader = PlatformReader(Address(fleet.platform_address), Address(fleet.platform_address))
+    sizes, values = [], []
+    for copies in WATCH_COPIES:
+        text, key = scaled_text(copies), f"slopes/{copies}"
+        fleet.platform("put", key=key, value=text)
+
+        def read(key: str = key) -> None:
+            assert isinstance(reader.read(key), Value)
+
+        sizes.append(len(text) / 1000)
+        values.append(cpu_micros(read, 20))
+    reader.close()
+    return Slope("watch answered", "us", "kB of value", sizes, values)
--- /dev/null
+++ b/bench/process/counted_host.py
@@ -0,0 +1,134 @@
+"""An entry host that counts its control work: ``counted_host SETTINGS COUNTS``.
+
+It writes the processor seconds and the bytes that went to other hosts, control apart from the
+requests, to the file ``COUNTS`` every half second. What runs inside a counted section counts for
+the outermost one only. The clock counts for one thread, so that waiting for others costs nothing.
+"""
+
+import json
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from threading import Event
+from typing import Any
+
+from bench.connection import resident_bytes
+from masticgate.connection import FrameSocket, _socket, encode_message
+from masticgate.process import Settings, read_settings
+from masticgate.process._heartbeats import Heartbeats
+from masticgate.process._peer_service import PeerService
+from masticgate.process._pressure import PressureExchange
+from masticgate.process._watch import HostListWatch, KeyWatch
+from masticgate.process.server import Host
+
+WRITE_SECONDS = 0.5
+WORK = {"Ask", "Reply", "Cancel", "Book", "BookReply", "Forward", "ForwardReply"}
+LENGTH_BYTES = 4
+
+
+class Counts:
+    """Seconds and bytes by kind of message or task."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.seconds: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.local = threading.local()
+
+    def timed(self, kind: str, run: Callable[[], Any]) -> Any:
+        """Run ``run`` and add its processor time to ``kind`` unless inside another section."""
+        if getattr(self.local, "inside", False):
+            return run()
+        self.local.inside = True
+        started = time.thread_time()
+        try:
+            return run()
+        finally:
+            self.local.inside = False
+            with self.lock:
+                self.seconds[kind] += time.thread_time() - started
+
+    def add_sent(self, kind: str, size: int) -> None:
+        with self.lock:
+            self.sent[kind] += size
+
+    def fields(self) -> dict[str, Any]:
+        with self.lock:
+            return {
+                "at": time.monotonic(),
+                "cpu": time.process_time(),
+                "resident": resident_bytes(),
+                "threads": threading.active_count(),
+                "seconds": dict(self.seconds),
+                "sent": dict(self.sent),
+            }
+
+
+def install(counts: Counts) -> None:
+    """Put counters around the functions that do control work."""
+    send, decode, receive = FrameSocket.send, _socket.decode_message, PeerService.receive
+
+    def counted_send(self: FrameSocket, message: Any) -> bool:
+        kind = type(message).__name__
+        counts.add_sent(kind, len(encode_message(message)) + LENGTH_BYTES)
+        return counts.timed(kind, lambda: send(self, message))
+
+    def counted_decode(data: bytes) -> Any:
+        started = time.thread_time()
+        message = decode(data)
+        with counts.lock:
+            counts.seconds[type(message).__name__] += time.thread_time() - started
+        return message
+
+    def counted_receive(self: PeerService, peer: Any, message: Any, answer: Any) -> None:
+        counts.timed(type(message).__name__, lambda: receive(self, peer, message, answer))
+
+    FrameSocket.send = counted_send  # type: ignore[method-assign]
+    _socket.decode_message = counted_decode
+    PeerService.receive = counted_receive  # type: ignore[method-assign]
+    for owner, name in (
+        (Heartbeats, "beat"),
+        (PressureExchange, "run_once"),
+        (KeyWatch, "read_once"),
+        (HostListWatch, "read_once"),
+        (Host, "_after_beat"),
+    ):
+        _count_method(counts, owner, name)
+
+
+def _count_method(counts: Counts, owner: type, name: str) -> None:
+    original = getattr(owner, name)
+
+    def counted(self: Any, *arguments: Any) -> Any:
+        return counts.timed(f"{owner.__name__}.{name}", lambda: original(self, *arguments))
+
+    setattr(owner, name, counted)
+
+
+def write(counts: Counts, path: Path, stopping: Event) -> None:
+    """Write the counts until ``stopping``."""
+    while not stopping.wait(WRITE_SECONDS):
+        part = path.with_suffix(".part")
+        part.write_text(json.dumps(counts.fields()))
+        part.replace(path)
+
+
+def main(settings_path: str, counts_path: str) -> None:
+    """Run the host until SIGTERM."""
+    settings = read_settings(Path(settings_path))
+    assert isinstance(settings, Settings), settings
+    counts, stopping = Counts(), Event()
+    install(counts)
+    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    host = Host(settings)
+    host.start()
+    write(counts, Path(counts_path), stopping)
+    host.stop()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/bench/version/__init__.py
+++ b/bench/version/__init__.py
@@ -1,6 +1,18 @@
-"""What lives for one version: a deployment's text, its sizes and its shard maps."""
+"""What lives for one version: a deployment's text, its sizes and what a version costs."""
 
 from ._deployment import DEPLOYMENTS as DEPLOYMENTS
 from ._deployment import SEARCHER_KNOBS as SEARCHER_KNOBS
 from ._deployment import Deployment as Deployment
 from ._deployment import mark_leaving as mark_leaving
+from ._scaled_text import accepted as accepted
+from ._scaled_text import flat_text as flat_text
+from ._scaled_text import scaled_text as scaled_text
+from ._version_costs import HOST_COUNTS as HOST_COUNTS
+from ._version_costs import accept_calls as accept_calls
+from ._version_costs import adopt_calls as adopt_calls
+from ._version_costs import delta_bytes as delta_bytes
+from ._version_costs import delta_calls as delta_calls
+from ._version_costs import table_calls as table_calls
+from ._version_costs import text_bytes as text_bytes
+from ._version_costs import text_memory as text_memory
+from ._version_costs import text_sizes as text_sizes
