Bound what is asked of second owners, and cancel at owners that were left

Cause: a host short of processor time leaves heartbeats unanswered for 60 ms, is taken for silent, and its work is asked for a second time; the first owner then worked on for nobody. Capacity may be granted down to 80 % while work waits long.

--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -15,6 +15,7 @@
 from ._members import Members
 from ._owner import Owner
 from ._policy import AdmitAll, AdmitByCapacity, LocalRouting, OwnerRouting, Policy
+from ._repeat_budget import RepeatBudget
 from ._tickets import parse_ticket
 from ._versions import VersionStore
 
@@ -48,6 +49,7 @@
         self.mailboxes = mailboxes
         self.owner = owner
         self.admission = admission
+        self.repeats = RepeatBudget()
         self.table: dict[ServiceId, list[HostId]] = {}
         self.table_hosts: list[HostId] = []
 
@@ -107,6 +109,8 @@
         """Send to ``host``, which may be this host; replies go to ``inbox``."""
         if host == self.own and isinstance(message, Forward):
             return NotRun(Reason.MINTER_LOST, Step.FORWARD, peer=host)
+        if isinstance(message, Ask):
+            self.repeats.earn(len(message.parts))
         if inbox is not None and not isinstance(message, Cancel):
             self.mailboxes.register(host, message, inbox)
         if host == self.own:
@@ -125,6 +129,10 @@
         """Tell whether ``host`` has sent nothing for longer than a live host would."""
         return host != self.own and self.links.is_silent(host)
 
+    def may_repeat(self, parts: int) -> bool:
+        """Take ``parts`` from the budget of work that is asked of a second owner meanwhile."""
+        return self.repeats.spend(parts)
+
     def probe(self, host: HostId) -> None:
         """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
         if host != self.own:
--- a/src/masticgate/process/_service_load.py
+++ b/src/masticgate/process/_service_load.py
@@ -14,6 +14,7 @@
 FIRST_HEADROOM = 1.05
 """Admitted work over the estimated capacity; a little too much keeps the slots busy."""
 
+SMALLEST_HEADROOM = 0.8
 LARGEST_HEADROOM = 4.0
 HEADROOM_STEP = 0.04
 """How much a tick changes the headroom: up while nothing waits long, down while work does."""
@@ -90,7 +91,7 @@
         if longest_wait < SHORT_WAIT:
             self.headroom = min(LARGEST_HEADROOM, self.headroom * (1 + HEADROOM_STEP))
         elif longest_wait > LONG_WAIT:
-            self.headroom = max(1.0, self.headroom * (1 - HEADROOM_STEP))
+            self.headroom = max(SMALLEST_HEADROOM, self.headroom * (1 - HEADROOM_STEP))
         if now - self.last_wait >= RELEASE_AFTER:
             self.headroom = FIRST_HEADROOM
 
--- a/src/masticgate/request/_search.py
+++ b/src/masticgate/request/_search.py
@@ -112,6 +112,7 @@
         self.merge = Merge(scope, snapshot)
         self.inbox: Inbox = tier.open_inbox()
         self.tried: dict[ServiceId, list[HostId]] = defaultdict(list)
+        self.unanswered: set[tuple[ServiceId, HostId]] = set()
         self.restart = False
         self.next_check = Millis(tier.clock.now() + SILENCE_CHECK)
 
@@ -146,6 +147,7 @@
     def _ask_owner(self, owner: HostId, services: list[ServiceId]) -> None:
         for service in services:
             self.tried[service].append(owner)
+            self.unanswered.add((service, owner))
         parts = tuple(ServicePart(s, tuple(self.snapshot.shards_of(s))) for s in services)
         query = self.query
         remaining = Millis(query.deadline - ANSWER_RESERVE - self.tier.clock.now())
@@ -159,6 +161,7 @@
             parts,
         )
         if self.tier.send(owner, ask, self.inbox) is not None:
+            self.unanswered.difference_update((service, owner) for service in services)
             self._ask(services)
 
     def _next_owner(self, service: ServiceId) -> HostId | None:
@@ -174,6 +177,8 @@
         return Unknown(Reason.OWNER_LOST, Step.FORWARD, peer=tried[-1])
 
     def _take(self, delivery: Delivery) -> None:
+        if isinstance(delivery.message, Reply):
+            self.unanswered.discard((delivery.message.service, delivery.source))
         match delivery.message:
             case Reply(service=service, result=Hits() as hits):
                 self.merge.add_hits(service, hits)
@@ -210,11 +215,12 @@
             for service in self.merge.waiting
             if self.tier.is_silent(self.tried[service][-1]) and self._next_owner(service)
         ]
-        self._ask(silent)
+        if silent and self.tier.may_repeat(len(silent)):
+            self._ask(silent)
 
     def _cancel_rest(self) -> None:
-        hosts = {host for service in self.merge.waiting for host in self.tried[service]}
-        for host in hosts:
+        """Cancel what is still asked for, at silent owners that were left too."""
+        for host in {host for _, host in self.unanswered}:
             self.tier.send(host, Cancel(self.id), None)
         for service in tuple(self.merge.waiting):
             owner = self.tried[service][-1]
--- a/src/masticgate/request/_tier.py
+++ b/src/masticgate/request/_tier.py
@@ -73,6 +73,10 @@
         """Tell whether ``host`` has sent nothing for longer than a live host would."""
         ...
 
+    def may_repeat(self, parts: int) -> bool:
+        """Take ``parts`` from the budget of work that is asked of a second owner meanwhile."""
+        ...
+
     def probe(self, host: HostId) -> None:
         """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
         ...
--- a/tests/request/script_tier.py
+++ b/tests/request/script_tier.py
@@ -104,6 +104,9 @@
     def is_silent(self, host):
         return host in self.silent
 
+    def may_repeat(self, parts):
+        return True
+
     def probe(self, host):
         return None
 
--- a/tests/request/test_owner_change.py
+++ b/tests/request/test_owner_change.py
@@ -3,7 +3,7 @@
 import pytest
 
 from masticgate import Millis, NotRun, QueryId, Rank, Reason, ServiceId, Step
-from masticgate.request import Hit, Hits, Query, Reply, run_search
+from masticgate.request import Ask, Cancel, Hit, Hits, Query, Reply, run_search
 from masticgate.version import read_catalogue
 from tests.request.script_tier import ScriptTier
 from tests.texts import SMALL
@@ -31,3 +31,18 @@
         query = Query(QueryId("q"), Rank.URGENT, Millis(200.0), 0.5, services, "lamp", 10)
         assert run_search(query, tier).whole
         assert [host for host, _ in tier.sent] == ["h0", "h1"]
+
+    def test_a_silent_owner_that_was_left_is_told_to_stop(self):
+        def react(host, message, deliver):
+            if isinstance(message, Ask) and host == "h1":
+                for part in message.parts:
+                    hits = Hits(1, part.shards, (Hit("x", 1.0, part.shards[0], "{}"),))
+                    deliver(1.0, Reply(message.query, part.service, hits))
+
+        tier = ScriptTier(SMALL, react)
+        tier.silent = {"h0"}
+        tier.catalogue = read_catalogue(CATALOGUE)
+        services = (ServiceId("ledger/1"),)
+        query = Query(QueryId("q"), Rank.URGENT, Millis(200.0), 0.5, services, "lamp", 10)
+        assert run_search(query, tier).whole
+        assert [host for host, message in tier.sent if isinstance(message, Cancel)] == ["h0"]
