Steer admission by the backlog, and eject no searcher that has answered since

Cause: under overload the work with the highest numbers waits for its deadline, so the oldest wait said nothing of the backlog; a flood's demand was averaged in over 1.5 s; sends that were late themselves and timed out ejected healthy searchers, which halved a service's capacity and made it refuse standard work too.

--- a/src/masticgate/process/_searcher_group.py
+++ b/src/masticgate/process/_searcher_group.py
@@ -149,11 +149,17 @@
 
 
 def _is_failure(send: Send, reason: Reason) -> bool:
-    """Tell whether the searcher is to blame; to be overtaken by a hedge counts too."""
+    """Tell whether the searcher is to blame; to be overtaken by a hedge counts too.
+
+    One that has answered other work since then is alive: the send was late or unlucky.
+    """
+    answered_since = send.health.measured_at >= send.sent_at
     match send.state:
+        case SendState.WANTED if reason is Reason.SEARCHER_LOST:
+            return not answered_since
         case SendState.WANTED:
             return reason in HEALTH_FAILURES
         case SendState.OVERTAKEN:
-            return not send.hedge
+            return not send.hedge and not answered_since
         case SendState.CANCELLED:
             return False
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -120,8 +120,9 @@
         with self.lock:
             now = self.clock.now()
             wait = max(self.pending.oldest_wait(rank, now) for rank in Rank)
-            self.load.tick(now, wait)
-            return self.load.shares(self.searchers.usable_slots(now), self.pending.floors)
+            slots = self.searchers.usable_slots(now)
+            self.load.tick(now, slots, len(self.pending), wait)
+            return self.load.shares(slots, self.pending.floors)
 
     def stop(self) -> None:
         """Hand pending work back as not run and let connections end after their present work."""
