--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -15,7 +15,7 @@
 from ._searcher_group import StateListener
 from ._searcher_health import LOOK_INTERVAL, LoadReport, SearcherHealth
 from ._seats import Idle, LookAround, Seat, Stopped
-from ._service_load import ServiceLoad
+from ._service_load import PoolReading, ServiceLoad
 from ._work import BookingWork, Entry, Result, SearchWork, Send, SendState, Work, WorkState
 
 MAX_PENDING = 2000
@@ -118,11 +118,8 @@
     def measure_pressure(self) -> dict[Rank, float]:
         """Return the share of each rank's demand that this service can take."""
         with self.lock:
-            now = self.clock.now()
-            wait = max(self.pending.oldest_wait(rank, now) for rank in Rank)
-            slots = self.searchers.usable_slots(now)
-            self.load.tick(now, slots, len(self.pending), wait)
-            return self.load.shares(slots, self.pending.floors)
+            self.load.tick(self._read())
+            return self.load.shares(self.pending.floors)
 
     def stop(self) -> None:
         """Hand pending work back as not run and let connections end after their present work."""
@@ -210,6 +207,13 @@
 
     # All below runs under the lock.
 
+    def _read(self) -> PoolReading:
+        now = self.clock.now()
+        wait = max(self.pending.oldest_wait(rank, now) for rank in Rank)
+        in_flight = sum(health.in_flight for health in self.health.values())
+        slots = self.searchers.usable_slots(now)
+        return PoolReading(now, slots, in_flight, len(self.pending), wait)
+
     def _changing(self) -> "_Change":
         return self.change_of_state
 
