--- a/bench/connection/_connection_memory.py
+++ b/bench/connection/_connection_memory.py
@@ -73,7 +73,7 @@
 def searcher_connection_memory() -> list[float]:
     """Grow by connections to a searcher, each used once, with a task that waits for work."""
     listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-    address = Address("127.0.0.1:{}".format(listener.getsockname()[1]))
+    address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
     accepted: list[socket.socket] = []
     threading.Thread(target=_respond, args=(listener, accepted), daemon=True).start()
     clock = SystemClock()
--- a/bench/process/_control_fleet.py
+++ b/bench/process/_control_fleet.py
@@ -9,8 +9,8 @@
 from tests.standins.fleet import Fleet
 from tests.texts import SMALL
 
-from bench.version import DEPLOYMENTS, SEARCHER_KNOBS
 from bench.process._load import Load
+from bench.version import DEPLOYMENTS, SEARCHER_KNOBS
 
 from .counted_host import WORK
 
@@ -21,7 +21,6 @@
 """Wide queries a second over the whole fleet, each to 20 services."""
 
 
-
 @dataclass(frozen=True)
 class HostUse:
     """What one host used a second, on the average of its fleet."""
--- a/bench/process/_host_costs.py
+++ b/bench/process/_host_costs.py
@@ -51,8 +51,6 @@
     return host
 
 
-
-
 def refused_calls() -> list[Callable[[], object]]:
     """Return one call for each fan-out that asks for a search and has it refused."""
     host = idle_host(flat_text(FAN_OUTS))
--- /dev/null
+++ b/bench/process/_target.py
@@ -0,0 +1,93 @@
+"""The size to come, and what follows from it for one host."""
+
+import json
+from math import ceil, log2
+from typing import Any
+
+from tests.standins.fleet import ROOT
+
+from bench.version import DEPLOYMENTS, accepted
+from masticgate.process._beliefs import FOREIGN_NEIGHBOURS, NEAR_NEIGHBOURS
+from masticgate.process._members import SPREAD_FACTOR
+from masticgate.version import WATCHERS_PER_DOMAIN
+from masticgate.version._placement import SERVICES_PER_OWNER, group_size
+
+HOSTS = 3_300
+SEARCHERS = 22_000
+QUERIES = 580_000
+FAN_OUT = 71
+P99_MS = 230.0
+REGIONS = 5
+DOMAINS = 17
+CHANGES_A_DAY = 13_000
+CHANGE_SECONDS = 13.0
+CONTROL_CORE = 0.029
+CONTROL_MEMORY = 32e6
+CONTROL_BYTES = 3_000.0
+FAILURES_A_DAY = 140
+REPLACEMENTS_A_DAY = 1_400
+CONNECTION_LIMIT = 25
+VALUE_LIMIT = 1e6
+READ_LIMIT = 2_000.0
+DAY = 86_400.0
+HITS = 10
+
+TODAY = accepted(DEPLOYMENTS["kerala"].text)
+TODAY_SEARCHERS = sum(len(service.searchers) for service in TODAY.services.values())
+SEARCHERS_A_SERVICE = 2
+SERVICES = SEARCHERS // SEARCHERS_A_SERVICE
+TODAY_DEPARTMENTS = len(TODAY.departments)
+DEPARTMENTS = round(SEARCHERS / TODAY_SEARCHERS * TODAY_DEPARTMENTS)
+
+QUERIES_A_HOST = QUERIES / HOSTS
+SUB_QUERIES_A_HOST = QUERIES_A_HOST * FAN_OUT
+OWNERS_ASKED = ceil(FAN_OUT / SERVICES_PER_OWNER)
+ASKS_A_HOST = QUERIES_A_HOST * OWNERS_ASKED
+SERVICES_A_HOST = SERVICES / HOSTS
+SUB_QUERIES_A_SERVICE = QUERIES * FAN_OUT / SERVICES
+SUB_QUERIES_A_SEARCHER = QUERIES * FAN_OUT / SEARCHERS
+NEIGHBOURS = NEAR_NEIGHBOURS + FOREIGN_NEIGHBOURS
+PEERS = HOSTS - 1
+WATCHERS = DOMAINS * WATCHERS_PER_DOMAIN
+CHANGES = CHANGES_A_DAY / DAY
+TELLINGS = SPREAD_FACTOR * ceil(log2(HOSTS + 1))
+BELIEFS_A_DAY = FAILURES_A_DAY * 3 + REPLACEMENTS_A_DAY * 2
+"""Suspect, dead and back for a failure; leaving and back for a replacement."""
+
+TABLES_A_DAY = (FAILURES_A_DAY + REPLACEMENTS_A_DAY) * 2
+DOMAIN_HOSTS = round(HOSTS / DOMAINS)
+REGION_HOSTS = HOSTS // REGIONS
+GROUP = group_size(round(SERVICES / DEPARTMENTS))
+
+
+class Slopes:
+    """What was measured."""
+
+    def __init__(self) -> None:
+        text = (ROOT / "docs" / "slopes.json").read_text()
+        self.figures: dict[str, Any] = json.loads(text)
+
+    def slope(self, name: str) -> float:
+        """Return the cost of one more."""
+        return float(self.figures["slopes"][name]["slope"])
+
+    def at(self, name: str, size: float) -> float:
+        """Return the cost on the line at ``size``."""
+        line = self.figures["slopes"][name]
+        return float(line["slope"] * size + line["start"])
+
+    def table_seconds(self) -> float:
+        """Return the processor seconds of one owner table at the target."""
+        return self.slope("table") / TODAY_DEPARTMENTS * DEPARTMENTS * HOSTS / 1e6
+
+    def adopt_seconds(self) -> float:
+        """Return the processor seconds to apply and accept one delta at the target."""
+        return self.at("adopt", SEARCHERS) / 1e6
+
+    def accept_seconds(self) -> float:
+        """Return the processor seconds to accept one whole text at the target."""
+        return self.at("accept", SEARCHERS) / 1e6
+
+    def text_bytes(self) -> float:
+        """Return the bytes of the text at the target."""
+        return self.at("text_bytes", SEARCHERS)
--- a/bench/process/counted_host.py
+++ b/bench/process/counted_host.py
@@ -73,9 +73,12 @@
     send, decode, receive = FrameSocket.send, _socket.decode_message, PeerService.receive
 
     def counted_send(self: FrameSocket, message: Any) -> bool:
-        kind = type(message).__name__
-        counts.add_sent(kind, len(encode_message(message)) + LENGTH_BYTES)
-        return counts.timed(kind, lambda: send(self, message))
+        return counts.timed(type(message).__name__, lambda: send(self, message))
+
+    def counted_encode(message: Any) -> bytes:
+        data = encode_message(message)
+        counts.add_sent(type(message).__name__, len(data) + LENGTH_BYTES)
+        return data
 
     def counted_decode(data: bytes) -> Any:
         started = time.thread_time()
@@ -88,6 +91,7 @@
         counts.timed(type(message).__name__, lambda: receive(self, peer, message, answer))
 
     FrameSocket.send = counted_send  # type: ignore[method-assign]
+    _socket.encode_message = counted_encode
     _socket.decode_message = counted_decode
     PeerService.receive = counted_receive  # type: ignore[method-assign]
     for owner, name in (
--- /dev/null
+++ b/bench/process/slopes.py
@@ -0,0 +1,183 @@
+"""``make slopes``: measures what each thing costs at several sizes and prints the lines.
+
+The figures go to ``docs/slopes.json``, from which the tables of ``docs/CAPACITY.md`` follow.
+"""
+
+import json
+import multiprocessing
+import os
+import platform
+import subprocess
+import sys
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
+from datetime import UTC, datetime
+from typing import Any
+
+from tests.standins.fleet import ROOT
+
+import bench.connection as connection
+import bench.version as version
+
+from . import _host_costs as host_costs
+from ._control_fleet import FLEET_SIZES, HostUse, idle_use, kerala_use
+from ._path_costs import measure_path
+from ._slope import Slope
+from ._stopwatch import cpu_micros
+from ._watch_costs import measure_watch
+
+RESULTS = ROOT / "docs" / "slopes.json"
+RESIDENT = "from bench.connection import resident_bytes as r; print(r())"
+BARE = "print(next(x.split()[1] for x in open('/proc/self/status') if x.startswith('VmRSS')))"
+
+Calls = list[Callable[[], object]]
+
+
+def timed(name: str, per: str, sizes: Iterable[float], calls: Calls, repeats: int) -> Slope:
+    """Measure each call's processor time."""
+    values = [cpu_micros(call, repeats) for call in calls]
+    return Slope(name, "us", per, list(map(float, sizes)), values)
+
+
+def held(name: str, per: str, sizes: Iterable[float], values: list[float]) -> Slope:
+    """Return bytes of memory or of the wire as a slope."""
+    return Slope(name, "bytes", per, list(map(float, sizes)), values)
+
+
+def version_slopes() -> dict[str, Slope]:
+    """Measure what lives for a version."""
+    searchers = version.text_sizes()
+    return {
+        "accept": timed("text accepted", "searcher", searchers, version.accept_calls(), 5),
+        "adopt": timed("delta adopted", "searcher", searchers, version.adopt_calls(), 5),
+        "delta": timed("delta made", "searcher", searchers, version.delta_calls(), 20),
+        "table": timed("owner table", "host", version.HOST_COUNTS, version.table_calls(), 2),
+        "text_bytes": held("text", "searcher", searchers, version.text_bytes()),
+        "delta_bytes": held("delta", "searcher", searchers, version.delta_bytes()),
+        "text_memory": held("text in memory", "searcher", searchers, version.text_memory()),
+    }
+
+
+def message_slopes() -> dict[str, Slope]:
+    """Measure what lives for a message on a connection."""
+    slopes = {}
+    for kind, per in (
+        (connection.ask, "service"),
+        (connection.reply, "hit"),
+        (connection.heartbeat, "belief"),
+        (connection.pressure, "service"),
+    ):
+        name = kind.__name__
+        messages = [kind(size) for size in connection.SIZES]
+        calls = [connection.exchange_call(message) for message in messages]
+        lengths = [connection.wire_bytes(message) for message in messages]
+        slopes[name] = timed(f"{name}, both ends", per, connection.SIZES, calls, 200)
+        slopes[f"{name}_bytes"] = held(name, per, connection.SIZES, lengths)
+    return slopes
+
+
+def host_slopes() -> dict[str, Slope]:
+    """Measure what lives for a process."""
+    members = host_costs.MEMBER_COUNTS
+    fan_outs = host_costs.FAN_OUTS
+    return {
+        "refused": timed("refused query", "service", fan_outs, host_costs.refused_calls(), 50),
+        "beat": timed("heartbeat, own work", "member", members, host_costs.beat_calls(), 5),
+        "change": timed("member change", "member", members, host_costs.change_calls(), 2),
+        "member_memory": held("belief", "member", members, host_costs.member_memory()),
+        "pool_memory": held("pool", "pool", host_costs.POOL_COUNTS, host_costs.pool_memory()),
+    }
+
+
+def connection_slopes() -> dict[str, Slope]:
+    """Measure the memory of connections, each kind in a process of its own."""
+    context = multiprocessing.get_context("spawn")
+    slopes = {}
+    for name, per, grow in (
+        ("link_memory", "link with both ends", connection.link_memory),
+        ("searcher_memory", "connection", connection.searcher_connection_memory),
+    ):
+        with ProcessPoolExecutor(1, mp_context=context) as process:
+            values = process.submit(grow).result()
+        slopes[name] = held(name.replace("_", " "), per, connection.COUNTS, values)
+    return slopes
+
+
+def path_slopes() -> tuple[dict[str, Slope], float]:
+    """Measure a search's two ends and the platform's reads in running processes."""
+    path = measure_path()
+    value, listing, listing_bytes = measure_watch()
+    slopes = {
+        "entry": path.entry,
+        "owner": path.owner,
+        "watch": value,
+        "host_list": listing,
+        "host_list_bytes": listing_bytes,
+    }
+    return slopes, path.exchange_micros
+
+
+def resident_of(code: str) -> float:
+    """Return the resident bytes that a small program prints of itself."""
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join([str(ROOT / "src"), str(ROOT)])}
+    command = [sys.executable, "-c", code]
+    return float(subprocess.check_output(command, env=environment, cwd=ROOT))
+
+
+def conditions() -> dict[str, Any]:
+    """Return when and on what the figures were measured."""
+    return {
+        "date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M"),
+        "processors": os.cpu_count(),
+        "python": platform.python_version(),
+        "load_average": round(os.getloadavg()[0], 1),
+    }
+
+
+def measure() -> dict[str, Any]:
+    """Measure everything; the file's contents."""
+    start = conditions()
+    slopes = version_slopes() | message_slopes() | host_slopes() | connection_slopes()
+    paths, exchange = path_slopes()
+    slopes |= paths
+    for slope in slopes.values():
+        print(slope.describe(), flush=True)
+    fleets = {f"idle {size}": fleet(idle_use(size)) for size in FLEET_SIZES}
+    fleets |= {"kerala idle": fleet(kerala_use(busy=False))}
+    fleets |= {"kerala busy": fleet(kerala_use(busy=True))}
+    return {
+        "conditions": start | {"load_average_at_end": round(os.getloadavg()[0], 1)},
+        "slopes": {name: slope.fields() for name, slope in slopes.items()},
+        "exchange_us": exchange,
+        "digest_bytes": connection.wire_bytes(connection.digest_heartbeat()),
+        "empty_heartbeat_bytes": connection.wire_bytes(connection.heartbeat(0)),
+        "bare_python_bytes": resident_of(BARE) * 1024,
+        "imports_bytes": resident_of(f"import masticgate.process.server; {RESIDENT}"),
+        "fleets": fleets,
+    }
+
+
+def fleet(use: HostUse) -> dict[str, Any]:
+    """Print what a host of one fleet used, and return it."""
+    print(
+        f"{use.hosts} hosts: control {use.control_cpu:.2%} of a core, "
+        f"{use.control_sent:.0f} B/s sent, all {use.all_cpu:.2%} of a core, "
+        f"{use.resident / 1e6:.1f} MB resident, {use.threads:.0f} tasks",
+        flush=True,
+    )
+    return asdict(use)
+
+
+def main() -> None:
+    """Measure, print and write the figures."""
+    figures = json.loads(json.dumps(measure()), parse_float=lambda text: _rounded(float(text)))
+    RESULTS.write_text(json.dumps(figures, indent=1) + "\n")
+
+
+def _rounded(value: float) -> float:
+    return float(f"{value:.4g}")
+
+
+if __name__ == "__main__":
+    main()
