Work the size to come out from measured slopes

Cause: the target (3,300 nodes, 22,000 searchers, 580,000 queries/s) has to decide the design, and no page said what a host would hold, send and compute. Change: `make slopes` measures costs at three sizes or more and writes docs/slopes.json; `python -m bench.process.capacity` works the tables of docs/CAPACITY.md out from it, and tests/test_capacity.py holds both together.

--- /dev/null
+++ b/bench/process/_capacity_page.py
@@ -0,0 +1,93 @@
+"""The tables of ``docs/CAPACITY.md`` and their places in the page."""
+
+import re
+
+from tests.standins.fleet import ROOT
+
+from ._forecast import (
+    break_table,
+    budget_table,
+    change_table,
+    check_table,
+    derived_table,
+    failure_table,
+    latency_table,
+)
+from ._roles import all_rows
+from ._rows import Unit, markdown, measure, number, role_table
+from ._target import Slopes
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+TABLE = re.compile(r"<!-- table: (?P<name>[a-z -]+) -->\n.*?<!-- end -->", re.DOTALL)
+
+
+def tables(slopes: Slopes) -> dict[str, str]:
+    """Return every table by its name in the page."""
+    roles = {f"role {name}": role_table(rows) for name, rows in all_rows(slopes).items()}
+    return roles | {
+        "derived": derived_table(),
+        "slopes": slope_table(slopes),
+        "today": today_table(slopes),
+        "budget": budget_table(slopes),
+        "breaks": break_table(slopes),
+        "change": change_table(slopes),
+        "latency": latency_table(slopes),
+        "check": check_table(slopes),
+        "failures": failure_table(slopes),
+    }
+
+
+def fill(page: str, contents: dict[str, str]) -> str:
+    """Return ``page`` with each table in its place.
+
+    :raises KeyError: the page names a table that there is not.
+    """
+
+    def place(match: re.Match[str]) -> str:
+        name = match["name"]
+        return f"<!-- table: {name} -->\n\n{contents[name]}\n\n<!-- end -->"
+
+    return TABLE.sub(place, page)
+
+
+def slope_table(slopes: Slopes) -> str:
+    """Return every slope with its fit."""
+    rows = []
+    for line in slopes.figures["slopes"].values():
+        unit = {"us": "µs", "bytes": "B"}[line["unit"]]
+        points = ", ".join(
+            f"{number(size)}: {number(value)}"
+            for size, value in zip(line["sizes"], line["values"], strict=True)
+        )
+        slope = f"{number(line['slope'])} {unit} a {line['per']}"
+        rows.append([line["name"], points, slope, number(line["start"]), f"{line['r2']:.3f}"])
+    return markdown(["cost", "measured at", "slope", "at 0", "r²"], rows)
+
+
+def today_table(slopes: Slopes) -> str:
+    """Return what a host costs today, measured in fleets."""
+    rows = []
+    for name, use in slopes.figures["fleets"].items():
+        rows.append(
+            [
+                name,
+                str(use["hosts"]),
+                measure(use["control_cpu"], Unit.CORE),
+                measure(use["all_cpu"], Unit.CORE),
+                measure(use["control_sent"], Unit.BYTES_A_SECOND),
+                measure(use["work_sent"], Unit.BYTES_A_SECOND),
+                measure(use["resident"], Unit.BYTES),
+                number(use["threads"]),
+            ]
+        )
+    heads = [
+        "fleet",
+        "hosts",
+        "control",
+        "all CPU",
+        "control sent",
+        "work sent",
+        "resident",
+        "tasks",
+    ]
+    return markdown(heads, rows)
--- a/bench/process/_host_costs.py
+++ b/bench/process/_host_costs.py
@@ -6,7 +6,7 @@
 from tests.standins.fleet import own_network
 
 from bench.connection import belief
-from bench.version import accepted, flat_text, scaled_text
+from bench.version import COPIES, accepted, flat_text, scaled_text
 from masticgate import (
     Address,
     FailureDomainId,
@@ -79,11 +79,16 @@
 
 def beat_calls() -> list[Callable[[], object]]:
     """Return one call for each number of members that does a heartbeat's work but the sending."""
-    return [_beat_call(count) for count in MEMBER_COUNTS]
+    return [_beat_call(count, 1) for count in MEMBER_COUNTS]
 
 
-def _beat_call(count: int) -> Callable[[], object]:
-    host = idle_host(scaled_text(1))
+def wide_beat_calls() -> list[Callable[[], object]]:
+    """Return the same for each text, among few members."""
+    return [_beat_call(min(MEMBER_COUNTS), copies) for copies in COPIES]
+
+
+def _beat_call(count: int, copies: int) -> Callable[[], object]:
+    host = idle_host(scaled_text(copies))
     host.members.hear(belief(n) for n in range(count))
 
     def call() -> None:
--- /dev/null
+++ b/bench/process/_rows.py
@@ -0,0 +1,116 @@
+"""Rows that work a figure out in the open, as a product of its factors."""
+
+from dataclasses import dataclass
+from enum import Enum
+from math import prod
+
+KILO = 1e3
+NOTHING = 1e-9
+
+
+class State(Enum):
+    """How far the mechanism behind a figure exists."""
+
+    BUILT = "built"
+    PARTLY = "partly built"
+    DESIGNED = "only designed"
+
+
+class Unit(Enum):
+    """What a figure counts, and how it is written."""
+
+    CORE = "core"
+    BYTES = "B"
+    BYTES_A_SECOND = "B/s"
+    COUNT = ""
+    A_SECOND = "/s"
+    SECONDS = "s"
+    MILLIS = "ms"
+
+
+@dataclass(frozen=True)
+class Factor:
+    """One factor of a product, and what it counts."""
+
+    value: float
+    what: str
+
+    def text(self) -> str:
+        return f"{number(self.value)} {self.what}".strip()
+
+
+@dataclass(frozen=True)
+class Row:
+    """One line of a role's table; ``scale`` turns the product into the unit."""
+
+    what: str
+    factors: tuple[Factor, ...]
+    unit: Unit
+    mechanism: str = ""
+    state: State = State.BUILT
+    scale: float = 1.0
+    control: bool = False
+
+    @property
+    def value(self) -> float:
+        """The product."""
+        return prod(factor.value for factor in self.factors) * self.scale
+
+    @property
+    def working(self) -> str:
+        """The product as people write it."""
+        return " × ".join(factor.text() for factor in self.factors)
+
+
+def number(value: float) -> str:
+    """Write a figure with three digits that count."""
+    if abs(value) < NOTHING:
+        return "0"
+    if 0.01 <= abs(value) < KILO:
+        return f"{value:.3g}"
+    return f"{float(f'{value:.3g}'):,.0f}" if abs(value) >= KILO else f"{value:.2e}"
+
+
+def measure(value: float, unit: Unit) -> str:
+    """Write a figure with its unit."""
+    match unit:
+        case Unit.CORE:
+            return f"{value:.1%} of a core" if value < 1 else f"{value:.2f} cores"
+        case Unit.BYTES | Unit.BYTES_A_SECOND:
+            return _bytes(value) + ("/s" if unit is Unit.BYTES_A_SECOND else "")
+        case Unit.COUNT:
+            return number(value)
+        case Unit.A_SECOND:
+            return number(value) + "/s"
+        case _:
+            return f"{number(value)} {unit.value}"
+
+
+def _bytes(value: float) -> str:
+    for size, name in ((1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
+        if value >= size:
+            return f"{value / size:.3g} {name}"
+    return f"{value:.3g} B"
+
+
+def markdown(heads: list[str], rows: list[list[str]]) -> str:
+    """Return a table."""
+    lines = [heads, ["---"] * len(heads), *rows]
+    return "\n".join("| " + " | ".join(cells) + " |" for cells in lines)
+
+
+def role_table(rows: list[Row]) -> str:
+    """Return the table of one role."""
+    heads = ["what", "worked out", "at the target", "control", "carried by", "state"]
+    cells = [
+        [
+            row.what,
+            row.working,
+            measure(row.value, row.unit),
+            "yes" if row.control else "",
+            row.mechanism,
+            row.state.value,
+        ]
+        for row in rows
+    ]
+    return markdown(heads, cells)
--- a/bench/process/_target.py
+++ b/bench/process/_target.py
@@ -78,7 +78,7 @@
 
     def table_seconds(self) -> float:
         """Return the processor seconds of one owner table at the target."""
-        return self.slope("table") / TODAY_DEPARTMENTS * DEPARTMENTS * HOSTS / 1e6
+        return self.at("wide_table", DEPARTMENTS) / 1e6
 
     def adopt_seconds(self) -> float:
         """Return the processor seconds to apply and accept one delta at the target."""
--- a/bench/process/slopes.py
+++ b/bench/process/slopes.py
@@ -53,6 +53,16 @@
         "adopt": timed("delta adopted", "searcher", searchers, version.adopt_calls(), 5),
         "delta": timed("delta made", "searcher", searchers, version.delta_calls(), 20),
         "table": timed("owner table", "host", version.HOST_COUNTS, version.table_calls(), 2),
+        "wide_table": timed(
+            "owner table, 3,300 hosts",
+            "department",
+            version.department_counts(),
+            version.wide_table_calls(),
+            2,
+        ),
+        "table_memory": held(
+            "owner table in memory", "service", version.service_counts(), version.table_memory()
+        ),
         "text_bytes": held("text", "searcher", searchers, version.text_bytes()),
         "delta_bytes": held("delta", "searcher", searchers, version.delta_bytes()),
         "text_memory": held("text in memory", "searcher", searchers, version.text_memory()),
@@ -84,6 +94,13 @@
     return {
         "refused": timed("refused query", "service", fan_outs, host_costs.refused_calls(), 50),
         "beat": timed("heartbeat, own work", "member", members, host_costs.beat_calls(), 5),
+        "wide_beat": timed(
+            "heartbeat, text",
+            "service",
+            version.service_counts(),
+            host_costs.wide_beat_calls(),
+            5,
+        ),
         "change": timed("member change", "member", members, host_costs.change_calls(), 2),
         "member_memory": held("belief", "member", members, host_costs.member_memory()),
         "pool_memory": held("pool", "pool", host_costs.POOL_COUNTS, host_costs.pool_memory()),
--- a/bench/version/_version_costs.py
+++ b/bench/version/_version_costs.py
@@ -76,6 +76,39 @@
     return [lambda listed=listed: owner_table(configuration, listed) for listed in hosts]
 
 
+def department_counts() -> list[float]:
+    """Return the departments in each text."""
+    return [float(len(accepted(scaled_text(copies)).departments)) for copies in COPIES]
+
+
+def wide_table_calls() -> list:
+    """Return one call for each text that works out who of the most hosts owns what."""
+    hosts = [HostId(f"host-{n:04}") for n in range(max(HOST_COUNTS))]
+    configurations = [accepted(scaled_text(copies)) for copies in COPIES]
+    return [lambda listed=listed: owner_table(listed, hosts) for listed in configurations]
+
+
+def service_counts() -> list[float]:
+    """Return the services in each text."""
+    return [float(len(accepted(scaled_text(copies)).services)) for copies in COPIES]
+
+
+def table_memory() -> list[float]:
+    """Return the bytes that each text's owner table holds on to."""
+    return [_table_held(copies) for copies in COPIES]
+
+
+def _table_held(copies: int) -> float:
+    configuration = accepted(scaled_text(copies))
+    hosts = [HostId(f"host-{n:04}") for n in range(max(HOST_COUNTS))]
+    tracemalloc.start()
+    table = owner_table(configuration, hosts)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert table
+    return float(held)
+
+
 def text_memory() -> list[float]:
     """Return the bytes that each text holds on to once accepted, its sections included."""
     return [_held(copies) for copies in COPIES]
