--- a/bench/process/_forecast.py
+++ b/bench/process/_forecast.py
@@ -83,13 +83,15 @@
     change = sum(line[1] for line in change_lines(s))
     host, watcher = (control(s, Unit.CORE, watcher=w) for w in (False, True))
     sent, read = (control(s, Unit.BYTES_A_SECOND, watcher=w) for w in (False, True))
-    memory = s.figures["imports_bytes"] + control(s, Unit.BYTES, watcher=False)
+    added = control(s, Unit.BYTES, watcher=False)
+    memory = s.figures["imports_bytes"] + added
     outage = t.HOSTS * READS_AN_OUTAGE
     lines = [
         ("control: CPU", t.CONTROL_CORE, host, Unit.CORE),
         ("control: CPU of a watcher", t.CONTROL_CORE, watcher, Unit.CORE),
         ("control: bytes sent", t.CONTROL_BYTES, sent, Unit.BYTES_A_SECOND),
         ("control: the same with a watcher's reads", t.CONTROL_BYTES, read, Unit.BYTES_A_SECOND),
+        ("control: memory that it adds to a process", t.CONTROL_MEMORY, added, Unit.BYTES),
         ("control: memory, the process itself included", t.CONTROL_MEMORY, memory, Unit.BYTES),
         ("one interpreter lock: CPU of a host", 1.0, process, Unit.CORE),
         ("one owner: CPU of one service", 1.0, owner["of that, one service"], Unit.CORE),
--- a/bench/process/_rows.py
+++ b/bench/process/_rows.py
@@ -13,6 +13,8 @@
 
     BUILT = "built"
     PARTLY = "partly built"
+    """It runs today, and ends before the target."""
+
     DESIGNED = "only designed"
 
 
@@ -79,7 +81,7 @@
         case Unit.BYTES | Unit.BYTES_A_SECOND:
             return _bytes(value) + ("/s" if unit is Unit.BYTES_A_SECOND else "")
         case Unit.COUNT:
-            return number(value)
+            return f"{value:,.0f}" if value >= KILO else number(value)
         case Unit.A_SECOND:
             return number(value) + "/s"
         case _:
--- /dev/null
+++ b/tests/process/test_bench_slopes.py
@@ -0,0 +1,29 @@
+"""Lines through measured costs, and how their figures are written."""
+
+import pytest
+from bench.process._rows import Factor, Row, Unit, measure, number
+from bench.process._slope import Slope
+
+
+class TestSlope:
+    def test_finds_the_line_and_tells_how_well_it_fits(self):
+        exact = Slope("cost", "us", "host", [1.0, 2.0, 4.0], [5.0, 7.0, 11.0])
+        bent = Slope("cost", "us", "host", [1.0, 2.0, 4.0], [5.0, 1.0, 11.0])
+        assert exact.line == pytest.approx((2.0, 3.0))
+        assert exact.fit == pytest.approx(1.0)
+        assert bent.fit < 0.9
+
+
+class TestRow:
+    def test_is_the_product_that_it_shows(self):
+        row = Row("CPU", (Factor(2000.0, "calls/s"), Factor(3.0, "µs")), Unit.CORE, scale=1e-6)
+        assert row.working == "2,000 calls/s × 3 µs"
+        assert measure(row.value, row.unit) == "0.6% of a core"
+
+    def test_writes_three_digits(self):
+        assert [number(x) for x in (0.0, 0.001234, 12.345, 12345.0)] == [
+            "0",
+            "1.23e-03",
+            "12.3",
+            "12,300",
+        ]
