Name idle connections, hedge candidates and load checks by the field's terms

Cause: the service pool spoke of seats that sit down, look around and are armed, of lone sends, overtaken sends and signs of life; its lock stood in its own module behind a private method that tests called. Conclusion: pool, owner, booking and member tests pass with their assertions as they were.

--- a/src/masticgate/connection/_peer.py
+++ b/src/masticgate/connection/_peer.py
@@ -39,7 +39,7 @@
         """Return this host's own hello."""
         ...
 
-    def sign_of_life(self) -> Heartbeat:
+    def probe_heartbeat(self) -> Heartbeat:
         """Return a heartbeat that only asks for an answer."""
         ...
 
--- a/src/masticgate/connection/_searcher.py
+++ b/src/masticgate/connection/_searcher.py
@@ -10,9 +10,9 @@
 from .._ids import Millis, SearcherId, ShardId, SnapshotVersion
 from ..process import (
     BookingWork,
+    CheckLoad,
     Idle,
     LoadReport,
-    LookAround,
     SearchWork,
     Send,
     ServicePool,
@@ -25,7 +25,7 @@
 GRACE = Millis(5.0)
 """Added to the deadline before the call is given up, since the searcher keeps it too."""
 
-LOOK_TIMEOUT = Millis(1000.0)
+LOAD_TIMEOUT = Millis(1000.0)
 
 NOT_RUN_REASONS = {
     "draining": Reason.SEARCHER_DRAINING,
@@ -86,9 +86,9 @@
                 return
             case Idle():
                 continue
-            case LookAround():
+            case CheckLoad():
                 call.allow()
-                pool.note_load(searcher, _read_load(call.get("/load", LOOK_TIMEOUT)))
+                pool.note_load(searcher, _read_load(call.get("/load", LOAD_TIMEOUT)))
             case Send() as send:
                 _run_send(pool, send, call, clock)
 
--- a/src/masticgate/process/__init__.py
+++ b/src/masticgate/process/__init__.py
@@ -3,6 +3,9 @@
 Nothing here opens a socket but :mod:`masticgate.process.server`, which puts a host together.
 """
 
+from ._idle_connections import CheckLoad as CheckLoad
+from ._idle_connections import Idle as Idle
+from ._idle_connections import Stopped as Stopped
 from ._messages import Demand as Demand
 from ._messages import Heartbeat as Heartbeat
 from ._messages import HeartbeatReply as HeartbeatReply
@@ -16,9 +19,6 @@
 from ._policy import OWNER_POLICY as OWNER_POLICY
 from ._policy import Policy as Policy
 from ._searcher_health import LoadReport as LoadReport
-from ._seats import Idle as Idle
-from ._seats import LookAround as LookAround
-from ._seats import Stopped as Stopped
 from ._service_pool import ServicePool as ServicePool
 from ._settings import BadSettings as BadSettings
 from ._settings import Settings as Settings
--- a/src/masticgate/process/_dispatcher.py
+++ b/src/masticgate/process/_dispatcher.py
@@ -6,12 +6,12 @@
 from .._ranks import Rank
 from ..version import Searcher
 from ._hedge_budget import HedgeBudget
-from ._lone_sends import LoneSends
+from ._hedge_candidates import HedgeCandidates
+from ._idle_connections import IdleConnections
 from ._policy import Policy
 from ._rank_queue import RankQueue
 from ._searcher_group import SearcherGroup, StateListener
 from ._searcher_health import SearcherHealth
-from ._seats import Seats
 from ._work import BookingWork, Entry, Send, WorkState
 
 EXPIRY_INTERVAL = Millis(100.0)
@@ -33,15 +33,15 @@
         self.budget = HedgeBudget(policy.hedging)
         self.searchers = SearcherGroup(service, listener)
         self.searchers.set_shares(searchers)
-        self.lone = LoneSends()
-        self.seats = Seats()
+        self.candidates = HedgeCandidates()
+        self.idle_connections = IdleConnections()
         self.next_expiry = Millis(0.0)
 
     def run(self, now: Millis) -> list[Entry]:
         """Hand out all work that may be sent now; return the entries found expired."""
         expired = self._find_expired(now)
-        if self.seats:
-            delay = self.budget.hedge_delay() if self.lone.entries else None
+        if self.idle_connections:
+            delay = self.budget.hedge_delay() if self.candidates.entries else None
             if delay is not None:
                 self._send_hedges(now, delay, self.pending.first_rank())
             while self.pending.size and self._send_next(now, expired):
@@ -49,26 +49,26 @@
             if delay is not None and not self.pending.size:
                 self._send_hedges(now, delay, None)
             if self.is_watching():
-                self.seats.arm()
+                self.idle_connections.ensure_timer()
         return expired
 
     def is_watching(self) -> bool:
         """Tell whether something may fall due while nobody calls :meth:`run`."""
-        return bool(self.lone.entries) or self.pending.size > 0
+        return bool(self.candidates.entries) or self.pending.size > 0
 
     def keeps_watch(self) -> bool:
         """Tell whether the timer has to wait on, since work came after it last asked.
 
         While work comes, one wake-up an interval is cheaper than to arm the timer at each send.
         """
-        return self.lone.take_added() or self.is_watching()
+        return self.candidates.take_added() or self.is_watching()
 
     def next_due(self, now: Millis, latest: Millis) -> Millis:
         """Return when there may be a hedge to send or a searcher to try again."""
         times = [latest]
         delay = self.budget.hedge_delay()
         if delay is not None:
-            times.append(self.lone.next_due(now, delay))
+            times.append(self.candidates.next_due(now, delay))
         eligible = self.searchers.next_eligible(now) if self.pending.size else None
         if eligible is not None:
             times.append(eligible)
@@ -76,7 +76,7 @@
 
     def requeue(self, entry: Entry, failed_at: SearcherHealth) -> None:
         """Put an entry back after a send failed."""
-        self.lone.discard(entry)
+        self.candidates.discard(entry)
         entry.retries += 1
         entry.failed_at = failed_at
         entry.state = WorkState.PENDING
@@ -86,7 +86,7 @@
         """Take an entry out, wherever it stands."""
         entry.state = WorkState.DONE
         self.pending.remove(entry)
-        self.lone.discard(entry)
+        self.candidates.discard(entry)
 
     def _find_expired(self, now: Millis) -> list[Entry]:
         if now < self.next_expiry or not self.pending.size:
@@ -99,7 +99,7 @@
 
     def _send_next(self, now: Millis, expired: list[Entry]) -> bool:
         """Send one pending entry; return ``False`` where no searcher may have more."""
-        any_searcher = self.searchers.best(self.seats.idle, now)
+        any_searcher = self.searchers.best(self.idle_connections.by_searcher, now)
         if any_searcher is None:
             return False
         entry = self.pending.pop(now)
@@ -115,15 +115,15 @@
         barred = [] if entry.failed_at is None else [entry.failed_at]
         if isinstance(entry.work, BookingWork):
             barred += self.searchers.ejected()
-        return self.searchers.best(self.seats.idle, now, barred)
+        return self.searchers.best(self.idle_connections.by_searcher, now, barred)
 
     def _send_hedges(self, now: Millis, delay: Millis, first: Rank | None) -> None:
         """Send the hedges that are due, but none of a rank below ``first``."""
-        for entry in self.lone.due(now, delay):
+        for entry in self.candidates.due(now, delay):
             if first is not None and entry.work.rank > first:
                 return
             sent_to = [send.health for send in entry.sends]
-            health = self.searchers.best(self.seats.idle, now, sent_to)
+            health = self.searchers.best(self.idle_connections.by_searcher, now, sent_to)
             if health is None:
                 continue
             if not self.budget.spend():
@@ -136,12 +136,12 @@
         send = Send(entry, health, now, hedge)
         entry.sends.append(send)
         if hedge:
-            self.lone.discard(entry)
+            self.candidates.discard(entry)
         else:
             entry.state = WorkState.SENT
             entry.sent_at = now
-            self.lone.add(entry)
+            self.candidates.add(entry)
             if entry.retries == 0:
                 self.budget.earn()
         health.in_flight += 1
-        self.seats.give(send)
+        self.idle_connections.give(send)
--- a/src/masticgate/process/_lone_sends.py
+++ b/src/masticgate/process/_hedge_candidates.py
@@ -1,10 +1,10 @@
-"""The searches in flight at just one searcher, from which hedges are chosen."""
+"""The searches that may be hedged: each is in flight at one searcher."""
 
 from .._ids import Millis
 from ._work import Entry, SearchWork
 
 
-class LoneSends:
+class HedgeCandidates:
     """Entries that were sent once, in the order of sending; the service pool's lock guards them.
 
     A booking is never among them.
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -134,7 +134,7 @@
         return self.repeats.spend(parts)
 
     def probe(self, host: HostId) -> None:
-        """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
+        """Ask ``host`` for a reply, by which a slow host is told from a lost one."""
         if host != self.own:
             self.links.probe(host)
 
--- a/src/masticgate/process/_links.py
+++ b/src/masticgate/process/_links.py
@@ -14,9 +14,9 @@
 """A host that has left a heartbeat unanswered for this long counts as silent."""
 
 QUIET = Millis(20.0)
-"""A host that has sent nothing for this long is asked for a sign of life with the next work."""
+"""A host that has sent nothing for this long is asked for a reply with the next work."""
 
-LIVELY = Millis(1000.0)
+RESPONSIVE = Millis(1000.0)
 """A host that has sent something within this time keeps its link, and refutes that it is dead."""
 
 LINK_IDLE = Millis(30_000.0)
@@ -78,17 +78,17 @@
         return link is None or self._unanswered(link) > SILENCE
 
     def probe(self, host: HostId) -> None:
-        """Ask ``host`` for a sign of life unless it gave one lately or was asked already."""
+        """Ask ``host`` for a reply unless it gave one lately or was asked already."""
         link = self.links.get(host)
         if link is None or link.unanswered_since is not None:
             return
         if self.clock.now() - link.last_received > QUIET:
-            link.send(self._sign_of_life())
+            link.send(self._probe_heartbeat())
 
-    def is_lively(self, host: HostId) -> bool:
+    def is_responsive(self, host: HostId) -> bool:
         """Tell whether ``host`` sent something lately, whatever others believe of it."""
         link = self.links.get(host)
-        return link is not None and self.clock.now() - link.last_received < LIVELY
+        return link is not None and self.clock.now() - link.last_received < RESPONSIVE
 
     def heard_at(self, host: HostId) -> Millis | None:
         """Return when ``host`` last sent something over its link."""
@@ -133,5 +133,5 @@
         since = link.unanswered_since
         return Millis(0.0) if since is None else Millis(self.clock.now() - since)
 
-    def _sign_of_life(self) -> Heartbeat:
-        return self.handler.sign_of_life()
+    def _probe_heartbeat(self) -> Heartbeat:
+        return self.handler.probe_heartbeat()
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -53,7 +53,7 @@
         """Return this host's own hello."""
         return self.own
 
-    def sign_of_life(self) -> Heartbeat:
+    def probe_heartbeat(self) -> Heartbeat:
         """Return a heartbeat that only asks for an answer."""
         return Heartbeat(self.timeline.sequence, self.versions.versions(), ())
 
--- a/src/masticgate/process/_searcher_group.py
+++ b/src/masticgate/process/_searcher_group.py
@@ -149,7 +149,7 @@
 
 
 def _is_failure(send: Send, reason: Reason) -> bool:
-    """Tell whether the searcher is to blame; to be overtaken by a hedge counts too.
+    """Tell whether the searcher is to blame; to be superseded by a hedge counts too.
 
     One that has answered other work since then is alive: the send was late or unlucky.
     """
@@ -159,7 +159,7 @@
             return not answered_since
         case SendState.WANTED:
             return reason in HEALTH_FAILURES
-        case SendState.OVERTAKEN:
+        case SendState.SUPERSEDED:
             return not send.hedge and not answered_since
         case SendState.CANCELLED:
             return False
--- a/src/masticgate/process/_searcher_health.py
+++ b/src/masticgate/process/_searcher_health.py
@@ -14,8 +14,8 @@
 SLOW_MINIMUM_SAMPLES = 20
 FIRST_EJECTION = Millis(500.0)
 LONGEST_EJECTION = Millis(8000.0)
-FIRST_REST = Millis(20.0)
-LONGEST_REST = Millis(500.0)
+FIRST_BACKOFF = Millis(20.0)
+LONGEST_BACKOFF = Millis(500.0)
 WARM_UP_STEP = 4
 """Successes after which a warming searcher may have one more request in flight."""
 
@@ -26,7 +26,7 @@
 LATENCY_KEPT = Millis(3000.0)
 """An idle searcher is measured anew once its last success is older than this."""
 
-LOOK_INTERVAL = Millis(4000.0)
+LOAD_CHECK_INTERVAL = Millis(4000.0)
 """How often an idle connection asks a searcher for its load."""
 
 
@@ -62,7 +62,7 @@
         self.in_flight = 0
         self.incarnation = ""
         self.reported_load = 0
-        self.look_at = Millis(0.0)
+        self.load_check_at = Millis(0.0)
         self.restart()
 
     def restart(self) -> None:
@@ -74,7 +74,7 @@
         self.samples = 0
         self.failures = 0
         self.ejection = FIRST_EJECTION
-        self.rest = FIRST_REST
+        self.backoff = FIRST_BACKOFF
         self.eligible_at = Millis(0.0)
         self.drained = ""
         self.lost = False
@@ -129,7 +129,7 @@
     def succeed(self, latency: Millis, now: Millis) -> None:
         """Count a success; an ejected searcher starts to warm up again."""
         self.failures = 0
-        self.rest = FIRST_REST
+        self.backoff = FIRST_BACKOFF
         self.samples += 1
         self.measured_at = now
         if self.samples == 1:
@@ -159,8 +159,8 @@
         if self.state is not SearcherState.EJECTED:
             self.state = SearcherState.WARMING
         self.window = max(1.0, min(self.window, float(self.connections)) / 2)
-        self.eligible_at = Millis(now + self.rest)
-        self.rest = min(LONGEST_REST, Millis(self.rest * 2))
+        self.eligible_at = Millis(now + self.backoff)
+        self.backoff = min(LONGEST_BACKOFF, Millis(self.backoff * 2))
 
     def is_slow(self, fastest: Millis) -> bool:
         """Tell whether this searcher is an outlier beside its ``fastest`` sibling."""
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -119,7 +119,7 @@
             detector,
             seeds_of(settings),
             self.timeline,
-            self._after_beat,
+            self._after_heartbeat,
         )
         self.connections: set[Future[None]] = set()
 
@@ -174,7 +174,7 @@
             PROTOCOL_NEWEST,
         )
 
-    def _after_beat(self) -> None:
+    def _after_heartbeat(self) -> None:
         self.distribution.update_role()
         configuration = self.versions.configuration
         if configuration is not None:
@@ -202,7 +202,7 @@
 
     def _members_changed(self, members: Sequence[Member]) -> None:
         for member in members:
-            if member.state is MemberState.DEAD and not self.links.is_lively(member.host):
+            if member.state is MemberState.DEAD and not self.links.is_responsive(member.host):
                 self.links.drop(member.host)
         self.tier.refresh_hosts()
 
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -1,7 +1,6 @@
 """The one queue of a service at its owner, and the dispatch to its searchers' connections."""
 
 from collections.abc import Callable, Iterable, Mapping
-from threading import Lock
 
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._failures import NotRun, Reason, Step, Unknown
@@ -9,12 +8,13 @@
 from .._ranks import Rank
 from ..request import Hits, Ran
 from ..version import Searcher
+from ._delivery_lock import DeliveryLock
 from ._dispatcher import Dispatcher
+from ._idle_connections import CheckLoad, Idle, IdleConnection, Stopped
 from ._policy import NoHedge, Policy
 from ._retry import RetryCost, retry_cost
 from ._searcher_group import StateListener
-from ._searcher_health import LOOK_INTERVAL, LoadReport, SearcherHealth
-from ._seats import Idle, LookAround, Seat, Stopped
+from ._searcher_health import LOAD_CHECK_INTERVAL, LoadReport, SearcherHealth
 from ._service_load import ServiceLoad
 from ._work import BookingWork, Entry, Result, SearchWork, Send, SendState, Work, WorkState
 
@@ -22,23 +22,7 @@
 """Work beyond this is refused as overload."""
 
 IDLE_WAIT = Millis(4000.0)
-"""The longest that a connection waits for work before it looks around."""
-
-
-class _Change:
-    """Holds a pool's lock, and delivers what was settled meanwhile after it is released."""
-
-    def __init__(self, pool: "ServicePool") -> None:
-        self.pool = pool
-
-    def __enter__(self) -> None:
-        self.pool.lock.acquire()
-
-    def __exit__(self, *_: object) -> None:
-        settled, self.pool.settled = self.pool.settled, []
-        self.pool.lock.release()
-        for entry, result in settled:
-            entry.deliver(result)
+"""The longest that a connection waits for work before it may check the searcher's load."""
 
 
 class ServicePool:
@@ -59,18 +43,17 @@
         self.service = service
         self.policy = policy
         self.clock = clock
-        self.lock = Lock()
+        self.delivering = DeliveryLock()
+        self.lock = self.delivering.lock
         self.dispatcher = Dispatcher(service, searchers, floors, policy, listener)
         self.pending = self.dispatcher.pending
         self.budget = self.dispatcher.budget
         self.searchers = self.dispatcher.searchers
-        self.seats = self.dispatcher.seats
+        self.idle_connections = self.dispatcher.idle_connections
         self.load = ServiceLoad(clock.now())
         self.entries: dict[QueryId, Entry] = {}
         self.stopping = False
         self.last_used = clock.now()
-        self.settled: list[tuple[Entry, Result]] = []
-        self.change_of_state = _Change(self)
 
     @property
     def health(self) -> Mapping[SearcherId, SearcherHealth]:
@@ -81,7 +64,7 @@
 
     def offer(self, work: Work) -> NotRun | None:
         """Queue ``work``; its ``deliver`` is called once with the result, unless refused here."""
-        with self._changing():
+        with self.delivering:
             self.last_used = self.clock.now()
             if work.query in self.entries:
                 return None  # The message came twice; the first copy is answered.
@@ -91,7 +74,7 @@
                 entry = Entry(work, self.last_used)
                 self.entries[work.query] = entry
                 self.pending.add(entry)
-                self._dispatch()
+                self.dispatch()
             return refusal
 
     def cancel(self, query: QueryId) -> None:
@@ -99,14 +82,14 @@
 
         A booking is settled as not run while it is pending, and is left alone once sent.
         """
-        with self._changing():
+        with self.delivering:
             entry = self.entries.get(query)
             if entry is None:
                 return
             match entry.work:
                 case SearchWork():
                     self._drop(entry, SendState.CANCELLED)
-                    self._dispatch()
+                    self.dispatch()
                 case BookingWork() if entry.state is WorkState.PENDING:
                     self._settle(entry, NotRun(Reason.CANCELLED, Step.QUEUE, peer=self.service))
 
@@ -126,12 +109,12 @@
 
     def stop(self) -> None:
         """Hand pending work back as not run and let connections end after their present work."""
-        with self._changing():
+        with self.delivering:
             self.stopping = True
             for entry in list(self.pending.entries()):
                 self._settle_unsent(entry, Reason.SHUTTING_DOWN)
             self.searchers.set_shares(())
-            self.seats.wake_all()
+            self.idle_connections.wake_all()
 
     def change(
         self, searchers: Iterable[tuple[Searcher, int]], floors: Mapping[Rank, float]
@@ -141,12 +124,12 @@
         The queue and the connections that stay are kept. Returns one searcher a connection that
         the caller has to open.
         """
-        with self._changing():
+        with self.delivering:
             self.stopping = False
             self.pending.floors = dict(floors)
             missing = self.searchers.set_shares(searchers)
-            self.seats.wake_all()
-            self._dispatch()
+            self.idle_connections.wake_all()
+            self.dispatch()
             return missing
 
     def open_connections(self) -> int:
@@ -156,15 +139,15 @@
 
     # What connection tasks call.
 
-    def take(self, searcher: Searcher) -> Send | LookAround | Idle | Stopped:
+    def take(self, searcher: Searcher) -> Send | CheckLoad | Idle | Stopped:
         """Wait for work for an idle connection of ``searcher``."""
         with self.lock:
-            seat = Seat(self.lock, self.searchers.find(searcher))
-            self.seats.add(seat)
+            connection = IdleConnection(self.lock, self.searchers.find(searcher))
+            self.idle_connections.add(connection)
         end = Millis(self.clock.now() + IDLE_WAIT)
         while True:
-            with self._changing():
-                outcome = self._wait_once(seat, end)
+            with self.delivering:
+                outcome = self._wait_once(connection, end)
                 if outcome is not None:
                     return outcome
 
@@ -181,13 +164,13 @@
 
     def finish(self, send: Send, result: Result) -> None:
         """Take the result of ``send``; deliver it, retry it elsewhere or drop it as late."""
-        with self._changing():
+        with self.delivering:
             entry = send.entry
             self._observe(send, result)
             entry.sends.remove(send)
             if entry.state is not WorkState.DONE:
                 self._take_result(send, result)
-            self._dispatch()
+            self.dispatch()
 
     def abandon(self, send: Send) -> None:
         """Take back a send of which no byte left: it was aborted or its deadline passed."""
@@ -197,9 +180,9 @@
 
     def note_load(self, searcher: Searcher, report: LoadReport | None) -> None:
         """Take what a searcher says of its load, ``None`` where it could not be asked."""
-        with self._changing():
+        with self.delivering:
             self.searchers.note_load(searcher, report)
-            self._dispatch()
+            self.dispatch()
 
     def leave(self, searcher: Searcher) -> bool:
         """Count a connection as closed; return ``True`` where it has to open again."""
@@ -210,8 +193,10 @@
 
     # All below runs under the lock.
 
-    def _changing(self) -> "_Change":
-        return self.change_of_state
+    def dispatch(self) -> None:
+        """Give pending work and hedges to idle connections; settle what expired meanwhile."""
+        for entry in self.dispatcher.run(self.clock.now()):
+            self._settle_unsent(entry, Reason.DEADLINE)
 
     def _refuse(self, work: Work) -> NotRun | None:
         if self.stopping:
@@ -224,52 +209,50 @@
             return NotRun(Reason.NO_SEARCHER, Step.QUEUE, peer=self.service)
         return None
 
-    def _wait_once(self, seat: Seat, end: Millis) -> Send | LookAround | Idle | Stopped | None:
-        """Return what ``seat`` has to do, or ``None`` after one wait for it."""
-        if seat.send is None and self.dispatcher.is_watching():
-            self.seats.arm_with(seat)
-            self._dispatch()
-        if seat.send is not None:
-            return seat.send
-        if seat.health.should_close():
-            self._stand_up(seat)
+    def _wait_once(
+        self, connection: IdleConnection, end: Millis
+    ) -> Send | CheckLoad | Idle | Stopped | None:
+        """Return what ``connection`` has to do, or ``None`` after one wait for it."""
+        if connection.send is None and self.dispatcher.is_watching():
+            self.idle_connections.claim_timer(connection)
+            self.dispatch()
+        if connection.send is not None:
+            return connection.send
+        if connection.health.should_close():
+            self._withdraw(connection)
             return Stopped()
         now = self.clock.now()
         if now >= end:
-            self._stand_up(seat)
-            return self._look_around(seat.health, now)
-        if not self.settled:
-            self._wait(seat, end, now)
+            self._withdraw(connection)
+            return self._end_wait(connection.health, now)
+        if not self.delivering.settled:
+            self._wait(connection, end, now)
         return None
 
-    def _stand_up(self, seat: Seat) -> None:
-        self.seats.remove(seat)
+    def _withdraw(self, connection: IdleConnection) -> None:
+        self.idle_connections.remove(connection)
         if self.dispatcher.is_watching():
-            self.seats.arm()
+            self.idle_connections.ensure_timer()
 
-    def _wait(self, seat: Seat, end: Millis, now: Millis) -> None:
-        if self.seats.timer is seat:
+    def _wait(self, connection: IdleConnection, end: Millis, now: Millis) -> None:
+        if self.idle_connections.timer is connection:
             if self.dispatcher.keeps_watch():
                 end = self.dispatcher.next_due(now, end)
             else:
-                self.seats.timer = None
-        seat.ready.wait((end - now) / MILLIS_PER_SECOND)
+                self.idle_connections.timer = None
+        connection.ready.wait((end - now) / MILLIS_PER_SECOND)
 
-    def _look_around(self, health: SearcherHealth, now: Millis) -> LookAround | Idle:
-        if now < health.look_at:
+    def _end_wait(self, health: SearcherHealth, now: Millis) -> CheckLoad | Idle:
+        if now < health.load_check_at:
             return Idle()
-        health.look_at = Millis(now + LOOK_INTERVAL)
-        return LookAround()
-
-    def _dispatch(self) -> None:
-        for entry in self.dispatcher.run(self.clock.now()):
-            self._settle_unsent(entry, Reason.DEADLINE)
+        health.load_check_at = Millis(now + LOAD_CHECK_INTERVAL)
+        return CheckLoad()
 
     def _observe(self, send: Send, result: Result) -> None:
         now = self.clock.now()
         self.searchers.observe(send, result, now)
-        overtaken = send.state is SendState.OVERTAKEN
-        if not send.hedge and (overtaken or not isinstance(result, NotRun | Unknown)):
+        superseded = send.state is SendState.SUPERSEDED
+        if not send.hedge and (superseded or not isinstance(result, NotRun | Unknown)):
             self.budget.observe(now, Millis(now - send.sent_at))
         if self.searchers.all_draining():
             for entry in list(self.pending.entries()):
@@ -306,8 +289,8 @@
         self._settle(entry, entry.failure or NotRun(reason, Step.QUEUE, peer=self.service))
 
     def _settle(self, entry: Entry, result: Result) -> None:
-        self._drop(entry, SendState.OVERTAKEN)
-        self.settled.append((entry, result))
+        self._drop(entry, SendState.SUPERSEDED)
+        self.delivering.settled.append((entry, result))
 
     def _drop(self, entry: Entry, state: SendState) -> None:
         self.dispatcher.remove(entry)
--- a/src/masticgate/process/_work.py
+++ b/src/masticgate/process/_work.py
@@ -80,7 +80,7 @@
 
     WANTED = "wanted"
     CANCELLED = "cancelled"
-    OVERTAKEN = "overtaken"
+    SUPERSEDED = "superseded"
     """A hedge of the same entry answered first."""
 
 
--- a/tests/process/test_owner_bookings.py
+++ b/tests/process/test_owner_bookings.py
@@ -12,10 +12,10 @@
     SearcherId,
 )
 from masticgate.process import OWNER_POLICY
+from masticgate.process._idle_connections import IdleConnection
 from masticgate.process._mailboxes import Mailboxes
 from masticgate.process._owner import Owner
 from masticgate.process._pools import Pools
-from masticgate.process._seats import Seat
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
 from masticgate.request import Book, BookReply, Cancel, Ran
@@ -40,14 +40,14 @@
     def pool(self):
         return self.pools.list_pools()[0]
 
-    def seat(self):
+    def take_next(self):
         """Take the next work as an idle connection would."""
         pool = self.pool()
-        with pool._changing():
-            seat = Seat(pool.lock, pool.health[SearcherId("oa")])
-            pool.seats.add(seat)
-            pool._dispatch()
-        return seat.send
+        with pool.delivering:
+            connection = IdleConnection(pool.lock, pool.health[SearcherId("oa")])
+            pool.idle_connections.add(connection)
+            pool.dispatch()
+        return connection.send
 
     def outcomes(self):
         return [reply.outcome for reply in self.replies]
@@ -58,13 +58,13 @@
         bench = Bench()
         bench.book()
         bench.book()
-        send = bench.seat()
+        send = bench.take_next()
         assert bench.pool().may_send(send, lambda: None)
         bench.book()
         bench.pool().finish(send, Ran("1"))
         bench.book()
         assert bench.outcomes() == [Ran("1")]
-        assert bench.seat() is None
+        assert bench.take_next() is None
 
     def test_second_copy_is_dropped_after_a_refusal_and_by_a_newly_opened_pool(self):
         bench = Bench()
@@ -72,21 +72,21 @@
         bench.hosts = 4
         bench.book(remaining=100.0)
         assert [outcome.reason for outcome in bench.outcomes()] == [Reason.DEADLINE]
-        assert bench.seat() is None
+        assert bench.take_next() is None
 
     def test_cancelled_while_queued_never_runs(self):
         bench = Bench()
         bench.book()
         bench.owner.cancel(Cancel(QueryId("q1")))
         bench.book()
-        assert bench.seat() is None
+        assert bench.take_next() is None
         assert [o.reason for o in bench.outcomes()] == [Reason.CANCELLED]
 
     def test_cancel_of_what_was_sent_or_never_came_says_nothing(self):
         bench = Bench()
         bench.owner.cancel(Cancel(QueryId("q1")))
         bench.book()
-        send = bench.seat()
+        send = bench.take_next()
         bench.owner.cancel(Cancel(QueryId("q1")))
         assert bench.outcomes() == []
         assert bench.pool().may_send(send, lambda: None)
@@ -94,7 +94,7 @@
     def test_deadline_is_checked_again_after_a_pause(self):
         bench = Bench()
         bench.book()
-        send = bench.seat()
+        send = bench.take_next()
         bench.clock.advance(Millis(200))
         assert not bench.pool().may_send(send, lambda: None)
         bench.pool().abandon(send)
--- a/tests/process/test_service_pool.py
+++ b/tests/process/test_service_pool.py
@@ -24,9 +24,9 @@
 )
 from masticgate.process import OWNER_POLICY, BookingWork, LoadReport, SearchWork, Send, ServicePool
 from masticgate.process._booking_log import BookingLog
+from masticgate.process._idle_connections import IdleConnection
 from masticgate.process._retry import FREE_RETRY_REASONS
 from masticgate.process._searcher_health import SearcherState
-from masticgate.process._seats import Seat
 from masticgate.process._work import SendState
 from masticgate.request import Hits, Ran
 from masticgate.version import Searcher
@@ -57,7 +57,7 @@
         self.pool = ServicePool(SERVICE, (), {}, OWNER_POLICY, self.clock, lambda *change: None)
         self.pool.change([(SEARCHERS[name], SHARE) for name in names], {})
         self.results = {}
-        self.seats = []
+        self.idle_connections = []
         self.sends = []
         self.aborted = []
         self.bookings = BookingLog(self.clock)
@@ -92,29 +92,33 @@
         work = BookingWork(query, SERVICE, ticket, attempt, Rank.URGENT, deadline, "{}", deliver)
         return query, self.pool.offer(work)
 
-    def sit(self, name):
+    def add_idle(self, name):
         """Let a connection fall idle, as the start of ``take`` does."""
-        with self.pool._changing():
-            seat = Seat(self.pool.lock, self.pool.searchers.find(SEARCHERS[name]))
-            self.pool.seats.add(seat)
-            self.seats.append(seat)
-            self.pool._dispatch()
+        with self.pool.delivering:
+            connection = IdleConnection(self.pool.lock, self.pool.searchers.find(SEARCHERS[name]))
+            self.pool.idle_connections.add(connection)
+            self.idle_connections.append(connection)
+            self.pool.dispatch()
         return self.collect()
 
-    def sit_all(self):
+    def add_all_idle(self):
         for name in self.names:
             for _ in range(SHARE):
-                self.sit(name)
+                self.add_idle(name)
 
     def wake(self):
-        with self.pool._changing():
-            self.pool._dispatch()
+        with self.pool.delivering:
+            self.pool.dispatch()
         return self.collect()
 
     def collect(self):
         """Take up the sends that were given to idle connections."""
-        given = [seat.send for seat in self.seats if seat.send is not None]
-        self.seats = [seat for seat in self.seats if seat.send is None]
+        given = [
+            connection.send for connection in self.idle_connections if connection.send is not None
+        ]
+        self.idle_connections = [
+            connection for connection in self.idle_connections if connection.send is None
+        ]
         for send in given:
             assert self.pool.may_send(send, lambda s=send: self.aborted.append(s))
         self.sends += given
@@ -133,16 +137,16 @@
             self.clock.advance(Millis(latency))
             for send in list(self.sends):
                 self.finish(send, result)
-                self.sit(send.searcher)
+                self.add_idle(send.searcher)
 
 
 class TestDelivery:
     def test_retries_elsewhere_what_a_draining_searcher_refused(self):
         fleet = FakeConnections()
         query, _ = fleet.search()
-        (first,) = fleet.sit("a")
-        fleet.sit("a")
-        fleet.sit("b")
+        (first,) = fleet.add_idle("a")
+        fleet.add_idle("a")
+        fleet.add_idle("b")
         (second,) = fleet.finish(first, DRAINING)
         assert second.searcher == "b"
         fleet.finish(second, HITS)
@@ -152,7 +156,7 @@
         fleet = FakeConnections("a")
         first, _ = fleet.search()
         waiting, _ = fleet.search()
-        (send,) = fleet.sit("a")
+        (send,) = fleet.add_idle("a")
         fleet.finish(send, DRAINING)
         assert fleet.results[first] == [DRAINING]
         assert [r.reason for r in fleet.results[waiting]] == [Reason.NO_SEARCHER]
@@ -161,7 +165,7 @@
         fleet = FakeConnections("a")
         fleet.search(remaining=5000.0)
         waiting, _ = fleet.search(remaining=50.0)
-        fleet.sit("a")
+        fleet.add_idle("a")
         fleet.clock.advance(Millis(200.0))
         fleet.search()
         assert [r.reason for r in fleet.results[waiting]] == [Reason.DEADLINE]
@@ -169,7 +173,7 @@
     def test_says_not_run_only_of_what_never_left(self):
         fleet = FakeConnections()
         query, _ = fleet.search()
-        (send,) = fleet.sit("a")
+        (send,) = fleet.add_idle("a")
         fleet.finish(send, LOST)
         fleet.pool.stop()
         assert fleet.results[query] == [LOST]
@@ -177,7 +181,7 @@
     def test_cancels_a_search_without_a_result_and_cuts_its_call(self):
         fleet = FakeConnections()
         query, _ = fleet.search()
-        (send,) = fleet.sit("a")
+        (send,) = fleet.add_idle("a")
         fleet.pool.cancel(query)
         fleet.finish(send, LOST)
         assert fleet.aborted == [send] and fleet.results[query] == []
@@ -185,8 +189,8 @@
     def test_leaves_a_sent_booking_alone_and_never_sends_it_again(self):
         fleet = FakeConnections()
         query, _ = fleet.book("t")
-        (send,) = fleet.sit("a")
-        fleet.sit("b")
+        (send,) = fleet.add_idle("a")
+        fleet.add_idle("b")
         fleet.pool.cancel(query)
         fleet.clock.advance(Millis(500.0))
         assert not fleet.wake() and not fleet.aborted
@@ -197,7 +201,7 @@
 class TestHedges:
     def test_asks_the_other_searcher_and_cuts_the_loser(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         fleet.answer_all(40)
         query, _ = fleet.search()
         (first,) = fleet.collect()
@@ -206,11 +210,11 @@
         assert hedge.hedge and hedge.searcher != first.searcher
         fleet.finish(hedge, HITS)
         assert fleet.results[query] == [HITS]
-        assert first.state is SendState.OVERTAKEN and fleet.aborted == [first]
+        assert first.state is SendState.SUPERSEDED and fleet.aborted == [first]
 
     def test_sends_no_hedge_after_the_deadline(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         fleet.answer_all(40)
         fleet.search(remaining=10.0)
         fleet.collect()
@@ -219,7 +223,7 @@
 
     def test_follows_a_change_of_latency_within_a_few_answers(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         fleet.answer_all(100, latency=20.0)
         before = fleet.pool.budget.hedge_delay()
         fleet.answer_all(60, latency=80.0)
@@ -229,7 +233,7 @@
 
     def test_goes_before_pending_work_of_a_lower_rank(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         fleet.answer_all(60)
         fleet.search()
         (first,) = fleet.collect()
@@ -238,7 +242,7 @@
             fleet.collect()
         fleet.clock.advance(Millis(200.0))
         bulk = next(s for s in fleet.sends if s.searcher != first.searcher)
-        given = [*fleet.finish(bulk, HITS), *fleet.sit(bulk.searcher)]
+        given = [*fleet.finish(bulk, HITS), *fleet.add_idle(bulk.searcher)]
         assert given[0].entry is first.entry
 
 
@@ -247,7 +251,7 @@
         shares = []
         for lie in (0, 1000):
             fleet = FakeConnections()
-            fleet.sit_all()
+            fleet.add_all_idle()
             fleet.pool.note_load(SEARCHERS["a"], LoadReport(lie, False))
             given = Counter()
             for _ in range(60):
@@ -257,13 +261,13 @@
                 fleet.clock.advance(Millis(20.0))
                 for send in list(fleet.sends):
                     fleet.finish(send, HITS)
-                    fleet.sit(send.searcher)
+                    fleet.add_idle(send.searcher)
             shares.append(given["a"] / sum(given.values()))
         assert max(shares) - min(shares) <= 0.1
 
     def test_ejects_a_failing_searcher_and_takes_it_back_after_one_probe(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         health = fleet.pool.health["a"]
         while health.state is not SearcherState.EJECTED:
             self.run(fleet, {"a": LOST, "b": HITS})
@@ -278,7 +282,7 @@
 
     def test_never_ejects_more_than_half_of_a_service(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         for _ in range(20):
             self.run(fleet, {"a": LOST, "b": LOST})
         states = [health.state for health in fleet.pool.health.values()]
@@ -286,7 +290,7 @@
 
     def test_keeps_a_drained_incarnation_out_and_takes_back_the_next(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         health = fleet.pool.health["a"]
         fleet.pool.note_load(SEARCHERS["a"], LoadReport(0, False, "1"))
         while health.state is not SearcherState.DRAINING:
@@ -308,7 +312,7 @@
 
     def test_gives_less_to_a_searcher_that_sheds_but_does_not_eject_it(self):
         fleet = FakeConnections()
-        fleet.sit_all()
+        fleet.add_all_idle()
         health = fleet.pool.health["a"]
         for _ in range(20):
             self.run(fleet, {"a": HITS, "b": HITS})
@@ -331,7 +335,7 @@
             send = fleet.sends[0]
             ran.append(send)
             fleet.finish(send, results[send.searcher])
-            fleet.sit(send.searcher)
+            fleet.add_idle(send.searcher)
         return ran
 
 
@@ -339,7 +343,7 @@
     def test_opens_no_more_than_the_share_while_old_connections_close(self):
         fleet = FakeConnections("a")
         fleet.search()
-        fleet.sit("a")
+        fleet.add_idle("a")
         fleet.pool.stop()
         for _ in range(SHARE - 1):
             assert fleet.pool.searchers.find(SEARCHERS["a"]).should_close()
@@ -394,11 +398,11 @@
             self.refused.add(query)
 
     @rule(name=st.sampled_from("ab"))
-    def sit(self, name):
+    def add_idle(self, name):
         busy = sum(s.searcher == name for s in self.fleet.sends)
-        idle = sum(s.health.searcher.id == name for s in self.fleet.seats)
+        idle = sum(s.health.searcher.id == name for s in self.fleet.idle_connections)
         if busy + idle < SHARE and not self.fleet.pool.stopping:
-            self.note(self.fleet.sit(name))
+            self.note(self.fleet.add_idle(name))
 
     @precondition(lambda self: self.fleet.sends)
     @rule(data=st.data(), result=st.sampled_from([HITS, DRAINING, SHED, LOST]))
@@ -411,8 +415,8 @@
     @rule(duration=st.sampled_from([5.0, 60.0, 600.0]))
     def advance(self, duration):
         self.fleet.clock.advance(Millis(duration))
-        with self.fleet.pool._changing():
-            self.fleet.pool._dispatch()
+        with self.fleet.pool.delivering:
+            self.fleet.pool.dispatch()
         self.take_up()
 
     def take_up(self):
@@ -429,7 +433,7 @@
         self.fleet.pool.note_load(SEARCHERS[name], LoadReport(0, draining, incarnation))
         self.take_up()
 
-    @precondition(lambda self: not self.fleet.seats)
+    @precondition(lambda self: not self.fleet.idle_connections)
     @rule()
     def stop_and_change(self):
         self.fleet.pool.stop()
--- a/tests/request/test_booking_faults.py
+++ b/tests/request/test_booking_faults.py
@@ -20,9 +20,9 @@
     Unknown,
 )
 from masticgate.process import OWNER_POLICY
+from masticgate.process._idle_connections import IdleConnection
 from masticgate.process._owner import Owner
 from masticgate.process._pools import Pools
-from masticgate.process._seats import Seat
 from masticgate.process._tickets import TicketTable
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
@@ -60,7 +60,7 @@
         versions.offer_text(SMALL, Revision(1))
         self.pools = Pools(OWNER_POLICY, tier.clock, timeline, lambda pool, searcher: None)
         self.owner = Owner(self.pools, versions, tier.clock, lambda: 3)
-        self.seats = []
+        self.idle_connections = []
 
     def receive(self, message, answer, plan):
         if not self.alive:
@@ -70,18 +70,20 @@
                 self.owner.cancel(message)
             case Book():
                 self.owner.book(message, answer)
-                self.tier.at(plan["idle"], lambda: self.sit(plan))
+                self.tier.at(plan["idle"], lambda: self.add_idle(plan))
 
-    def sit(self, plan):
+    def add_idle(self, plan):
         for pool in self.pools.list_pools():
-            with pool._changing():
-                seat = Seat(pool.lock, pool.health[SearcherId("oa")])
-                pool.seats.add(seat)
-                self.seats.append(seat)
-                pool._dispatch()
-            for seat in [seat for seat in self.seats if seat.send is not None]:
-                self.seats.remove(seat)
-                self.serve(pool, seat.send, plan)
+            with pool.delivering:
+                connection = IdleConnection(pool.lock, pool.health[SearcherId("oa")])
+                pool.idle_connections.add(connection)
+                self.idle_connections.append(connection)
+                pool.dispatch()
+            for connection in [
+                connection for connection in self.idle_connections if connection.send is not None
+            ]:
+                self.idle_connections.remove(connection)
+                self.serve(pool, connection.send, plan)
 
     def serve(self, pool, send, plan):
         if not self.alive or not pool.may_send(send, lambda: None):
