Let one piece serve what stood twice, and say merge, note and duplicate

Cause: an owner queued searches and bookings by two copies of the same steps; the services that a host owns were worked out in two places; the protocol's versions stood in two modules, one copy unused; hosts heard, told and had news. Change: Owner._queue, HostTier.owned_services, one pair of constants; Members.merge, TimeLine.note_sequence, note_report, note_peer, take_updates; duplicate in place of doubled; comments without figures of speech. Conclusion: the tests of request, version, connection and the touched process modules pass with their assertions as they were.

--- a/bench/process/_host_costs.py
+++ b/bench/process/_host_costs.py
@@ -89,7 +89,7 @@
 
 def _beat_call(count: int, copies: int) -> Callable[[], object]:
     host = idle_host(scaled_text(copies))
-    host.members.hear(belief(n) for n in range(count))
+    host.members.merge(belief(n) for n in range(count))
 
     def call() -> None:
         host.members.forget_old()
@@ -107,7 +107,7 @@
 
 def _change_call(count: int) -> Callable[[], object]:
     host = idle_host(scaled_text(1))
-    host.members.hear(belief(n) for n in range(count))
+    host.members.merge(belief(n) for n in range(count))
     counter = 0
 
     def call() -> None:
@@ -115,7 +115,7 @@
         counter += 1
         known = belief(0)
         state = (MemberState.ALIVE, MemberState.DEAD)[counter % 2]
-        host.members.hear(
+        host.members.merge(
             [
                 Member(
                     known.host,
@@ -139,7 +139,7 @@
 def _member_memory(count: int) -> float:
     host = idle_host(scaled_text(1))
     tracemalloc.start()
-    host.members.hear(belief(n) for n in range(count))
+    host.members.merge(belief(n) for n in range(count))
     host.tier.table = {}
     held = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- a/src/masticgate/_clock.py
+++ b/src/masticgate/_clock.py
@@ -24,7 +24,7 @@
     """The machine's own clocks."""
 
     def now(self) -> Millis:
-        """Return the monotonic clock, which stops for nobody and never steps back."""
+        """Return the monotonic clock, which never steps back."""
         return Millis(time.monotonic() * MILLIS_PER_SECOND)
 
     def wall(self) -> Millis:
--- a/src/masticgate/connection/_peer.py
+++ b/src/masticgate/connection/_peer.py
@@ -14,8 +14,6 @@
 from ._frames import BadFrameError, Message
 from ._socket import FrameSocket, listen_on, open_socket
 
-PROTOCOL_OLDEST = 1
-PROTOCOL_NEWEST = 1
 CONNECT_TIMEOUT = Millis(500.0)
 READ_TIMEOUT = Millis(3000.0)
 """A link on which nothing arrives for this long is closed; heartbeats come more often."""
--- a/src/masticgate/connection/_searcher.py
+++ b/src/masticgate/connection/_searcher.py
@@ -178,7 +178,7 @@
 
 
 def _read_failure(reply: HttpReply | HttpLost, send: Send) -> NotRun | Unknown:
-    """Return ``NotRun`` only on the searcher's own word, or where no byte left."""
+    """Return ``NotRun`` only where the searcher states it, or where no byte left."""
     searcher = send.searcher
     match reply:
         case HttpLost(sent=False, message=message):
--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -98,10 +98,10 @@
         if self.role.update(watching) and not watching:
             self._abort_reads()
 
-    def hear_versions(self, peer: Hello, theirs: Versions, answer: Answer) -> None:
+    def compare_versions(self, peer: Hello, theirs: Versions, answer: Answer) -> None:
         """Ask ``peer`` for what it has newer, unless another was just asked for as much."""
         if self.versions.starting:
-            self.startup.hear_peer(peer.host, peer.failure_domain, theirs)
+            self.startup.note_peer(peer.host, peer.failure_domain, theirs)
         if self._is_worth_fetching(theirs):
             answer(FetchVersions(self.versions.versions()))
 
@@ -158,7 +158,7 @@
 
     def _start_up(self) -> None:
         deadline = Millis(self.clock.now() + START_WAIT)
-        self.startup.hear_platform(self._read_platform())
+        self.startup.note_platform(self._read_platform())
         state = self.startup.wait(deadline)
         self.versions.open()
         self.timeline.add(EventKind.SERVING, self.own, self.startup.describe(state))
@@ -201,7 +201,7 @@
         self._settle(self.versions.offer_catalogue(value.text))
 
     def _take_hosts(self, hosts: tuple[ListedHost, ...]) -> None:
-        self.members.hear(self.host_list.read(hosts, self.clock.now()))
+        self.members.merge(self.host_list.read(hosts, self.clock.now()))
         self.update_role()
 
 
--- a/src/masticgate/process/_heartbeats.py
+++ b/src/masticgate/process/_heartbeats.py
@@ -103,12 +103,12 @@
         return self.neighbours[turn % len(self.neighbours)]
 
     def _send(self, host: HostId, *, with_digest: bool) -> None:
-        news = self.members.take_news()
+        updates = self.members.take_updates()
         member = self.members.get(host)
-        if member is not None and member.state is not MemberState.ALIVE and member not in news:
-            news = (*news, member)
+        if member is not None and member.state is not MemberState.ALIVE and member not in updates:
+            updates = (*updates, member)
         digest = tuple(self.members.digest) if with_digest else ()
-        beat = Heartbeat(self.timeline.sequence, self.versions.versions(), news, digest)
+        beat = Heartbeat(self.timeline.sequence, self.versions.versions(), updates, digest)
         self.links.send(host, beat)
 
     def _probe_lost(self) -> None:
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -65,6 +65,10 @@
         if self.members.usable() is not self.table_hosts:
             self.refresh_table()
 
+    def owned_services(self) -> set[ServiceId]:
+        """Return the services whose owner is this host, by what it knows of the others."""
+        return {service for service, hosts in self.table.items() if hosts[:1] == [self.own]}
+
     def configuration(self) -> Configuration | None:
         """Return the configuration in force."""
         return self.versions.configuration
--- a/src/masticgate/process/_links.py
+++ b/src/masticgate/process/_links.py
@@ -1,4 +1,4 @@
-"""The links to peers, and how a message finds its way to a host."""
+"""The links to peers, and the sending of messages over them."""
 
 from collections.abc import Callable, Collection
 from threading import Lock
@@ -8,7 +8,6 @@
 from .._ids import Address, HostId, Millis
 from ..connection import LinkState, Message, PeerHandler, PeerLink
 from ..request import Ask, Book, Forward
-from ._messages import Heartbeat
 
 SILENCE = Millis(60.0)
 """A host that has left a heartbeat unanswered for this long counts as silent."""
@@ -83,7 +82,7 @@
         if link is None or link.unanswered_since is not None:
             return
         if self.clock.now() - link.last_received > QUIET:
-            link.send(self._probe_heartbeat())
+            link.send(self.handler.probe_heartbeat())
 
     def is_responsive(self, host: HostId) -> bool:
         """Tell whether ``host`` sent something lately, whatever others believe of it."""
@@ -132,6 +131,3 @@
     def _unanswered(self, link: PeerLink) -> Millis:
         since = link.unanswered_since
         return Millis(0.0) if since is None else Millis(self.clock.now() - since)
-
-    def _probe_heartbeat(self) -> Heartbeat:
-        return self.handler.probe_heartbeat()
--- a/src/masticgate/process/_members.py
+++ b/src/masticgate/process/_members.py
@@ -23,9 +23,9 @@
 from ._timeline import EventKind, TimeLine
 
 SPREAD_FACTOR = 3
-"""A changed belief is told this many times the logarithm of the number of hosts."""
+"""A changed belief is sent this many times the logarithm of the number of hosts."""
 
-MAX_NEWS = 20
+MAX_UPDATES = 20
 """The most changed beliefs that one message carries."""
 
 FORGET_AFTER = Millis(7_200_000.0)
@@ -53,25 +53,25 @@
         self.members: dict[HostId, Member] = {own.host: own}
         self.forgotten: OrderedDict[HostId, Member] = OrderedDict()
         self.changed_at: dict[HostId, Millis] = {own.host: clock.now()}
-        self.untold: dict[HostId, int] = {}
+        self.unsent: dict[HostId, int] = {}
         self.usable_hosts = SortedSet([own.host])
         self.usable_list: list[HostId] | None = None
         self.digest = list(digest_of([own]))
 
-    def hear(self, members: Iterable[Member]) -> tuple[Member, ...]:
-        """Take over what is newer; return what whoever told these beliefs should hear instead."""
+    def merge(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        """Merge what is newer; return the newer beliefs that the sender of these lacks."""
         changed: list[Member] = []
         corrections: list[Member] = []
         with self.lock:
             for member in members:
-                self._hear_one(member, changed, corrections)
+                self._merge_one(member, changed, corrections)
         if changed:
             self.on_change(changed)
         return tuple(corrections)
 
     def declare(self, member: Member, state: MemberState) -> None:
         """Believe ``state`` of the host of ``member`` unless something newer is known."""
-        self.hear([replace(member, state=state)])
+        self.merge([replace(member, state=state)])
 
     def leave(self) -> None:
         """Believe for good that this host leaves."""
@@ -93,14 +93,14 @@
                 self.usable_list = list(self.usable_hosts)
             return self.usable_list
 
-    def take_news(self) -> tuple[Member, ...]:
-        """Return the changed beliefs for one message, and count them as told once more."""
+    def take_updates(self) -> tuple[Member, ...]:
+        """Return the changed beliefs for one message, and count them as sent once more."""
         with self.lock:
-            hosts = sorted(self.untold, key=lambda host: -self.untold[host])[:MAX_NEWS]
+            hosts = sorted(self.unsent, key=lambda host: -self.unsent[host])[:MAX_UPDATES]
             for host in hosts:
-                self.untold[host] -= 1
-                if self.untold[host] <= 0:
-                    del self.untold[host]
+                self.unsent[host] -= 1
+                if self.unsent[host] <= 0:
+                    del self.unsent[host]
             return tuple(self.members[host] for host in hosts if host in self.members)
 
     def compare(self, theirs: Sequence[int]) -> tuple[tuple[Member, ...], bool]:
@@ -121,13 +121,13 @@
                     continue
                 self.forgotten[host] = self.members.pop(host)
                 del self.changed_at[host]
-                self.untold.pop(host, None)
+                self.unsent.pop(host, None)
             while len(self.forgotten) > MAX_FORGOTTEN:
                 self.forgotten.popitem(last=False)
 
-    def _hear_one(self, member: Member, changed: list[Member], corrections: list[Member]) -> None:
+    def _merge_one(self, member: Member, changed: list[Member], corrections: list[Member]) -> None:
         if member.host == self.own.host:
-            self._hear_of_self(member, changed, corrections)
+            self._merge_own(member, changed, corrections)
             return
         known = self.members.get(member.host) or self.forgotten.get(member.host)
         if known is None or supersedes(member, known):
@@ -136,9 +136,7 @@
         elif contradicts(member, known):
             corrections.append(known)
 
-    def _hear_of_self(
-        self, member: Member, changed: list[Member], corrections: list[Member]
-    ) -> None:
+    def _merge_own(self, member: Member, changed: list[Member], corrections: list[Member]) -> None:
         refuted = self._refuted(member)
         if refuted is not None:
             self._put(refuted)
@@ -166,7 +164,7 @@
             self.digest[bucket_of(known.host)] ^= fingerprint(known)
         self.members[member.host] = member
         self.changed_at[member.host] = self.clock.now()
-        self.untold[member.host] = SPREAD_FACTOR * ceil(log2(len(self.members) + 1))
+        self.unsent[member.host] = SPREAD_FACTOR * ceil(log2(len(self.members) + 1))
         self._count(member)
         detail = f"{member.state.name.lower()}, incarnation {member.incarnation}"
         self.timeline.add(EventKind.MEMBER_CHANGED, member.host, detail)
--- a/src/masticgate/process/_messages.py
+++ b/src/masticgate/process/_messages.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
-    """Answers a heartbeat; carries what the sender of the heartbeat should hear."""
+    """Answers a heartbeat; carries the beliefs that the sender of the heartbeat lacks."""
 
     events: int
     versions: Versions
--- a/src/masticgate/process/_owner.py
+++ b/src/masticgate/process/_owner.py
@@ -20,7 +20,7 @@
 from ._pools import Pools
 from ._service_pool import ServicePool
 from ._versions import VersionStore
-from ._work import BookingWork, SearchWork
+from ._work import BookingWork, SearchWork, Work
 
 AnswerTo = Callable[[Reply | BookReply], object]
 
@@ -54,10 +54,6 @@
         def deliver(outcome: BookingOutcome) -> None:
             answer(BookReply(book.query, outcome))
 
-        pool = self._find_pool(book.service)
-        if isinstance(pool, NotRun):
-            deliver(pool)
-            return
         work = BookingWork(
             book.query,
             book.service,
@@ -68,9 +64,7 @@
             book.payload,
             deliver,
         )
-        refusal = pool.offer(work)
-        if refusal is not None:
-            deliver(refusal)
+        self._queue(work)
 
     def cancel(self, cancel: Cancel) -> None:
         """Drop what is queued or in flight for a query."""
@@ -81,10 +75,6 @@
         def deliver(result: SubReply) -> None:
             answer(Reply(ask.query, part.service, result))
 
-        pool = self._find_pool(part.service)
-        if isinstance(pool, NotRun):
-            deliver(pool)
-            return
         work = SearchWork(
             ask.query,
             part.service,
@@ -96,9 +86,14 @@
             ask.text,
             deliver,
         )
-        refusal = pool.offer(work)
+        self._queue(work)
+
+    def _queue(self, work: Work) -> None:
+        """Queue ``work`` in the pool of its service, or deliver why it cannot be."""
+        pool = self._find_pool(work.service)
+        refusal = pool if isinstance(pool, NotRun) else pool.offer(work)
         if refusal is not None:
-            deliver(refusal)
+            work.deliver(refusal)
 
     def _find_pool(self, name: ServiceId) -> ServicePool | NotRun:
         configuration = self.versions.configuration
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -60,7 +60,7 @@
     def link_opened(self, peer: Hello) -> None:
         """Note that the link to ``peer`` is open; tell it what was believed of it."""
         self.timeline.add(EventKind.LINK_OPENED, peer.host, f"incarnation {peer.incarnation}")
-        believed = self.members.hear([member_of(peer)])
+        believed = self.members.merge([member_of(peer)])
         digest = tuple(self.members.digest)
         beat = Heartbeat(
             self.timeline.sequence, self.versions.versions(), (self.members.own, *believed), digest
@@ -95,7 +95,7 @@
             case TextPush() | SectionsPush() | CataloguePush():
                 self.distribution.take_push(message, answer)
             case Demand():
-                self.pressure.hear_demand(message)
+                self.pressure.note_demand(message)
             case Pressure(services=services):
                 self.pressure.admission.hear(peer.host, services)
             case Hello():
@@ -104,9 +104,9 @@
     def _answer_heartbeat(
         self, peer: Hello, beat: Heartbeat, answer: Callable[[Message], bool]
     ) -> None:
-        self.timeline.hear(peer.host, beat.events)
-        corrections = self.members.hear(beat.members)
-        self.distribution.hear_versions(peer, beat.versions, answer)
+        self.timeline.note_sequence(peer.host, beat.events)
+        corrections = self.members.merge(beat.members)
+        self.distribution.compare_versions(peer, beat.versions, answer)
         missing, differs = self.members.compare(beat.digest)
         digest = tuple(self.members.digest) if differs else ()
         versions = self.versions.versions()
@@ -115,9 +115,9 @@
     def _take_reply(
         self, peer: Hello, reply: HeartbeatReply, answer: Callable[[Message], bool]
     ) -> None:
-        self.timeline.hear(peer.host, reply.events)
-        corrections = self.members.hear(reply.members)
-        self.distribution.hear_versions(peer, reply.versions, answer)
+        self.timeline.note_sequence(peer.host, reply.events)
+        corrections = self.members.merge(reply.members)
+        self.distribution.compare_versions(peer, reply.versions, answer)
         missing, _ = self.members.compare(reply.digest)
         if corrections or missing:
             answer(
--- a/src/masticgate/process/_pressure.py
+++ b/src/masticgate/process/_pressure.py
@@ -43,7 +43,7 @@
         """Remember that ``host`` asks this owner, and the connection it asks over."""
         self.askers[host] = (answer, self.clock.now())
 
-    def hear_demand(self, demand: Demand) -> None:
+    def note_demand(self, demand: Demand) -> None:
         """Count what an entry host refused on this owner's word."""
         pools = {pool.service: pool for pool in self.pools.list_pools()}
         for item in demand.refused:
@@ -56,7 +56,7 @@
         for owner, refused in self.admission.take_refused().items():
             demand = Demand(tuple(refused))
             if owner == self.own:
-                self.hear_demand(demand)
+                self.note_demand(demand)
             else:
                 send_demand(owner, demand)
         services = tuple(self._measure(pool) for pool in self.pools.list_pools())
--- a/src/masticgate/process/_searcher_group.py
+++ b/src/masticgate/process/_searcher_group.py
@@ -110,17 +110,17 @@
             case NotRun(reason=reason) | Unknown(reason=reason):
                 if _is_failure(send, reason) and health.fail():
                     self._eject(health, now)
-        self._tell(before)
+        self._notify(before)
 
     def note_load(self, searcher: Searcher, report: LoadReport | None) -> None:
         """Take what a searcher says of itself, ``None`` where it could not be asked."""
         health = self.find(searcher)
         before = self._states()
         if report is not None:
-            health.hear(report)
+            health.note_report(report)
         elif health.state is SearcherState.DRAINING:
             health.fail()
-        self._tell(before)
+        self._notify(before)
 
     def _usable(self) -> Iterator[SearcherHealth]:
         return (h for h in self.health.values() if h.state is not SearcherState.DRAINING)
@@ -142,7 +142,7 @@
     def _states(self) -> list[tuple[SearcherHealth, SearcherState]]:
         return [(health, health.state) for health in self.health.values()]
 
-    def _tell(self, before: Iterable[tuple[SearcherHealth, SearcherState]]) -> None:
+    def _notify(self, before: Iterable[tuple[SearcherHealth, SearcherState]]) -> None:
         for health, state in before:
             if health.state is not state:
                 self.listener(self.service, health.searcher.id, health.state)
@@ -151,7 +151,7 @@
 def _is_failure(send: Send, reason: Reason) -> bool:
     """Tell whether the searcher is to blame; to be superseded by a hedge counts too.
 
-    One that has answered other work since then is alive: the send was late or unlucky.
+    One that has answered other work since then is alive, so that one lost send does not count.
     """
     answered_since = send.health.measured_at >= send.sent_at
     match send.state:
--- a/src/masticgate/process/_searcher_health.py
+++ b/src/masticgate/process/_searcher_health.py
@@ -21,10 +21,10 @@
 
 LATENCY_WEIGHT = 0.1
 LATENCY_STEP = 1.25
-"""Latencies within this factor of one another count as equal when a searcher is chosen."""
+"""Latencies within this factor of one another count as equal in the choice of a searcher."""
 
 LATENCY_KEPT = Millis(3000.0)
-"""An idle searcher is measured anew once its last success is older than this."""
+"""The latency of an idle searcher is ignored once its last success is older than this."""
 
 LOAD_CHECK_INTERVAL = Millis(4000.0)
 """How often an idle connection asks a searcher for its load."""
@@ -153,7 +153,7 @@
         return self.failures >= FAILURES_TO_EJECT or self.state is SearcherState.EJECTED
 
     def refuse(self, now: Millis) -> None:
-        """Give less work for a while to a searcher that shed or is cold; its health is well."""
+        """Give less work for a while to a searcher that shed or is cold; that is no failure."""
         if self.state is SearcherState.DRAINING:
             return
         if self.state is not SearcherState.EJECTED:
@@ -183,7 +183,7 @@
             self.drained = self.incarnation
             self.lost = False
 
-    def hear(self, report: LoadReport) -> None:
+    def note_report(self, report: LoadReport) -> None:
         """Take the searcher's report; a new incarnation that does not drain starts anew."""
         self.reported_load = report.load
         if self.state is SearcherState.DRAINING:
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -178,8 +178,7 @@
         self.distribution.update_role()
         configuration = self.versions.configuration
         if configuration is not None:
-            owned = {s for s, hosts in self.tier.table.items() if hosts[:1] == [self.id]}
-            self.pools.close_unused(configuration, owned)
+            self.pools.close_unused(configuration, self.tier.owned_services())
 
     def _run_metrics(self) -> None:
         while not self.stopping.wait(FLUSH_INTERVAL / MILLIS_PER_SECOND):
--- a/src/masticgate/process/_startup.py
+++ b/src/masticgate/process/_startup.py
@@ -45,14 +45,14 @@
         self.platform_tried = False
         self.platform_answered = False
 
-    def hear_platform(self, answered: bool) -> None:
+    def note_platform(self, answered: bool) -> None:
         """Note that the platform was read, with or without an answer."""
         with self.condition:
             self.platform_tried = True
             self.platform_answered = answered
             self.condition.notify_all()
 
-    def hear_peer(self, host: HostId, domain: FailureDomainId, versions: Versions) -> None:
+    def note_peer(self, host: HostId, domain: FailureDomainId, versions: Versions) -> None:
         """Note what ``host`` has."""
         with self.condition:
             self.heard[host] = (domain, versions)
--- a/src/masticgate/process/_status.py
+++ b/src/masticgate/process/_status.py
@@ -23,7 +23,7 @@
         "snapshots": [s.version for s in tier.versions.catalogue.snapshots],
         "leaving": sorted(configuration.leaving) if configuration else [],
         "peers": [_member_fields(tier, member) for member in tier.members.list_members()],
-        "owned": sorted(s for s, hosts in tier.table.items() if hosts[:1] == [tier.own]),
+        "owned": sorted(tier.owned_services()),
         "pools": [_pool_fields(pool) for pool in tier.owner.pools.list_pools()],
         "stopping": tier.owner.stopping,
         "counters": metrics.read_totals(),
--- a/src/masticgate/process/_tickets.py
+++ b/src/masticgate/process/_tickets.py
@@ -96,9 +96,9 @@
             if record.content not in (None, content):
                 detail = "the ticket belongs to another booking"
                 return NotRun(Reason.TICKET_IN_USE, Step.TICKET, self.host, detail)
-            doubled = record.requests.get(booking.id)
-            if doubled is not None:
-                return doubled
+            earlier = record.requests.get(booking.id)
+            if earlier is not None:
+                return earlier
             if record.state is TicketState.SETTLED:
                 return record.outcome
             if len(record.requests) >= MAX_REQUESTS:
@@ -132,7 +132,7 @@
         waiting.set_result(outcome)
 
     def learn(self, query: QueryId, outcome: BookingOutcome) -> None:
-        """Take the owner's word on an attempt that nobody waits for any more.
+        """Record the owner's late outcome of an attempt that nobody waits for any more.
 
         A retry then gets the true outcome in place of "unknown", or may run where it did not.
         """
@@ -147,7 +147,7 @@
                 self._conclude(record, outcome)
 
     def _conclude(self, record: _Record, outcome: BookingOutcome) -> None:
-        """Make ``outcome`` the last word on the latest attempt, unless it is known already."""
+        """Make ``outcome`` final for the latest attempt, unless it is known already."""
         if record.query not in self.unproven:
             return
         match outcome:
--- a/src/masticgate/request/_booking.py
+++ b/src/masticgate/request/_booking.py
@@ -11,11 +11,11 @@
 from .._failures import NotRun, Reason, Step, Unknown
 from .._ids import HostId, Incarnation, Millis, QueryId, ServiceId, TicketId
 from .._ranks import Rank
-from ._messages import Book, BookingOutcome, BookReply, Cancel, Forward, ForwardReply, Ran
+from ._messages import Book, BookingOutcome, BookReply, Cancel, Forward, ForwardReply
 from ._tier import Inbox, Tier
 
 ANSWER_RESERVE = Millis(5.0)
-"""Kept back from the deadline for the answer's way to the caller."""
+"""Kept back from the deadline for returning the outcome to the caller."""
 
 CANCEL_WAIT = Millis(50.0)
 """How long an owner may take to confirm that a cancelled booking did not run."""
@@ -171,6 +171,3 @@
 
 def _remaining(booking: Booking, tier: Tier) -> Millis:
     return Millis(booking.deadline - ANSWER_RESERVE - tier.clock.now())
-
-
-__all__ = ["Attempt", "Booking", "BookingOutcome", "Ran", "Tickets", "run_booking"]
--- a/src/masticgate/request/_merge.py
+++ b/src/masticgate/request/_merge.py
@@ -54,7 +54,7 @@
         self.waiting = {s.id for s in scope.remaining if snapshot.shards_of(s.id)}
 
     def add_hits(self, service: ServiceId, hits: Hits) -> bool:
-        """Merge ``hits``; return ``False`` where they are late, doubled or of another version."""
+        """Merge ``hits``; return ``False`` where they are late, duplicate or of another version."""
         if service not in self.waiting or hits.snapshot != self.snapshot.version:
             return False
         known = self.snapshot.shards_of(service)
--- a/src/masticgate/request/_search.py
+++ b/src/masticgate/request/_search.py
@@ -16,7 +16,7 @@
 from ._tier import Inbox, Tier
 
 ANSWER_RESERVE = Millis(4.0)
-"""Kept back from the deadline for the merge and the answer's way to the caller."""
+"""Kept back from the deadline for the merge and for returning the answer to the caller."""
 
 SILENCE_CHECK = Millis(40.0)
 """How often a waiting search looks for owners that have gone silent."""
--- a/src/masticgate/request/_tier.py
+++ b/src/masticgate/request/_tier.py
@@ -78,7 +78,7 @@
         ...
 
     def probe(self, host: HostId) -> None:
-        """Ask ``host`` for a reply, by which a slow host is told from a lost one."""
+        """Ask ``host`` for a reply, which tells a slow host from a lost one."""
         ...
 
     def is_own_ticket(self, ticket: TicketId) -> bool:
--- a/src/masticgate/version/_jsonc.py
+++ b/src/masticgate/version/_jsonc.py
@@ -29,8 +29,8 @@
     message: str
 
 
-class _DoubledKeyError(ValueError):
-    """A key stands twice in one object."""
+class _DuplicateKeyError(ValueError):
+    """A key is given twice in one object."""
 
 
 @dataclass(frozen=True)
@@ -57,7 +57,7 @@
 
 
 def parse_document(text: str) -> Document | SyntaxProblem:
-    """Parse ``text``; comments are allowed, doubled keys and trailing commas are not.
+    """Parse ``text``; comments are allowed, duplicate keys and trailing commas are not.
 
     The syntax tree, which costs far more than the value, is built only for a text with comments
     or with a problem.
@@ -77,8 +77,8 @@
         return SyntaxProblem(_position(too_deep), f"nested deeper than {MAX_DEPTH} levels")
     try:
         return Document(_load(_blank_comments(source, root)), source)
-    except _DoubledKeyError:
-        return _describe_doubled_key(root)
+    except _DuplicateKeyError:
+        return _describe_duplicate_key(root)
     except json.JSONDecodeError as error:
         return SyntaxProblem(Position(error.lineno, error.colno), error.msg)
     except (RecursionError, ValueError) as error:
@@ -92,7 +92,7 @@
 def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     built = dict(pairs)
     if len(built) < len(pairs):
-        raise _DoubledKeyError
+        raise _DuplicateKeyError
     return built
 
 
@@ -114,11 +114,11 @@
     return Parser(LANGUAGE).parse(source).root_node
 
 
-def _describe_doubled_key(root: Node) -> SyntaxProblem:
-    doubled = _find_doubled_key(root)
-    if doubled is None:
+def _describe_duplicate_key(root: Node) -> SyntaxProblem:
+    duplicate = _find_duplicate_key(root)
+    if duplicate is None:
         return SyntaxProblem(Position(1, 1), "a key is given twice")
-    return SyntaxProblem(_position(doubled), f"key {_text(doubled)} is given twice")
+    return SyntaxProblem(_position(duplicate), f"key {_text(duplicate)} is given twice")
 
 
 def _blank_comments(source: bytes, root: Node) -> str:
@@ -146,7 +146,7 @@
     return None
 
 
-def _find_doubled_key(root: Node) -> Node | None:
+def _find_duplicate_key(root: Node) -> Node | None:
     pending = [root]
     while pending:
         node = pending.pop()
--- a/src/masticgate/version/_snapshot.py
+++ b/src/masticgate/version/_snapshot.py
@@ -72,7 +72,8 @@
 def read_catalogue(text: str) -> SnapshotCatalogue | None:
     """Parse the platform's snapshot document; return ``None`` where it is not one.
 
-    A weight that is not positive, or a key or a version given twice, would make a coverage lie.
+    A weight that is not positive, or a key or a version given twice, would make a reported
+    coverage wrong.
     """
     document = parse_document(text)
     if isinstance(document, SyntaxProblem):
--- a/src/masticgate/version/_text.py
+++ b/src/masticgate/version/_text.py
@@ -79,7 +79,7 @@
         yield ("floors",), f"the floors sum to {floor_sum:g}, more than {MAX_FLOOR_SUM:g}"
     for name, service in checked.services.items():
         yield from _find_service_conflicts(checked, name, service)
-    yield from _find_doubled_searchers(checked)
+    yield from _find_duplicate_searchers(checked)
     dependencies = {
         ServiceId(name): tuple(map(ServiceId, service.depends_on))
         for name, service in checked.services.items()
@@ -103,18 +103,18 @@
         yield ("services", name), "has neither searchers nor dependencies"
 
 
-def _find_doubled_searchers(checked: ConfigurationText) -> Iterator[tuple[Path, str]]:
+def _find_duplicate_searchers(checked: ConfigurationText) -> Iterator[tuple[Path, str]]:
     owners: dict[str, str] = {}
     for name, service in checked.services.items():
         for index, searcher in enumerate(service.searchers):
             for key, value in (("id", searcher.id), ("address", searcher.address)):
                 other = owners.setdefault(f"{key} {value}", name)
-                if other != name or _stands_before(service, index, key, value):
+                if other != name or _is_repeated(service, index, key, value):
                     place: Path = ("services", name, "searchers", index, key)
                     yield place, f"searcher {key} {value!r} is already used by {other!r}"
 
 
-def _stands_before(service: ServiceText, index: int, key: str, value: str) -> bool:
+def _is_repeated(service: ServiceText, index: int, key: str, value: str) -> bool:
     return any(getattr(searcher, key) == value for searcher in service.searchers[:index])
 
 
--- a/tests/process/test_fetches.py
+++ b/tests/process/test_fetches.py
@@ -65,7 +65,7 @@
         """Return what this node asks after ``other`` named its versions."""
         self.answers.clear()
         versions = Versions(Revision(revision), SnapshotVersion(catalogue))
-        self.distribution.hear_versions(other.hello, versions, self.answer)
+        self.distribution.compare_versions(other.hello, versions, self.answer)
         return list(self.answers)
 
     def sends(self, have: int) -> list[object]:
--- a/tests/process/test_members.py
+++ b/tests/process/test_members.py
@@ -26,7 +26,7 @@
     clock = clock or ManualClock()
     own = member(name)
     known = Members(own, clock, TimeLine(own.host, clock), lambda changed: None)
-    known.hear([member(f"h{n}") for n in range(count)])
+    known.merge([member(f"h{n}") for n in range(count)])
     return known
 
 
@@ -46,8 +46,8 @@
         one, other = members_of("a"), members_of("b")
         shuffled = heard * 2
         random.shuffle(shuffled)
-        one.hear(heard)
-        other.hear(shuffled)
+        one.merge(heard)
+        other.merge(shuffled)
         assert one.get("x") == other.get("x")
         assert one.get("y") == other.get("y")
 
@@ -57,7 +57,7 @@
         known = members_of("a")
         left = 0
         for belief in heard:
-            known.hear([belief])
+            known.merge([belief])
             if belief.host == "x" and belief.state is MemberState.LEAVING:
                 left = max(left, belief.incarnation)
             now = known.get("x")
@@ -68,7 +68,7 @@
     @given(st.lists(beliefs, max_size=12))
     def test_digest_and_usable_hosts_follow_the_beliefs(self, heard):
         known = members_of("a")
-        known.hear(heard)
+        known.merge(heard)
         listed = known.list_members()
         assert tuple(known.digest) == digest_of(listed)
         assert known.usable() == [m.host for m in listed if is_usable(m)]
@@ -80,14 +80,14 @@
 class TestRefutation:
     def test_a_host_called_dead_raises_its_counter(self):
         known = members_of("a")
-        told = known.hear([member("a", MemberState.DEAD, counter=4)])
+        told = known.merge([member("a", MemberState.DEAD, counter=4)])
         assert told == (member("a", counter=5),)
         assert supersedes(told[0], member("a", MemberState.DEAD, counter=4))
 
     def test_a_host_called_leaving_leaves(self):
         known = members_of("a")
-        known.hear([member("a", MemberState.LEAVING)])
-        known.hear([member("a", MemberState.DEAD, counter=4)])
+        known.merge([member("a", MemberState.LEAVING)])
+        known.merge([member("a", MemberState.DEAD, counter=4)])
         assert known.own.state is MemberState.LEAVING
         assert known.usable() == []
 
@@ -96,14 +96,14 @@
     def test_a_forgotten_host_does_not_return_from_old_gossip(self):
         clock = ManualClock()
         known = members_of("a", clock)
-        known.hear([member("x", MemberState.DEAD, counter=2)])
+        known.merge([member("x", MemberState.DEAD, counter=2)])
         clock.advance(Millis(FORGET_AFTER + 1))
         known.forget_old()
         assert known.get("x") is None
         dead = member("x", MemberState.DEAD, counter=2)
-        assert known.hear([member("x", counter=2)]) == (dead,)
+        assert known.merge([member("x", counter=2)]) == (dead,)
         assert known.get("x") is None
-        known.hear([member("x", incarnation=2)])
+        known.merge([member("x", incarnation=2)])
         assert known.get("x") == member("x", incarnation=2)
 
 
@@ -154,7 +154,7 @@
 
     def test_a_suspect_that_refutes_stays_usable_and_is_waited_for_longer(self):
         self.beat(4, ["h0"])
-        self.known.hear([member("h1", counter=1)])
+        self.known.merge([member("h1", counter=1)])
         self.beat(2, ["h0"])
         assert self.state("h1") is MemberState.ALIVE
 
@@ -182,7 +182,7 @@
 
     def read(self, leaving, at):
         listed = ListedHost(HostId("h0"), Address("127.0.0.1:7001"), FailureDomainId("n"), leaving)
-        self.known.hear(self.list.read([listed], Millis(at)))
+        self.known.merge(self.list.read([listed], Millis(at)))
         return self.known.get("h0").state
 
     def test_its_word_that_a_host_leaves_counts(self):
@@ -192,7 +192,7 @@
 
     def test_a_late_word_does_not_stop_the_restarted_host(self):
         self.read(False, 0.0)
-        self.known.hear([member("h0", incarnation=2)])
+        self.known.merge([member("h0", incarnation=2)])
         assert self.read(True, LIST_LAG) is MemberState.ALIVE
         assert self.read(False, 2 * LIST_LAG) is MemberState.ALIVE
 
@@ -205,16 +205,16 @@
         self.hosts = [members_of(name) for name in ("a", "b", "c")]
         self.left: set[str] = set()
 
-    @rule(teller=st.integers(0, 2), hearer=st.integers(0, 2), lost=st.booleans())
-    def tell_news(self, teller, hearer, lost):
-        news = self.hosts[teller].take_news()
+    @rule(sender=st.integers(0, 2), receiver=st.integers(0, 2), lost=st.booleans())
+    def send_updates(self, sender, receiver, lost):
+        updates = self.hosts[sender].take_updates()
         if not lost:
-            self.hosts[hearer].hear(news)
+            self.hosts[receiver].merge(updates)
 
-    @rule(teller=st.integers(0, 2), about=st.sampled_from("abcxy"), state=st.sampled_from([1, 3]))
-    def accuse(self, teller, about, state):
-        known = self.hosts[teller].get(HostId(about)) or member(about)
-        self.hosts[teller].declare(known, MemberState(state))
+    @rule(sender=st.integers(0, 2), about=st.sampled_from("abcxy"), state=st.sampled_from([1, 3]))
+    def accuse(self, sender, about, state):
+        known = self.hosts[sender].get(HostId(about)) or member(about)
+        self.hosts[sender].declare(known, MemberState(state))
 
     @rule(host=st.integers(0, 2))
     def leave(self, host):
@@ -232,11 +232,11 @@
         assert {h.own.host for h in self.hosts} - self.left <= set(views.pop())
 
     def exchange(self, one, other):
-        other.hear([one.own])
+        other.merge([one.own])
         missing, _ = other.compare(tuple(one.digest))
-        other.hear(one.hear(missing))
+        other.merge(one.merge(missing))
         missing, _ = one.compare(tuple(other.digest))
-        one.hear(other.hear(missing))
+        one.merge(other.merge(missing))
 
     @invariant()
     def nobody_takes_itself_for_dead(self):
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -166,7 +166,7 @@
 
     def hear(self, startup: Startup, *names: str, revision: int = 0) -> None:
         for name in names:
-            startup.hear_peer(HostId(name), self.seeds[HostId(name)], Versions(revision, 0))
+            startup.note_peer(HostId(name), self.seeds[HostId(name)], Versions(revision, 0))
 
     def wait(self, startup: Startup, duration: float = 0.0) -> StartState:
         return startup.wait(Millis(startup.clock.now() + duration))
@@ -184,7 +184,7 @@
         startup = self.startup()
         assert self.wait(startup) is StartState.ALONE
         self.hear(startup, "h2", "h3")
-        startup.hear_platform(True)
+        startup.note_platform(True)
         assert self.wait(startup) is StartState.PARTIAL
         self.hear(startup, "h4")
         assert self.wait(startup) is StartState.COMPLETE
@@ -192,12 +192,12 @@
     def test_goes_on_without_the_platform_once_peers_answered(self):
         startup = self.startup()
         self.hear(startup, "h2", "h3", "h4")
-        startup.hear_platform(False)
+        startup.note_platform(False)
         assert self.wait(startup) is StartState.COMPLETE
 
     def test_waits_for_the_highest_version_that_a_peer_has(self):
         startup = self.startup()
-        startup.hear_platform(True)
+        startup.note_platform(True)
         self.hear(startup, "h2", "h4")
         self.hear(startup, "h3", revision=7)
         startup.versions.offer_text(text_at(1), Revision(5))
