--- a/src/masticgate/process/_caller_service.py
+++ b/src/masticgate/process/_caller_service.py
@@ -131,8 +131,11 @@
         match result:
             case NotRun(reason=reason):
                 self.metrics.count(f"search.{rank.label}.not_run.{reason.value}")
-            case Answer(whole=whole):
-                self.metrics.count(f"search.{rank.label}.{'whole' if whole else 'partial'}")
+            case Answer(whole=True):
+                self.metrics.count(f"search.{rank.label}.whole")
+                self.metrics.time(f"search.{rank.label}.ms", duration)
+            case Answer():
+                self.metrics.count(f"search.{rank.label}.partial")
                 self.metrics.time(f"search.{rank.label}.ms", duration)
 
     def _count_booking(self, rank: Rank, outcome: BookingOutcome) -> None:
--- a/tests/test_operators_pages.py
+++ b/tests/test_operators_pages.py
@@ -8,8 +8,10 @@
 from click.testing import CliRunner
 from pydantic import BaseModel
 
+from masticgate import Reason
 from masticgate.process import Settings, check_settings
 from masticgate.process._settings import PlatformText, SeedText, StatsdText
+from masticgate.process._timeline import EventKind
 from masticgate.process.commands import main
 from masticgate.version._schema import (
     ConfigurationText,
@@ -21,7 +23,8 @@
 from tests.standins.fleet import Fleet
 from tests.texts import SMALL
 
-PAGES = Path(__file__).resolve().parents[1] / "docs" / "operators"
+ROOT = Path(__file__).resolve().parents[1]
+PAGES = ROOT / "docs" / "operators"
 SETTINGS = {"": Settings, "platform.": PlatformText, "seeds[].": SeedText, "statsd.": StatsdText}
 TEXT = {
     "": ConfigurationText,
@@ -70,6 +73,38 @@
         assert isinstance(check_settings(example, "example"), Settings)
 
 
+NOT_FOR_CALLERS = {Reason.PLATFORM}
+METRIC = re.compile(r'metrics\.(?:count|time|set_gauge)\(f?"([^"]+)"')
+
+
+def table_names(path: Path) -> set[str]:
+    """Return the names in code style in the first column of the page's tables."""
+    cells = re.findall(r"^\| (`[^|]*) \|", path.read_text(encoding="utf-8"), re.MULTILINE)
+    return {name for cell in cells for name in re.findall(r"`([^`]+)`", cell)}
+
+
+def metric_names() -> set[str]:
+    """Return the names of the metrics in the code, as the page writes them."""
+    sources = (ROOT / "src").rglob("*.py")
+    found = [name for path in sources for name in METRIC.findall(path.read_text(encoding="utf-8"))]
+    named = [name.replace("{rank.label}", "RANK") for name in found]
+    return {name.replace("{reason.value}", "REASON") for name in named}
+
+
+class TestNames:
+    def test_of_all_reasons_that_a_caller_can_get_are_explained(self):
+        reasons = {reason.value for reason in Reason if reason not in NOT_FOR_CALLERS}
+        assert reasons <= table_names(ROOT / "docs" / "API.md")
+
+    def test_of_all_events_and_no_others_are_explained(self):
+        assert table_names(PAGES / "timeline.md") == {kind.value for kind in EventKind}
+
+    def test_of_all_metrics_and_no_others_are_explained(self):
+        page = (ROOT / "docs" / "METRICS.md").read_text(encoding="utf-8")
+        table = page.partition("## Suggested alerts")[0]
+        assert set(re.findall(r"^\| `([^`]+)` \|", table, re.MULTILINE)) == metric_names()
+
+
 class TestSettings:
     @pytest.mark.parametrize(
         ("text", "words"),
