--- a/model/request/answer.py
+++ b/model/request/answer.py
@@ -50,7 +50,7 @@
 
 
 def replies(s: State, a: int, v: int, fault: str) -> list[Action]:
-    waiting = Or(getattr(s, f"waiting{v}"), fault == "merge a doubled reply")
+    waiting = Or(getattr(s, f"waiting{v}"), fault == "merge a duplicate reply")
     present = Or(s.attempt == a, fault == "merge a reply of a previous attempt")
     taken = And(Not(s.answered), waiting, present)
     merge = {
@@ -112,13 +112,13 @@
             "coverage is what was merged",
             "The coverage an answer reports is the coverage it truly has.",
             coverage_is_true,
-            ("merge a doubled reply",),
+            ("merge a duplicate reply",),
         ),
         Property(
             "no shard is merged twice",
             "Each caller receives the whole answer to its own request.",
             each_shard_once,
-            ("merge a doubled reply", "keep what was merged"),
+            ("merge a duplicate reply", "keep what was merged"),
         ),
     ),
     {"a second attempt is whole": lambda s: And(s.attempt == 2, s.answered, s.coverage == 2)},
--- a/model/request/booking.py
+++ b/model/request/booking.py
@@ -1,7 +1,7 @@
 """One ticket: minted by one incarnation, used by several requests, run at most once.
 
 Each request may begin one attempt, which carries the request's id. A message in transit stays
-there: it may arrive late, any number of times or never, which covers delay, doubling and loss; a
+there: it may arrive late, any number of times or never, which covers delay, duplication and loss; a
 pause is a delay. An owner that crashes takes with it what was on its connections.
 """
 
@@ -44,10 +44,10 @@
     seen, told = getattr(s, f"seen{r}"), getattr(s, f"told{r}")
     ran, not_run = getattr(s, f"says_ran{r}"), getattr(s, f"says_not_run{r}")
     begins, waits = {f"seen{r}": True, f"book{r}": True}, And(s.minter_up, s.current == r)
-    if fault == "begin a doubled request again":
+    if fault == "begin a duplicate request again":
         begins[f"owner{r}"] = ABSENT
     usable = Or(s.ticket == MINTED, And(fault == "resend after unknown", s.ticket == UNPROVEN))
-    fresh = Or(Not(seen), fault == "begin a doubled request again")
+    fresh = Or(Not(seen), fault == "begin a duplicate request again")
 
     def tell(outcome: int) -> dict[str, object]:
         return {f"told{r}": If(told == SILENT, outcome, told)}
@@ -174,7 +174,7 @@
                 "say not run after sending",
                 "take over from a lost minter",
                 "forget attempts",
-                "begin a doubled request again",
+                "begin a duplicate request again",
                 "expire without leaving the queue",
             ),
         ),
@@ -185,7 +185,7 @@
             (
                 "say not run after sending",
                 "say not run when the minter is lost",
-                "begin a doubled request again",
+                "begin a duplicate request again",
                 "expire without leaving the queue",
             ),
         ),
--- a/model/version/drain.py
+++ b/model/version/drain.py
@@ -1,8 +1,8 @@
 """One upstream that leaves, as an owner hears of it from several sources.
 
 The text, the host list and the upstream itself say "leaving" or "alive" of an incarnation; each
-word may arrive late, doubled, out of order or never. Leaving is sticky for its incarnation; a later
-incarnation is a newcomer and may have work.
+report may arrive late, duplicated, out of order or never. Leaving is sticky for its incarnation; a
+later incarnation is new and may have work.
 """
 
 from z3 import And, BoolSort, Implies, IntSort, Not, Or
--- a/src/masticgate/process/_searcher_group.py
+++ b/src/masticgate/process/_searcher_group.py
@@ -87,7 +87,7 @@
         return [h for h in self.health.values() if h.state is SearcherState.EJECTED]
 
     def next_eligible(self, now: Millis) -> Millis | None:
-        """Return when a searcher that rests or is ejected may have work again."""
+        """Return when a searcher that backs off or is ejected may have work again."""
         return min((h.eligible_at for h in self._usable() if h.eligible_at > now), default=None)
 
     # Observation.
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -75,52 +75,13 @@
         self.pressure = PressureExchange(
             self.id, self.pools, self.admission, self.timeline, self.clock
         )
-        self.tier = HostTier(
-            self.id,
-            self.incarnation,
-            self.policy,
-            self.clock,
-            self.versions,
-            self.members,
-            self.links,
-            self.mailboxes,
-            self.owner,
-            self.admission,
-        )
-        self.callers = CallerService(
-            self.id,
-            self.tier,
-            self.tickets,
-            self.timeline,
-            self.clock,
-            self.distribution.role,
-            self.metrics,
-        )
-        self.peers.owner = self.owner
-        self.peers.links = self.links
-        self.peers.pressure = self.pressure
-        self.peers.distribution = self.distribution
-        self.peers.run_forward = self._run_forward
-        self.peer_server = PeerServer(
-            Address(settings.peer_listen_address or settings.peer_address), self.peers, self.tasks
-        )
-        self.caller_server = CallerServer(
-            Address(settings.caller_address),
-            CallerApp(self.callers, settings.max_body_bytes),
-            self.tasks,
-            settings.max_callers,
-            Millis(float(settings.caller_timeout_ms)),
-        )
-        detector = Detector(self.members, self.links.heard_at, self.clock, self.timeline)
-        self.heartbeats = Heartbeats(
-            self.members,
-            self.links,
-            self.versions,
-            detector,
-            seeds_of(settings),
-            self.timeline,
-            self._after_heartbeat,
-        )
+        self.tier = self._build_tier()
+        self.callers = self._build_callers()
+        self._complete_peers()
+        listen_address = Address(settings.peer_listen_address or settings.peer_address)
+        self.peer_server = PeerServer(listen_address, self.peers, self.tasks)
+        self.caller_server = self._build_caller_server()
+        self.heartbeats = self._build_heartbeats()
         self.connections: set[Future[None]] = set()
 
     def start(self) -> None:
@@ -163,6 +124,59 @@
         """Run ``run`` as a task of its own."""
         self.tasks.submit(run)
 
+    def _build_tier(self) -> HostTier:
+        return HostTier(
+            self.id,
+            self.incarnation,
+            self.policy,
+            self.clock,
+            self.versions,
+            self.members,
+            self.links,
+            self.mailboxes,
+            self.owner,
+            self.admission,
+        )
+
+    def _build_callers(self) -> CallerService:
+        return CallerService(
+            self.id,
+            self.tier,
+            self.tickets,
+            self.timeline,
+            self.clock,
+            self.distribution.role,
+            self.metrics,
+        )
+
+    def _complete_peers(self) -> None:
+        """Give the handler of peers the parts that need its links."""
+        self.peers.owner = self.owner
+        self.peers.links = self.links
+        self.peers.pressure = self.pressure
+        self.peers.distribution = self.distribution
+        self.peers.run_forward = self._run_forward
+
+    def _build_caller_server(self) -> CallerServer:
+        return CallerServer(
+            Address(self.settings.caller_address),
+            CallerApp(self.callers, self.settings.max_body_bytes),
+            self.tasks,
+            self.settings.max_callers,
+            Millis(float(self.settings.caller_timeout_ms)),
+        )
+
+    def _build_heartbeats(self) -> Heartbeats:
+        return Heartbeats(
+            self.members,
+            self.links,
+            self.versions,
+            Detector(self.members, self.links.heard_at, self.clock, self.timeline),
+            seeds_of(self.settings),
+            self.timeline,
+            self._after_heartbeat,
+        )
+
     def _hello(self) -> Hello:
         settings = self.settings
         return Hello(
--- a/src/masticgate/process/_watch.py
+++ b/src/masticgate/process/_watch.py
@@ -19,7 +19,7 @@
 WATCH_WAIT = Millis(20_000.0)
 HOST_LIST_INTERVAL = Millis(2000.0)
 LEAST_READ_INTERVAL = Millis(200.0)
-"""The rest after each new value, so that a flood of edits is read at a bounded rate."""
+"""The delay after each new value, so that a flood of edits is read at a bounded rate."""
 
 WATCHED_KEYS = 2
 READS_AT_START = WATCHED_KEYS + 1
@@ -73,11 +73,11 @@
     def run(self) -> None:
         """Watch whenever this host is a watcher, until the process stops."""
         while self.role.await_turn(self.reader.allow):
-            self.role.rest(self.read_once())
+            self.role.wait(self.read_once())
         self.reader.close()
 
     def read_once(self) -> Millis:
-        """Wait for one newer value and return the rest before the next read.
+        """Wait for one newer value and return the delay before the next read.
 
         A platform that answers at once with nothing newer, such as a stale replica, is read no
         more often than one that is down.
@@ -123,11 +123,11 @@
     def run(self) -> None:
         """Read whenever this host is a watcher; a failed read changes nothing."""
         while self.role.await_turn(self.reader.allow):
-            self.role.rest(self.read_once())
+            self.role.wait(self.read_once())
         self.reader.close()
 
     def read_once(self) -> Millis:
-        """Read the list and return the rest before the next read."""
+        """Read the list and return the delay before the next read."""
         hosts = self.reader.list_hosts()
         if isinstance(hosts, Unknown):
             return max(HOST_LIST_INTERVAL, self.backoff.next())
--- a/src/masticgate/process/_watch_role.py
+++ b/src/masticgate/process/_watch_role.py
@@ -43,7 +43,7 @@
                 allow()
             return not self.stopped
 
-    def rest(self, duration: Millis) -> None:
+    def wait(self, duration: Millis) -> None:
         """Wait for ``duration``, or until the process stops."""
         with self.condition:
             self.condition.wait_for(lambda: self.stopped, duration / MILLIS_PER_SECOND)
--- /dev/null
+++ b/tests/process/fake_connections.py
@@ -0,0 +1,136 @@
+"""A service pool over fake connections and a clock set by hand."""
+
+from masticgate import (
+    Address,
+    FailureDomainId,
+    ManualClock,
+    Millis,
+    NotRun,
+    QueryId,
+    Rank,
+    Reason,
+    SearcherId,
+    ServiceId,
+    SnapshotVersion,
+    Step,
+    TicketId,
+    Unknown,
+)
+from masticgate.process import OWNER_POLICY, BookingWork, SearchWork, ServicePool
+from masticgate.process._booking_log import BookingLog
+from masticgate.process._idle_connections import IdleConnection
+from masticgate.request import Hits
+from masticgate.version import Searcher
+
+SERVICE = ServiceId("s")
+SHARE = 3
+HITS = Hits(SnapshotVersion(1), (), ())
+DRAINING = NotRun(Reason.SEARCHER_DRAINING, Step.UPSTREAM)
+SHED = NotRun(Reason.SEARCHER_SHED, Step.UPSTREAM)
+LOST = Unknown(Reason.SEARCHER_LOST, Step.UPSTREAM)
+
+
+def searcher(name):
+    address = Address(f"127.0.0.1:{ord(name)}")
+    return Searcher(SearcherId(name), address, FailureDomainId("d"), 2, 25)
+
+
+SEARCHERS = {name: searcher(name) for name in "ab"}
+SHARES = [(s, SHARE) for s in SEARCHERS.values()]
+
+
+def start_idle(pool, health):
+    """Let a connection of a searcher fall idle, as the start of ``take`` does."""
+    with pool.delivering:
+        connection = IdleConnection(pool.lock, health)
+        pool.idle_connections.add(connection)
+        pool.dispatch()
+    return connection
+
+
+class FakeConnections:
+    """Connections of a pool that sit down and finish when a test says so."""
+
+    def __init__(self, names="ab"):
+        self.clock = ManualClock(Millis(1000.0))
+        self.names = names
+        self.pool = ServicePool(SERVICE, (), {}, OWNER_POLICY, self.clock, lambda *change: None)
+        self.pool.change([(SEARCHERS[name], SHARE) for name in names], {})
+        self.results = {}
+        self.idle_connections = []
+        self.sends = []
+        self.aborted = []
+        self.bookings = BookingLog(self.clock)
+        self.counter = 0
+
+    def search(self, rank=Rank.URGENT, remaining=1000.0):
+        self.counter += 1
+        query = QueryId(f"q{self.counter}")
+        self.results[query] = []
+        work = SearchWork(
+            query,
+            SERVICE,
+            (),
+            SnapshotVersion(1),
+            rank,
+            Millis(self.clock.now() + remaining),
+            0.5,
+            "",
+            self.results[query].append,
+        )
+        return query, self.pool.offer(work)
+
+    def book(self, ticket, attempt=1):
+        self.counter += 1
+        query = QueryId(f"b{self.counter}")
+        self.results[query] = []
+        deadline = Millis(self.clock.now() + 1000.0)
+        deliver = self.results[query].append
+        if not self.bookings.take(ticket, attempt):
+            return query, NotRun(Reason.TICKET_IN_USE, Step.QUEUE)
+        ticket = TicketId(ticket)
+        work = BookingWork(query, SERVICE, ticket, attempt, Rank.URGENT, deadline, "{}", deliver)
+        return query, self.pool.offer(work)
+
+    def add_idle(self, name):
+        health = self.pool.searchers.find(SEARCHERS[name])
+        self.idle_connections.append(start_idle(self.pool, health))
+        return self.collect()
+
+    def add_all_idle(self):
+        for name in self.names:
+            for _ in range(SHARE):
+                self.add_idle(name)
+
+    def wake(self):
+        with self.pool.delivering:
+            self.pool.dispatch()
+        return self.collect()
+
+    def collect(self):
+        """Take up the sends that were given to idle connections."""
+        given = [
+            connection.send for connection in self.idle_connections if connection.send is not None
+        ]
+        self.idle_connections = [
+            connection for connection in self.idle_connections if connection.send is None
+        ]
+        for send in given:
+            assert self.pool.may_send(send, lambda s=send: self.aborted.append(s))
+        self.sends += given
+        return given
+
+    def finish(self, send, result):
+        self.sends.remove(send)
+        self.pool.finish(send, result)
+        return self.collect()
+
+    def answer_all(self, rounds, result=HITS, latency=20.0):
+        """Run searches one after another, so that latencies and health are known."""
+        for _ in range(rounds):
+            self.search()
+            self.collect()
+            self.clock.advance(Millis(latency))
+            for send in list(self.sends):
+                self.finish(send, result)
+                self.add_idle(send.searcher)
--- a/tests/process/test_owner_bookings.py
+++ b/tests/process/test_owner_bookings.py
@@ -12,13 +12,13 @@
     SearcherId,
 )
 from masticgate.process import OWNER_POLICY
-from masticgate.process._idle_connections import IdleConnection
 from masticgate.process._mailboxes import Mailboxes
 from masticgate.process._owner import Owner
 from masticgate.process._pools import Pools
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
 from masticgate.request import Book, BookReply, Cancel, Ran
+from tests.process.fake_connections import start_idle
 from tests.texts import SMALL
 
 
@@ -43,11 +43,7 @@
     def take_next(self):
         """Take the next work as an idle connection would."""
         pool = self.pool()
-        with pool.delivering:
-            connection = IdleConnection(pool.lock, pool.health[SearcherId("oa")])
-            pool.idle_connections.add(connection)
-            pool.dispatch()
-        return connection.send
+        return start_idle(pool, pool.health[SearcherId("oa")]).send
 
     def outcomes(self):
         return [reply.outcome for reply in self.replies]
--- /dev/null
+++ b/tests/process/test_pool_faults.py
@@ -0,0 +1,131 @@
+"""One service's queue and dispatch under any order of events."""
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from masticgate import Millis, Rank
+from masticgate.process import BookingWork, LoadReport
+from masticgate.process._retry import FREE_RETRY_REASONS
+from masticgate.request import Ran
+from tests.process.fake_connections import (
+    DRAINING,
+    HITS,
+    LOST,
+    SEARCHERS,
+    SHARE,
+    SHARES,
+    SHED,
+    FakeConnections,
+)
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Offers, ends, cancels and stops work in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = FakeConnections()
+        self.booked = set()
+        self.sent = Counter()
+        self.paid = 0
+        self.refused = set()
+
+    def note(self, sends):
+        for send in sends:
+            entry = send.entry
+            self.sent[entry.work.query] += 1
+            free = entry.failure is not None and entry.failure.reason in FREE_RETRY_REASONS
+            if self.sent[entry.work.query] > 1 and (send.hedge or not free):
+                self.paid += 1
+
+    @rule(rank=st.sampled_from(list(Rank)), remaining=st.sampled_from([30.0, 200.0, 2000.0]))
+    def search(self, rank, remaining):
+        query, refusal = self.fleet.search(rank, remaining)
+        self.note(self.fleet.collect())
+        if refusal is not None:
+            self.refused.add(query)
+
+    @rule()
+    def book(self):
+        query, refusal = self.fleet.book("t")
+        self.note(self.fleet.collect())
+        if refusal is None:
+            self.booked.add(query)
+        else:
+            self.refused.add(query)
+
+    @rule(name=st.sampled_from("ab"))
+    def add_idle(self, name):
+        busy = sum(s.searcher == name for s in self.fleet.sends)
+        idle = sum(s.health.searcher.id == name for s in self.fleet.idle_connections)
+        if busy + idle < SHARE and not self.fleet.pool.stopping:
+            self.note(self.fleet.add_idle(name))
+
+    @precondition(lambda self: self.fleet.sends)
+    @rule(data=st.data(), result=st.sampled_from([HITS, DRAINING, SHED, LOST]))
+    def finish(self, data, result):
+        send = data.draw(st.sampled_from(self.fleet.sends))
+        if isinstance(send.entry.work, BookingWork) and result is HITS:
+            result = Ran("{}")
+        self.note(self.fleet.finish(send, result))
+
+    @rule(duration=st.sampled_from([5.0, 60.0, 600.0]))
+    def advance(self, duration):
+        self.fleet.clock.advance(Millis(duration))
+        self.note(self.fleet.wake())
+
+    def take_up(self):
+        self.note(self.fleet.collect())
+
+    @precondition(lambda self: self.fleet.results)
+    @rule(data=st.data())
+    def cancel(self, data):
+        self.fleet.pool.cancel(data.draw(st.sampled_from(sorted(self.fleet.results))))
+        self.take_up()
+
+    @rule(name=st.sampled_from("ab"), draining=st.booleans(), incarnation=st.sampled_from("12"))
+    def note_load(self, name, draining, incarnation):
+        self.fleet.pool.note_load(SEARCHERS[name], LoadReport(0, draining, incarnation))
+        self.take_up()
+
+    @precondition(lambda self: not self.fleet.idle_connections)
+    @rule()
+    def stop_and_change(self):
+        self.fleet.pool.stop()
+        assert not len(self.fleet.pool.pending)
+        self.fleet.pool.change(SHARES, {})
+
+    @invariant()
+    def delivers_at_most_once(self):
+        assert all(len(results) <= 1 for results in self.fleet.results.values())
+        assert not any(self.fleet.results[query] for query in self.refused)
+
+    @invariant()
+    def counts_what_is_in_flight(self):
+        for name, health in self.fleet.pool.health.items():
+            assert health.in_flight == sum(s.searcher == name for s in self.fleet.sends)
+            assert 0 <= health.in_flight <= health.connections
+
+    @invariant()
+    def sends_a_booking_at_most_once(self):
+        assert all(self.sent[query] <= 1 for query in self.booked)
+
+    @invariant()
+    def keeps_to_the_budget(self):
+        assert self.fleet.pool.budget.tokens >= 0.0
+        assert self.paid <= 1 + 0.05 * len(self.sent)
+
+    @invariant()
+    def loses_no_work(self):
+        pool = self.fleet.pool
+        for query, entry in pool.entries.items():
+            in_flight = any(s.entry is entry for s in self.fleet.sends)
+            pending = any(e is entry for e in pool.pending.entries())
+            assert in_flight != pending, query
+
+
+class TestAnyOrder(PoolMachine.TestCase):
+    settings = settings(derandomize=True, max_examples=60, stateful_step_count=40, deadline=None)
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -57,7 +57,7 @@
 
 
 class VersionStores(RuleBasedStateMachine):
-    """Two hosts that hear of the same texts in any order, doubled, late and from each other."""
+    """Two hosts that receive the same texts in any order, duplicate, late and from each other."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -251,10 +251,10 @@
     def test_takes_no_older_value_and_does_not_ask_for_it_again(self):
         old, new = (Value(Revision(revision), "") for revision in (3, 5))
         watch, taken = self.watch(new, old, new, old)
-        rests = [watch.read_once() for _ in range(4)]
+        delays = [watch.read_once() for _ in range(4)]
         assert taken == [5] and watch.revision == 5
-        assert rests[0] == LEAST_READ_INTERVAL and min(rests[1:]) >= 250
-        assert rests[3] > rests[1]
+        assert delays[0] == LEAST_READ_INTERVAL and min(delays[1:]) >= 250
+        assert delays[3] > delays[1]
 
     def test_does_not_spin_where_every_watch_returns_at_once(self):
         watch, _ = self.watch(*[Unchanged()] * 9)
--- a/tests/request/test_booking.py
+++ b/tests/request/test_booking.py
@@ -127,7 +127,7 @@
         bench.table.learn(QueryId("q1"), CANCELLED)
         assert bench.run("q3") == LOST
 
-    def test_doubled_request_never_runs_after_it_was_told_not_run(self):
+    def test_duplicate_request_never_runs_after_it_was_told_not_run(self):
         bench = Bench(answer(CANCELLED))
         assert bench.run("q1") == CANCELLED
         bench.tier.react = answer(Ran("1"))
--- a/tests/request/test_booking_faults.py
+++ b/tests/request/test_booking_faults.py
@@ -20,13 +20,13 @@
     Unknown,
 )
 from masticgate.process import OWNER_POLICY
-from masticgate.process._idle_connections import IdleConnection
 from masticgate.process._owner import Owner
 from masticgate.process._pools import Pools
 from masticgate.process._tickets import TicketTable
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
 from masticgate.request import Book, Booking, Cancel, Ran, run_booking
+from tests.process.fake_connections import start_idle
 from tests.request.script_tier import ScriptTier
 from tests.texts import SMALL
 
@@ -74,14 +74,8 @@
 
     def add_idle(self, plan):
         for pool in self.pools.list_pools():
-            with pool.delivering:
-                connection = IdleConnection(pool.lock, pool.health[SearcherId("oa")])
-                pool.idle_connections.add(connection)
-                self.idle_connections.append(connection)
-                pool.dispatch()
-            for connection in [
-                connection for connection in self.idle_connections if connection.send is not None
-            ]:
+            self.idle_connections.append(start_idle(pool, pool.health[SearcherId("oa")]))
+            for connection in [c for c in self.idle_connections if c.send is not None]:
                 self.idle_connections.remove(connection)
                 self.serve(pool, connection.send, plan)
 
@@ -142,13 +136,13 @@
             pass
         self.tier.clock.current = Millis(end)
 
-    @rule(plan=NETWORK, newest=st.booleans(), doubled=st.booleans(), data=st.data())
-    def book(self, plan, newest, doubled, data):
+    @rule(plan=NETWORK, newest=st.booleans(), duplicate=st.booleans(), data=st.data())
+    def book(self, plan, newest, duplicate, data):
         """Submit a ticket, with a new request or with one that comes twice."""
         ticket = self.tickets[-1] if newest else data.draw(st.sampled_from(self.tickets))
         earlier = [request for used, request, _ in self.told if used == ticket]
         self.requests += 1
-        name = earlier[-1] if doubled and earlier else QueryId(f"q{self.requests}")
+        name = earlier[-1] if duplicate and earlier else QueryId(f"q{self.requests}")
         self.plan = plan
         outcome = run_booking(self.booking(ticket, name), self.table, self.tier)
         self.told.append((ticket, name, outcome))
--- a/tests/request/test_search_faults.py
+++ b/tests/request/test_search_faults.py
@@ -19,7 +19,7 @@
 FAULTS = (
     "late",
     "slow",
-    "doubled",
+    "duplicate",
     "lost",
     "wrong version",
     "other version",
@@ -137,7 +137,7 @@
         result = VersionGone(ask.snapshot, tuple(self.searchers.held[part.service]))
         if found is not None:
             result = Hits(ask.snapshot, part.shards, found)
-        for copy in range(2 if "doubled" in faults else 1):
+        for copy in range(2 if "duplicate" in faults else 1):
             deliver(delay + 3 * copy, Reply(ask.query, part.service, result))
 
     def check_answer(self, answer, name):
@@ -203,7 +203,7 @@
 
     def test_goes_on_where_a_version_it_did_not_ask_for_is_gone(self):
         machine = self.machine()
-        machine.faults[SERVICES[1]] = ["wrong version", "doubled"]
+        machine.faults[SERVICES[1]] = ["wrong version", "duplicate"]
         assert self.search(machine).whole
 
     def test_restarts_whole_on_an_older_snapshot(self):
--- a/tests/version/test_text.py
+++ b/tests/version/test_text.py
@@ -142,8 +142,8 @@
     def test_with_a_shard_or_a_version_given_twice_is_none(self):
         one = '{"version": 1, "shards": {"a": {"a/1": 1.0}}}'
         assert read_catalogue('{"versions": [' + f"{one}, {one}" + "]}") is None
-        doubled = one.replace('"a/1": 1.0', '"a/1": 1.0, "a/1": 2.0')
-        assert read_catalogue('{"versions": [' + doubled + "]}") is None
+        duplicate = one.replace('"a/1": 1.0', '"a/1": 1.0, "a/1": 2.0')
+        assert read_catalogue('{"versions": [' + duplicate + "]}") is None
 
 
 class TestComments:
