--- a/bench/connection/_message_costs.py
+++ b/bench/connection/_message_costs.py
@@ -65,7 +65,7 @@
 
 
 def pressure(services: int) -> Message:
-    """Return an owner's word on ``services`` services."""
+    """Return an owner's pressure on ``services`` services."""
     shares = (1.0, 0.5, 0.1)
     return Pressure(
         tuple(ServicePressure(ServiceId(f"safety-desk/{n}"), shares) for n in range(services))
--- a/bench/process/_control_fleet.py
+++ b/bench/process/_control_fleet.py
@@ -9,9 +9,9 @@
 from tests.standins.fleet import Fleet
 from tests.texts import SMALL
 
-from bench.process._load import Load
 from bench.version import DEPLOYMENTS, SEARCHER_KNOBS
 
+from ._load import Load
 from .counted_host import WORK
 
 FLEET_SIZES = [3, 7, 15, 30]
--- a/bench/process/_demo_run.py
+++ b/bench/process/_demo_run.py
@@ -10,7 +10,7 @@
 from bench.request import Searched, audit_answer
 from bench.version import Deployment
 
-from ._events import Depart, Happenings, LoseSearcher
+from ._events import Depart, EventRunner, LoseSearcher
 
 HOSTS = 3
 DEADLINE_MS = 230.0
@@ -29,17 +29,17 @@
 
     def run(self) -> list[str]:
         """Run all steps; return what was untrue."""
-        happenings = Happenings(self.fleet, self.deployment)
+        events = EventRunner(self.fleet, self.deployment)
         self.search_each_rank()
         self.book_once()
         click.echo("  -- one searcher is lost")
-        happenings.happen(LoseSearcher())
+        events.run(LoseSearcher())
         self.search_each_rank()
         click.echo(f"  -- the text is edited: {self.deployment.leaving} leaves")
-        happenings.happen(Depart())
+        events.run(Depart())
         self.await_in_force()
         self.search_each_rank()
-        self.search_what_left(happenings)
+        self.search_what_left(events)
         return self.problems
 
     def search_each_rank(self) -> None:
@@ -61,16 +61,16 @@
         click.echo(head + describe_answer(reply.body))
         self.note(rank, audit_answer(reply.body, self.needed(service), self.searched()))
 
-    def search_what_left(self, happenings: Happenings) -> None:
+    def search_what_left(self, events: EventRunner) -> None:
         """Search the department that left: it must be refused, and must truly not run."""
-        before = happenings.count("received", self.deployment.leaving)
+        before = events.count("received", self.deployment.leaving)
         reply = self.fleet.search(0, [self.deployment.leaving], remaining_ms=DEADLINE_MS)
         click.echo(
             f"  standard {self.deployment.leaving:15} via h1  {describe_refusal(reply.body)}"
         )
         if reply.body["outcome"] != "not_run":
             self.note("departure", ["a department that left was searched"])
-        if happenings.count("received", self.deployment.leaving) != before:
+        if events.count("received", self.deployment.leaving) != before:
             self.note("departure", ["a department that left received new work"])
 
     def book_once(self) -> None:
--- a/bench/process/_events.py
+++ b/bench/process/_events.py
@@ -51,15 +51,15 @@
 
 
 @dataclass
-class Happenings:
-    """Makes events happen to one fleet, and keeps what they measured."""
+class EventRunner:
+    """Runs the events of one trial, and keeps what is counted of them."""
 
     fleet: Fleet
     deployment: Deployment
     work_after_leaving: int | None = None
-    _started_when_left: int = field(default=0)
+    started_when_left: int = field(default=0)
 
-    def happen(self, event: Event) -> None:
+    def run(self, event: Event) -> None:
         """Make ``event`` happen; it returns when the event is over."""
         fleet = self.fleet
         match event:
@@ -78,13 +78,13 @@
             case Depart():
                 fleet.put_text(self.deployment.text_without)
                 time.sleep(LEAVING_SECONDS)
-                self._started_when_left = self.count("started", self.deployment.leaving)
+                self.started_when_left = self.count("started", self.deployment.leaving)
 
-    def conclude(self, event: Event) -> None:
+    def finish(self, event: Event) -> None:
         """Measure, after the load, what ``event`` left behind."""
         if isinstance(event, Depart):
             started = self.count("started", self.deployment.leaving)
-            self.work_after_leaving = started - self._started_when_left
+            self.work_after_leaving = started - self.started_when_left
 
     def count(self, what: str, group: str) -> int:
         """Return a count over all searchers of the services whose names begin with ``group``."""
--- a/bench/process/_host_costs.py
+++ b/bench/process/_host_costs.py
@@ -95,7 +95,7 @@
         host.members.forget_old()
         host.links.drop_unused(host.heartbeats.neighbours)
         host.heartbeats.interval()
-        host._after_heartbeat()
+        host.after_heartbeat()
 
     return call
 
--- a/bench/process/_trial.py
+++ b/bench/process/_trial.py
@@ -10,13 +10,13 @@
 from bench.version import SEARCHER_KNOBS, Deployment
 
 from ._cpu import busiest, cpu_by_process
-from ._events import Happenings
+from ._events import EventRunner
 from ._figures import NOT_RUN, RankFigures, lag_p99_ms, rank_figures
 from ._load import DEADLINE_MS, Load
 from ._scenario import Scenario
 
 WARM_UP_SECONDS = 2.0
-"""Load before the window that is measured: connections open, estimates settle."""
+"""Load before the window that counts: connections open, estimates settle."""
 
 EVENT_AFTER_SECONDS = 1.0
 """An event happens this long after the warm-up."""
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True)
 class Trial:
-    """What one trial measured.
+    """The figures of one trial.
 
     ``extra_load`` is searches started over searches needed, less one. ``spare`` is the saturation
     less what the ranks that are not flooded finished. ``work_after_leaving`` is the searches that
@@ -85,24 +85,24 @@
     rates = {rank: share * deployment.saturation for rank, share in scenario.rates.items()}
     services = [deployment.history if scenario.departs else deployment.wide]
     load = Load(fleet, services, rates, WARM_UP_SECONDS + seconds)
-    happenings = Happenings(fleet, deployment)
-    started = happenings.count("started", deployment.wide)
+    events = EventRunner(fleet, deployment)
+    started = events.count("started", deployment.wide)
     begin = load.start()
     try:
         sleep_until(begin)
         used = cpu_by_process(fleet, load)
         if scenario.event is not None:
             sleep_until(begin + WARM_UP_SECONDS + EVENT_AFTER_SECONDS)
-            happenings.happen(scenario.event)
+            events.run(scenario.event)
         sleep_until(begin + load.seconds)
         cores = busiest(used, cpu_by_process(fleet, load), load.seconds)
         results = load.finish()
     finally:
         load.stop()
     if scenario.event is not None:
-        happenings.conclude(scenario.event)
-    started = happenings.count("started", deployment.wide) - started
-    return Observed(results, started, happenings.work_after_leaving, cores)
+        events.finish(scenario.event)
+    started = events.count("started", deployment.wide) - started
+    return Observed(results, started, events.work_after_leaving, cores)
 
 
 def evaluate(
--- a/bench/process/counted_host.py
+++ b/bench/process/counted_host.py
@@ -99,7 +99,7 @@
         (PressureExchange, "run_once"),
         (KeyWatch, "read_once"),
         (HostListWatch, "read_once"),
-        (Host, "_after_heartbeat"),
+        (Host, "after_heartbeat"),
     ):
         _count_method(counts, owner, name)
 
--- a/model/version/adoption.py
+++ b/model/version/adoption.py
@@ -1,8 +1,9 @@
 """The operators' text on three hosts: revisions only rise, also over restarts.
 
 The platform answers with any published revision, however stale; a peer's push may be late,
-duplicated or lost. A host that starts has no memory: it takes the highest of what the platform and a serving
-peer say before it serves. Where none serves any more, only the platform's revision is left.
+duplicated or lost. A host that starts has no memory: it takes the highest of what the platform and
+a serving peer say before it serves. Where none serves any more, only the platform's revision is
+left.
 """
 
 from z3 import And, BoolSort, If, Implies, IntSort, Not, Or
--- a/model/version/drain.py
+++ b/model/version/drain.py
@@ -12,7 +12,7 @@
 INCARNATIONS = (1, 2)
 VARIABLES = {"current": IntSort(), "known": IntSort(), "known_leaving": BoolSort()}
 for _i in INCARNATIONS:
-    VARIABLES |= {f"alive{_i}": BoolSort(), f"leaving{_i}": BoolSort()}  # words in transit
+    VARIABLES |= {f"alive{_i}": BoolSort(), f"leaving{_i}": BoolSort()}  # reports in transit
     VARIABLES |= {f"heard{_i}": BoolSort(), f"late{_i}": BoolSort(), f"work{_i}": BoolSort()}
 
 
@@ -35,9 +35,9 @@
 
 
 def hear(s: State, i: int, fault: str) -> list[Action]:
-    """A word on incarnation ``i`` arrives; a later incarnation wins, then "leaving"."""
-    newer = Or(i > s.known, fault == "take the last word on any incarnation")
-    same = And(s.known == i, fault == "take the last word as clearing")
+    """A report on incarnation ``i`` arrives; a later incarnation wins, then "leaving"."""
+    newer = Or(i > s.known, fault == "take the last report on any incarnation")
+    same = And(s.known == i, fault == "take the last report as clearing")
     takes_alive = And(getattr(s, f"alive{i}"), Or(newer, same))
     leaving = getattr(s, f"leaving{i}")
     return [
@@ -75,7 +75,7 @@
             "an upstream heard to be leaving gets no new work",
             "An upstream that is leaving receives no new work after a few seconds.",
             no_new_work,
-            ("take the last word as clearing", "take the last word on any incarnation"),
+            ("take the last report as clearing", "take the last report on any incarnation"),
         ),
     ),
     {"the next incarnation has work": lambda s: And(s.heard1, s.work2)},
--- a/src/masticgate/connection/__init__.py
+++ b/src/masticgate/connection/__init__.py
@@ -24,3 +24,4 @@
 from ._platform import Value as Value
 from ._searcher import run_searcher_connection as run_searcher_connection
 from ._socket import FrameSocket as FrameSocket
+from ._socket import split_address as split_address
--- a/src/masticgate/connection/_caller_server.py
+++ b/src/masticgate/connection/_caller_server.py
@@ -11,6 +11,7 @@
 
 from werkzeug.wrappers import Response
 
+from .._clock import MILLIS_PER_SECOND
 from .._failures import NotRun, Reason, Step
 from .._ids import Address, Millis
 from ._caller_app import CallerApp, failure_response
@@ -32,7 +33,7 @@
     def setup(self) -> None:
         """Set the longest wait for a caller that sends nothing."""
         self.connection = self.request
-        self.connection.settimeout(self.server.timeout / 1000)
+        self.connection.settimeout(self.server.timeout / MILLIS_PER_SECOND)
         super().setup()
 
     def parse_request(self) -> bool:
@@ -243,7 +244,7 @@
     def await_closed(self, timeout: Millis) -> bool:
         """Wait until every connection has ended; return ``False`` where some did not in time."""
         with self.lock:
-            return self.lock.wait_for(lambda: not self.open, timeout / 1000)
+            return self.lock.wait_for(lambda: not self.open, timeout / MILLIS_PER_SECOND)
 
 
 def _end_reading(connection: socket.socket) -> None:
--- a/src/masticgate/connection/_socket.py
+++ b/src/masticgate/connection/_socket.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from threading import Lock
 
+from .._clock import MILLIS_PER_SECOND
 from .._ids import Address, Millis
 from ._frames import BadFrameError, Message, decode_message, encode_message
 
@@ -28,7 +29,7 @@
 
     :raises OSError: the connection is refused or takes longer than ``timeout``.
     """
-    return socket.create_connection(split_address(address), timeout=timeout / 1000)
+    return socket.create_connection(split_address(address), timeout=timeout / MILLIS_PER_SECOND)
 
 
 def listen_on(address: Address, backlog: int = 256) -> socket.socket:
@@ -49,7 +50,7 @@
 
     def set_timeout(self, timeout: Millis) -> None:
         """Let a read fail after ``timeout`` without a byte."""
-        self.connection.settimeout(timeout / 1000)
+        self.connection.settimeout(timeout / MILLIS_PER_SECOND)
 
     def send(self, message: Message) -> bool:
         """Send ``message`` whole; return ``False`` and close where the peer takes no more.
--- a/src/masticgate/process/_distribution.py
+++ b/src/masticgate/process/_distribution.py
@@ -59,8 +59,7 @@
         self.host_list = HostList(members.get)
         seeds = {
             HostId(seed.host): FailureDomainId(seed.failure_domain)
-            for seed in settings.seeds
-            if seed.host != settings.host
+            for seed in settings.other_seeds()
         }
         self.startup = Startup(seeds, versions, clock)
         self.readers: list[PlatformReader] = []
--- a/src/masticgate/process/_heartbeats.py
+++ b/src/masticgate/process/_heartbeats.py
@@ -115,11 +115,11 @@
         """Try one host that is believed dead: a split may have healed."""
         lost = [m for m in self.members.list_members() if m.state is MemberState.DEAD]
         known = {member.host for member in lost}
-        lost += [s for s in self.seeds if s.host not in known and not self._is_usable(s.host)]
+        lost += [s for s in self.seeds if s.host not in known and not self._may_answer(s.host)]
         if lost:
             member = lost[self.sequence // PROBE_BEATS % len(lost)]
             self.links.ensure(member.host, member.address)
 
-    def _is_usable(self, host: HostId) -> bool:
+    def _may_answer(self, host: HostId) -> bool:
         member = self.members.get(host)
         return member is not None and member.state is not MemberState.DEAD
--- a/src/masticgate/process/_host_list.py
+++ b/src/masticgate/process/_host_list.py
@@ -14,8 +14,8 @@
 class HostList:
     """Turns each reading of the host list into beliefs; only the reading task calls it.
 
-    The list's word that a host leaves counts for an incarnation that has been known for
-    ``LIST_LAG``; of a younger one it may be a late word about the run before.
+    The list marks a host as leaving, which counts for an incarnation that has been known for
+    ``LIST_LAG``; for a younger one the mark may be late and mean the run before.
     """
 
     def __init__(self, known: Callable[[HostId], Member | None]) -> None:
--- a/src/masticgate/process/_metrics.py
+++ b/src/masticgate/process/_metrics.py
@@ -5,7 +5,8 @@
 
 from statsd import StatsClient
 
-from .._ids import Millis
+from .._ids import Address, Millis
+from ..connection import split_address
 from ._settings import Settings
 
 FLUSH_INTERVAL = Millis(1000.0)
@@ -27,9 +28,9 @@
         self.gauges: dict[str, float] = {}
         self.client: StatsClient | None = None
         if settings.statsd is not None:
-            number, _, port = settings.statsd.address.rpartition(":")
+            number, port = split_address(Address(settings.statsd.address))
             prefix = f"{settings.statsd.prefix}.{settings.host}"
-            self.client = StatsClient(number, int(port), prefix, MAX_PACKET_BYTES)
+            self.client = StatsClient(number, port, prefix, MAX_PACKET_BYTES)
 
     def count(self, name: str, number: int = 1) -> None:
         """Add to a counter."""
--- a/src/masticgate/process/_pressure.py
+++ b/src/masticgate/process/_pressure.py
@@ -44,7 +44,7 @@
         self.askers[host] = (answer, self.clock.now())
 
     def note_demand(self, demand: Demand) -> None:
-        """Count what an entry host refused on this owner's word."""
+        """Count what an entry host refused because of this owner's pressure."""
         pools = {pool.service: pool for pool in self.pools.list_pools()}
         for item in demand.refused:
             pool = pools.get(item.service)
--- a/src/masticgate/process/_server.py
+++ b/src/masticgate/process/_server.py
@@ -174,7 +174,7 @@
             Detector(self.members, self.links.heard_at, self.clock, self.timeline),
             seeds_of(self.settings),
             self.timeline,
-            self._after_heartbeat,
+            self.after_heartbeat,
         )
 
     def _hello(self) -> Hello:
@@ -188,7 +188,8 @@
             PROTOCOL_NEWEST,
         )
 
-    def _after_heartbeat(self) -> None:
+    def after_heartbeat(self) -> None:
+        """Decide anew on the watch, and close the pools that are no longer used."""
         self.distribution.update_role()
         configuration = self.versions.configuration
         if configuration is not None:
@@ -244,8 +245,7 @@
             Incarnation(0),
             MemberState.ALIVE,
         )
-        for seed in settings.seeds
-        if seed.host != settings.host
+        for seed in settings.other_seeds()
     ]
 
 
--- a/src/masticgate/process/_settings.py
+++ b/src/masticgate/process/_settings.py
@@ -60,6 +60,10 @@
     shutdown_ms: int = Field(default=10_000, ge=0, le=600_000)
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
+    def other_seeds(self) -> list[SeedText]:
+        """Return the seeds without this host itself."""
+        return [seed for seed in self.seeds if seed.host != self.host]
+
 
 @dataclass(frozen=True, slots=True)
 class BadSettings:
--- a/src/masticgate/process/_watch.py
+++ b/src/masticgate/process/_watch.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from math import ceil
 
-from .._clock import Clock
+from .._clock import MILLIS_PER_SECOND, Clock
 from .._failures import Unknown
 from .._ids import Millis, Revision
 from ..connection import ListedHost, PlatformReader, Unchanged, Value
@@ -45,7 +45,7 @@
 
 def most_outage_reads_per_second(watchers: int) -> float:
     """Return the most reads a second by ``watchers`` hosts once the platform stays down."""
-    return watchers * READS_AT_START * 1000.0 / (LEAST_JITTER * RETRY_LONGEST)
+    return watchers * READS_AT_START * MILLIS_PER_SECOND / (LEAST_JITTER * RETRY_LONGEST)
 
 
 class KeyWatch:
