--- a/src/masticgate/process/_heartbeats.py
+++ b/src/masticgate/process/_heartbeats.py
@@ -103,23 +103,23 @@
         return self.neighbours[turn % len(self.neighbours)]
 
     def _send(self, host: HostId, *, with_digest: bool) -> None:
-        news = self.members.take_news()
+        updates = self.members.take_updates()
         member = self.members.get(host)
-        if member is not None and member.state is not MemberState.ALIVE and member not in news:
-            news = (*news, member)
+        if member is not None and member.state is not MemberState.ALIVE and member not in updates:
+            updates = (*updates, member)
         digest = tuple(self.members.digest) if with_digest else ()
-        beat = Heartbeat(self.timeline.sequence, self.versions.versions(), news, digest)
+        beat = Heartbeat(self.timeline.sequence, self.versions.versions(), updates, digest)
         self.links.send(host, beat)
 
     def _probe_lost(self) -> None:
         """Try one host that is believed dead: a split may have healed."""
         lost = [m for m in self.members.list_members() if m.state is MemberState.DEAD]
         known = {member.host for member in lost}
-        lost += [s for s in self.seeds if s.host not in known and not self._is_usable(s.host)]
+        lost += [s for s in self.seeds if s.host not in known and not self._may_answer(s.host)]
         if lost:
             member = lost[self.sequence // PROBE_BEATS % len(lost)]
             self.links.ensure(member.host, member.address)
 
-    def _is_usable(self, host: HostId) -> bool:
+    def _may_answer(self, host: HostId) -> bool:
         member = self.members.get(host)
         return member is not None and member.state is not MemberState.DEAD
--- a/src/masticgate/process/_host_tier.py
+++ b/src/masticgate/process/_host_tier.py
@@ -65,6 +65,10 @@
         if self.members.usable() is not self.table_hosts:
             self.refresh_table()
 
+    def owned_services(self) -> set[ServiceId]:
+        """Return the services whose owner is this host, by what it knows of the others."""
+        return {service for service, hosts in self.table.items() if hosts[:1] == [self.own]}
+
     def configuration(self) -> Configuration | None:
         """Return the configuration in force."""
         return self.versions.configuration
@@ -134,7 +138,7 @@
         return self.repeats.spend(parts)
 
     def probe(self, host: HostId) -> None:
-        """Ask ``host`` for a sign of life, by which a slow host is told from a lost one."""
+        """Ask ``host`` for a reply, by which a slow host is told from a lost one."""
         if host != self.own:
             self.links.probe(host)
 
--- a/tests/request/test_booking_faults.py
+++ b/tests/request/test_booking_faults.py
@@ -22,11 +22,11 @@
 from masticgate.process import OWNER_POLICY
 from masticgate.process._owner import Owner
 from masticgate.process._pools import Pools
-from masticgate.process._seats import Seat
 from masticgate.process._tickets import TicketTable
 from masticgate.process._timeline import TimeLine
 from masticgate.process._versions import VersionStore
 from masticgate.request import Book, Booking, Cancel, Ran, run_booking
+from tests.process.fake_connections import start_idle
 from tests.request.script_tier import ScriptTier
 from tests.texts import SMALL
 
@@ -60,7 +60,7 @@
         versions.offer_text(SMALL, Revision(1))
         self.pools = Pools(OWNER_POLICY, tier.clock, timeline, lambda pool, searcher: None)
         self.owner = Owner(self.pools, versions, tier.clock, lambda: 3)
-        self.seats = []
+        self.idle_connections = []
 
     def receive(self, message, answer, plan):
         if not self.alive:
@@ -70,18 +70,14 @@
                 self.owner.cancel(message)
             case Book():
                 self.owner.book(message, answer)
-                self.tier.at(plan["idle"], lambda: self.sit(plan))
+                self.tier.at(plan["idle"], lambda: self.add_idle(plan))
 
-    def sit(self, plan):
+    def add_idle(self, plan):
         for pool in self.pools.list_pools():
-            with pool._changing():
-                seat = Seat(pool.lock, pool.health[SearcherId("oa")])
-                pool.seats.add(seat)
-                self.seats.append(seat)
-                pool._dispatch()
-            for seat in [seat for seat in self.seats if seat.send is not None]:
-                self.seats.remove(seat)
-                self.serve(pool, seat.send, plan)
+            self.idle_connections.append(start_idle(pool, pool.health[SearcherId("oa")]))
+            for connection in [c for c in self.idle_connections if c.send is not None]:
+                self.idle_connections.remove(connection)
+                self.serve(pool, connection.send, plan)
 
     def serve(self, pool, send, plan):
         if not self.alive or not pool.may_send(send, lambda: None):
@@ -140,13 +136,13 @@
             pass
         self.tier.clock.current = Millis(end)
 
-    @rule(plan=NETWORK, newest=st.booleans(), doubled=st.booleans(), data=st.data())
-    def book(self, plan, newest, doubled, data):
+    @rule(plan=NETWORK, newest=st.booleans(), duplicate=st.booleans(), data=st.data())
+    def book(self, plan, newest, duplicate, data):
         """Submit a ticket, with a new request or with one that comes twice."""
         ticket = self.tickets[-1] if newest else data.draw(st.sampled_from(self.tickets))
         earlier = [request for used, request, _ in self.told if used == ticket]
         self.requests += 1
-        name = earlier[-1] if doubled and earlier else QueryId(f"q{self.requests}")
+        name = earlier[-1] if duplicate and earlier else QueryId(f"q{self.requests}")
         self.plan = plan
         outcome = run_booking(self.booking(ticket, name), self.table, self.tier)
         self.told.append((ticket, name, outcome))
