--- a/src/masticgate/process/_admission.py
+++ b/src/masticgate/process/_admission.py
@@ -12,18 +12,18 @@
 from ._messages import RefusedCount, ServicePressure
 
 PRESSURE_LIFETIME = Millis(1500.0)
-"""An owner's word that is older than this no longer counts."""
+"""A pressure report that is older than this no longer counts."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Limit:
     owner: HostId
     admitted: tuple[float, float, float]
-    heard_at: Millis
+    reported_at: Millis
 
 
 class AdmissionControl:
-    """Remembers what the owners can take, and what was refused on their word.
+    """Remembers what the owners can take, and what was refused because of it.
 
     A query is admitted where its number is below the admitted share of each service it needs.
     The number is drawn once a query, so all its services agree and nothing fans out in vain.
@@ -35,8 +35,8 @@
         self.limits: dict[ServiceId, _Limit] = {}
         self.refused: dict[tuple[ServiceId, Rank], int] = {}
 
-    def hear(self, owner: HostId, services: Iterable[ServicePressure]) -> None:
-        """Take over an owner's word on its services."""
+    def note_pressure(self, owner: HostId, services: Iterable[ServicePressure]) -> None:
+        """Remember what an owner says that its services can take."""
         now = self.clock.now()
         with self.lock:
             for item in services:
@@ -51,7 +51,7 @@
         oldest = self.clock.now() - PRESSURE_LIFETIME
         for service in needed:
             limit = limits.get(service)
-            if limit is None or limit.heard_at < oldest or number < limit.admitted[rank]:
+            if limit is None or limit.reported_at < oldest or number < limit.admitted[rank]:
                 continue
             self._count(needed, rank)
             return NotRun(Reason.OVERLOAD, Step.ADMISSION, peer=service)
@@ -62,7 +62,7 @@
         with self.lock:
             refused, self.refused = self.refused, {}
             oldest = self.clock.now() - PRESSURE_LIFETIME
-            self.limits = {s: x for s, x in self.limits.items() if x.heard_at >= oldest}
+            self.limits = {s: x for s, x in self.limits.items() if x.reported_at >= oldest}
             by_owner: dict[HostId, list[RefusedCount]] = {}
             for (service, rank), count in refused.items():
                 limit = self.limits.get(service)
--- a/src/masticgate/process/_peer_service.py
+++ b/src/masticgate/process/_peer_service.py
@@ -97,7 +97,7 @@
             case Demand():
                 self.pressure.note_demand(message)
             case Pressure(services=services):
-                self.pressure.admission.hear(peer.host, services)
+                self.pressure.admission.note_pressure(peer.host, services)
             case Hello():
                 return
 
--- a/src/masticgate/process/_pressure.py
+++ b/src/masticgate/process/_pressure.py
@@ -63,7 +63,7 @@
         reported = tuple(item for item in services if min(item.admitted) < 1.0)
         self._note_changes(reported)
         if reported:
-            self.admission.hear(self.own, reported)
+            self.admission.note_pressure(self.own, reported)
             self._tell_askers(Pressure(reported))
 
     def _measure(self, pool: ServicePool) -> ServicePressure:
--- a/tests/process/test_admission.py
+++ b/tests/process/test_admission.py
@@ -72,11 +72,11 @@
 class TestAdmissionControl:
     def test_refuses_by_the_most_pressed_service_and_counts_it_for_all(self):
         control = AdmissionControl(ManualClock())
-        words = [
+        reports = [
             ServicePressure(ServiceId("a"), (1.0, 1.0, 0.5)),
             ServicePressure(ServiceId("b"), (1.0, 1.0, 0.2)),
         ]
-        control.hear(HostId("h2"), words)
+        control.note_pressure(HostId("h2"), reports)
         needed = services("a", "b", "c")
         assert control.admit(Rank.BULK, 0.1, needed) is None
         assert control.admit(Rank.URGENT, 0.9, needed) is None
@@ -89,10 +89,10 @@
         }
         assert control.take_refused() == {}
 
-    def test_forgets_the_word_of_an_owner_that_fell_silent(self):
+    def test_forgets_the_pressure_of_an_owner_that_fell_silent(self):
         clock = ManualClock()
         control = AdmissionControl(clock)
-        control.hear(HostId("h2"), [ServicePressure(ServiceId("a"), (0.0, 0.0, 0.0))])
+        control.note_pressure(HostId("h2"), [ServicePressure(ServiceId("a"), (0.0, 0.0, 0.0))])
         assert control.admit(Rank.URGENT, 0.5, services("a")) is not None
         clock.advance(Millis(PRESSURE_LIFETIME + 1))
         assert control.admit(Rank.URGENT, 0.5, services("a")) is None
