Keep a reserve of the budget for retries

Cause: in a demo an urgent recall search lacked one service (searcher_lost) though the sibling was idle: at a low rate hedges had spent the budget, so that the lost send was not repeated. Change: hedges leave four tokens for retries, and a new pool starts with them; the share earned is the same. Measured: the budget's and the pool's tests pass; the state machine still finds the budget kept.

--- a/src/masticgate/process/_dispatcher.py
+++ b/src/masticgate/process/_dispatcher.py
@@ -126,7 +126,7 @@
             health = self.searchers.best(self.idle_connections.by_searcher, now, sent_to)
             if health is None:
                 continue
-            if not self.budget.spend():
+            if not self.budget.spend_on_hedge():
                 return
             self._assign(health, entry, now, hedge=True)
 
--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -4,7 +4,10 @@
 from ._latency_window import LatencyWindow
 from ._policy import Hedge, Hedging, NoHedge
 
-MAX_TOKENS = 8.0
+RETRY_RESERVE = 4.0
+"""Tokens that hedges leave for retries: without a retry a lost send costs coverage for certain."""
+
+MAX_TOKENS = RETRY_RESERVE + 8.0
 FIRST_DELAY = Millis(50.0)
 
 HEDGE_PERCENTILE = 90.0
@@ -23,7 +26,7 @@
 
     def __init__(self, hedging: Hedging) -> None:
         self.hedging = hedging
-        self.tokens = 1.0
+        self.tokens = RETRY_RESERVE + 1.0
         self.usual: Millis | None = None
         self.window = LatencyWindow()
 
@@ -35,9 +38,16 @@
             case NoHedge():
                 self.tokens = 0.0
 
-    def spend(self) -> bool:
-        """Take one token; return ``False`` where the budget is empty."""
-        if self.tokens < 1.0:
+    def spend_on_retry(self) -> bool:
+        """Take one token for a retry; return ``False`` where the budget is empty."""
+        return self._spend(0.0)
+
+    def spend_on_hedge(self) -> bool:
+        """Take one token for a hedge; return ``False`` where only the reserve is left."""
+        return self._spend(RETRY_RESERVE)
+
+    def _spend(self, reserve: float) -> bool:
+        if self.tokens < reserve + 1.0:
             return False
         self.tokens -= 1.0
         return True
@@ -60,5 +70,6 @@
     def _delay(self) -> Millis:
         if self.usual is None:
             return FIRST_DELAY
-        fill = min(1.0, self.tokens / MAX_TOKENS)
+        spare = (self.tokens - RETRY_RESERVE) / (MAX_TOKENS - RETRY_RESERVE)
+        fill = max(0.0, min(1.0, spare))
         return Millis(self.usual * (MARGIN_EMPTY + fill * (MARGIN_FULL - MARGIN_EMPTY)))
--- a/src/masticgate/process/_service_pool.py
+++ b/src/masticgate/process/_service_pool.py
@@ -284,7 +284,7 @@
             case RetryCost.FREE:
                 return True
             case RetryCost.TOKEN:
-                return self.budget.spend()
+                return self.budget.spend_on_retry()
             case RetryCost.FORBIDDEN:
                 return False
 
