Load the public names of packages on first use

A process that serves the users' platform needs few modules of each package; importing them all costs 40 MB, and memory is priced there. Each package's list of names moved unchanged to its _public module.

--- a/src/masticgate/connection/__init__.py
+++ b/src/masticgate/connection/__init__.py
@@ -1,27 +1,12 @@
 """What lives as long as one connection: sockets, codecs and the tasks that serve them."""
 
-from ._caller_app import BookingRequest as BookingRequest
-from ._caller_app import CallerApp as CallerApp
-from ._caller_app import CallerHandler as CallerHandler
-from ._caller_app import SearchRequest as SearchRequest
-from ._caller_client import CallerClient as CallerClient
-from ._caller_client import CallerReply as CallerReply
-from ._caller_server import CallerServer as CallerServer
-from ._frames import BadFrameError as BadFrameError
-from ._frames import Message as Message
-from ._frames import decode_message as decode_message
-from ._frames import encode_message as encode_message
-from ._http_call import HttpCall as HttpCall
-from ._http_call import HttpLost as HttpLost
-from ._http_call import HttpReply as HttpReply
-from ._peer import LinkState as LinkState
-from ._peer import PeerHandler as PeerHandler
-from ._peer import PeerLink as PeerLink
-from ._peer import PeerServer as PeerServer
-from ._platform import ListedHost as ListedHost
-from ._platform import PlatformReader as PlatformReader
-from ._platform import Unchanged as Unchanged
-from ._platform import Value as Value
-from ._searcher import run_searcher_connection as run_searcher_connection
-from ._socket import FrameSocket as FrameSocket
-from ._socket import split_address as split_address
+from typing import TYPE_CHECKING, Any
+
+from .._lazy import load_public
+
+if TYPE_CHECKING:
+    from ._public import *  # noqa: F403
+
+
+def __getattr__(name: str) -> Any:
+    return load_public(__name__, name)
--- a/src/masticgate/version/__init__.py
+++ b/src/masticgate/version/__init__.py
@@ -1,40 +1,12 @@
 """What lives as long as one accepted configuration or one index snapshot."""
 
-from ._configuration import Configuration as Configuration
-from ._configuration import Department as Department
-from ._configuration import Searcher as Searcher
-from ._configuration import Service as Service
-from ._difference import compare_configurations as compare_configurations
-from ._graph import Scope as Scope
-from ._graph import expand_services as expand_services
-from ._jsonc import Document as Document
-from ._jsonc import Position as Position
-from ._jsonc import SyntaxProblem as SyntaxProblem
-from ._jsonc import parse_document as parse_document
-from ._messages import CataloguePush as CataloguePush
-from ._messages import FetchVersions as FetchVersions
-from ._messages import Section as Section
-from ._messages import SectionId as SectionId
-from ._messages import SectionsPush as SectionsPush
-from ._messages import TextPush as TextPush
-from ._messages import Versions as Versions
-from ._placement import owner_table as owner_table
-from ._placement import rank_hosts as rank_hosts
-from ._placement import service_connections as service_connections
-from ._schema import AddressText as AddressText
-from ._schema import Name as Name
-from ._schema import StrictModel as StrictModel
-from ._sections import HEAD as HEAD
-from ._sections import NO_SECTIONS as NO_SECTIONS
-from ._sections import Digest as Digest
-from ._sections import Sections as Sections
-from ._sections import split_sections as split_sections
-from ._snapshot import Snapshot as Snapshot
-from ._snapshot import SnapshotCatalogue as SnapshotCatalogue
-from ._snapshot import read_catalogue as read_catalogue
-from ._text import Accepted as Accepted
-from ._text import Problem as Problem
-from ._text import Refused as Refused
-from ._text import accept_text as accept_text
-from ._watchers import WATCHERS_PER_DOMAIN as WATCHERS_PER_DOMAIN
-from ._watchers import should_watch as should_watch
+from typing import TYPE_CHECKING, Any
+
+from .._lazy import load_public
+
+if TYPE_CHECKING:
+    from ._public import *  # noqa: F403
+
+
+def __getattr__(name: str) -> Any:
+    return load_public(__name__, name)
