--- a/src/masticgate/_ids.py
+++ b/src/masticgate/_ids.py
@@ -25,3 +25,11 @@
 
 Millis = NewType("Millis", float)
 """A duration or a point on a clock, in milliseconds."""
+
+ConfigurationVersion = NewType("ConfigurationVersion", int)
+"""The operators' number for one published configuration; later ones are higher."""
+
+RequestId = NewType("RequestId", str)
+"""The caller's name for one attempt at a request."""
+
+RouteId = NewType("RouteId", str)
--- a/src/masticgate/connection/_caller_server.py
+++ b/src/masticgate/connection/_caller_server.py
@@ -14,8 +14,8 @@
 from .._clock import MILLIS_PER_SECOND
 from .._failures import NotRun, Reason, Step
 from .._ids import Address, Millis
+from ._address import listen_on
 from ._caller_app import CallerApp, failure_response
-from ._socket import listen_on
 
 MAX_DISCARDED_BYTES = 1_000_000
 
--- a/src/masticgate/connection/_peer.py
+++ b/src/masticgate/connection/_peer.py
@@ -11,8 +11,9 @@
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._ids import Address, HostId, Incarnation, Millis
 from ..process import Heartbeat, Hello
+from ._address import listen_on, open_socket
 from ._frames import BadFrameError, Message
-from ._socket import FrameSocket, listen_on, open_socket
+from ._socket import FrameSocket
 
 CONNECT_TIMEOUT = Millis(500.0)
 READ_TIMEOUT = Millis(3000.0)
--- a/src/masticgate/connection/_public.py
+++ b/src/masticgate/connection/_public.py
@@ -1,5 +1,6 @@
 """The public names of :mod:`masticgate.connection`, loaded on first use."""
 
+from ._address import split_address as split_address
 from ._caller_app import BookingRequest as BookingRequest
 from ._caller_app import CallerApp as CallerApp
 from ._caller_app import CallerHandler as CallerHandler
@@ -24,4 +25,3 @@
 from ._platform import Value as Value
 from ._searcher import run_searcher_connection as run_searcher_connection
 from ._socket import FrameSocket as FrameSocket
-from ._socket import split_address as split_address
--- a/src/masticgate/connection/_socket.py
+++ b/src/masticgate/connection/_socket.py
@@ -7,7 +7,7 @@
 from threading import Lock
 
 from .._clock import MILLIS_PER_SECOND
-from .._ids import Address, Millis
+from .._ids import Millis
 from ._frames import BadFrameError, Message, decode_message, encode_message
 
 LENGTH = struct.Struct("!I")
@@ -18,25 +18,6 @@
 SEND_BUFFER_BYTES = 1_000_000
 
 
-def split_address(address: Address) -> tuple[str, int]:
-    """Return the IP number and the port of ``address``."""
-    number, _, port = address.rpartition(":")
-    return number, int(port)
-
-
-def open_socket(address: Address, timeout: Millis) -> socket.socket:
-    """Connect to ``address``.
-
-    :raises OSError: the connection is refused or takes longer than ``timeout``.
-    """
-    return socket.create_connection(split_address(address), timeout=timeout / MILLIS_PER_SECOND)
-
-
-def listen_on(address: Address, backlog: int = 256) -> socket.socket:
-    """Return a socket that listens on ``address``."""
-    return socket.create_server(split_address(address), backlog=backlog)
-
-
 class FrameSocket:
     """Sends frames from any task and reads them in one."""
 
--- /dev/null
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -0,0 +1,13 @@
+"""The sockets and the HTTP codec of a gateway."""
+
+from ._caller import CallerSettings as CallerSettings
+from ._caller import Handler as Handler
+from ._client import BadReply as BadReply
+from ._client import HttpClient as HttpClient
+from ._client import HttpResponse as HttpResponse
+from ._client import NoReply as NoReply
+from ._dialect import Dialect as Dialect
+from ._listener import Listener as Listener
+from ._searcher_task import Closing as Closing
+from ._searcher_task import SearcherTask as SearcherTask
+from ._searcher_task import TaskOwner as TaskOwner
--- /dev/null
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -0,0 +1,197 @@
+"""One task for each caller's connection: HTTP/1.1 with keep-alive and pipelining."""
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from enum import Enum
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._failures import NotRun, Reason, Step
+from ..._ids import Millis, RequestId
+from ...request.gateway import Abandoned, Inbox, Refused, Reply, Request
+from ...version.gateway import Limits
+from ._dialect import Dialect
+from ._encoding import encode_reply
+from ._inbox import Link, RequestInbox
+from ._parser import (
+    Malformed,
+    ParsedRequest,
+    RequestParser,
+    TooLarge,
+    end_to_end,
+    find_header,
+)
+
+RECEIVE_BYTES = 16_384
+WRITE_TIMEOUT = Millis(5_000.0)
+"""A caller that takes no byte of its answer for so long is cut."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+Handler = Callable[[Request, Inbox], Reply]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """What the connections of one listener share.
+
+    ``closing`` tells whether answers announce the end of their connection.
+    """
+
+    handler: Handler
+    dialect: Dialect
+    clock: Clock
+    limits: Callable[[], Limits]
+    closing: Callable[[], bool]
+
+
+class CallerState(Enum):
+    """What the task of a caller's connection is doing."""
+
+    IDLE = "idle"
+    READING = "reading"
+    SERVING = "serving"
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, connection: socket.socket, settings: CallerSettings) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.settings = settings
+        self.clock = settings.clock
+        self.connection = connection
+        self.state = CallerState.IDLE
+        self.since = settings.clock.now()
+        limits = settings.limits()
+        self.parser = RequestParser(limits.header_bytes, limits.body_bytes)
+
+    def run(self) -> None:
+        """Serve requests until either side closes."""
+        link = Link(self.connection, self.clock)
+        try:
+            while (parsed := self._read()) is not None:
+                self._enter(CallerState.SERVING)
+                if not self._serve(parsed, link):
+                    break
+                self._enter(CallerState.IDLE)
+        finally:
+            link.close()
+
+    def stop_reading(self) -> None:
+        """Let the task end once it has nothing to serve; any task may call this."""
+        with suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RD)
+
+    def _enter(self, state: CallerState) -> None:
+        self.state = state
+        self.since = self.clock.now()
+
+    def _serve(self, parsed: ParsedRequest, link: Link) -> bool:
+        """Answer one request; return ``False`` where the connection has to end."""
+        request = decode_request(parsed, self.settings.dialect, self.clock.now())
+        if isinstance(request, Refused):
+            self._write(request, close=True)
+            return False
+        reply = self.settings.handler(request, RequestInbox(link))
+        if isinstance(reply, Abandoned):
+            return False
+        close = not parsed.keep_alive or self.settings.closing()
+        return self._write(reply, close=close) and not close
+
+    def _write(self, reply: Reply, *, close: bool) -> bool:
+        try:
+            self.connection.settimeout(WRITE_TIMEOUT / MILLIS_PER_SECOND)
+            self.connection.sendall(encode_reply(reply, self.settings.dialect, close=close))
+        except OSError:
+            return False
+        return True
+
+    def _read(self) -> ParsedRequest | None:
+        """Return the next request, ``None`` where none comes any more."""
+        idle_limit = self.settings.limits().idle_timeout
+        while not self.parser.ready:
+            if self.parser.idle:
+                idle_limit = max(idle_limit, self.settings.limits().idle_timeout)
+                deadline = Millis(self.since + idle_limit)
+            else:
+                if self.state is CallerState.IDLE:
+                    self._enter(CallerState.READING)
+                deadline = Millis(self.since + self.settings.limits().header_timeout)
+            left = deadline - self.clock.now()
+            if left <= 0:
+                self._time_out()
+                return None
+            data = self._receive(Millis(left))
+            if data == b"":
+                return None
+            if data is not None and not self._feed(data):
+                return None
+        return self.parser.ready.pop(0)
+
+    def _receive(self, wait: Millis) -> bytes | None:
+        """Return received bytes, none at the end, or ``None`` where none came within ``wait``."""
+        try:
+            self.connection.settimeout(wait / MILLIS_PER_SECOND)
+            return self.connection.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            return None
+        except OSError:
+            return b""
+
+    def _feed(self, data: bytes) -> bool:
+        problem = self.parser.feed(data)
+        match problem:
+            case TooLarge(status=status):
+                self._write(_refuse(status, Reason.TOO_LARGE, ""), close=True)
+                return False
+            case Malformed(detail=detail):
+                self._write(_refuse(400, Reason.BAD_REQUEST, detail), close=True)
+                return False
+            case None:
+                return self._continue()
+
+    def _continue(self) -> bool:
+        if not self.parser.expects_continue or not self.parser.in_body:
+            return True
+        self.parser.expects_continue = False
+        try:
+            self.connection.sendall(CONTINUE)
+        except OSError:
+            return False
+        return True
+
+    def _time_out(self) -> None:
+        if not self.parser.idle:
+            self._write(_refuse(408, Reason.DEADLINE, "the request did not end"), close=True)
+
+
+def decode_request(parsed: ParsedRequest, dialect: Dialect, now: Millis) -> Request | Refused:
+    """Return the typed request, or why it cannot be served."""
+    hosts = [value for name, value in parsed.headers if name.lower() == b"host"]
+    if len(hosts) > 1 or (not hosts and parsed.version != "1.0"):
+        return _refuse(400, Reason.BAD_REQUEST, "one Host header is needed")
+    if not parsed.target.startswith(b"/"):
+        return _refuse(400, Reason.BAD_REQUEST, "a path is needed")
+    host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
+    return Request(
+        RequestId((find_header(parsed.headers, dialect.request_id) or b"").decode("latin-1")),
+        parsed.method,
+        parsed.target,
+        host,
+        end_to_end(parsed.headers),
+        parsed.body,
+        _read_millis(find_header(parsed.headers, dialect.patience)),
+        now,
+    )
+
+
+def _read_millis(value: bytes | None) -> Millis | None:
+    if value is None or not value.strip().isdigit():
+        return None
+    return Millis(float(value))
+
+
+def _refuse(status: int, reason: Reason, detail: str) -> Refused:
+    return Refused(status, NotRun(reason, Step.READ, detail=detail))
--- /dev/null
+++ b/src/masticgate/connection/gateway/_client.py
@@ -0,0 +1,178 @@
+"""One HTTP/1.1 connection to a server: one request at a time."""
+
+import select
+import socket
+from contextlib import suppress
+from dataclasses import dataclass
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._ids import Address, Millis
+from ...request.gateway._exchange import Header
+from .._address import split_address
+from ._parser import Malformed, ParsedResponse, ResponseParser, find_header
+
+RECEIVE_BYTES = 65_536
+LARGEST_RESPONSE = 8_000_000
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+"""A peer that vanished is noticed within about three seconds, also on an idle connection."""
+
+UNACKNOWLEDGED = Millis(2_000.0)
+"""Sent bytes without an acknowledgement for so long end the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header ``name``, which is in lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class NoReply:
+    """The connection failed or time ran out; ``sent`` tells whether a byte may have left."""
+
+    sent: bool
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class BadReply:
+    """What came is no response."""
+
+    detail: str
+
+
+class HttpClient:
+    """One connection; its own task uses it, any task may :meth:`abort` it."""
+
+    def __init__(self, address: Address, clock: Clock) -> None:
+        self.address = address
+        self.clock = clock
+        self.socket: socket.socket | None = None
+        self.aborted = False
+        self.reusable = False
+        self.keep_for: Millis | None = None
+
+    def connect(self, timeout: Millis) -> NoReply | None:
+        """Open the connection, unless it is open."""
+        if self.socket is not None:
+            return None
+        self.aborted = False
+        opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        opened.settimeout(max(0.001, timeout / MILLIS_PER_SECOND))
+        _detect_silence(opened)
+        self.socket = opened
+        try:
+            opened.connect(split_address(self.address))
+        except OSError as error:
+            self.close()
+            return NoReply(False, f"connect: {error}")
+        self.reusable = True
+        return None
+
+    def is_stale(self) -> bool:
+        """Tell whether the idle connection was closed or holds bytes that nobody asked for."""
+        if self.socket is None or not self.reusable:
+            return True
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def send(self, data: bytes, deadline: Millis) -> NoReply | None:
+        """Send one request."""
+        assert self.socket is not None
+        try:
+            self.socket.settimeout(self._seconds(deadline))
+            self.socket.sendall(data)
+        except OSError as error:
+            self.close()
+            return NoReply(True, f"send: {error}")
+        return None
+
+    def receive(
+        self, deadline: Millis, expected: tuple[bytes, bytes] | None = None
+    ) -> HttpResponse | NoReply | BadReply:
+        """Receive the response whose header ``expected`` has the given value.
+
+        Others are late answers to earlier requests, and skipped.
+        """
+        parser = ResponseParser(LARGEST_RESPONSE)
+        while True:
+            problem = self._feed(parser, deadline)
+            for position, response in enumerate(parser.ready):
+                if expected is None or find_header(response.headers, expected[0]) == expected[1]:
+                    clean = problem is None and not parser.begun
+                    self._finish(response, clean and position + 1 == len(parser.ready))
+                    return HttpResponse(response.status, tuple(response.headers), response.body)
+            parser.ready.clear()
+            if problem is not None:
+                self.close()
+                return problem
+
+    def abort(self) -> None:
+        """Cut the connection from another task; a receive in progress fails at once."""
+        self.aborted = True
+        opened = self.socket
+        if opened is not None:
+            with suppress(OSError):
+                opened.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.reusable = False
+        if self.socket is not None:
+            with suppress(OSError):
+                self.socket.close()
+            self.socket = None
+
+    def _feed(self, parser: ResponseParser, deadline: Millis) -> NoReply | BadReply | None:
+        assert self.socket is not None
+        try:
+            self.socket.settimeout(self._seconds(deadline))
+            data = self.socket.recv(RECEIVE_BYTES)
+        except OSError as error:
+            return NoReply(True, f"receive: {error}")
+        if not data:
+            if not self.aborted:
+                parser.end()
+            return NoReply(True, "closed before the end of a response")
+        problem = parser.feed(data)
+        return BadReply(problem.detail) if isinstance(problem, Malformed) else None
+
+    def _finish(self, response: ParsedResponse, clean: bool) -> None:
+        """Keep the connection only where nothing but the response came."""
+        self.keep_for = _keep_alive_timeout(response)
+        if not clean or not response.keep_alive:
+            self.close()
+
+    def _seconds(self, deadline: Millis) -> float:
+        return max(0.001, (deadline - self.clock.now()) / MILLIS_PER_SECOND)
+
+
+def _keep_alive_timeout(response: ParsedResponse) -> Millis | None:
+    """Return the idle time that the server states, ``None`` where it states none."""
+    value = find_header(response.headers, b"keep-alive") or b""
+    for token in value.split(b","):
+        name, _, number = token.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return Millis(int(number) * MILLIS_PER_SECOND)
+    return None
+
+
+def _detect_silence(opened: socket.socket) -> None:
+    """Let the kernel end a connection whose peer vanished."""
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with suppress(OSError):
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED))
--- /dev/null
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -0,0 +1,76 @@
+"""Encodes the replies of a gateway, and its requests to searchers."""
+
+from http import HTTPStatus
+
+from ..._clock import MILLIS_PER_SECOND
+from ..._failures import describe
+from ..._ids import Millis, SearcherId
+from ...request.gateway import (
+    Failed,
+    Merged,
+    Plain,
+    Refused,
+    Relayed,
+    Reply,
+    Request,
+)
+from ...request.gateway._exchange import Header
+from ._dialect import Dialect
+from ._parser import end_to_end
+
+STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
+def encode_reply(reply: Reply, dialect: Dialect, *, close: bool) -> bytes:
+    """Return the bytes of ``reply``; ``close`` announces the end of the connection."""
+    match reply:
+        case Relayed(answer=answer):
+            return _message(answer.status, end_to_end(answer.headers), answer.body, close)
+        case Merged(stamps=stamps, missing=missing, records=records):
+            headers = (
+                (dialect.included_stamps, ", ".join(stamps).encode("latin-1")),
+                (dialect.missing_shards, b"%d" % missing),
+            )
+            return _message(200, headers, records, close)
+        case Refused(status=status, failure=failure, retry_after=retry_after):
+            body = describe(failure).encode()
+            if retry_after is None:
+                return _message(status, (), body, close)
+            seconds = b"%.3f" % (retry_after / MILLIS_PER_SECOND)
+            return _message(status, ((b"Retry-After", seconds),), body, close)
+        case Failed(status=status, failure=failure):
+            return _message(status, (), describe(failure).encode(), close)
+        case Plain(status=status, body=body):
+            return _message(status, (), body, close)
+        case _:
+            return b""
+
+
+def encode_request(request: Request, dialect: Dialect, searcher: SearcherId, left: Millis) -> bytes:
+    """Return the bytes of ``request`` for one searcher, which may take ``left`` milliseconds."""
+    replaced = (dialect.patience, dialect.expected_searcher)
+    lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+    for name, value in request.headers:
+        if name.lower() not in replaced:
+            lines.append(b"%s: %s\r\n" % (name, value))
+    lines.append(b"%s: %d\r\n" % (dialect.patience, max(1, int(left))))
+    lines.append(b"%s: %s\r\n" % (dialect.expected_searcher, searcher.encode("latin-1")))
+    if request.body or request.method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(b"\r\n")
+    lines.append(request.body)
+    return b"".join(lines)
+
+
+def _message(status: int, headers: tuple[Header, ...], body: bytes, close: bool) -> bytes:
+    lines = [STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status]
+    for name, value in headers:
+        lines.append(b"%s: %s\r\n" % (name, value))
+    if close:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
+    lines.append(body)
+    return b"".join(lines)
--- /dev/null
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -0,0 +1,95 @@
+"""Where the task of a caller's connection waits for outcomes and for the caller to leave."""
+
+import os
+import select
+import socket
+from collections import deque
+from contextlib import suppress
+from math import ceil
+
+from ..._clock import Clock
+from ..._ids import Millis
+from ...request.gateway import Call, CallerLeft
+
+CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class Link:
+    """One caller's connection and the pipe that wakes its task."""
+
+    def __init__(self, connection: socket.socket, clock: Clock) -> None:
+        self.connection = connection
+        self.clock = clock
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        os.set_blocking(self.writer, False)
+        self.waiting = False
+        self.poller = select.poll()
+        self.poller.register(self.reader, select.POLLIN)
+
+    def watch_caller(self) -> None:
+        """Begin to watch for the caller's end of the connection."""
+        self.poller.register(self.connection, select.POLLIN | CLOSED)
+
+    def wake(self) -> None:
+        """Wake the task if it waits."""
+        if self.waiting:
+            self.waiting = False
+            with suppress(OSError):
+                os.write(self.writer, b"\0")
+
+    def poll(self, until: Millis) -> bool:
+        """Wait until woken or ``until``; return ``True`` where the caller closed."""
+        left = max(0, ceil(until - self.clock.now()))
+        for descriptor, _ in self.poller.poll(left):
+            if descriptor == self.reader:
+                with suppress(OSError):
+                    os.read(self.reader, 64)
+            elif self._has_left():
+                return True
+        return False
+
+    def close(self) -> None:
+        """Release the descriptors."""
+        os.close(self.reader)
+        os.close(self.writer)
+        with suppress(OSError):
+            self.connection.close()
+
+    def _has_left(self) -> bool:
+        try:
+            if self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
+                return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        self.poller.modify(self.connection, CLOSED)
+        return False
+
+
+class RequestInbox:
+    """The finished calls of one request."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.finished: deque[Call] = deque()
+        link.watch_caller()
+
+    def put(self, call: Call) -> None:
+        """Hand over a finished call; any task may call this."""
+        self.finished.append(call)
+        self.link.wake()
+
+    def wait(self, until: Millis) -> Call | CallerLeft | None:
+        """Return the next finished call, or ``None`` at ``until``."""
+        while True:
+            self.link.waiting = True
+            if self.finished:
+                self.link.waiting = False
+                return self.finished.popleft()
+            if self.link.clock.now() >= until:
+                self.link.waiting = False
+                return None
+            if self.link.poll(until):
+                return CallerLeft()
--- /dev/null
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -0,0 +1,86 @@
+"""Accepts callers, one task each, and bounds how many there are."""
+
+import socket
+from concurrent.futures import Executor
+from contextlib import suppress
+from threading import Lock
+
+from ..._ids import Address, Millis
+from .._address import listen_on
+from ._caller import Caller, CallerSettings, CallerState
+
+
+class Listener:
+    """One listening socket and its callers' connections."""
+
+    def __init__(
+        self, address: Address, settings: CallerSettings, executor: Executor, most: int
+    ) -> None:
+        self.settings = settings
+        self.executor = executor
+        self.most = most
+        self.lock = Lock()
+        self.callers: set[Caller] = set()
+        self.socket = listen_on(address)
+        self.stopped = False
+
+    def run(self) -> None:
+        """Accept connections until :meth:`stop`."""
+        while not self.stopped:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                if self.stopped:
+                    return
+                continue
+            self._admit(connection)
+
+    def stop(self) -> None:
+        """Accept no more connections; the open ones stay."""
+        self.stopped = True
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+
+    def count(self, *states: CallerState) -> int:
+        """Return the number of connections in one of ``states``."""
+        with self.lock:
+            return sum(caller.state in states for caller in self.callers)
+
+    def close_idle(self) -> None:
+        """Let every connection end that has no request in progress."""
+        with self.lock:
+            idle = [caller for caller in self.callers if caller.state is CallerState.IDLE]
+        for caller in idle:
+            caller.stop_reading()
+
+    def _admit(self, connection: socket.socket) -> None:
+        caller = Caller(connection, self.settings)
+        with self.lock:
+            self.callers.add(caller)
+            crowded = len(self.callers) > self.most
+        if crowded:
+            self._close_longest_unserved(caller)
+        self.executor.submit(self._run, caller)
+
+    def _run(self, caller: Caller) -> None:
+        try:
+            caller.run()
+        finally:
+            with self.lock:
+                self.callers.discard(caller)
+
+    def _close_longest_unserved(self, newest: Caller) -> None:
+        """Make room: a connection without a whole request gives way, the oldest first."""
+        with self.lock:
+            unserved = [
+                caller
+                for caller in self.callers
+                if caller is not newest and caller.state is not CallerState.SERVING
+            ]
+        if unserved:
+            min(unserved, key=_waiting_since).stop_reading()
+
+
+def _waiting_since(caller: Caller) -> Millis:
+    return caller.since
--- /dev/null
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -0,0 +1,232 @@
+"""Reads HTTP/1.1 messages with httptools, and bounds what a message may hold."""
+
+from dataclasses import dataclass
+
+import httptools
+
+from ...request.gateway._exchange import Header
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""What concerns one connection only, or is set anew for the next one."""
+
+
+@dataclass(slots=True)
+class ParsedRequest:
+    """One whole request as received."""
+
+    method: bytes
+    target: bytes
+    version: str
+    headers: list[Header]
+    body: bytes
+    keep_alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TooLarge:
+    """A message is larger than allowed; ``status`` is what to answer."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """The bytes are no HTTP message."""
+
+    detail: str
+
+
+def find_header(headers: list[Header] | tuple[Header, ...], name: bytes) -> bytes | None:
+    """Return the value of the first header ``name``, which is in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: list[Header] | tuple[Header, ...]) -> tuple[Header, ...]:
+    """Return the headers that are passed on, without those that concern one connection."""
+    dropped = set(CONNECTION_HEADERS)
+    for key, value in headers:
+        if key.lower() == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    return tuple(header for header in headers if header[0].lower() not in dropped)
+
+
+class RequestParser:
+    """Collects whole requests from one caller's bytes; pipelined ones queue up."""
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.parser = httptools.HttpRequestParser(self)
+        self.ready: list[ParsedRequest] = []
+        self.expects_continue = False
+        self._begin()
+
+    def feed(self, data: bytes) -> TooLarge | Malformed | None:
+        """Take received bytes; return what is wrong with them, if anything."""
+        if not self.in_body:
+            self.header_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return Malformed("upgrade")
+        except httptools.HttpParserError as error:
+            if self.excess is not None:
+                return self.excess
+            return Malformed(str(error))
+        if self.begun and not self.in_body and self.header_size > self.header_bytes:
+            return TooLarge(431)
+        return self.excess
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no byte of a next request has come."""
+        return not self.begun
+
+    def _begin(self) -> None:
+        self.begun = False
+        self.in_body = False
+        self.header_size = 0
+        self.body_size = 0
+        self.target = b""
+        self.headers: list[Header] = []
+        self.chunks: list[bytes] = []
+        self.excess: TooLarge | None = None
+
+    def on_message_begin(self) -> None:
+        """Note the first byte of a request."""
+        self.begun = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the size of the headers and the announced size of the body."""
+        self.in_body = True
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        if size + len(self.target) > self.header_bytes:
+            self.excess = TooLarge(431)
+        length = find_header(self.headers, b"content-length")
+        if length is not None and length.isdigit() and int(length) > self.body_bytes:
+            self.excess = TooLarge(413)
+        expect = find_header(self.headers, b"expect")
+        self.expects_continue = expect is not None and expect.lower() == b"100-continue"
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body, up to the limit."""
+        self.body_size += len(body)
+        if self.body_size > self.body_bytes:
+            self.excess = TooLarge(413)
+            return
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request, and expect the next one."""
+        self.ready.append(
+            ParsedRequest(
+                self.parser.get_method(),
+                self.target,
+                self.parser.get_http_version(),
+                self.headers,
+                b"".join(self.chunks),
+                self.parser.should_keep_alive(),
+            )
+        )
+        excess = self.excess
+        self._begin()
+        self.excess = excess
+
+
+@dataclass(slots=True)
+class ParsedResponse:
+    """One whole response as received."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+    keep_alive: bool
+
+
+class ResponseParser:
+    """Collects whole responses from one server's bytes."""
+
+    def __init__(self, body_bytes: int) -> None:
+        self.body_bytes = body_bytes
+        self.parser = httptools.HttpResponseParser(self)
+        self.ready: list[ParsedResponse] = []
+        self.begun = False
+        self._begin()
+
+    def feed(self, data: bytes) -> Malformed | None:
+        """Take received bytes; return what is wrong with them, if anything."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            return Malformed(str(error))
+        if self.body_size > self.body_bytes:
+            return Malformed("body too large")
+        return None
+
+    def end(self) -> None:
+        """Complete a response without a length, whose connection ended in order."""
+        if self.begun and self.in_body and not self.framed:
+            self._complete(keep_alive=False)
+
+    def _begin(self) -> None:
+        self.begun = False
+        self.in_body = False
+        self.framed = False
+        self.body_size = 0
+        self.headers: list[Header] = []
+        self.chunks: list[bytes] = []
+
+    def on_message_begin(self) -> None:
+        """Note the first byte of a response."""
+        self.begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Note whether the response says where it ends."""
+        self.in_body = True
+        names = {name.lower() for name, _ in self.headers}
+        self.framed = b"content-length" in names or b"transfer-encoding" in names
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self.body_size += len(body)
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the response, unless it is an interim one."""
+        self._complete(keep_alive=self.parser.should_keep_alive())
+
+    def _complete(self, *, keep_alive: bool) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            body = b"".join(self.chunks)
+            self.ready.append(ParsedResponse(status, self.headers, body, keep_alive))
+        self._begin()
--- /dev/null
+++ b/src/masticgate/platform/_configuration.py
@@ -0,0 +1,79 @@
+"""Decodes the operators' configuration."""
+
+from .._ids import ConfigurationVersion, Millis, RouteId, ServiceId
+from ..version.gateway import (
+    Kind,
+    Limits,
+    OneService,
+    Route,
+    RouteTable,
+    ServiceEntry,
+    Shards,
+    Split,
+    Target,
+    WeightedService,
+)
+from ._fields import Fields
+
+KINDS = {"idempotent": Kind.IDEMPOTENT, "non_idempotent": Kind.NON_IDEMPOTENT}
+DEFAULT_TIMEOUT_MS = 30_000.0
+DEFAULT_OBJECTIVE_MS = 1_000.0
+LOWEST_RANK = 9
+
+
+def decode_configuration(value: object) -> RouteTable:
+    """Return the typed configuration.
+
+    :raises FieldError: a field is missing or has another type.
+    """
+    fields = Fields.of("config", value)
+    services = [
+        ServiceEntry(ServiceId(service.text("name")), int(service.number("maxConnections", 16.0)))
+        for service in fields.tables("services")
+    ]
+    return RouteTable(
+        ConfigurationVersion(fields.whole("version")),
+        tuple(_decode_route(route) for route in fields.tables("routes")),
+        {service.id: service for service in services},
+        _decode_limits(fields.table("limits")),
+    )
+
+
+def _decode_route(fields: Fields) -> Route:
+    return Route(
+        id=RouteId(fields.text("name")),
+        host=fields.text("hostname"),
+        prefix=fields.text("prefix"),
+        kind=KINDS.get(fields.text("type"), Kind.NON_IDEMPOTENT),
+        target=_decode_target(fields),
+        attempts=int(fields.number("maxAttempts", 1.0)),
+        timeout=Millis(fields.number("timeoutMs", DEFAULT_TIMEOUT_MS)),
+        objective=Millis(fields.number("targetLatencyMs", DEFAULT_OBJECTIVE_MS)),
+        rank=int(fields.number("priority", LOWEST_RANK)),
+    )
+
+
+def _decode_target(fields: Fields) -> Target:
+    if "fanoutServices" in fields.values:
+        services = tuple(ServiceId(name) for name in fields.texts("fanoutServices"))
+        top = int(fields.number("topK", 0.0))
+        return Shards(services, top, fields.number("minShardRatio", 0.0))
+    if "trafficSplit" in fields.values:
+        parts = fields.tables("trafficSplit")
+        return Split(
+            tuple(
+                WeightedService(ServiceId(part.text("service")), part.number("weight"))
+                for part in parts
+            )
+        )
+    return OneService(ServiceId(fields.text("service")))
+
+
+def _decode_limits(fields: Fields) -> Limits:
+    usual = Limits()
+    return Limits(
+        header_bytes=int(fields.number("maxHeaderBytes", usual.header_bytes)),
+        body_bytes=int(fields.number("maxBodyBytes", usual.body_bytes)),
+        header_timeout=Millis(fields.number("headerTimeoutMs", usual.header_timeout)),
+        idle_timeout=Millis(fields.number("idleTimeoutMs", usual.idle_timeout)),
+    )
--- /dev/null
+++ b/src/masticgate/platform/_node_file.py
@@ -0,0 +1,49 @@
+"""The settings file that the platform writes for a process."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from .._clock import MILLIS_PER_SECOND
+from .._ids import Address, FailureDomainId, HostId, Millis
+from ..process.gateway import GatewaySettings, RepeatBounds
+from ._fields import FieldError, Fields
+
+
+@dataclass(frozen=True, slots=True)
+class BadNodeFile:
+    """The settings file cannot be used."""
+
+    detail: str
+
+
+def read_node_file(path: Path, metrics_port: int | None) -> GatewaySettings | BadNodeFile:
+    """Read the settings file at ``path``; unknown fields are ignored."""
+    try:
+        fields = Fields.of("settings", tomllib.loads(path.read_text(encoding="utf-8")))
+        return _decode(fields, metrics_port)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, FieldError) as error:
+        return BadNodeFile(f"{path}: {error}")
+
+
+def _decode(fields: Fields, metrics_port: int | None) -> GatewaySettings:
+    bounds = fields.table("bounds")
+    listen = fields.table("bindAddresses")
+    metrics = None
+    if metrics_port is not None:
+        metrics = Address(f"{fields.text('ip')}:{metrics_port}")
+    return GatewaySettings(
+        host=HostId(fields.text("nodeName")),
+        domain=FailureDomainId(fields.text("zone")),
+        callers=Address(listen.text("front")),
+        readiness=Address(listen.text("ready")),
+        metrics=metrics,
+        catalogue=Address(fields.table("platform").text("address")),
+        grace=Millis(bounds.number("graceS") * MILLIS_PER_SECOND),
+        drain=Millis(bounds.number("drainMs")),
+        repeats=RepeatBounds(
+            ratio=bounds.number("retryBudgetRatio"),
+            slack=bounds.number("budgetSlack"),
+            window=Millis(bounds.number("budgetWindowS") * MILLIS_PER_SECOND),
+        ),
+    )
--- /dev/null
+++ b/src/masticgate/platform/_store.py
@@ -0,0 +1,101 @@
+"""The platform's store: reads and watches over one connection."""
+
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from .._clock import Clock
+from .._ids import Address, Millis, Revision
+from ..connection.gateway import BadReply, HttpClient, HttpResponse, NoReply
+from ..process.gateway import Change, Changes, Contents, HistoryGone, Unavailable
+from ._items import decode_item
+from ._names import EVERYTHING
+
+READ_TIMEOUT = Millis(1_000.0)
+"""A read is answered in milliseconds; a slow store takes some hundred."""
+
+WATCH_MARGIN = Millis(700.0)
+"""How much later than its wait a watch may be answered."""
+
+CONNECT_TIMEOUT = Millis(500.0)
+HISTORY_GONE = 410
+
+
+class Store:
+    """One connection to the store; its own task uses it."""
+
+    def __init__(self, address: Address, clock: Clock) -> None:
+        self.address = address
+        self.clock = clock
+        self.client = HttpClient(address, clock)
+
+    def read(self) -> Contents | Unavailable:
+        """Read every item, page by page.
+
+        Pages are no snapshot: changes are followed from the first page's revision on.
+        """
+        changes: list[Change] = []
+        first: Revision | None = None
+        after = ""
+        while True:
+            query = {"prefix": EVERYTHING} | ({"after": after} if after else {})
+            page = self._get("/v1/kv-range", query, READ_TIMEOUT)
+            if isinstance(page, int | Unavailable):
+                return _unavailable(page)
+            items = page.get("items") or []
+            changes += _decode_items(items)
+            first = Revision(page["currentRev"]) if first is None else first
+            if not page.get("hasMore") or not items:
+                return Contents(tuple(changes), first)
+            after = items[-1]["key"]
+
+    def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
+        """Wait for changes after a revision."""
+        query = {"prefix": EVERYTHING, "after": after, "waitMs": int(wait)}
+        page = self._get("/v1/kv-watch", query, Millis(wait + WATCH_MARGIN))
+        if page == HISTORY_GONE:
+            return HistoryGone()
+        if isinstance(page, int | Unavailable):
+            return _unavailable(page)
+        changes = _decode_items(page.get("events") or [])
+        return Changes(tuple(changes), Revision(page["currentRev"]))
+
+    def _get(
+        self, path: str, query: dict[str, Any], timeout: Millis
+    ) -> dict[str, Any] | int | Unavailable:
+        """Return the decoded body, the status of a failure, or why there is no answer."""
+        response = self._exchange(path, query, timeout)
+        if isinstance(response, NoReply | BadReply):
+            self.client.close()
+            return Unavailable(response.detail)
+        if response.status != 200:
+            return response.status
+        try:
+            body = json.loads(response.body)
+        except ValueError as error:
+            return Unavailable(f"unreadable body: {error}")
+        if not isinstance(body, dict) or not isinstance(body.get("currentRev"), int):
+            return Unavailable("a body without a revision")
+        return body
+
+    def _exchange(
+        self, path: str, query: dict[str, Any], timeout: Millis
+    ) -> HttpResponse | NoReply | BadReply:
+        if self.client.is_stale():
+            self.client.close()
+        failed = self.client.connect(CONNECT_TIMEOUT)
+        if failed is not None:
+            return failed
+        target = f"{path}?{urlencode(query)}"
+        head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
+        deadline = Millis(self.clock.now() + timeout)
+        failed = self.client.send(head.encode(), deadline)
+        return failed if failed is not None else self.client.receive(deadline)
+
+
+def _decode_items(items: list[Any]) -> list[Change]:
+    return [change for item in items if (change := decode_item(item)) is not None]
+
+
+def _unavailable(failure: int | Unavailable) -> Unavailable:
+    return Unavailable(f"status {failure}") if isinstance(failure, int) else failure
--- /dev/null
+++ b/src/masticgate/process/gateway/_catalogue.py
@@ -0,0 +1,106 @@
+"""What the platform publishes: the configuration and the searchers."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
+from ...version.gateway import RouteTable
+
+
+class SearcherPhase(Enum):
+    """What a searcher says of itself in its listing."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class SearcherEntry:
+    """One listed searcher.
+
+    ``born`` is the Unix millisecond of its start, 0 where the listing has none; ``cold`` is how
+    much longer it stays slow after that start.
+    """
+
+    id: SearcherId
+    service: ServiceId
+    address: Address
+    domain: FailureDomainId
+    slots: int
+    phase: SearcherPhase
+    cold: Millis
+    born: int
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A whole configuration."""
+
+    table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A searcher's listing as it is now."""
+
+    entry: SearcherEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Unlisted:
+    """A searcher's listing was removed."""
+
+    searcher: SearcherId
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """An item that names nothing usable; ``searcher`` is set where it stood for one."""
+
+    key: str
+    detail: str
+    searcher: SearcherId | None = None
+
+
+Change = Published | Listed | Unlisted | Unreadable
+
+
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """Everything that is published; later changes have revisions above ``revision``."""
+
+    changes: tuple[Change, ...]
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed up to ``revision``, in order."""
+
+    changes: tuple[Change, ...]
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since the revision are no longer known; everything has to be read again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform did not answer, or refused to."""
+
+    detail: str
+
+
+class Source(Protocol):
+    """Reads what the platform publishes."""
+
+    def read(self) -> Contents | Unavailable:
+        """Read everything."""
+        ...
+
+    def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
+        """Wait for changes after a revision, for ``wait`` at most."""
+        ...
--- /dev/null
+++ b/src/masticgate/process/gateway/_follower.py
@@ -0,0 +1,183 @@
+"""The one task that follows what the platform publishes."""
+
+import random
+from threading import Event
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._ids import Millis, Revision, SearcherId
+from ...version.gateway import RouteTable
+from ._catalogue import (
+    Change,
+    Changes,
+    Contents,
+    HistoryGone,
+    Listed,
+    Published,
+    Source,
+    Unavailable,
+    Unlisted,
+    Unreadable,
+)
+from ._fleet import Fleet
+from ._log import EventLog, LogEvent
+from ._metrics import Metrics
+
+WATCH_WAIT = Millis(2_500.0)
+"""A watch on a connection that fell silent is noticed within it and the client's margin."""
+
+BATCH_INTERVAL = Millis(400.0)
+"""Between two watches, so that changes in a row cost one call; changes have 3 s to apply."""
+
+RETRY_FIRST = Millis(100.0)
+RETRY_LONGEST = Millis(1_000.0)
+LEAST_JITTER = 0.5
+
+RETURN_WAIT = Millis(2_300.0)
+"""Listings that lapsed with the platform are back so long after its return, or gone."""
+
+
+class Follower:
+    """Keeps the route table and the fleet up to date; :meth:`run` is its task."""
+
+    def __init__(
+        self, source: Source, fleet: Fleet, clock: Clock, log: EventLog, metrics: Metrics
+    ) -> None:
+        self.source = source
+        self.fleet = fleet
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.random = random.Random()
+        self.table: RouteTable | None = None
+        self.stopping = Event()
+        self.lost_at: Millis | None = None
+        self.heard_at = clock.now()
+        self.returned_at: Millis | None = None
+        self.held: set[SearcherId] = set()
+        self.delay = RETRY_FIRST
+
+    def run(self) -> None:
+        """Read everything, then follow the changes, until :meth:`stop`."""
+        while not self.stopping.is_set():
+            match self.source.read():
+                case Contents() as contents:
+                    self._note_heard()
+                    self._apply_all(contents)
+                    self._follow(contents.revision)
+                case Unavailable(detail=detail):
+                    self._note_lost(detail)
+
+    def stop(self) -> None:
+        """End after the call in progress."""
+        self.stopping.set()
+
+    def age(self) -> Millis:
+        """Return the time since the platform was heard last."""
+        return Millis(self.clock.now() - self.heard_at)
+
+    def _follow(self, after: Revision) -> None:
+        while not self.stopping.is_set():
+            match self.source.watch(after, self._watch_wait()):
+                case Changes(changes=changes, revision=revision):
+                    self._note_heard()
+                    after = max(after, revision)
+                    for change in changes:
+                        self._apply(change)
+                    self._release_held()
+                    if changes:
+                        self.stopping.wait(BATCH_INTERVAL / MILLIS_PER_SECOND)
+                case HistoryGone():
+                    self.log.write(LogEvent.PLATFORM_REREAD, revision=after)
+                    return
+                case Unavailable(detail=detail):
+                    self._note_lost(detail)
+
+    def _watch_wait(self) -> Millis:
+        if self.returned_at is None:
+            return WATCH_WAIT
+        left = self.returned_at + RETURN_WAIT - self.clock.now()
+        return Millis(min(WATCH_WAIT, max(50.0, left)))
+
+    def _note_heard(self) -> None:
+        self.heard_at = self.clock.now()
+        self.delay = RETRY_FIRST
+        if self.lost_at is not None:
+            self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(self.heard_at - self.lost_at))
+            self.lost_at = None
+            self.returned_at = self.heard_at
+
+    def _note_lost(self, detail: str) -> None:
+        self.metrics.count("platform_failures")
+        if self.lost_at is None:
+            self.lost_at = self.clock.now()
+            version = self.table.version if self.table is not None else 0
+            self.log.write(
+                LogEvent.PLATFORM_LOST, detail=detail, version=version, age_ms=round(self.age())
+            )
+        jitter = self.random.uniform(LEAST_JITTER, 1.0)
+        self.stopping.wait(self.delay * jitter / MILLIS_PER_SECOND)
+        self.delay = min(RETRY_LONGEST, Millis(self.delay * 2))
+
+    def _apply_all(self, contents: Contents) -> None:
+        listed = set()
+        for change in contents.changes:
+            self._apply(change)
+            if isinstance(change, Listed):
+                listed.add(change.entry.id)
+        for searcher in self.fleet.unlisted(listed):
+            self._unlist(searcher, "not in the list")
+
+    def _apply(self, change: Change) -> None:
+        match change:
+            case Published(table=table):
+                self._publish(table)
+            case Listed(entry=entry):
+                self.held.discard(entry.id)
+                self.fleet.list_searcher(entry)
+            case Unlisted(searcher=searcher):
+                self._unlist(searcher, "unlisted")
+            case Unreadable(key=key, detail=detail, searcher=searcher):
+                self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
+                if searcher is not None:
+                    self.fleet.unlist_searcher(searcher, "unreadable")
+
+    def _publish(self, table: RouteTable) -> None:
+        known = self.table
+        if known is not None and table.version <= known.version:
+            if table.version < known.version:
+                self.log.write(
+                    LogEvent.CONFIGURATION_IGNORED, version=table.version, newer=known.version
+                )
+            return
+        self.table = table
+        self.fleet.apply_table(table)
+        self.log.write(
+            LogEvent.CONFIGURATION,
+            version=table.version,
+            before=known.version if known is not None else 0,
+            routes=len(table.routes),
+            services=len(table.services),
+        )
+
+    def _unlist(self, searcher: SearcherId, why: str) -> None:
+        """Stop using a searcher, unless its listing may only have lapsed with the platform."""
+        if self._just_returned():
+            self.held.add(searcher)
+            self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
+        else:
+            self.fleet.unlist_searcher(searcher, why)
+
+    def _just_returned(self) -> bool:
+        if self.lost_at is not None:
+            return True
+        if self.returned_at is None:
+            return False
+        return self.clock.now() - self.returned_at < RETURN_WAIT
+
+    def _release_held(self) -> None:
+        if self._just_returned():
+            return
+        self.returned_at = None
+        for searcher in self.held:
+            self.fleet.unlist_searcher(searcher, "not back in the list")
+        self.held.clear()
--- /dev/null
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -0,0 +1,143 @@
+"""Puts a gateway together, starts it and stops it."""
+
+import os
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event, Thread
+
+from ..._clock import MILLIS_PER_SECOND, SystemClock
+from ..._ids import Address, Millis
+from ...connection.gateway import CallerSettings, Dialect, Handler, Listener
+from ...connection.gateway._caller import CallerState
+from ...request.gateway import Inbox, Plain, Reply, Request
+from ...version.gateway import Limits
+from ._catalogue import Source
+from ._fleet import Fleet
+from ._follower import Follower
+from ._log import EventLog, LogEvent
+from ._metrics import Metrics
+from ._service import Beliefs, GatewayService
+from ._settings import GatewaySettings
+
+MOST_CALLERS = 1_500
+"""Connections of callers at one time; each is a task and three descriptors."""
+
+MOST_PAGE_CALLERS = 32
+MOST_TASKS = 4_000
+STACK_BYTES = 256 * 1024
+TICK = Millis(500.0)
+PAUSE = Millis(1_500.0)
+"""A tick that comes so late means that the process stood still."""
+
+ACCEPT_SHARE = 0.45
+"""The part of the grace for which connections are still accepted: two missed readiness checks."""
+
+FINISH_SHARE = 0.8
+"""The part of the grace after which requests in progress are no longer waited for."""
+
+STOP_POLL_S = 0.05
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect, source: Source) -> None:
+        threading.stack_size(STACK_BYTES)
+        self.settings = settings
+        self.clock = SystemClock()
+        self.executor = ThreadPoolExecutor(MOST_TASKS)
+        self.log = EventLog(settings.host, self.clock)
+        self.metrics = Metrics()
+        self.fleet = Fleet(settings, dialect, self.clock, self.executor, self.log, self.metrics)
+        self.follower = Follower(source, self.fleet, self.clock, self.log, self.metrics)
+        self.service = GatewayService(self.fleet, self._beliefs, self.log, self.metrics)
+        self.stopping = Event()
+        self.was_ready = False
+        self.readiness = self._listen(settings.readiness, dialect, self._ready_page)
+        self.callers = self._listen(
+            settings.callers, dialect, self.service.handle, most=MOST_CALLERS
+        )
+        self.listeners = [self.readiness, self.callers]
+        if settings.metrics is not None:
+            self.listeners.append(self._listen(settings.metrics, dialect, self._metrics_page))
+
+    def start(self) -> None:
+        """Start the tasks of the process."""
+        self.log.write(LogEvent.STARTED, domain=self.settings.domain, callers=self.settings.callers)
+        tasks = [self.log.run, self.follower.run, self._tick]
+        for run in (*tasks, *(listener.run for listener in self.listeners)):
+            Thread(target=run, daemon=True).start()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses stay as they are."""
+        self.settings = settings
+        self.fleet.settings = settings
+        self.log.write(LogEvent.RELOADED, grace_ms=settings.grace, drain_ms=settings.drain)
+
+    def stop(self) -> None:
+        """Finish what callers have sent, then end within the grace."""
+        began = self.clock.now()
+        self.stopping.set()
+        grace = self.settings.grace
+        self.log.write(LogEvent.STOPPING, serving=self.callers.count(CallerState.SERVING))
+        self.log.wake()
+        self._wait_until(Millis(began + grace * ACCEPT_SHARE))
+        self.callers.stop()
+        self.callers.close_idle()
+        self._finish(Millis(began + grace * FINISH_SHARE))
+        cut = self.callers.count(CallerState.SERVING)
+        self.log.write(LogEvent.STOPPED, cut=cut, took_ms=round(self.clock.now() - began))
+        self.log.stop()
+        self._wait_until(Millis(self.clock.now() + 100.0))
+        os._exit(0)
+
+    def _finish(self, deadline: Millis) -> None:
+        """Wait for the requests in progress; connections without one end meanwhile."""
+        while self.clock.now() < deadline:
+            if not self.callers.count(CallerState.READING, CallerState.SERVING):
+                return
+            self._wait_until(Millis(self.clock.now() + STOP_POLL_S * MILLIS_PER_SECOND))
+            self.callers.close_idle()
+
+    def _wait_until(self, deadline: Millis) -> None:
+        Event().wait(max(0.0, deadline - self.clock.now()) / MILLIS_PER_SECOND)
+
+    def _listen(
+        self, address: Address, dialect: Dialect, handler: Handler, most: int = MOST_PAGE_CALLERS
+    ) -> Listener:
+        settings = CallerSettings(handler, dialect, self.clock, self._limits, self.stopping.is_set)
+        return Listener(address, settings, self.executor, most)
+
+    def _limits(self) -> Limits:
+        table = self.follower.table
+        return table.limits if table is not None else Limits()
+
+    def _beliefs(self) -> Beliefs:
+        return Beliefs(self.follower.table, self.follower.age())
+
+    def _is_ready(self) -> bool:
+        return self.follower.table is not None and not self.stopping.is_set()
+
+    def _ready_page(self, request: Request, inbox: Inbox) -> Reply:
+        return Plain(200, b"ready\n") if self._is_ready() else Plain(503, b"not ready\n")
+
+    def _metrics_page(self, request: Request, inbox: Inbox) -> Reply:
+        return Plain(200, self.metrics.render())
+
+    def _tick(self) -> None:
+        """Do what is due regularly, until the process ends."""
+        last = self.clock.now()
+        while True:
+            self._wait_until(Millis(last + TICK))
+            now = self.clock.now()
+            if now - last > PAUSE:
+                self.log.write(LogEvent.PAUSED, for_ms=round(now - last))
+            last = now
+            self.fleet.sweep()
+            if self._is_ready() != self.was_ready:
+                self.was_ready = self._is_ready()
+                self.log.write(LogEvent.READY, ready=self.was_ready)
+            self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
+            self.metrics.set_gauge("callers", self.callers.count(*CallerState))
+            self.metrics.set_gauge("tasks", threading.active_count())
+            self.log.wake()
--- /dev/null
+++ b/src/masticgate/process/gateway/_log.py
@@ -0,0 +1,124 @@
+"""Structured log lines on standard output: one JSON object a line.
+
+A line is queued and written by a task of its own, so that a full pipe holds up no request. The
+queue and the lines a second of each kind are bounded; what is dropped is counted in a line.
+"""
+
+import json
+import os
+from collections import Counter, deque
+from enum import Enum
+from threading import Condition
+from typing import Any
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._ids import HostId, Millis
+
+STANDARD_OUTPUT = 1
+MOST_QUEUED = 2_000
+MOST_PER_SECOND = 40
+"""Lines of one kind a second; a host on a busy day writes a tenth of it."""
+
+BATCH_INTERVAL_S = 0.2
+WINDOW = Millis(MILLIS_PER_SECOND)
+
+
+class LogEvent(Enum):
+    """What a line tells."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOADED = "reloaded"
+    PAUSED = "paused"
+    READY = "ready"
+    CONFIGURATION = "configuration"
+    CONFIGURATION_IGNORED = "configuration_ignored"
+    PLATFORM_LOST = "platform_lost"
+    PLATFORM_BACK = "platform_back"
+    PLATFORM_REREAD = "platform_reread"
+    UNREADABLE = "unreadable"
+    SEARCHER_LISTED = "searcher_listed"
+    SEARCHER_IGNORED = "searcher_ignored"
+    SEARCHER_LEAVING = "searcher_leaving"
+    SEARCHER_HELD = "searcher_held"
+    SEARCHER_EJECTED = "searcher_ejected"
+    SEARCHER_BACK = "searcher_back"
+    REQUEST = "request"
+    REQUEST_FAILED = "request_failed"
+    DROPPED = "dropped"
+
+
+class EventLog:
+    """Queues lines for standard output; :meth:`run` is the task that writes them."""
+
+    def __init__(self, host: HostId, clock: Clock, descriptor: int = STANDARD_OUTPUT) -> None:
+        self.host = host
+        self.clock = clock
+        self.descriptor = descriptor
+        self.ready = Condition()
+        self.queue: deque[str] = deque()
+        self.window_began = clock.now()
+        self.written: Counter[LogEvent] = Counter()
+        self.dropped: Counter[LogEvent] = Counter()
+        self.stopping = False
+
+    def write(self, event: LogEvent, **fields: Any) -> None:
+        """Queue one line; never blocks on the output."""
+        with self.ready:
+            self._turn_window()
+            self.written[event] += 1
+            full = len(self.queue) >= MOST_QUEUED
+            if full or self.written[event] > MOST_PER_SECOND:
+                self.dropped[event] += 1
+                return
+            self.queue.append(self._line(event, fields))
+
+    def run(self) -> None:
+        """Write queued lines until :meth:`stop`."""
+        while True:
+            with self.ready:
+                if not self.stopping:
+                    self.ready.wait(BATCH_INTERVAL_S if self.queue else None)
+                lines = list(self.queue)
+                self.queue.clear()
+                ended = self.stopping
+            self._output(lines)
+            if ended:
+                return
+
+    def wake(self) -> None:
+        """Let the writing task take what is queued."""
+        with self.ready:
+            self.ready.notify()
+
+    def stop(self) -> None:
+        """Write what is queued and end."""
+        with self.ready:
+            self.stopping = True
+            self.ready.notify()
+
+    def _line(self, event: LogEvent, fields: dict[str, Any]) -> str:
+        head = {"wall_ms": round(self.clock.wall()), "host": self.host, "event": event.value}
+        return json.dumps(head | fields, separators=(",", ":"), default=str)
+
+    def _turn_window(self) -> None:
+        now = self.clock.now()
+        if now - self.window_began < WINDOW:
+            return
+        if self.dropped:
+            counts = {event.value: count for event, count in self.dropped.items()}
+            self.queue.append(self._line(LogEvent.DROPPED, counts))
+        self.window_began = now
+        self.written.clear()
+        self.dropped.clear()
+
+    def _output(self, lines: list[str]) -> None:
+        data = "".join(f"{line}\n" for line in lines).encode()
+        while data:
+            try:
+                data = data[os.write(self.descriptor, data) :]
+            except BlockingIOError:
+                continue
+            except OSError:
+                return
--- /dev/null
+++ b/src/masticgate/process/gateway/_metrics.py
@@ -0,0 +1,70 @@
+"""Counters, gauges and latency histograms, as text for the metrics address."""
+
+from bisect import bisect_left
+from collections import Counter
+from threading import Lock
+
+from ..._ids import Millis
+
+BUCKETS_MS = (2, 5, 10, 15, 20, 30, 40, 50, 65, 80, 100, 130, 170, 250, 400, 700, 1_200, 2_500)
+"""Upper bounds; closest together around the objectives of searches."""
+
+PREFIX = "masticgate"
+
+
+class Histogram:
+    """Counts of latencies by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum = 0.0
+
+    def add(self, latency: Millis) -> None:
+        """Count one latency."""
+        self.counts[bisect_left(BUCKETS_MS, latency)] += 1
+        self.sum += latency
+
+
+class Metrics:
+    """What a gateway counted since its start."""
+
+    def __init__(self) -> None:
+        self.lock = Lock()
+        self.counters: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+        self.histograms: dict[tuple[str, str], Histogram] = {}
+
+    def count(self, name: str, number: int = 1) -> None:
+        """Add to a counter."""
+        with self.lock:
+            self.counters[name] += number
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        with self.lock:
+            self.gauges[name] = value
+
+    def observe(self, kind: str, outcome: str, latency: Millis) -> None:
+        """Count a request of ``kind`` that ended with ``outcome`` after ``latency``."""
+        with self.lock:
+            self.histograms.setdefault((kind, outcome), Histogram()).add(latency)
+
+    def render(self) -> bytes:
+        """Return the text exposition."""
+        with self.lock:
+            lines = [f"{PREFIX}_{name}_total {value}" for name, value in self.counters.items()]
+            lines += [f"{PREFIX}_{name} {value:g}" for name, value in self.gauges.items()]
+            for (kind, outcome), histogram in self.histograms.items():
+                lines += _render_histogram(f'kind="{kind}",outcome="{outcome}"', histogram)
+        return ("\n".join(sorted(lines)) + "\n").encode()
+
+
+def _render_histogram(labels: str, histogram: Histogram) -> list[str]:
+    name = f"{PREFIX}_request_ms"
+    lines, total = [], 0
+    for bound, count in zip((*BUCKETS_MS, "+Inf"), histogram.counts, strict=True):
+        total += count
+        lines.append(f'{name}_bucket{{{labels},le="{bound}"}} {total}')
+    lines.append(f"{name}_count{{{labels}}} {total}")
+    lines.append(f"{name}_sum{{{labels}}} {histogram.sum:.1f}")
+    return lines
--- /dev/null
+++ b/src/masticgate/process/gateway/_replica.py
@@ -0,0 +1,115 @@
+"""What a gateway believes of one searcher."""
+
+from enum import Enum
+
+from ..._ids import Millis
+from ...connection.gateway import SearcherTask
+from ._catalogue import SearcherEntry
+
+FAILURES_TO_EJECT = 2
+FIRST_EJECTION = Millis(500.0)
+LONGEST_EJECTION = Millis(4_000.0)
+SLOWNESS_WEIGHT = 0.15
+SLOWNESS_KEPT = Millis(2_000.0)
+"""The slowness of an idle searcher counts as unknown once its last answer is older."""
+
+LOAD_KEPT = Millis(300.0)
+"""A searcher's own report of its load is ignored once it is older."""
+
+COLD_FACTOR = 1.6
+"""How much slower a searcher is expected to be right after its start."""
+
+
+class ReplicaState(Enum):
+    """How a gateway treats a searcher."""
+
+    ACTIVE = "active"
+    EJECTED = "ejected"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Replica:
+    """One searcher and the connections to it; the fleet's lock guards it.
+
+    ``slowness`` is its latency over the usual latency of the same route, smoothed.
+    """
+
+    def __init__(self, entry: SearcherEntry, connections: int, now: Millis) -> None:
+        self.entry = entry
+        self.connections = connections
+        self.state = ReplicaState.ACTIVE
+        self.idle: list[SearcherTask] = []
+        self.tasks = 0
+        self.in_flight = 0
+        self.used_at = now
+        self.cold_until = Millis(now + entry.cold)
+        self.slowness = 1.0
+        self.measured_at = Millis(0.0)
+        self.waiting = 0
+        self.reported_at = Millis(0.0)
+        self.failures = 0
+        self.ejection = FIRST_EJECTION
+        self.eligible_at = Millis(0.0)
+        self.usable_until = Millis(0.0)
+
+    def is_usable(self, now: Millis) -> bool:
+        """Tell whether it may be sent a request now."""
+        match self.state:
+            case ReplicaState.ACTIVE:
+                return True
+            case ReplicaState.EJECTED:
+                return now >= self.eligible_at and self.in_flight == 0
+            case ReplicaState.LEAVING:
+                return now < self.usable_until
+            case ReplicaState.GONE:
+                return False
+
+    def has_room(self) -> bool:
+        """Tell whether a connection is idle or may be opened."""
+        return bool(self.idle) or self.tasks < self.connections
+
+    def cost(self, now: Millis) -> float:
+        """Return what orders the choice among searchers, the lowest first."""
+        slowness = self.slowness
+        if self.in_flight == 0 and now - self.measured_at > SLOWNESS_KEPT:
+            slowness = min(slowness, 1.0)
+        if now < self.cold_until:
+            slowness *= COLD_FACTOR
+        waiting = self.waiting if now - self.reported_at < LOAD_KEPT else 0
+        return slowness * (1.0 + (self.in_flight + waiting) / self.entry.slots)
+
+    def succeed(self, ratio: float, now: Millis) -> bool:
+        """Count an answer; return ``True`` where it ends an ejection."""
+        self.failures = 0
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+        self.measured_at = now
+        if self.state is not ReplicaState.EJECTED:
+            return False
+        self.state = ReplicaState.ACTIVE
+        self.ejection = FIRST_EJECTION
+        return True
+
+    def fail(self, now: Millis) -> bool:
+        """Count a failure; return ``True`` where it ejects the searcher."""
+        self.failures += 1
+        if self.state is ReplicaState.ACTIVE and self.failures < FAILURES_TO_EJECT:
+            return False
+        if self.state not in (ReplicaState.ACTIVE, ReplicaState.EJECTED):
+            return False
+        self.state = ReplicaState.EJECTED
+        self.eligible_at = Millis(now + self.ejection)
+        self.ejection = min(LONGEST_EJECTION, Millis(self.ejection * 2))
+        return True
+
+    def leave(self, usable_until: Millis) -> None:
+        """Prefer any other searcher from now on, and send it nothing after ``usable_until``."""
+        if self.state not in (ReplicaState.LEAVING, ReplicaState.GONE):
+            self.state = ReplicaState.LEAVING
+            self.usable_until = usable_until
+
+    def return_to_list(self) -> None:
+        """Use it again: its listing was missing only for a while."""
+        if self.state in (ReplicaState.LEAVING, ReplicaState.GONE):
+            self.state = ReplicaState.ACTIVE
+            self.failures = 0
--- /dev/null
+++ b/src/masticgate/process/gateway/_service.py
@@ -0,0 +1,163 @@
+"""Serves one caller's request by its route."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..._failures import NotRun, Reason, Step, describe
+from ..._ids import ConfigurationVersion, Millis, RouteId, ServiceId
+from ...request.gateway import (
+    Abandoned,
+    Failed,
+    Inbox,
+    Merged,
+    Refused,
+    Relayed,
+    Reply,
+    Request,
+    run_forward,
+    run_gather,
+)
+from ...version.gateway import OneService, Route, RouteTable, Shards, Split
+from ._fleet import Fleet
+from ._log import EventLog, LogEvent
+from ._metrics import Metrics
+
+NO_CONFIGURATION_RETRY = Millis(300.0)
+"""A gateway that starts has read the configuration by then."""
+
+SAMPLE = 16
+"""One of so many whole answers in time has a log line."""
+
+
+class SplitTurns:
+    """Shares out the requests of split routes smoothly, by weight."""
+
+    def __init__(self) -> None:
+        self.random = random.Random()
+        self.credits: dict[tuple[ConfigurationVersion, RouteId], dict[ServiceId, float]] = {}
+
+    def next(self, version: ConfigurationVersion, route: RouteId, split: Split) -> ServiceId:
+        """Return the service whose turn it is."""
+        key = (version, route)
+        credit = self.credits.get(key)
+        if credit is None:
+            self.credits = {kept: self.credits[kept] for kept in self.credits if kept[1] != route}
+            credit = {
+                part.service: part.weight * self.random.uniform(-0.5, 0.5) for part in split.parts
+            }
+            self.credits[key] = credit
+        for part in split.parts:
+            credit[part.service] += part.weight
+        chosen = max(credit, key=lambda service: credit[service])
+        credit[chosen] -= sum(part.weight for part in split.parts)
+        return chosen
+
+
+@dataclass(frozen=True, slots=True)
+class Beliefs:
+    """What a request was decided on; ``age`` is the time since the platform was heard."""
+
+    table: RouteTable | None
+    age: Millis
+
+
+class GatewayService:
+    """Finds the route of each request and runs it."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        beliefs: Callable[[], Beliefs],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.fleet = fleet
+        self.beliefs = beliefs
+        self.log = log
+        self.metrics = metrics
+        self.turns = SplitTurns()
+        self.served = 0
+
+    def handle(self, request: Request, inbox: Inbox) -> Reply:
+        """Answer one request."""
+        beliefs = self.beliefs()
+        route = self._find(request, beliefs.table)
+        if isinstance(route, Refused):
+            reply: Reply = route
+        else:
+            assert beliefs.table is not None
+            reply = self._run(request, beliefs.table, route, inbox)
+        self._account(request, beliefs, route, reply)
+        return reply
+
+    def _find(self, request: Request, table: RouteTable | None) -> Route | Refused:
+        if not request.id:
+            failure = NotRun(Reason.BAD_REQUEST, Step.READ, detail="a request id is needed")
+            return Refused(400, failure)
+        if table is None:
+            failure = NotRun(Reason.NO_CONFIGURATION, Step.ROUTE)
+            return Refused(503, failure, NO_CONFIGURATION_RETRY)
+        route = table.find(request.host, request.path)
+        if route is None:
+            failure = NotRun(Reason.UNKNOWN_SERVICE, Step.ROUTE, detail=f"version {table.version}")
+            return Refused(404, failure)
+        return route
+
+    def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
+        match route.target:
+            case Shards() as shards:
+                return run_gather(request, route, shards, self.fleet, inbox)
+            case Split() as split:
+                service = self.turns.next(table.version, route.id, split)
+                return run_forward(request, route, service, self.fleet, inbox)
+            case OneService(service=service):
+                return run_forward(request, route, service, self.fleet, inbox)
+
+    def _account(
+        self, request: Request, beliefs: Beliefs, route: Route | Refused, reply: Reply
+    ) -> None:
+        """Count the request, and log it unless it is one of many ordinary ones."""
+        took = Millis(self.fleet.now() - request.arrived)
+        outcome, detail = _describe_reply(reply)
+        kind = "none" if isinstance(route, Refused) else f"rank{route.rank}"
+        self.metrics.observe(kind, outcome, took)
+        late = not isinstance(route, Refused) and took > route.objective
+        if outcome == "whole" and not late:
+            self.served += 1
+            if self.served % SAMPLE:
+                return
+        event = LogEvent.REQUEST if outcome in ("whole", "partial") else LogEvent.REQUEST_FAILED
+        version = beliefs.table.version if beliefs.table is not None else 0
+        self.log.write(
+            event,
+            request=request.id,
+            route="" if isinstance(route, Refused) else route.id,
+            outcome=outcome,
+            detail=detail,
+            took_ms=round(took, 1),
+            patience_ms=request.patience,
+            version=version,
+            beliefs_age_ms=round(beliefs.age),
+        )
+
+
+def _describe_reply(reply: Reply) -> tuple[str, str]:
+    """Return the outcome's name and why it came to that."""
+    match reply:
+        case Merged(missing=0):
+            return "whole", ""
+        case Merged(missing=missing, stamps=stamps):
+            return "partial", f"{missing} of {missing + len(stamps)} shards missing"
+        case Relayed(answer=answer) if answer.success:
+            return "whole", ""
+        case Relayed(answer=answer):
+            return "searcher_failure", f"status {answer.status} of {answer.searcher}"
+        case Refused(status=status, failure=failure):
+            return f"refused_{status}", describe(failure)
+        case Failed(status=status, failure=failure):
+            return f"failed_{status}", describe(failure)
+        case Abandoned():
+            return "caller_left", ""
+        case _:
+            return "page", ""
--- /dev/null
+++ b/src/masticgate/process/gateway/_settings.py
@@ -0,0 +1,36 @@
+"""The settings of a gateway process."""
+
+from dataclasses import dataclass
+
+from ..._ids import Address, FailureDomainId, HostId, Millis
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatBounds:
+    """What all gateways together may send beyond the first send of each request, a service.
+
+    In each ``window``, at most ``ratio`` of the requests plus ``slack``.
+    """
+
+    ratio: float
+    slack: float
+    window: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Where one gateway listens and what bounds it.
+
+    ``grace`` is the time from the request to stop until the process is killed; ``drain`` is how
+    long a searcher that leaves may still be sent requests.
+    """
+
+    host: HostId
+    domain: FailureDomainId
+    callers: Address
+    readiness: Address
+    metrics: Address | None
+    catalogue: Address
+    grace: Millis
+    drain: Millis
+    repeats: RepeatBounds
--- /dev/null
+++ b/src/masticgate/request/gateway/__init__.py
@@ -0,0 +1,22 @@
+"""What lives for one request of a gateway: its sends, their outcomes and its reply."""
+
+from ._attempts import Attempts as Attempts
+from ._exchange import Answered as Answered
+from ._exchange import Call as Call
+from ._exchange import CallerLeft as CallerLeft
+from ._exchange import Declined as Declined
+from ._exchange import Inbox as Inbox
+from ._exchange import Lost as Lost
+from ._exchange import Outcome as Outcome
+from ._exchange import Request as Request
+from ._exchange import Senders as Senders
+from ._exchange import Sending as Sending
+from ._forward import run_forward as run_forward
+from ._gather import run_gather as run_gather
+from ._reply import Abandoned as Abandoned
+from ._reply import Failed as Failed
+from ._reply import Merged as Merged
+from ._reply import Plain as Plain
+from ._reply import Refused as Refused
+from ._reply import Relayed as Relayed
+from ._reply import Reply as Reply
--- /dev/null
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -0,0 +1,137 @@
+"""The sends of one request to one service: the first, and at most a few repeats."""
+
+from enum import Enum
+
+from ..._failures import Failure, NotRun, Reason, Step
+from ..._ids import Millis, SearcherId, ServiceId
+from ...version.gateway import Route
+from ._exchange import Answered, Call, Declined, Inbox, Lost, Request, Senders, Sending
+
+
+class Repeat(Enum):
+    """Why a send is repeated."""
+
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+class Attempts:
+    """Sends one request to searchers of one service within the route's bound of attempts."""
+
+    def __init__(
+        self,
+        request: Request,
+        route: Route,
+        service: ServiceId,
+        senders: Senders,
+        inbox: Inbox,
+        deadline: Millis,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.senders = senders
+        self.inbox = inbox
+        self.deadline = deadline
+        self.sendings: dict[int, Sending] = {}
+        self.tried: set[SearcherId] = set()
+        self.arrived = False
+        self.ran = False
+        self.sends = 0
+        self.failure: Failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, service)
+        self.answer: Answered | None = None
+        self.hedged = False
+        self.cut_started = False
+
+    @property
+    def pending(self) -> bool:
+        """Tell whether a send is on its way."""
+        return bool(self.sendings)
+
+    @property
+    def sending_started(self) -> bool:
+        """Tell whether a byte of a send on its way may have left."""
+        return any(sending.call.started for sending in self.sendings.values())
+
+    @property
+    def started(self) -> bool:
+        """Tell whether a searcher may have received the request."""
+        return self.arrived or self.sending_started
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a searcher may have run the request; final after :meth:`cancel`."""
+        return self.ran or self.cut_started
+
+    def send_first(self) -> bool:
+        """Send for the first time; return ``False`` where no searcher can take it."""
+        return self._send(repeat=False)
+
+    def send_hedge(self) -> bool:
+        """Repeat a slow send at another searcher, where the bound and the budget allow it."""
+        if self.hedged:
+            return False
+        self.hedged = True
+        return self._repeat(Repeat.HEDGE)
+
+    def take(self, call: Call) -> bool:
+        """Take the outcome of one of the sends; return ``False`` if it is not one of these."""
+        sending = self.sendings.pop(id(call), None)
+        if sending is None:
+            return False
+        match call.outcome:
+            case Answered() as answer:
+                self.arrived = self.ran = True
+                self._take_answer(answer)
+            case Declined(searcher=searcher, reason=reason):
+                self.arrived = True
+                self.failure = NotRun(reason, Step.UPSTREAM, searcher)
+            case Lost(searcher=searcher, sent=sent, detail=detail):
+                self.arrived = self.arrived or sent
+                self.ran = self.ran or sent
+                self.failure = NotRun(Reason.SEARCHER_LOST, Step.UPSTREAM, searcher, detail)
+            case None:
+                self.failure = NotRun(Reason.INTERNAL, Step.UPSTREAM, sending.searcher)
+        return True
+
+    def retry(self) -> bool:
+        """Send again after a failure, where the bound and the budget allow it."""
+        return self._repeat(Repeat.RETRY)
+
+    def cancel(self) -> None:
+        """Cut every send on its way; one that has not started never will."""
+        for sending in self.sendings.values():
+            sending.cancel()
+        self.cut_started = self.cut_started or self.sending_started
+        self.sendings.clear()
+
+    def _take_answer(self, answer: Answered) -> None:
+        if answer.success or self.answer is None:
+            self.answer = answer
+        if not answer.success:
+            reason, detail = Reason.SEARCHER_ERROR, f"status {answer.status}"
+            self.failure = NotRun(reason, Step.UPSTREAM, answer.searcher, detail)
+
+    def _repeat(self, why: Repeat) -> bool:
+        if self.senders.now() >= self.deadline or self.sends >= self.route.attempts:
+            return False
+        if not self.started:
+            self.cancel()
+            return self._send(repeat=False)
+        match why:
+            case Repeat.HEDGE:
+                allowed = self.senders.allow_hedge(self.service)
+            case Repeat.RETRY:
+                allowed = self.senders.allow_retry(self.service)
+        return allowed and self._send(repeat=True)
+
+    def _send(self, *, repeat: bool) -> bool:
+        call = Call(self.request, self.route, self.service, self.deadline, self.inbox, repeat)
+        sending = self.senders.send(call, self.tried)
+        if isinstance(sending, NotRun):
+            self.failure = sending
+            return False
+        self.sends += 1
+        self.tried.add(sending.searcher)
+        self.sendings[id(call)] = sending
+        return True
--- /dev/null
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -0,0 +1,144 @@
+"""What a request sends to searchers, and what comes back."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..._failures import NotRun, Reason
+from ..._ids import Millis, RequestId, SearcherId, ServiceId
+from ...version.gateway import Route
+
+Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One attempt of a caller.
+
+    ``target`` is the path with its query, as sent; ``headers`` are those to pass on;
+    ``patience`` is how long the caller waits from ``arrived`` on, in milliseconds.
+    """
+
+    id: RequestId
+    method: bytes
+    target: bytes
+    host: str
+    headers: tuple[Header, ...]
+    body: bytes
+    patience: Millis | None
+    arrived: Millis
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A searcher's whole answer, a failure of its own included.
+
+    ``stamp`` authenticates the answer; it is empty where the searcher sent none.
+    """
+
+    searcher: SearcherId
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    stamp: str
+    latency: Millis
+
+    @property
+    def success(self) -> bool:
+        """Tell whether a caller may take it as a success."""
+        return 200 <= self.status < 300 and bool(self.stamp)
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The searcher said that it did not run the request."""
+
+    searcher: SearcherId
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """No answer came; the request may have run unless ``sent`` is ``False``."""
+
+    searcher: SearcherId
+    sent: bool
+    detail: str
+
+
+Outcome = Answered | Declined | Lost
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection."""
+
+
+@dataclass(slots=True)
+class Call:
+    """One send of a request to one searcher; the connection's task fills in the outcome.
+
+    ``deadline`` is on the gateway's clock. ``started`` turns ``True`` before the first byte is
+    sent, and ``cancelled`` when nobody waits for the outcome any more.
+    """
+
+    request: Request
+    route: Route
+    service: ServiceId
+    deadline: Millis
+    inbox: "Inbox"
+    repeat: bool = False
+    started: bool = False
+    cancelled: bool = False
+    outcome: Outcome | None = field(default=None)
+
+
+class Inbox(Protocol):
+    """Where the task of one request waits for outcomes and for its caller to leave."""
+
+    def put(self, call: Call) -> None:
+        """Hand over a call whose outcome is known; any task may call this."""
+        ...
+
+    def wait(self, until: Millis) -> Call | CallerLeft | None:
+        """Return the next finished call, or ``None`` at ``until``."""
+        ...
+
+
+class Sending(Protocol):
+    """A call on its way."""
+
+    call: Call
+    searcher: SearcherId
+
+    def cancel(self) -> None:
+        """Cut the connection, so that the searcher drops the request."""
+        ...
+
+
+class Senders(Protocol):
+    """Sends calls to the searchers of services."""
+
+    def now(self) -> Millis:
+        """Return the gateway's clock."""
+        ...
+
+    def send(self, call: Call, tried: set[SearcherId]) -> Sending | NotRun:
+        """Send ``call`` to a searcher of its service that is not in ``tried``."""
+        ...
+
+    def hedge_delay(self, route: Route) -> Millis:
+        """Return the age at which a send on ``route`` is repeated elsewhere."""
+        ...
+
+    def allow_hedge(self, service: ServiceId) -> bool:
+        """Take one repeat of ``service`` from the budget, leaving the reserve of retries."""
+        ...
+
+    def allow_retry(self, service: ServiceId) -> bool:
+        """Take one repeat of ``service`` from the budget after a send that failed."""
+        ...
--- /dev/null
+++ b/src/masticgate/request/gateway/_forward.py
@@ -0,0 +1,87 @@
+"""One request to one searcher of one service."""
+
+from ..._failures import NotRun, Reason, Step, Unknown
+from ..._ids import Millis, ServiceId
+from ...version.gateway import Kind, Route
+from ._attempts import Attempts
+from ._exchange import Call, CallerLeft, Inbox, Request, Senders
+from ._reply import Abandoned, Failed, Refused, Relayed, Reply
+
+RETRY_AFTER = Millis(50.0)
+"""A slot of a full searcher is free again after about half of the work of one request."""
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""A caller reads these as "not run", so an answer of a request that ran must not bear them."""
+
+RELAYED_FAILURES = frozenset(range(300, 600)) - NOT_RUN_STATUSES
+
+
+def run_forward(
+    request: Request, route: Route, service: ServiceId, senders: Senders, inbox: Inbox
+) -> Reply:
+    """Send the request to one searcher; repeat it only where its kind allows that."""
+    return _Forward(request, route, service, senders, inbox).run()
+
+
+class _Forward:
+    """The state of one request, used by the task of its caller's connection only."""
+
+    def __init__(
+        self, request: Request, route: Route, service: ServiceId, senders: Senders, inbox: Inbox
+    ) -> None:
+        self.senders = senders
+        self.inbox = inbox
+        self.repeatable = route.kind is Kind.IDEMPOTENT
+        patience = route.timeout if request.patience is None else request.patience
+        self.deadline = Millis(request.arrived + min(patience, route.timeout))
+        self.attempts = Attempts(request, route, service, senders, inbox, self.deadline)
+        self.hedge_at: Millis | None = None
+        if self.repeatable:
+            self.hedge_at = Millis(request.arrived + senders.hedge_delay(route))
+
+    def run(self) -> Reply:
+        """Wait for the answer, until the deadline at most."""
+        self.attempts.send_first()
+        while self.attempts.pending and self.senders.now() < self.deadline:
+            until = self.deadline if self.hedge_at is None else min(self.deadline, self.hedge_at)
+            match self.inbox.wait(until):
+                case CallerLeft():
+                    self.attempts.cancel()
+                    return Abandoned()
+                case Call() as call:
+                    self._take(call)
+                case None:
+                    self._hedge()
+            if self._is_answered():
+                break
+        return self._reply()
+
+    def _is_answered(self) -> bool:
+        return self.attempts.answer is not None and self.attempts.answer.success
+
+    def _take(self, call: Call) -> None:
+        if not self.attempts.take(call) or self._is_answered() or self.attempts.pending:
+            return
+        if self.repeatable or not self.attempts.ran:
+            self.attempts.retry()
+
+    def _hedge(self) -> None:
+        if self.hedge_at is not None and self.senders.now() >= self.hedge_at:
+            self.hedge_at = None
+            self.attempts.send_hedge()
+
+    def _reply(self) -> Reply:
+        attempts = self.attempts
+        answer = attempts.answer
+        if answer is not None and (answer.success or answer.status in RELAYED_FAILURES):
+            return Relayed(answer)
+        failure = attempts.failure
+        attempts.cancel()
+        if not attempts.may_have_run:
+            if self.senders.now() >= self.deadline:
+                failure = NotRun(Reason.DEADLINE, Step.QUEUE, failure.peer)
+            refused = NotRun(failure.reason, failure.step, failure.peer, failure.detail)
+            return Refused(503, refused, RETRY_AFTER)
+        if self.senders.now() >= self.deadline:
+            return Failed(504, Unknown(Reason.DEADLINE, Step.UPSTREAM, failure.peer))
+        return Failed(502, Unknown(failure.reason, failure.step, failure.peer, failure.detail))
--- /dev/null
+++ b/src/masticgate/request/gateway/_reply.py
@@ -0,0 +1,56 @@
+"""The final answers of a gateway to one request."""
+
+from dataclasses import dataclass
+
+from ..._failures import NotRun, Unknown
+from ..._ids import Millis
+from ._exchange import Answered
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """A searcher's answer, passed on unchanged."""
+
+    answer: Answered
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """The merged records of some shards; ``stamps`` names the answers that are included."""
+
+    stamps: tuple[str, ...]
+    missing: int
+    records: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request did not run and never will; the caller may come back after ``retry_after``."""
+
+    status: int
+    failure: NotRun
+    retry_after: Millis | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run."""
+
+    status: int
+    failure: Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class Plain:
+    """An answer of the gateway's own pages."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller left; there is nobody to answer."""
+
+
+Reply = Relayed | Merged | Refused | Failed | Plain | Abandoned
