--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -43,6 +43,9 @@
 LEAVING_SHARE = 0.5
 """The part of the drain time for which a searcher that leaves is a last resort."""
 
+MOST_DRAINED = 2_000
+"""Searchers remembered as drained; days of ordinary releases."""
+
 
 @dataclass(slots=True)
 class FleetSending:
@@ -79,6 +82,7 @@
         self.services: dict[ServiceId, dict[SearcherId, Replica]] = {}
         self.replicas: dict[SearcherId, Replica] = {}
         self.tasks: dict[SearcherTask, Replica] = {}
+        self.drained: dict[SearcherId, int] = {}
         self.connections: dict[ServiceId, int] = {}
         self.warm: set[ServiceId] = set()
         self.budgets: dict[ServiceId, HedgeBudget] = {}
@@ -198,8 +202,13 @@
         now = self.clock.now()
         with self.lock:
             known = self.replicas.get(entry.id)
-            if known is not None and entry.born < known.entry.born:
-                self.log.write(LogEvent.SEARCHER_IGNORED, searcher=entry.id, born=entry.born)
+            if self._is_past(known, entry):
+                self.log.write(
+                    LogEvent.SEARCHER_IGNORED,
+                    searcher=entry.id,
+                    born=entry.born,
+                    phase=entry.phase.value,
+                )
                 return
             if known is None or self._is_other(known.entry, entry):
                 if known is not None:
@@ -284,8 +293,7 @@
             case Declined(reason=Reason.NO_SEARCHER):
                 self._leave(replica, "another searcher has its address", Millis(0.0))
             case Declined():
-                replica.waiting = replica.entry.slots
-                replica.reported_at = now
+                replica.note_trouble(now)
             case Lost() if call.cancelled:
                 return
             case Answered() | Lost():
@@ -322,6 +330,14 @@
             budget = self.budgets[service] = HedgeBudget(self.hedging)
         return budget
 
+    def _is_past(self, known: Replica | None, entry: SearcherEntry) -> bool:
+        """Tell whether a listing is of an earlier start, or of one that has begun to leave."""
+        if known is not None and entry.born < known.entry.born:
+            return True
+        if entry.id in self.drained and entry.born <= self.drained[entry.id]:
+            return known is None
+        return known is None and entry.phase is SearcherPhase.DRAINING
+
     def _is_other(self, known: SearcherEntry, entry: SearcherEntry) -> bool:
         """Tell whether a listing stands for another start, address or service."""
         same = (known.born, known.address, known.service)
@@ -345,12 +361,18 @@
         replica.entry = entry
         match entry.phase:
             case SearcherPhase.DRAINING:
+                self._remember_drained(entry)
                 self._leave(replica, "draining")
             case SearcherPhase.READY if was is SearcherPhase.READY:
                 replica.return_to_list()
             case SearcherPhase.READY:
                 replica.entry = entry
 
+    def _remember_drained(self, entry: SearcherEntry) -> None:
+        self.drained[entry.id] = entry.born
+        while len(self.drained) > MOST_DRAINED:
+            del self.drained[next(iter(self.drained))]
+
     def _leave(self, replica: Replica, why: str, usable: Millis | None = None) -> None:
         if replica.state in (ReplicaState.LEAVING, ReplicaState.GONE):
             return
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -13,6 +13,13 @@
 SLOWNESS_KEPT = Millis(2_000.0)
 """The slowness of an idle searcher counts as unknown once its last answer is older."""
 
+TROUBLE_WEIGHT = 0.2
+TROUBLE_KEPT = Millis(3_000.0)
+"""The share of refused and failed sends halves in each such time without a send."""
+
+TROUBLE_COST = 4.0
+"""What a send that fails costs over one that succeeds: a repeat, and a part of the budget."""
+
 LOAD_KEPT = Millis(300.0)
 """A searcher's own report of its load is ignored once it is older."""
 
@@ -32,7 +39,8 @@
 class Replica:
     """One searcher and the connections to it; the fleet's lock guards it.
 
-    ``slowness`` is its latency over the usual latency of the same route, smoothed.
+    ``slowness`` is its latency over the usual latency of the same route, and ``trouble`` the
+    share of its sends that were refused or failed, both smoothed.
     """
 
     def __init__(self, entry: SearcherEntry, connections: int, now: Millis) -> None:
@@ -46,6 +54,8 @@
         self.cold_until = Millis(now + entry.cold)
         self.slowness = 1.0
         self.measured_at = Millis(0.0)
+        self.trouble = 0.0
+        self.trouble_at = now
         self.waiting = 0
         self.reported_at = Millis(0.0)
         self.failures = 0
@@ -77,11 +87,26 @@
         if now < self.cold_until:
             slowness *= COLD_FACTOR
         waiting = self.waiting if now - self.reported_at < LOAD_KEPT else 0
-        return slowness * (1.0 + (self.in_flight + waiting) / self.entry.slots)
+        busy = (self.in_flight + waiting) / self.entry.slots
+        return slowness * (1.0 + busy) + TROUBLE_COST * self.trouble_now(now)
+
+    def trouble_now(self, now: Millis) -> float:
+        """Return the share of failed sends, less the time since it was last observed."""
+        return float(self.trouble * 0.5 ** ((now - self.trouble_at) / TROUBLE_KEPT))
+
+    def note_trouble(self, now: Millis) -> None:
+        """Count a send that was refused or failed."""
+        self._note_outcome(1.0, now)
+
+    def _note_outcome(self, failed: float, now: Millis) -> None:
+        trouble = self.trouble_now(now)
+        self.trouble = trouble + TROUBLE_WEIGHT * (failed - trouble)
+        self.trouble_at = now
 
     def succeed(self, ratio: float, now: Millis) -> bool:
         """Count an answer; return ``True`` where it ends an ejection."""
         self.failures = 0
+        self._note_outcome(0.0, now)
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
         self.measured_at = now
         if self.state is not ReplicaState.EJECTED:
@@ -93,6 +118,7 @@
     def fail(self, now: Millis) -> bool:
         """Count a failure; return ``True`` where it ejects the searcher."""
         self.failures += 1
+        self.note_trouble(now)
         if self.state is ReplicaState.ACTIVE and self.failures < FAILURES_TO_EJECT:
             return False
         if self.state not in (ReplicaState.ACTIVE, ReplicaState.EJECTED):
