Test the gateway without the bench: decisions, sockets, decoders

Found by the tests: a listener ended for good when a task could not be started; it turns the connection away now, and a searcher's connection that gets no task counts as no room.

--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -23,6 +23,7 @@
         self.callers: set[Caller] = set()
         self.socket = listen_on(address)
         self.stopped = False
+        self.turned_away = 0
 
     def run(self) -> None:
         """Accept connections until :meth:`stop`."""
@@ -61,7 +62,10 @@
             crowded = len(self.callers) > self.most
         if crowded:
             self._close_longest_unserved(caller)
-        self.executor.submit(self._run, caller)
+        try:
+            self.executor.submit(self._run, caller)
+        except RuntimeError:
+            self._turn_away(caller)
 
     def _run(self, caller: Caller) -> None:
         try:
@@ -70,6 +74,13 @@
             with self.lock:
                 self.callers.discard(caller)
 
+    def _turn_away(self, caller: Caller) -> None:
+        """Close a connection for which no task could be started."""
+        with self.lock:
+            self.callers.discard(caller)
+            self.turned_away += 1
+        caller.connection.close()
+
     def _close_longest_unserved(self, newest: Caller) -> None:
         """Make room: a connection without a whole request gives way, the oldest first."""
         with self.lock:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -104,9 +104,11 @@
             replica = self._choose(call.service, tried)
             if isinstance(replica, NotRun):
                 return replica
+            task = replica.idle.pop() if replica.idle else self._open(replica)
+            if task is None:
+                return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "no task can start")
             replica.in_flight += 1
             replica.used_at = self.clock.now()
-            task = replica.idle.pop() if replica.idle else self._open(replica)
             if not call.repeat:
                 self._budget(call.service).earn()
             task.work.put(call)
@@ -260,12 +262,18 @@
         cost = replica.cost(now) + (FOREIGN_DOMAIN_COST if foreign else 0.0)
         return replica.state is ReplicaState.LEAVING, cost
 
-    def _open(self, replica: Replica, *, warm: bool = False) -> SearcherTask:
+    def _open(self, replica: Replica, *, warm: bool = False) -> SearcherTask | None:
+        """Start the task of a new connection; return ``None`` where the process has no room."""
         entry = replica.entry
         task = SearcherTask(entry.id, entry.address, self, self.dialect, self.clock)
         replica.tasks += 1
         self.tasks[task] = replica
-        self.executor.submit(self._run_warm if warm else self._run, task)
+        try:
+            self.executor.submit(self._run_warm if warm else self._run, task)
+        except RuntimeError as error:
+            self.tasks.pop(task).tasks -= 1
+            self.log.write(LogEvent.TASK_REFUSED, searcher=entry.id, detail=str(error))
+            return None
         return task
 
     def _run(self, task: SearcherTask) -> None:
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -52,6 +52,7 @@
         self.follower = Follower(source, self.fleet, self.clock, self.log, self.metrics)
         self.service = GatewayService(self.fleet, self._beliefs, self.log, self.metrics)
         self.stopping = Event()
+        self.ended = Event()
         self.was_ready = False
         self.readiness = self._listen(settings.readiness, dialect, self._ready_page)
         self.callers = self._listen(
@@ -127,8 +128,7 @@
     def _tick(self) -> None:
         """Do what is due regularly, until the process ends."""
         last = self.clock.now()
-        while True:
-            self._wait_until(Millis(last + TICK))
+        while not self.ended.wait(TICK / MILLIS_PER_SECOND):
             now = self.clock.now()
             if now - last > PAUSE:
                 self.log.write(LogEvent.PAUSED, for_ms=round(now - last))
@@ -139,5 +139,6 @@
                 self.log.write(LogEvent.READY, ready=self.was_ready)
             self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
             self.metrics.set_gauge("callers", self.callers.count(*CallerState))
+            self.metrics.set_gauge("callers_turned_away", self.callers.turned_away)
             self.metrics.set_gauge("tasks", threading.active_count())
             self.log.wake()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -44,6 +44,7 @@
     SEARCHER_HELD = "searcher_held"
     SEARCHER_EJECTED = "searcher_ejected"
     SEARCHER_BACK = "searcher_back"
+    TASK_REFUSED = "task_refused"
     REQUEST = "request"
     REQUEST_FAILED = "request_failed"
     DROPPED = "dropped"
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,223 @@
+"""Routes, requests and doubles for the tests of a gateway."""
+
+from masticgate import Address, ManualClock, Millis, NotRun, Reason, SearcherId, ServiceId, Step
+from masticgate._ids import (
+    ConfigurationVersion,
+    FailureDomainId,
+    HostId,
+    RequestId,
+    RouteId,
+)
+from masticgate.connection.gateway import Dialect
+from masticgate.process.gateway import (
+    GatewaySettings,
+    RepeatBounds,
+    SearcherEntry,
+    SearcherPhase,
+)
+from masticgate.process.gateway._fleet import Fleet
+from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._metrics import Metrics
+from masticgate.request.gateway import Answered, Call, CallerLeft, Declined, Lost, Request
+from masticgate.version.gateway import (
+    Kind,
+    Limits,
+    OneService,
+    Route,
+    RouteTable,
+    ServiceEntry,
+    Shards,
+    Target,
+)
+
+DIALECT = Dialect(
+    request_id=b"x-id",
+    patience=b"x-patience",
+    stamp=b"x-stamp",
+    expected_searcher=b"x-expected",
+    load=b"x-load",
+    not_run=b"x-not-run",
+    included_stamps=b"X-Stamps",
+    missing_shards=b"X-Missing",
+)
+
+
+ORDERS = OneService(ServiceId("orders"))
+
+
+def make_route(
+    target: Target = ORDERS,
+    kind: Kind = Kind.IDEMPOTENT,
+    attempts: int = 2,
+    prefix: str = "/a/",
+) -> Route:
+    return Route(
+        RouteId(f"r{prefix}"),
+        "host.example",
+        prefix,
+        kind,
+        target,
+        attempts,
+        Millis(400.0),
+        Millis(100.0),
+        1,
+    )
+
+
+def make_table(*routes: Route, version: int = 1) -> RouteTable:
+    services: set[ServiceId] = set()
+    for route in routes:
+        match route.target:
+            case Shards(services=names):
+                services.update(names)
+            case OneService(service=name):
+                services.add(name)
+    entries = {name: ServiceEntry(name, 25) for name in services}
+    return RouteTable(ConfigurationVersion(version), routes, entries, Limits())
+
+
+def make_request(identity: str = "q1", patience: float | None = 400.0) -> Request:
+    wait = None if patience is None else Millis(patience)
+    return Request(RequestId(identity), b"GET", b"/a/x", "host.example", (), b"", wait, Millis(0.0))
+
+
+def make_entry(
+    identity: str,
+    service: str = "orders",
+    *,
+    born: int = 1,
+    phase: SearcherPhase = SearcherPhase.READY,
+    domain: str = "z1",
+) -> SearcherEntry:
+    return SearcherEntry(
+        SearcherId(identity),
+        ServiceId(service),
+        Address("127.0.0.1:9"),
+        FailureDomainId(domain),
+        2,
+        phase,
+        Millis(0.0),
+        born,
+    )
+
+
+def make_settings(ratio: float = 0.2, slack: float = 52.0) -> GatewaySettings:
+    here = Address("127.0.0.1:0")
+    return GatewaySettings(
+        HostId("g1"),
+        FailureDomainId("z1"),
+        here,
+        here,
+        None,
+        here,
+        Millis(6_000.0),
+        Millis(3_000.0),
+        RepeatBounds(ratio, slack, Millis(10_000.0)),
+    )
+
+
+class HeldExecutor:
+    """Takes tasks and runs none of them."""
+
+    def __init__(self) -> None:
+        self.submitted = 0
+
+    def submit(self, run, *arguments):
+        self.submitted += 1
+
+
+def make_fleet(clock: ManualClock | None = None, **settings: float) -> Fleet:
+    clock = clock or ManualClock()
+    log = EventLog(HostId("g1"), clock)
+    return Fleet(make_settings(**settings), DIALECT, clock, HeldExecutor(), log, Metrics())
+
+
+def answered(searcher: SearcherId, body: bytes = b"", status: int = 200, latency: float = 10.0):
+    return Answered(searcher, status, (), body, f"s-{searcher}", Millis(latency))
+
+
+class ScriptedSending:
+    """A call on its way whose outcome the script knows."""
+
+    def __init__(self, call: Call, searcher: SearcherId) -> None:
+        self.call = call
+        self.searcher = searcher
+        self.cut = False
+
+    def cancel(self) -> None:
+        self.call.cancelled = True
+        self.cut = True
+
+
+class Script:
+    """Senders and inbox in one: each service has a list of (delay, outcome) in order.
+
+    An outcome is a body, ``"declined"``, ``"lost"``, ``"unsent"``, ``"silent"`` or a status.
+    """
+
+    def __init__(self, plans: dict[str, list[tuple[float, object]]], repeats: int = 100) -> None:
+        self.clock = ManualClock()
+        self.plans = {service: list(plan) for service, plan in plans.items()}
+        self.repeats = repeats
+        self.hedge = Millis(20.0)
+        self.events: list[tuple[float, int, Call]] = []
+        self.sendings: list[ScriptedSending] = []
+        self.leaves_at: float | None = None
+
+    def now(self):
+        return self.clock.now()
+
+    def send(self, call, tried):
+        plan = self.plans[call.service]
+        if not plan:
+            return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service)
+        delay, outcome = plan.pop(0)
+        searcher = SearcherId(f"{call.service}-{len(tried)}")
+        call.started = outcome != "unsent"
+        sending = ScriptedSending(call, searcher)
+        self.sendings.append(sending)
+        call.outcome = self._outcome(searcher, outcome)
+        if outcome != "silent":
+            self.events.append((self.now() + delay, len(self.sendings), call))
+        return sending
+
+    def hedge_delay(self, route):
+        return self.hedge
+
+    def allow_hedge(self, service):
+        return self._spend()
+
+    def allow_retry(self, service):
+        return self._spend()
+
+    def put(self, call):
+        raise AssertionError("the script hands over the outcomes itself")
+
+    def wait(self, until):
+        self.events.sort(key=lambda event: event[:2])
+        next_at = self.events[0][0] if self.events else float("inf")
+        if self.leaves_at is not None and self.leaves_at <= min(next_at, until):
+            self.clock.current = Millis(self.leaves_at)
+            return CallerLeft()
+        if next_at > until:
+            self.clock.current = Millis(max(self.now(), until))
+            return None
+        self.clock.current = Millis(max(self.now(), next_at))
+        return self.events.pop(0)[2]
+
+    def _spend(self) -> bool:
+        self.repeats -= 1
+        return self.repeats >= 0
+
+    def _outcome(self, searcher, outcome):
+        match outcome:
+            case bytes() as body:
+                return answered(searcher, body)
+            case int() as status:
+                return answered(searcher, status=status)
+            case "declined":
+                return Declined(searcher, Reason.SEARCHER_SHED)
+            case "unsent":
+                return Lost(searcher, False, "connect: refused")
+            case _:
+                return Lost(searcher, True, "reset")
--- /dev/null
+++ b/tests/gateway/loopback.py
@@ -0,0 +1,184 @@
+"""A whole gateway on loopback, with searchers that answer as the test says."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import replace
+from threading import Event
+
+from masticgate import Address, Revision
+from masticgate.connection.gateway import Closing
+from masticgate.process.gateway import Changes, Contents, Listed, Published
+from masticgate.process.gateway._gateway import Gateway
+
+from .fakes import DIALECT, make_entry, make_settings, make_table
+
+Answer = Callable[[bytes], bytes | None]
+
+
+def head_value(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b": ")
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def reply_to(head: bytes, body: bytes = b"ok", status: int = 200, extra: bytes = b"") -> bytes:
+    identity = head_value(head, b"x-id")
+    return b"HTTP/1.1 %d X\r\nx-id: %s\r\nx-stamp: s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        identity,
+        extra,
+        len(body),
+        body,
+    )
+
+
+class StandInSearcher:
+    """Serves each connection in a thread; ``answer`` returns bytes, or ``None`` to hang up."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.heads: list[bytes] = []
+        self.hangs_up = False
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            while head := self._read(connection):
+                self.heads.append(head)
+                data = self.answer(head)
+                if data is None:
+                    return
+                connection.sendall(data)
+                if self.hangs_up:
+                    return
+
+    def _read(self, connection: socket.socket) -> bytes:
+        data = b""
+        try:
+            while b"\r\n\r\n" not in data:
+                chunk = connection.recv(65536)
+                if not chunk:
+                    return b""
+                data += chunk
+            head, _, body = data.partition(b"\r\n\r\n")
+            length = int(head_value(head, b"content-length") or 0)
+            while len(body) < length:
+                body += connection.recv(65536)
+        except OSError:
+            return b""
+        return head + b"\r\n\r\n" + body
+
+
+class HangingSearcher(StandInSearcher):
+    """Never answers, and notes when a connection with a request was closed."""
+
+    def __init__(self) -> None:
+        self.asked = Event()
+        self.closed = Event()
+        super().__init__(lambda head: None)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            if not self._read(connection):
+                return
+            self.asked.set()
+            connection.settimeout(5)
+            with suppress(OSError):
+                connection.recv(1)
+            self.closed.set()
+
+
+class FixedSource:
+    """Publishes one table and some searchers, and no change."""
+
+    def __init__(self, table, entries) -> None:
+        self.contents = Contents(
+            (Published(table), *(Listed(entry) for entry in entries)), Revision(1)
+        )
+
+    def read(self):
+        return self.contents
+
+    def watch(self, after, wait):
+        Event().wait(0.2)
+        return Changes((), Revision(1))
+
+
+@contextmanager
+def running_gateway(routes, searchers: dict[str, list[StandInSearcher]]) -> Iterator[Gateway]:
+    entries = [
+        replace(make_entry(f"{service}-{number}", service), address=searcher.address)
+        for service, group in searchers.items()
+        for number, searcher in enumerate(group)
+    ]
+    gateway = Gateway(make_settings(), DIALECT, FixedSource(make_table(*routes), entries))
+    gateway.log.descriptor = -1
+    gateway.start()
+    deadline = Event()
+    while gateway.follower.table is None and not deadline.wait(0.01):
+        pass
+    deadline.wait(0.1)
+    try:
+        yield gateway
+    finally:
+        gateway.stopping.set()
+        gateway.ended.set()
+        gateway.follower.stop()
+        gateway.log.stop()
+        for task in list(gateway.fleet.tasks):
+            task.work.put(Closing())
+        gateway.executor.shutdown(wait=False)
+        for listener in gateway.listeners:
+            listener.stop()
+        for group in searchers.values():
+            for searcher in group:
+                searcher.listener.close()
+
+
+class RawCaller:
+    """One caller's connection, byte by byte."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.socket = socket.create_connection(gateway.callers.socket.getsockname(), timeout=10)
+        self.buffer = b""
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def get(self, path: str = "/a/x", identity: str = "q1", extra: bytes = b"") -> "RawCaller":
+        self.send(
+            b"GET %s HTTP/1.1\r\nHost: host.example\r\nX-Id: %s\r\nX-Patience: 400\r\n%s\r\n"
+            % (path.encode(), identity.encode(), extra)
+        )
+        return self
+
+    def read(self) -> tuple[int, bytes, bytes]:
+        """Return status, head and body of the next answer; status 0 at the end."""
+        while b"\r\n\r\n" not in self.buffer:
+            chunk = self.socket.recv(65536)
+            if not chunk:
+                return 0, b"", b""
+            self.buffer += chunk
+        head, _, rest = self.buffer.partition(b"\r\n\r\n")
+        length = int(head_value(head, b"content-length") or 0)
+        while len(rest) < length:
+            rest += self.socket.recv(65536)
+        self.buffer = rest[length:]
+        return int(head.split(b" ")[1]), head, rest[:length]
+
+    def close(self) -> None:
+        self.socket.close()
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,222 @@
+"""Choice of searchers, their connections and the budget of repeats."""
+
+from masticgate import ManualClock, Millis, Reason, SearcherId, ServiceId
+from masticgate.connection.gateway._searcher_task import Idleness
+from masticgate.process.gateway import SearcherPhase
+from masticgate.process.gateway._replica import ReplicaState
+from masticgate.request.gateway import Call, Declined, Lost
+
+from .fakes import answered, make_entry, make_fleet, make_request, make_route, make_table
+
+ORDERS = ServiceId("orders")
+
+
+def make_call(*, repeat: bool = False) -> Call:
+    return Call(make_request(), make_route(), ORDERS, Millis(400.0), None, repeat)
+
+
+def send(fleet, tried=()):
+    return fleet.send(make_call(), set(tried))
+
+
+def finish(fleet, sending, outcome):
+    sending.call.outcome = outcome
+    fleet.finish(sending.task, sending.call, None)
+
+
+def send_and_finish(fleet, make_outcome):
+    sending = send(fleet)
+    finish(fleet, sending, make_outcome(sending.searcher))
+    return sending.searcher
+
+
+class TestChoice:
+    def test_nobody_listed_is_not_run(self):
+        assert send(make_fleet()).reason is Reason.NO_SEARCHER
+
+    def test_the_own_domain_is_preferred_while_equal(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("far", domain="z2"))
+        fleet.list_searcher(make_entry("near", domain="z1"))
+        assert send(fleet).searcher == "near"
+
+    def test_a_busy_searcher_is_left_for_another(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("far", domain="z2"))
+        fleet.list_searcher(make_entry("near", domain="z1"))
+        chosen = [send(fleet).searcher for _ in range(4)]
+        assert set(chosen) == {"near", "far"}
+
+    def test_a_searcher_is_tried_once_a_request(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        assert send(fleet, tried={SearcherId("a")}).reason is Reason.NO_SEARCHER
+
+    def test_one_that_refuses_most_requests_is_avoided(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("bad", domain="z1"))
+        fleet.list_searcher(make_entry("good", domain="z2"))
+        chosen = [
+            send_and_finish(
+                fleet,
+                lambda s: Declined(s, Reason.SEARCHER_SHED) if s == "bad" else answered(s),
+            )
+            for _ in range(20)
+        ]
+        assert chosen.count(SearcherId("bad")) <= 3
+
+    def test_one_that_refused_is_tried_again_later(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("bad", domain="z1"))
+        fleet.list_searcher(make_entry("good", domain="z2"))
+        for _ in range(3):
+            send_and_finish(
+                fleet,
+                lambda s: Declined(s, Reason.SEARCHER_SHED) if s == "bad" else answered(s),
+            )
+        clock.advance(Millis(20_000.0))
+        assert send(fleet).searcher == "bad"
+
+    def test_failures_in_a_row_eject_until_a_probe_succeeds(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("a"))
+        for _ in range(2):
+            send_and_finish(fleet, lambda s: Lost(s, True, "reset"))
+        assert send(fleet).reason is Reason.NO_SEARCHER
+        clock.advance(Millis(600.0))
+        probe = send(fleet)
+        assert send(fleet).reason is Reason.NO_SEARCHER
+        finish(fleet, probe, answered(probe.searcher))
+        assert send(fleet).searcher == "a"
+
+    def test_a_cancelled_send_is_no_failure(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        for _ in range(5):
+            sending = send(fleet)
+            sending.call.cancelled = True
+            finish(fleet, sending, Lost(sending.searcher, True, "closed"))
+        assert send(fleet).searcher == "a"
+
+
+class TestLeaving:
+    def test_one_that_drains_is_a_last_resort_for_half_of_the_drain_time(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("a"))
+        fleet.list_searcher(make_entry("b", domain="z2"))
+        fleet.list_searcher(make_entry("a", phase=SearcherPhase.DRAINING))
+        assert send(fleet).searcher == "b"
+        assert send(fleet, tried={SearcherId("b")}).searcher == "a"
+        clock.advance(Millis(1_501.0))
+        assert send(fleet, tried={SearcherId("b")}).reason is Reason.NO_SEARCHER
+
+    def test_a_changed_listing_of_a_forgotten_drained_searcher_does_not_bring_it_back(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("a"))
+        fleet.list_searcher(make_entry("a", phase=SearcherPhase.DRAINING))
+        clock.advance(Millis(2_000.0))
+        fleet.sweep()
+        fleet.list_searcher(make_entry("a", phase=SearcherPhase.DRAINING))
+        assert send(fleet).reason is Reason.NO_SEARCHER
+        fleet.list_searcher(make_entry("a", phase=SearcherPhase.READY))
+        assert send(fleet).reason is Reason.NO_SEARCHER
+
+    def test_the_same_id_started_again_is_another_searcher(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("a"))
+        fleet.list_searcher(make_entry("a", phase=SearcherPhase.DRAINING))
+        clock.advance(Millis(2_000.0))
+        fleet.sweep()
+        fleet.list_searcher(make_entry("a", born=2))
+        assert send(fleet).searcher == "a"
+
+    def test_a_listing_of_an_earlier_start_is_ignored(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a", born=5))
+        fleet.list_searcher(make_entry("a", born=3, phase=SearcherPhase.DRAINING))
+        assert send(fleet).searcher == "a"
+
+    def test_one_that_was_unlisted_comes_back_with_its_listing(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.list_searcher(make_entry("a"))
+        fleet.unlist_searcher(SearcherId("a"), "unlisted")
+        clock.advance(Millis(2_000.0))
+        assert send(fleet).reason is Reason.NO_SEARCHER
+        fleet.list_searcher(make_entry("a"))
+        assert send(fleet).searcher == "a"
+
+    def test_another_searcher_at_its_address_ends_its_use(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        send_and_finish(fleet, lambda s: Declined(s, Reason.NO_SEARCHER))
+        assert send(fleet).reason is Reason.NO_SEARCHER
+
+
+class TestConnections:
+    def test_a_finished_connection_is_used_again(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        assert send(fleet).task is first.task
+
+    def test_no_more_connections_than_the_share_of_this_gateway(self):
+        fleet = make_fleet()
+        fleet.apply_table(make_table(make_route()))
+        fleet.list_searcher(make_entry("a"))
+        sent = [send(fleet) for _ in range(3)]
+        assert len({sending.task for sending in sent}) == 3
+        assert send(fleet).reason is Reason.OVERLOAD
+
+    def test_an_idle_connection_that_was_just_given_work_stays(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        again = send(fleet)
+        assert again.task is first.task
+        assert fleet.idle_expired(first.task) is Idleness.BUSY
+
+    def test_connections_of_a_forgotten_searcher_are_counted_out(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        old = send(fleet)
+        fleet.list_searcher(make_entry("a", born=2))
+        finish(fleet, old, answered(old.searcher))
+        fleet.ended(old.task)
+        replica = fleet.replicas[SearcherId("a")]
+        assert (replica.tasks, replica.in_flight) == (0, 0)
+        assert replica.state is ReplicaState.ACTIVE
+
+
+class TestRepeats:
+    def test_the_repeats_of_all_gateways_stay_within_the_bounds(self):
+        fleet = make_fleet(ratio=0.2, slack=52.0)
+        requests = 300
+        spent = 0
+        for _ in range(requests):
+            fleet._budget(ORDERS).earn()
+            spent += fleet.allow_retry(ORDERS)
+            spent += fleet.allow_hedge(ORDERS)
+        assert spent <= 0.2 * requests + 52.0 / 8
+
+    def test_hedges_leave_a_reserve_for_retries(self):
+        fleet = make_fleet()
+        while fleet.allow_hedge(ORDERS):
+            pass
+        assert fleet.allow_retry(ORDERS)
+
+    def test_the_hedge_delay_follows_the_latencies_of_the_route(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        route = make_route()
+        assert fleet.hedge_delay(route) == 25.0
+        for _ in range(50):
+            send_and_finish(fleet, lambda s: answered(s, latency=10.0))
+        assert fleet.hedge_delay(route) == 12.0
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,153 @@
+"""What a gateway makes of what the platform publishes."""
+
+from masticgate import ManualClock, Millis, Revision, SearcherId, ServiceId
+from masticgate._ids import HostId
+from masticgate.process.gateway import (
+    Changes,
+    Contents,
+    HistoryGone,
+    Listed,
+    Published,
+    Unavailable,
+    Unlisted,
+    Unreadable,
+)
+from masticgate.process.gateway._follower import Follower
+from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._metrics import Metrics
+from masticgate.request.gateway import Call
+
+from .fakes import make_entry, make_fleet, make_request, make_route, make_table
+
+ROUTE = make_route()
+
+
+class ScriptedSource:
+    """Answers reads and watches in order; the clock moves on before each answer."""
+
+    def __init__(self, clock: ManualClock, *answers: tuple[float, object]) -> None:
+        self.clock = clock
+        self.answers = list(answers)
+        self.follower: Follower | None = None
+        self.asked: list[str] = []
+
+    def read(self):
+        return self._next("read")
+
+    def watch(self, after, wait):
+        return self._next(f"watch {after}")
+
+    def _next(self, asked):
+        self.asked.append(asked)
+        if not self.answers:
+            self.follower.stop()
+            return Unavailable("the script ended")
+        wait, answer = self.answers.pop(0)
+        self.clock.advance(Millis(wait))
+        return answer
+
+
+def follow(*answers: tuple[float, object]):
+    clock = ManualClock()
+    fleet = make_fleet(clock)
+    source = ScriptedSource(clock, *answers)
+    follower = Follower(source, fleet, clock, EventLog(HostId("g"), clock), Metrics())
+    follower.stopping.wait = lambda timeout=None: False
+    source.follower = follower
+    follower.run()
+    return follower, fleet, source
+
+
+def contents(*changes, revision: int = 1):
+    return Contents(changes, Revision(revision))
+
+
+def changes(revision: int, *items):
+    return Changes(items, Revision(revision))
+
+
+def is_used(fleet, searcher: str) -> bool:
+    call = Call(make_request(), ROUTE, ServiceId("orders"), Millis(1e9), None)
+    others = {known for known in fleet.replicas if known != searcher}
+    return getattr(fleet.send(call, others), "searcher", None) == searcher
+
+
+class TestConfiguration:
+    def test_a_later_version_is_taken(self):
+        one, two = make_table(ROUTE, version=1), make_table(ROUTE, version=7)
+        follower, _, _ = follow((0, contents(Published(one))), (1, changes(2, Published(two))))
+        assert follower.table is two
+
+    def test_an_earlier_version_never_comes_back(self):
+        one, two = make_table(ROUTE, version=1), make_table(ROUTE, version=7)
+        follower, _, _ = follow(
+            (0, contents(Published(two))),
+            (1, HistoryGone()),
+            (1, contents(Published(one), revision=9)),
+        )
+        assert follower.table is two
+
+    def test_what_cannot_be_read_changes_nothing(self):
+        one = make_table(ROUTE, version=1)
+        follower, _, _ = follow(
+            (0, contents(Published(one))), (1, changes(2, Unreadable("op/config", "no version")))
+        )
+        assert follower.table is one
+
+    def test_it_is_kept_while_the_platform_is_away(self):
+        one = make_table(ROUTE, version=1)
+        follower, _, source = follow(
+            (0, contents(Published(one), revision=4)),
+            (3_000, Unavailable("timed out")),
+            (3_000, Unavailable("timed out")),
+        )
+        assert follower.table is one
+        assert source.asked[1:] == ["watch 4", "watch 4", "watch 4"]
+
+
+class TestSearchers:
+    def test_a_removed_listing_ends_its_use(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")))),
+            (1, changes(2, Unlisted(SearcherId("a")))),
+            (2_000, changes(2)),
+        )
+        assert not is_used(fleet, "a")
+
+    def test_one_missing_after_the_history_was_lost_is_gone(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")), Listed(make_entry("b")))),
+            (1, HistoryGone()),
+            (1, contents(Listed(make_entry("b")), revision=9)),
+            (2_000, changes(9)),
+        )
+        assert not is_used(fleet, "a")
+        assert is_used(fleet, "b")
+
+    def test_listings_that_lapsed_with_the_platform_are_held_until_they_are_back(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            (10, changes(5, Unlisted(SearcherId("a")))),
+            (1_000, changes(6)),
+        )
+        assert is_used(fleet, "a")
+
+    def test_a_listing_that_is_not_back_in_time_ends_its_use(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            (10, changes(5, Unlisted(SearcherId("a")))),
+            (2_500, changes(6)),
+            (2_000, changes(6)),
+        )
+        assert not is_used(fleet, "a")
+
+    def test_an_unreadable_listing_names_no_searcher_and_the_others_hold(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")), Listed(make_entry("b")))),
+            (1, changes(2, Unreadable("servers/a", "no slots", SearcherId("a")))),
+            (2_000, changes(2)),
+        )
+        assert not is_used(fleet, "a")
+        assert is_used(fleet, "b")
--- /dev/null
+++ b/tests/gateway/test_whole_gateway.py
@@ -0,0 +1,243 @@
+"""A gateway from its callers' sockets to its searchers'."""
+
+import time
+
+import pytest
+
+from masticgate import ServiceId
+from masticgate.version.gateway import Kind, OneService, Shards
+
+from .fakes import make_route
+from .loopback import (
+    HangingSearcher,
+    RawCaller,
+    StandInSearcher,
+    head_value,
+    reply_to,
+    running_gateway,
+)
+
+ORDERS = OneService(ServiceId("orders"))
+
+
+def record(number: int) -> bytes:
+    return number.to_bytes(16, "big")
+
+
+def gateway_over(answer, count: int = 1, kind: Kind = Kind.IDEMPOTENT):
+    searchers = [StandInSearcher(answer) for _ in range(count)]
+    return searchers, running_gateway([make_route(ORDERS, kind)], {"orders": searchers})
+
+
+class TestForwarding:
+    def test_a_request_reaches_the_searcher_as_it_was_sent(self):
+        searchers, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.get("/a/x?q=1", extra=b"X-Other: 7\r\nConnection: keep-alive\r\n")
+            status, head, body = caller.read()
+        assert (status, body) == (200, b"ok")
+        assert head_value(head, b"x-stamp") == b"s"
+        sent = searchers[0].heads[-1]
+        assert sent.startswith(b"GET /a/x?q=1 HTTP/1.1\r\n")
+        assert head_value(sent, b"host") == b"host.example"
+        assert head_value(sent, b"x-id") == b"q1"
+        assert head_value(sent, b"x-other") == b"7"
+        assert head_value(sent, b"x-expected") == b"orders-0"
+        assert 0 < int(head_value(sent, b"x-patience")) <= 400
+        assert b"connection" not in sent.lower()
+
+    def test_a_chunked_body_is_passed_on_whole(self):
+        searchers, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.send(
+                b"POST /a/x HTTP/1.1\r\nHost: host.example\r\nX-Id: q\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            assert caller.read()[0] == 200
+        assert searchers[0].heads[-1].endswith(b"\r\n\r\nabcde")
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        _, running = gateway_over(lambda head: reply_to(head, head_value(head, b"x-id")))
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.get(identity="one").get(identity="two")
+            assert [caller.read()[2] for _ in range(2)] == [b"one", b"two"]
+
+    def test_an_unknown_path_is_not_found(self):
+        _, running = gateway_over(reply_to)
+        with running as gateway:
+            assert RawCaller(gateway).get("/other/").read()[0] == 404
+
+
+class TestSearcherAnswers:
+    def test_a_late_answer_to_another_request_is_skipped(self):
+        def answer(head):
+            other = reply_to(head.replace(b"q1", b"q0"), b"of another request")
+            return other + reply_to(head, b"mine")
+
+        _, running = gateway_over(answer)
+        with running as gateway:
+            assert RawCaller(gateway).get().read()[2] == b"mine"
+
+    def test_bytes_after_an_answer_reach_nobody(self):
+        _, running = gateway_over(lambda head: reply_to(head) + reply_to(head, b"again"))
+        with running as gateway:
+            caller = RawCaller(gateway)
+            for number in range(3):
+                assert caller.get(identity=f"q{number}").read()[2] == b"ok"
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        def unframed(head):
+            return b"HTTP/1.1 200 X\r\nx-id: q1\r\nx-stamp: s\r\n\r\nuntil the end"
+
+        searchers, running = gateway_over(unframed)
+        searchers[0].hangs_up = True
+        with running as gateway:
+            assert RawCaller(gateway).get().read()[2] == b"until the end"
+
+    @pytest.mark.parametrize(
+        "data", [b"garbage\r\n\r\n", b"HTTP/1.1 200 X\r\nx-id: q1\r\nContent-Length: 9\r\n\r\nhalf"]
+    )
+    def test_a_spoilt_answer_is_no_success(self, data):
+        sent = []
+
+        def answer(head):
+            sent.append(head)
+            return data if len(sent) == 1 else None
+
+        searchers, running = gateway_over(answer, kind=Kind.NON_IDEMPOTENT)
+        searchers[0].answer = answer
+        with running as gateway:
+            status = RawCaller(gateway).get().read()[0]
+        assert status in (502, 504)
+
+    def test_a_success_without_a_stamp_is_not_passed_on(self):
+        _, running = gateway_over(
+            lambda head: b"HTTP/1.1 200 X\r\nx-id: q1\r\nContent-Length: 2\r\n\r\nno",
+            kind=Kind.NON_IDEMPOTENT,
+        )
+        with running as gateway:
+            assert RawCaller(gateway).get().read()[0] == 502
+
+
+class TestQueries:
+    def test_the_parts_of_all_shards_are_merged(self):
+        shards = Shards((ServiceId("s1"), ServiceId("s2")), 2, 0.5)
+        searchers = {
+            "s1": [StandInSearcher(lambda head: reply_to(head, record(3) + record(1)))],
+            "s2": [StandInSearcher(lambda head: reply_to(head, record(2)))],
+        }
+        with running_gateway([make_route(shards)], searchers) as gateway:
+            status, head, body = RawCaller(gateway).get().read()
+        assert (status, body) == (200, record(3) + record(2))
+        assert head_value(head, b"x-stamps") == b"s, s"
+        assert head_value(head, b"x-missing") == b"0"
+
+    def test_a_paused_searcher_is_hedged(self):
+        def paused(head):
+            time.sleep(0.3)
+            return reply_to(head, record(1))
+
+        shards = Shards((ServiceId("s1"),), 2, 0.5)
+        searchers = {
+            "s1": [StandInSearcher(paused), StandInSearcher(lambda h: reply_to(h, record(1)))]
+        }
+        with running_gateway([make_route(shards)], searchers) as gateway:
+            began = time.monotonic()
+            assert RawCaller(gateway).get().read()[0] == 200
+            assert time.monotonic() - began < 0.25
+
+
+class TestCallersThatLeave:
+    def test_the_searchers_connection_is_cut_at_once(self):
+        searcher = HangingSearcher()
+        with running_gateway([make_route(ORDERS)], {"orders": [searcher]}) as gateway:
+            caller = RawCaller(gateway).get()
+            assert searcher.asked.wait(5)
+            caller.close()
+            assert searcher.closed.wait(0.3)
+
+
+class TestWhatIsRefused:
+    @pytest.mark.parametrize(
+        "request_bytes",
+        [
+            b"GET /a/ HTTP/1.1\r\nX-Id: q\r\n\r\n",
+            b"GET /a/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+            b"GET /a/ HTTP/1.1\r\nHost : host.example\r\n\r\n",
+            b"GET /a/ HTTP/1.1\r\nHost: host.example\r\n folded: x\r\n\r\n",
+            b"POST /a/ HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST /a/ HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nx",
+            b"POST /a/ HTTP/1.1\r\nHost: host.example\r\nContent-Length: -1\r\n\r\n",
+            b"POST /a/ HTTP/1.1\r\nHost: host.example\r\nContent-Length: +1\r\n\r\nx",
+            b"nonsense\r\n\r\n",
+        ],
+    )
+    def test_a_malformed_request_is_refused_and_the_connection_ends(self, request_bytes):
+        searchers, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.send(request_bytes)
+            assert caller.read()[0] == 400
+            assert caller.read()[0] == 0
+        assert not searchers[0].heads
+
+    @pytest.mark.parametrize(
+        ("head", "status"),
+        [
+            (b"X-Long: " + b"x" * 20_000 + b"\r\n", 431),
+            (b"Content-Length: 9999999\r\n", 413),
+        ],
+    )
+    def test_a_request_over_the_limits_is_refused(self, head, status):
+        _, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.send(b"POST /a/ HTTP/1.1\r\nHost: host.example\r\nX-Id: q\r\n" + head + b"\r\n")
+            assert caller.read()[0] == status
+
+
+class TestStopping:
+    def test_a_stopping_gateway_is_not_ready_and_still_answers(self):
+        _, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            assert caller.get().read()[0] == 200
+            gateway.stopping.set()
+            status, head, _ = caller.get().read()
+            assert status == 200
+            assert head_value(head, b"connection") == b"close"
+            assert gateway._ready_page(None, None).status == 503
+
+    def test_idle_connections_end_when_asked_and_busy_ones_do_not(self):
+        _, running = gateway_over(lambda head: time.sleep(0.1) or reply_to(head))
+        with running as gateway:
+            idle, busy = RawCaller(gateway), RawCaller(gateway)
+            busy.get()
+            time.sleep(0.05)
+            gateway.callers.close_idle()
+            assert idle.read()[0] == 0
+            assert busy.read()[0] == 200
+
+
+class TestStrangers:
+    def test_half_requests_do_not_keep_out_a_caller_and_their_tasks_end(self):
+        _, running = gateway_over(reply_to)
+        with running as gateway:
+            gateway.callers.most = 50
+            strangers = [RawCaller(gateway) for _ in range(80)]
+            for stranger in strangers:
+                stranger.send(b"GET /a/ HTTP/1.1\r\nHost: h")
+            began = time.monotonic()
+            assert RawCaller(gateway).get().read()[0] == 200
+            assert time.monotonic() - began < 0.23
+            for stranger in strangers:
+                stranger.close()
+            deadline = time.monotonic() + 5
+            while len(gateway.callers.callers) > 2 and time.monotonic() < deadline:
+                time.sleep(0.02)
+            assert len(gateway.callers.callers) <= 2
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,162 @@
+"""Decoding of what the platform's store holds."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticgate.platform._items import decode_item
+from masticgate.process.gateway import Listed, Published, SearcherPhase, Unlisted, Unreadable
+from masticgate.version.gateway import Kind, OneService, Shards, Split
+
+ENTRY = {
+    "service": "huvo",
+    "address": "10.128.0.9:8080",
+    "zone": "tvm",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1772450980024,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "hostname": "a.example",
+            "prefix": "/x/",
+            "type": "idempotent",
+            "timeoutMs": 250,
+            "targetLatencyMs": 44,
+            "priority": 0,
+            "fanoutServices": ["s1", "s2"],
+            "maxAttempts": 2,
+            "topK": 5,
+            "minShardRatio": 0.75,
+        },
+        {
+            "name": "r2",
+            "hostname": "a.example",
+            "prefix": "/x/y/",
+            "type": "non_idempotent",
+            "service": "s3",
+        },
+        {
+            "name": "r3",
+            "hostname": "a.example",
+            "prefix": "/z/",
+            "type": "idempotent",
+            "trafficSplit": [{"service": "s3", "weight": 3}, {"service": "s4", "weight": 1}],
+        },
+    ],
+    "services": [{"name": "s1", "maxConnections": 25}, {"name": "s3"}],
+    "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 15000},
+}
+
+
+def item(key: str, value, **more):
+    text = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return {"key": key, "value": base64.b64encode(text).decode(), "revision": 5, **more}
+
+
+class TestEntries:
+    def test_a_searcher(self):
+        change = decode_item(item("servers/i-1", ENTRY))
+        assert isinstance(change, Listed)
+        entry = change.entry
+        assert (entry.id, entry.service, entry.address) == ("i-1", "huvo", "10.128.0.9:8080")
+        assert (entry.slots, entry.phase, entry.born) == (2, SearcherPhase.READY, 1772450980024)
+
+    def test_a_removed_searcher(self):
+        change = decode_item({"key": "servers/i-1", "revision": 6, "removed": True})
+        assert change == Unlisted("i-1")
+
+    @pytest.mark.parametrize("name", [name for name in ENTRY if name != "born"])
+    def test_a_missing_field_names_no_searcher(self, name):
+        entry = {key: value for key, value in ENTRY.items() if key != name}
+        change = decode_item(item("servers/i-1", entry))
+        assert isinstance(change, Unreadable) and change.searcher == "i-1"
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("slots", "2"),
+            ("slots", True),
+            ("slots", 0),
+            ("state", "sleeping"),
+            ("address", "example:80"),
+            ("address", "10.0.0.1:x"),
+            ("address", "10.0.0.1:0"),
+            ("born", 1.5),
+            ("coldRemainingMs", None),
+            ("sequence", "4"),
+            ("service", ""),
+        ],
+    )
+    def test_a_field_of_another_type_names_no_searcher(self, name, value):
+        change = decode_item(item("servers/i-1", ENTRY | {name: value}))
+        assert isinstance(change, Unreadable)
+
+    def test_unknown_fields_are_ignored(self):
+        assert isinstance(decode_item(item("servers/i-1", ENTRY | {"new": []})), Listed)
+
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_decoded_or_unreadable(self, data):
+        assert isinstance(decode_item(item("servers/i-1", data)), Unreadable)
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+            lambda inner: st.lists(inner, max_size=3)
+            | st.dictionaries(st.sampled_from(["key", "value", "removed", "x"]), inner, max_size=3),
+            max_leaves=8,
+        )
+    )
+    def test_any_item_is_decoded_without_an_error(self, value):
+        decode_item(value)
+
+
+class TestConfiguration:
+    def test_routes_of_each_target(self):
+        change = decode_item(item("op/config", CONFIG))
+        assert isinstance(change, Published)
+        table = change.table
+        shards, one, split = table.routes
+        assert shards.target == Shards(("s1", "s2"), 5, 0.75)
+        assert (shards.kind, shards.attempts, shards.timeout, shards.objective, shards.rank) == (
+            Kind.IDEMPOTENT,
+            2,
+            250.0,
+            44.0,
+            0,
+        )
+        assert one.target == OneService("s3") and one.kind is Kind.NON_IDEMPOTENT
+        assert isinstance(split.target, Split)
+        assert table.services["s1"].connections == 25
+        assert table.limits.header_bytes == 100
+
+    def test_the_longest_prefix_wins(self):
+        table = decode_item(item("op/config", CONFIG)).table
+        assert table.find("A.example", "/x/y/z").id == "r2"
+        assert table.find("a.example", "/x/z").id == "r1"
+        assert table.find("a.example", "/x") is None
+        assert table.find("b.example", "/x/") is None
+
+    @pytest.mark.parametrize("name", ["version", "routes", "services", "limits"])
+    def test_a_missing_part_changes_nothing(self, name):
+        config = {key: value for key, value in CONFIG.items() if key != name}
+        assert isinstance(decode_item(item("op/config", config)), Unreadable)
+
+    def test_other_keys_are_of_no_concern(self):
+        assert decode_item(item("op/other", CONFIG)) is None
+
+    @given(
+        st.sampled_from(["version", "routes", "services", "limits"]),
+        st.none() | st.integers() | st.text(max_size=3) | st.lists(st.integers(), max_size=2),
+    )
+    def test_a_part_of_another_type_raises_nothing(self, name, value):
+        decode_item(item("op/config", CONFIG | {name: value}))
--- /dev/null
+++ b/tests/platform/test_node_file.py
@@ -0,0 +1,48 @@
+"""The settings file that the platform writes."""
+
+import pytest
+
+from masticgate.platform._node_file import BadNodeFile, read_node_file
+
+TEXT = """
+nodeName = "front-tvm-1"
+ip = "10.1.0.9"
+zone = "tvm"
+unknown = [1]
+[bindAddresses]
+front = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+[bounds]
+drainMs = 3000
+graceS = 6
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 52
+[platform]
+address = "10.200.1.7:8102"
+"""
+
+
+class TestNodeFile:
+    def test_it_becomes_the_settings_of_a_gateway(self, tmp_path):
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT)
+        settings = read_node_file(path, 9464)
+        assert (settings.host, settings.domain) == ("front-tvm-1", "tvm")
+        assert settings.callers == "10.1.0.9:8104"
+        assert settings.metrics == "10.1.0.9:9464"
+        assert (settings.grace, settings.drain) == (6000.0, 3000.0)
+        assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 52.0)
+
+    @pytest.mark.parametrize("missing", ["nodeName", "zone", "graceS", "address", "front"])
+    def test_a_missing_field_is_named(self, tmp_path, missing):
+        path = tmp_path / "local.toml"
+        lines = [line for line in TEXT.splitlines() if not line.startswith(missing)]
+        path.write_text("\n".join(lines))
+        bad = read_node_file(path, None)
+        assert isinstance(bad, BadNodeFile) and missing in bad.detail
+
+    def test_a_file_that_is_missing_or_no_toml_is_refused(self, tmp_path):
+        assert isinstance(read_node_file(tmp_path / "none", None), BadNodeFile)
+        (tmp_path / "bad").write_text("= [")
+        assert isinstance(read_node_file(tmp_path / "bad", None), BadNodeFile)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,72 @@
+"""The client of the platform's store, against a store of the test's own."""
+
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from masticgate import Millis, Revision, SystemClock
+from masticgate.platform._store import Store
+from masticgate.process.gateway import Changes, Contents, HistoryGone, Unavailable
+from tests.gateway.loopback import StandInSearcher
+
+from .test_items import CONFIG, ENTRY
+
+
+def http(status: int, body: object) -> bytes:
+    data = json.dumps(body).encode()
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(data), data)
+
+
+def stored(key: str, value: object) -> dict:
+    return {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+
+
+def query_of(head: bytes) -> dict[str, str]:
+    target = head.split(b" ")[1].decode()
+    return {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
+
+
+def make_store(answer) -> tuple[StandInSearcher, Store]:
+    server = StandInSearcher(answer)
+    return server, Store(server.address, SystemClock())
+
+
+class TestRead:
+    def test_all_pages_are_read_and_changes_follow_from_the_first(self):
+        def answer(head):
+            if "after" in query_of(head):
+                return http(200, {"items": [stored("servers/b", ENTRY)], "currentRev": 9})
+            page = [stored("op/config", CONFIG), stored("servers/a", ENTRY)]
+            return http(200, {"items": page, "hasMore": True, "currentRev": 7})
+
+        server, store = make_store(answer)
+        contents = store.read()
+        assert isinstance(contents, Contents)
+        assert (len(contents.changes), contents.revision) == (3, 7)
+        assert query_of(server.heads[1])["after"] == "servers/a"
+
+    def test_a_refusal_and_a_cut_are_unavailable(self):
+        assert isinstance(make_store(lambda head: http(503, {}))[1].read(), Unavailable)
+        assert isinstance(make_store(lambda head: None)[1].read(), Unavailable)
+        assert isinstance(make_store(lambda head: http(200, []))[1].read(), Unavailable)
+
+
+class TestWatch:
+    def test_events_and_the_next_revision(self):
+        event = {"key": "servers/a", "revision": 8, "removed": True}
+        server, store = make_store(lambda head: http(200, {"events": [event], "currentRev": 8}))
+        changes = store.watch(Revision(7), Millis(50.0))
+        assert isinstance(changes, Changes)
+        assert (len(changes.changes), changes.revision) == (1, 8)
+        asked = query_of(server.heads[0])
+        assert (asked["after"], asked["waitMs"]) == ("7", "50")
+
+    def test_lost_history(self):
+        store = make_store(lambda head: http(410, {}))[1]
+        assert store.watch(Revision(7), Millis(50.0)) == HistoryGone()
+
+    def test_a_lost_answer_ends_the_connection_and_the_next_call_opens_another(self):
+        answers = [None, http(200, {"events": [], "currentRev": 8})]
+        store = make_store(lambda head: answers.pop(0))[1]
+        assert isinstance(store.watch(Revision(7), Millis(50.0)), Unavailable)
+        assert isinstance(store.watch(Revision(7), Millis(50.0)), Changes)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,6 +1,9 @@
 """Decisions stay apart from the encoding of messages."""
 
 import ast
+import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -8,6 +11,12 @@
 PACKAGE = Path(__file__).resolve().parents[1] / "src" / "masticgate"
 WIRE = {"capnp", "http", "pycurl", "socket", "werkzeug"}
 ASSEMBLY = {"_server.py", "server.py", "commands.py"}
+HEAVY = {"capnp", "click", "logbook", "pycurl", "pydantic", "tree_sitter", "werkzeug"}
+PLATFORM_NAMES = re.compile(
+    r"x-masticgate|fanoutServices|minShardRatio|kv-watch|kv-range|coldRemainingMs|trafficSplit"
+    r"|masticgate\.platform",
+    re.IGNORECASE,
+)
 
 
 def imported_modules(path: Path) -> set[str]:
@@ -21,7 +30,7 @@
 
 
 def sources(folder: str) -> list[Path]:
-    return sorted((PACKAGE / folder).glob("*.py"))
+    return sorted((PACKAGE / folder).rglob("*.py"))
 
 
 class TestImports:
@@ -44,3 +53,21 @@
             if module.startswith(("..request.", "..version.", "..process."))
         }
         assert not private
+
+    def test_only_the_adapter_knows_the_platforms_names(self):
+        others = [path for path in sources(".") if "platform" not in path.parts]
+        named = [path for path in others if PLATFORM_NAMES.search(path.read_text("utf-8"))]
+        assert not named
+
+    @pytest.mark.parametrize("path", sources("platform"), ids=str)
+    def test_the_adapter_holds_no_task_and_no_lock(self, path):
+        tops = {module.split(".")[0] for module in imported_modules(path)}
+        assert not tops & {"threading", "concurrent", "random", "heapq"}
+
+    def test_a_gateway_loads_no_library_that_it_does_not_need(self):
+        code = "import sys, masticgate.platform._serve; print(*sys.modules)"
+        loaded = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        )
+        tops = {name.split(".")[0] for name in loaded.stdout.split()}
+        assert not tops & HEAVY
