--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -7,6 +7,8 @@
 from ._client import HttpResponse as HttpResponse
 from ._client import NoReply as NoReply
 from ._dialect import Dialect as Dialect
+from ._dialect import peer_dialect as peer_dialect
+from ._encoding import read_missing as read_missing
 from ._listener import Listener as Listener
 from ._searcher_task import Closing as Closing
 from ._searcher_task import SearcherTask as SearcherTask
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -3,16 +3,16 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import Millis, RequestId
+from ..._ids import ConfigurationVersion, Millis, RequestId
 from ...request.gateway import Abandoned, Inbox, Refused, Reply, Request
 from ...version.gateway import Limits
-from ._dialect import Dialect
-from ._encoding import encode_reply
+from ._dialect import TABLE_VERSION, Dialect
+from ._encoding import encode_peer_reply, encode_reply
 from ._inbox import Link, RequestInbox
 from ._parser import (
     Malformed,
@@ -36,7 +36,8 @@
 class CallerSettings:
     """What the connections of one listener share.
 
-    ``closing`` tells whether answers announce the end of their connection.
+    ``closing`` tells whether answers announce the end of their connection. ``between_gateways``
+    is set where the callers are gateways; their requests began ``head_start`` earlier.
     """
 
     handler: Handler
@@ -44,6 +45,8 @@
     clock: Clock
     limits: Callable[[], Limits]
     closing: Callable[[], bool]
+    between_gateways: bool = False
+    head_start: Millis = Millis(0.0)
 
 
 class CallerState(Enum):
@@ -90,20 +93,31 @@
 
     def _serve(self, parsed: ParsedRequest, link: Link) -> bool:
         """Answer one request; return ``False`` where the connection has to end."""
-        request = decode_request(parsed, self.settings.dialect, self.clock.now())
+        arrived = Millis(self.clock.now() - self.settings.head_start)
+        request = decode_request(parsed, self.settings.dialect, arrived)
         if isinstance(request, Refused):
             self._write(request, close=True)
             return False
+        if not self.settings.between_gateways:
+            request = replace(request, version=None)
         reply = self.settings.handler(request, RequestInbox(link))
         if isinstance(reply, Abandoned):
             return False
         close = not parsed.keep_alive or self.settings.closing()
-        return self._write(reply, close=close) and not close
+        dialect = self.settings.dialect
+        if self.settings.between_gateways:
+            data = encode_peer_reply(reply, dialect, request, close=close)
+        else:
+            data = encode_reply(reply, dialect, close=close)
+        return self._send(data) and not close
 
     def _write(self, reply: Reply, *, close: bool) -> bool:
+        return self._send(encode_reply(reply, self.settings.dialect, close=close))
+
+    def _send(self, data: bytes) -> bool:
         try:
             self.connection.settimeout(WRITE_TIMEOUT / MILLIS_PER_SECOND)
-            self.connection.sendall(encode_reply(reply, self.settings.dialect, close=close))
+            self.connection.sendall(data)
         except OSError:
             return False
         return True
@@ -174,16 +188,19 @@
         return _refuse(400, Reason.BAD_REQUEST, "one Host header is needed")
     if not parsed.target.startswith(b"/"):
         return _refuse(400, Reason.BAD_REQUEST, "a path is needed")
+    version = find_header(parsed.headers, TABLE_VERSION)
+    own = (dialect.expected_searcher, TABLE_VERSION)
     host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
     return Request(
         RequestId((find_header(parsed.headers, dialect.request_id) or b"").decode("latin-1")),
         parsed.method,
         parsed.target,
         host,
-        end_to_end(parsed.headers),
+        tuple(h for h in end_to_end(parsed.headers) if h[0].lower() not in own),
         parsed.body,
         _read_millis(find_header(parsed.headers, dialect.patience)),
         now,
+        ConfigurationVersion(int(version)) if version and version.isdigit() else None,
     )
 
 
--- a/src/masticgate/connection/gateway/_dialect.py
+++ b/src/masticgate/connection/gateway/_dialect.py
@@ -1,6 +1,6 @@
 """The header names that a deployment gives to what a gateway and its neighbours say."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,3 +19,27 @@
     not_run: bytes
     included_stamps: bytes
     missing_shards: bytes
+
+
+TABLE_VERSION = b"x-gateway-version"
+"""Between gateways: the version of the configuration to serve a query by."""
+
+MISSING_SHARDS = b"x-gateway-missing"
+"""Between gateways: how many shards an answer leaves out."""
+
+
+def peer_dialect(dialect: Dialect) -> Dialect:
+    """Return the names that gateways use among each other.
+
+    The included stamps stand where a searcher's own stamp does: an answer without any part is no
+    success.
+    """
+    return replace(
+        dialect,
+        stamp=b"x-gateway-stamps",
+        expected_searcher=b"x-gateway-host",
+        load=b"x-gateway-load",
+        not_run=b"x-gateway-not-run",
+        included_stamps=b"x-gateway-stamps",
+        missing_shards=MISSING_SHARDS,
+    )
--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -6,6 +6,7 @@
 from ..._failures import describe
 from ..._ids import Millis, SearcherId
 from ...request.gateway import (
+    Answered,
     Failed,
     Merged,
     Plain,
@@ -15,8 +16,8 @@
     Request,
 )
 from ...request.gateway._exchange import Header
-from ._dialect import Dialect
-from ._parser import end_to_end
+from ._dialect import MISSING_SHARDS, TABLE_VERSION, Dialect
+from ._parser import end_to_end, find_header
 
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -24,6 +25,15 @@
 }
 
 
+def encode_peer_reply(reply: Reply, dialect: Dialect, request: Request, *, close: bool) -> bytes:
+    """Return the bytes of ``reply`` to another gateway, which needs the request's id in it."""
+    head, _, rest = encode_reply(reply, dialect, close=close).partition(b"\r\n")
+    added = b"%s: %s\r\n" % (dialect.request_id, request.id.encode("latin-1"))
+    if isinstance(reply, Refused):
+        added += b"%s: 1\r\n" % dialect.not_run
+    return b"%s\r\n%s%s" % (head, added, rest)
+
+
 def encode_reply(reply: Reply, dialect: Dialect, *, close: bool) -> bytes:
     """Return the bytes of ``reply``; ``close`` announces the end of the connection."""
     match reply:
@@ -49,6 +59,11 @@
             return b""
 
 
+def read_missing(answer: Answered) -> int:
+    """Return how many shards a gatherer's answer leaves out."""
+    return int(find_header(answer.headers, MISSING_SHARDS) or 0)
+
+
 def encode_request(request: Request, dialect: Dialect, searcher: SearcherId, left: Millis) -> bytes:
     """Return the bytes of ``request`` for one searcher, which may take ``left`` milliseconds."""
     replaced = (dialect.patience, dialect.expected_searcher)
@@ -58,6 +73,8 @@
             lines.append(b"%s: %s\r\n" % (name, value))
     lines.append(b"%s: %d\r\n" % (dialect.patience, max(1, int(left))))
     lines.append(b"%s: %s\r\n" % (dialect.expected_searcher, searcher.encode("latin-1")))
+    if request.version is not None:
+        lines.append(b"%s: %d\r\n" % (TABLE_VERSION, request.version))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -38,6 +38,8 @@
         callers=Address(listen.text("front")),
         readiness=Address(listen.text("ready")),
         metrics=metrics,
+        peers=Address(listen.text("control")) if "control" in listen.values else None,
+        seeds=tuple(Address(seed) for seed in fields.texts("seedNodes")),
         catalogue=Address(fields.table("platform").text("address")),
         grace=Millis(bounds.number("graceS") * MILLIS_PER_SECOND),
         drain=Millis(bounds.number("drainMs")),
--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -21,16 +21,19 @@
     """Earns a share of each first send, spends one a hedge or retry; the owner's lock guards it."""
 
     def __init__(self, hedging: Hedging) -> None:
+        self.resize(hedging)
+        self.tokens = min(self.most, self.reserve + 1.0)
+        self.usual: Millis | None = None
+        self.window = LatencyWindow()
+
+    def resize(self, hedging: Hedging) -> None:
+        """Follow another policy from now on."""
         self.hedging = hedging
-        self.tokens = 0.0
         self.reserve = 0.0
         self.most = 0.0
         if isinstance(hedging, Hedge):
             self.reserve = hedging.reserve
             self.most = hedging.reserve + hedging.burst
-            self.tokens = min(self.most, hedging.reserve + 1.0)
-        self.usual: Millis | None = None
-        self.window = LatencyWindow()
 
     def earn(self) -> None:
         """Count one first send."""
--- a/src/masticgate/process/gateway/_catalogue.py
+++ b/src/masticgate/process/gateway/_catalogue.py
@@ -7,6 +7,9 @@
 from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
 from ...version.gateway import RouteTable
 
+PEERS = ServiceId("gateways")
+"""The service under which the fleet holds the gateways that gather for this one."""
+
 
 class SearcherPhase(Enum):
     """What a searcher says of itself in its listing."""
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -7,26 +7,33 @@
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
 from ..._ids import Millis, RouteId, SearcherId, ServiceId
-from ...connection.gateway import Closing, Dialect, SearcherTask
+from ...connection.gateway import Closing, Dialect, SearcherTask, peer_dialect
 from ...connection.gateway._searcher_task import Idleness, Load
 from ...request.gateway import Answered, Call, Declined, Lost
 from ...version.gateway import Route, RouteTable
 from .._hedge_budget import HedgeBudget
 from .._latency_window import LatencyWindow
 from .._policy import Hedge
-from ._catalogue import SearcherEntry, SearcherPhase
+from ._catalogue import PEERS, SearcherEntry, SearcherPhase
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 
-EXPECTED_GATEWAYS = 8
-"""Gateways that share a searcher's connections and a service's repeats."""
+LEAST_SHARERS = 8
+"""Gateways that are taken to share budgets at least, since some may not be known yet."""
 
 RATIO_MARGIN = 0.85
 """The part of the allowed ratio of repeats that is spent, since windows slide."""
 
 SLACK_MARGIN = 0.8
+PEER_SHARE = 0.1
+"""The part of the repeats that goes to queries whose gatherer was lost on the way."""
+
+RETRY_RESERVE = 1.0
+DEFAULT_CONNECTIONS = 8
+"""Connections to a searcher whose service the configuration does not name."""
+
 FOREIGN_DOMAIN_COST = 0.25
 """Added to the cost of a searcher in another failure domain, for its round trip and bytes."""
 
@@ -47,6 +54,15 @@
 """Searchers remembered as drained; days of ordinary releases."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How many gateways there are, how many gather queries, and whether this one does."""
+
+    gateways: int
+    gatherers: int
+    warm: bool
+
+
 @dataclass(slots=True)
 class FleetSending:
     """A call on its way through one connection."""
@@ -83,16 +99,15 @@
         self.replicas: dict[SearcherId, Replica] = {}
         self.tasks: dict[SearcherTask, Replica] = {}
         self.drained: dict[SearcherId, int] = {}
-        self.connections: dict[ServiceId, int] = {}
-        self.warm: set[ServiceId] = set()
+        self.accepted: dict[ServiceId, int] = {}
+        self.shards: set[ServiceId] = set()
+        self.shares = Shares(1, 1, False)
+        self.peer_dialect = peer_dialect(dialect)
         self.budgets: dict[ServiceId, HedgeBudget] = {}
         self.windows: dict[RouteId, LatencyWindow] = {}
         repeats = settings.repeats
-        self.hedging = Hedge(
-            budget=repeats.ratio * RATIO_MARGIN,
-            reserve=1.0,
-            burst=max(0.0, repeats.slack * SLACK_MARGIN / EXPECTED_GATEWAYS - 1.0),
-        )
+        self.ratio = repeats.ratio * RATIO_MARGIN
+        self.slack = repeats.slack * SLACK_MARGIN
 
     def now(self) -> Millis:
         """Return the gateway's clock."""
@@ -155,7 +170,7 @@
                 return Idleness.BUSY
             replica.idle.remove(task)
             recent = self.clock.now() - replica.used_at < WARM_FOR
-            wanted = replica.entry.service in self.warm and replica.tasks == 1
+            wanted = self._is_warm(replica.entry.service) and replica.tasks == 1
             if replica.state is ReplicaState.ACTIVE and (recent or wanted) and replica.tasks <= 2:
                 return Idleness.RENEW
             return Idleness.CLOSE
@@ -180,21 +195,30 @@
     def apply_table(self, table: RouteTable) -> None:
         """Take the services' connections and the services to keep warm from a configuration."""
         with self.lock:
-            self.connections = {
-                service.id: max(2, service.connections // EXPECTED_GATEWAYS)
-                for service in table.services.values()
-            }
-            self.warm = table.shard_services()
+            self.accepted = {service.id: service.connections for service in table.services.values()}
+            self.shards = table.shard_services()
             for replica in self.replicas.values():
-                replica.connections = self.connections.get(replica.entry.service, 2)
+                replica.connections = self._connections(replica.entry.service)
             routes = {route.id for route in table.routes}
             self.windows = {key: kept for key, kept in self.windows.items() if key in routes}
         self.warm_up()
 
+    def share(self, shares: Shares) -> None:
+        """Share connections and repeats with the gateways that there are now."""
+        with self.lock:
+            if shares == self.shares:
+                return
+            self.shares = shares
+            for replica in self.replicas.values():
+                replica.connections = self._connections(replica.entry.service)
+            for service, budget in self.budgets.items():
+                budget.resize(self._hedging(service))
+        self.warm_up()
+
     def warm_up(self) -> None:
         """Open a connection to each searcher of a searched shard that has none."""
         with self.lock:
-            for service in self.warm:
+            for service in self.shards if self.shares.warm else ():
                 for replica in self.services.get(service, {}).values():
                     if replica.state is ReplicaState.ACTIVE and replica.tasks == 0:
                         self._open(replica, warm=True)
@@ -265,7 +289,8 @@
     def _open(self, replica: Replica, *, warm: bool = False) -> SearcherTask | None:
         """Start the task of a new connection; return ``None`` where the process has no room."""
         entry = replica.entry
-        task = SearcherTask(entry.id, entry.address, self, self.dialect, self.clock)
+        dialect = self.peer_dialect if entry.service == PEERS else self.dialect
+        task = SearcherTask(entry.id, entry.address, self, dialect, self.clock)
         replica.tasks += 1
         self.tasks[task] = replica
         try:
@@ -335,9 +360,28 @@
     def _budget(self, service: ServiceId) -> HedgeBudget:
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = HedgeBudget(self.hedging)
+            budget = self.budgets[service] = HedgeBudget(self._hedging(service))
         return budget
 
+    def _hedging(self, service: ServiceId) -> Hedge:
+        """Return this gateway's part of what all may repeat of one service."""
+        if service == PEERS:
+            return Hedge(budget=self.ratio * PEER_SHARE, reserve=RETRY_RESERVE, burst=0.0)
+        sharers = self.shares.gatherers if service in self.shards else self.shares.gateways
+        burst = self.slack / max(LEAST_SHARERS, sharers) - RETRY_RESERVE
+        return Hedge(budget=self.ratio, reserve=RETRY_RESERVE, burst=max(0.0, burst))
+
+    def _connections(self, service: ServiceId) -> int:
+        """Return how many connections to each searcher of a service this gateway may have."""
+        accepted = self.accepted.get(service)
+        if accepted is None:
+            return DEFAULT_CONNECTIONS
+        sharers = self.shares.gatherers if service in self.shards else self.shares.gateways
+        return max(1, accepted // max(LEAST_SHARERS, sharers))
+
+    def _is_warm(self, service: ServiceId) -> bool:
+        return self.shares.warm and service in self.shards
+
     def _is_past(self, known: Replica | None, entry: SearcherEntry) -> bool:
         """Tell whether a listing is of an earlier start, or of one that has begun to leave."""
         if known is not None and entry.born < known.entry.born:
@@ -352,7 +396,7 @@
         return same != (entry.born, entry.address, entry.service)
 
     def _add(self, entry: SearcherEntry, now: Millis) -> Replica:
-        replica = Replica(entry, self.connections.get(entry.service, 2), now)
+        replica = Replica(entry, self._connections(entry.service), now)
         self.replicas[entry.id] = replica
         self.services.setdefault(entry.service, {})[entry.id] = replica
         self.log.write(
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -4,7 +4,7 @@
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Millis, Revision, SearcherId
+from ..._ids import ConfigurationVersion, Millis, Revision, SearcherId
 from ...version.gateway import RouteTable
 from ._catalogue import (
     Change,
@@ -28,6 +28,9 @@
 BATCH_INTERVAL = Millis(400.0)
 """Between two watches, so that changes in a row cost one call; changes have 3 s to apply."""
 
+RECENT_TABLES = 4
+"""Other gateways may be some versions behind for a moment; their queries are served by theirs."""
+
 RETRY_FIRST = Millis(100.0)
 RETRY_LONGEST = Millis(1_000.0)
 LEAST_JITTER = 0.5
@@ -49,6 +52,7 @@
         self.metrics = metrics
         self.random = random.Random()
         self.table: RouteTable | None = None
+        self.recent: tuple[RouteTable, ...] = ()
         self.stopping = Event()
         self.lost_at: Millis | None = None
         self.heard_at = clock.now()
@@ -71,6 +75,10 @@
         """End after the call in progress."""
         self.stopping.set()
 
+    def find_table(self, version: ConfigurationVersion) -> RouteTable | None:
+        """Return the configuration of that version, while it is recent."""
+        return next((table for table in self.recent if table.version == version), None)
+
     def age(self) -> Millis:
         """Return the time since the platform was heard last."""
         return Millis(self.clock.now() - self.heard_at)
@@ -149,6 +157,7 @@
                     LogEvent.CONFIGURATION_IGNORED, version=table.version, newer=known.version
                 )
             return
+        self.recent = (table, *self.recent)[:RECENT_TABLES]
         self.table = table
         self.fleet.apply_table(table)
         self.log.write(
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -7,15 +7,16 @@
 
 from ..._clock import MILLIS_PER_SECOND, SystemClock
 from ..._ids import Address, Millis
-from ...connection.gateway import CallerSettings, Dialect, Handler, Listener
+from ...connection.gateway import CallerSettings, Dialect, Handler, Listener, peer_dialect
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, Plain, Reply, Request
-from ...version.gateway import Limits
+from ...version.gateway import Limits, RouteTable
 from ._catalogue import Source
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._peers import Peers
 from ._service import Beliefs, GatewayService
 from ._settings import GatewaySettings
 
@@ -23,6 +24,9 @@
 """Connections of callers at one time; each is a task and three descriptors."""
 
 MOST_PAGE_CALLERS = 32
+PEER_HEAD_START = Millis(6.0)
+"""What a query handed to this gateway takes on its way here and back beside the gathering."""
+
 MOST_TASKS = 4_000
 STACK_BYTES = 256 * 1024
 TICK = Millis(500.0)
@@ -50,8 +54,16 @@
         self.metrics = Metrics()
         self.fleet = Fleet(settings, dialect, self.clock, self.executor, self.log, self.metrics)
         self.follower = Follower(source, self.fleet, self.clock, self.log, self.metrics)
-        self.service = GatewayService(self.fleet, self._beliefs, self.log, self.metrics)
         self.stopping = Event()
+        self.peers = Peers(settings, self.fleet, self.clock, self.log, self._table, self._is_ready)
+        self.service = GatewayService(
+            self.fleet,
+            self._beliefs,
+            self.log,
+            self.metrics,
+            self.peers,
+            self.follower.find_table,
+        )
         self.ended = Event()
         self.was_ready = False
         self.readiness = self._listen(settings.readiness, dialect, self._ready_page)
@@ -59,6 +71,8 @@
             settings.callers, dialect, self.service.handle, most=MOST_CALLERS
         )
         self.listeners = [self.readiness, self.callers]
+        if settings.peers is not None:
+            self.listeners.append(self._listen_to_peers(settings.peers, dialect))
         if settings.metrics is not None:
             self.listeners.append(self._listen(settings.metrics, dialect, self._metrics_page))
 
@@ -68,6 +82,7 @@
         tasks = [self.log.run, self.follower.run, self._tick]
         for run in (*tasks, *(listener.run for listener in self.listeners)):
             Thread(target=run, daemon=True).start()
+        self.peers.start()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take changed settings; addresses stay as they are."""
@@ -109,6 +124,21 @@
         settings = CallerSettings(handler, dialect, self.clock, self._limits, self.stopping.is_set)
         return Listener(address, settings, self.executor, most)
 
+    def _listen_to_peers(self, address: Address, dialect: Dialect) -> Listener:
+        settings = CallerSettings(
+            self.service.handle_peer,
+            peer_dialect(dialect),
+            self.clock,
+            Limits,
+            self.stopping.is_set,
+            between_gateways=True,
+            head_start=PEER_HEAD_START,
+        )
+        return Listener(address, settings, self.executor, MOST_CALLERS)
+
+    def _table(self) -> RouteTable | None:
+        return self.follower.table
+
     def _limits(self) -> Limits:
         table = self.follower.table
         return table.limits if table is not None else Limits()
@@ -133,6 +163,7 @@
             if now - last > PAUSE:
                 self.log.write(LogEvent.PAUSED, for_ms=round(now - last))
             last = now
+            self.peers.decide()
             self.fleet.sweep()
             if self._is_ready() != self.was_ready:
                 self.was_ready = self._is_ready()
--- /dev/null
+++ b/src/masticgate/process/gateway/_peers.py
@@ -0,0 +1,214 @@
+"""The gateways that gather queries for all: who they are, and whether they answer.
+
+Each gateway sends heartbeats to the few seeds of its settings, and a seed counts the gateways that
+it hears. Where a searcher's connections are too few for all gateways, the seeds gather the queries
+over many shards for the others, and keep the connections to the shards to themselves.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from threading import Event, Lock, Thread
+from urllib.parse import parse_qs, urlencode
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._ids import Address, FailureDomainId, HostId, Millis, RouteId, SearcherId
+from ...connection.gateway import HttpClient, HttpResponse
+from ...request.gateway import Plain, Request
+from ...version.gateway import Kind, OneService, Route, RouteTable
+from ._catalogue import PEERS, SearcherEntry, SearcherPhase
+from ._fleet import Fleet, Shares
+from ._log import EventLog, LogEvent
+from ._settings import GatewaySettings
+
+HEARTBEAT_HOST = "heartbeat.gateway"
+HEARTBEAT_INTERVAL = Millis(500.0)
+HEARTBEAT_TIMEOUT = Millis(400.0)
+MISSES = 2
+"""A gatherer is left after so many heartbeats without an answer, about a second."""
+
+MEMBER_KEPT = Millis(5_000.0)
+"""A gateway counts as running for so long after its last heartbeat."""
+
+SETTLING = Millis(2_000.0)
+"""After its start a seed waits so long for the others before it says how many there are."""
+
+LEAST_CONNECTIONS = 2
+"""Own connections to each searcher that a gateway needs to fan out itself: one and a hedge."""
+
+PEER_SLOTS = 64
+PEER_ATTEMPTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class GatherHere:
+    """This gateway fans out to the shards itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatherAtPeers:
+    """Queries over many shards are handed whole to a gatherer."""
+
+
+Gathering = GatherHere | GatherAtPeers
+
+
+def choose_gathering(members: int, connections: int, *, is_seed: bool) -> Gathering:
+    """Return who gathers, from the gateways running and what one searcher accepts from all."""
+    if is_seed or connections // max(1, members) >= LEAST_CONNECTIONS:
+        return GatherHere()
+    return GatherAtPeers()
+
+
+def peer_route(route: Route) -> Route:
+    """Return how a query is handed to a gatherer: once, unless it did not run there."""
+    return replace(
+        route,
+        id=RouteId(f"{PEERS}/{route.id}"),
+        kind=Kind.NON_IDEMPOTENT,
+        target=OneService(PEERS),
+        attempts=PEER_ATTEMPTS,
+    )
+
+
+class Peers:
+    """What this gateway knows of the others."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        fleet: Fleet,
+        clock: Clock,
+        log: EventLog,
+        table: Callable[[], RouteTable | None],
+        ready: Callable[[], bool],
+    ) -> None:
+        self.settings = settings
+        self.fleet = fleet
+        self.clock = clock
+        self.log = log
+        self.table = table
+        self.ready = ready
+        self.lock = Lock()
+        self.started_at = clock.now()
+        self.heard: dict[HostId, Millis] = {}
+        self.members = 1
+        self.gathering: Gathering = GatherHere()
+        self.ended = Event()
+
+    @property
+    def is_seed(self) -> bool:
+        """Tell whether this gateway gathers for others."""
+        return self.settings.peers is not None and self.settings.peers in self.settings.seeds
+
+    def start(self) -> None:
+        """Start one task for each seed but this one."""
+        for seed in self.settings.seeds:
+            if seed != self.settings.peers:
+                Thread(target=self._follow, args=(seed,), daemon=True).start()
+
+    def stop(self) -> None:
+        """Send no more heartbeats."""
+        self.ended.set()
+
+    def answer_heartbeat(self, request: Request) -> Plain:
+        """Count a heartbeat, and say how many gateways there are."""
+        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        host = HostId(query.get("host", [""])[0])
+        now = self.clock.now()
+        with self.lock:
+            self.heard[host] = now
+            old = [known for known, at in self.heard.items() if now - at > MEMBER_KEPT]
+            for known in old:
+                del self.heard[known]
+            members = 1 + len(self.heard)
+        settled = now - self.started_at > SETTLING
+        reply = {
+            "host": self.settings.host,
+            "domain": self.settings.domain,
+            "ready": self.ready(),
+            "members": members if settled else 0,
+        }
+        return Plain(200, json.dumps(reply).encode())
+
+    def decide(self) -> None:
+        """Decide who gathers, from what is known now; due regularly."""
+        table = self.table()
+        if table is None:
+            return
+        with self.lock:
+            if self.is_seed:
+                self.members = 1 + len(self.heard)
+            members = self.members
+        shards = table.shard_services()
+        accepted = [table.services[name].connections for name in shards if name in table.services]
+        connections = min(accepted, default=0)
+        chosen = choose_gathering(members, connections, is_seed=self.is_seed)
+        alone = choose_gathering(members, connections, is_seed=False)
+        if chosen != self.gathering:
+            self.gathering = chosen
+            self.log.write(
+                LogEvent.GATHERING,
+                chosen=type(chosen).__name__,
+                members=members,
+                connections=connections,
+            )
+        gatherers = len(self.settings.seeds) if isinstance(alone, GatherAtPeers) else members
+        warm = self._knows_members() and isinstance(chosen, GatherHere)
+        self.fleet.share(Shares(members, max(1, gatherers), warm))
+
+    def _knows_members(self) -> bool:
+        """Tell whether the number of gateways is known, or no seed is going to tell it."""
+        age = self.clock.now() - self.started_at
+        return (age > SETTLING and (self.is_seed or self.members > 1)) or age > 2 * SETTLING
+
+    def _follow(self, seed: Address) -> None:
+        """Send heartbeats to one seed until the process ends."""
+        client = HttpClient(seed, self.clock)
+        peer = SearcherId(f"{PEERS}/{seed}")
+        misses = MISSES
+        while not self.ended.wait(HEARTBEAT_INTERVAL / MILLIS_PER_SECOND):
+            reply = self._beat(client)
+            if reply is not None and reply.get("ready") is True:
+                if misses >= MISSES:
+                    self.log.write(LogEvent.GATHERER_FOUND, peer=seed)
+                misses = 0
+                self._note_members(reply)
+                self.fleet.list_searcher(_entry(peer, seed, reply))
+                continue
+            misses += 1
+            if misses == MISSES or (reply is not None and misses < MISSES):
+                misses = MISSES
+                self.log.write(LogEvent.GATHERER_LOST, peer=seed, answered=reply is not None)
+                self.fleet.unlist_searcher(peer, "no heartbeat")
+
+    def _beat(self, client: HttpClient) -> dict[str, object] | None:
+        """Exchange one heartbeat; return ``None`` where no answer came."""
+        if client.is_stale():
+            client.close()
+        deadline = Millis(self.clock.now() + HEARTBEAT_TIMEOUT)
+        query = urlencode({"host": self.settings.host})
+        head = f"GET /?{query} HTTP/1.1\r\nHost: {HEARTBEAT_HOST}\r\n\r\n"
+        failed = client.connect(HEARTBEAT_TIMEOUT) or client.send(head.encode(), deadline)
+        response = failed or client.receive(deadline)
+        if not isinstance(response, HttpResponse):
+            client.close()
+            return None
+        try:
+            reply = json.loads(response.body)
+        except ValueError:
+            return None
+        return reply if isinstance(reply, dict) else None
+
+    def _note_members(self, reply: dict[str, object]) -> None:
+        members = reply.get("members")
+        if isinstance(members, int) and members > 0:
+            with self.lock:
+                self.members = members
+
+
+def _entry(peer: SearcherId, seed: Address, reply: dict[str, object]) -> SearcherEntry:
+    """Return a gatherer in the form in which the fleet holds searchers."""
+    domain = FailureDomainId(str(reply.get("domain")))
+    ready = SearcherPhase.READY
+    return SearcherEntry(peer, PEERS, seed, domain, PEER_SLOTS, ready, Millis(0.0), 0)
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -2,12 +2,14 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from ..._failures import NotRun, Reason, Step, describe
+from ..._failures import NotRun, Reason, Step, Unknown, describe
 from ..._ids import ConfigurationVersion, Millis, RouteId, ServiceId
+from ...connection.gateway import read_missing
 from ...request.gateway import (
     Abandoned,
+    Answered,
     Failed,
     Inbox,
     Merged,
@@ -19,9 +21,11 @@
     run_gather,
 )
 from ...version.gateway import OneService, Route, RouteTable, Shards, Split
+from ._catalogue import PEERS
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._peers import HEARTBEAT_HOST, GatherAtPeers, GatherHere, Peers, peer_route
 
 NO_CONFIGURATION_RETRY = Millis(300.0)
 """A gateway that starts has read the configuration by then."""
@@ -71,11 +75,15 @@
         beliefs: Callable[[], Beliefs],
         log: EventLog,
         metrics: Metrics,
+        peers: Peers,
+        find_table: Callable[[ConfigurationVersion], RouteTable | None],
     ) -> None:
         self.fleet = fleet
         self.beliefs = beliefs
         self.log = log
         self.metrics = metrics
+        self.find_table = find_table
+        self.peers = peers
         self.turns = SplitTurns()
         self.served = 0
 
@@ -91,6 +99,24 @@
         self._account(request, beliefs, route, reply)
         return reply
 
+    def handle_peer(self, request: Request, inbox: Inbox) -> Reply:
+        """Answer another gateway: a heartbeat, or a query to gather by the version it names."""
+        if request.host == HEARTBEAT_HOST:
+            return self.peers.answer_heartbeat(request)
+        version = request.version
+        table = None if version is None else self.find_table(version)
+        if table is None or not self.peers.ready():
+            failure = NotRun(Reason.NO_CONFIGURATION, Step.FORWARD, detail=f"version {version}")
+            return Refused(503, failure)
+        route = table.find(request.host, request.path)
+        if route is None or not isinstance(route.target, Shards):
+            failure = NotRun(Reason.UNKNOWN_SERVICE, Step.FORWARD, detail=f"version {version}")
+            return Refused(503, failure)
+        request = replace(request, version=None)
+        reply = run_gather(request, route, route.target, self.fleet, inbox)
+        self._account(request, Beliefs(table, self.beliefs().age), route, reply)
+        return reply
+
     def _find(self, request: Request, table: RouteTable | None) -> Route | Refused:
         if not request.id:
             failure = NotRun(Reason.BAD_REQUEST, Step.READ, detail="a request id is needed")
@@ -107,13 +133,42 @@
     def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
         match route.target:
             case Shards() as shards:
-                return run_gather(request, route, shards, self.fleet, inbox)
+                return self._gather(request, table, route, shards, inbox)
             case Split() as split:
                 service = self.turns.next(table.version, route.id, split)
                 return run_forward(request, route, service, self.fleet, inbox)
             case OneService(service=service):
                 return run_forward(request, route, service, self.fleet, inbox)
 
+    def _gather(
+        self, request: Request, table: RouteTable, route: Route, shards: Shards, inbox: Inbox
+    ) -> Reply:
+        """Gather here or at a peer; here too where no peer began to gather."""
+        match self.peers.gathering:
+            case GatherHere():
+                return run_gather(request, route, shards, self.fleet, inbox)
+            case GatherAtPeers():
+                asked = replace(request, version=table.version)
+                reply = run_forward(asked, peer_route(route), PEERS, self.fleet, inbox)
+        match reply:
+            case Relayed(answer=answer):
+                return self._read_peer_answer(answer)
+            case Refused():
+                self.metrics.count("gathered_without_peer")
+            case Failed(status=502) if self.fleet.allow_retry(PEERS):
+                self.metrics.count("gathered_again")
+            case _:
+                return reply
+        return run_gather(request, route, shards, self.fleet, inbox)
+
+    def _read_peer_answer(self, answer: Answered) -> Reply:
+        """Return a gatherer's answer as this gateway's own."""
+        if answer.success:
+            return Merged(tuple(answer.stamp.split(", ")), read_missing(answer), answer.body)
+        detail = answer.body.decode("utf-8", "replace")
+        failure = Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail)
+        return Failed(answer.status, failure)
+
     def _account(
         self, request: Request, beliefs: Beliefs, route: Route | Refused, reply: Reply
     ) -> None:
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -22,7 +22,8 @@
     """Where one gateway listens and what bounds it.
 
     ``grace`` is the time from the request to stop until the process is killed; ``drain`` is how
-    long a searcher that leaves may still be sent requests.
+    long a searcher that leaves may still be sent requests. ``seeds`` are the ``peers`` addresses
+    of a few gateways, which may be stale.
     """
 
     host: HostId
@@ -30,6 +31,8 @@
     callers: Address
     readiness: Address
     metrics: Address | None
+    peers: Address | None
+    seeds: tuple[Address, ...]
     catalogue: Address
     grace: Millis
     drain: Millis
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ..._failures import NotRun, Reason
-from ..._ids import Millis, RequestId, SearcherId, ServiceId
+from ..._ids import ConfigurationVersion, Millis, RequestId, SearcherId, ServiceId
 from ...version.gateway import Route
 
 Header = tuple[bytes, bytes]
@@ -15,7 +15,8 @@
     """One attempt of a caller.
 
     ``target`` is the path with its query, as sent; ``headers`` are those to pass on;
-    ``patience`` is how long the caller waits from ``arrived`` on, in milliseconds.
+    ``patience`` is how long the caller waits from ``arrived`` on, in milliseconds. A request
+    between gateways names the ``version`` of the configuration to serve it by.
     """
 
     id: RequestId
@@ -26,6 +27,7 @@
     body: bytes
     patience: Millis | None
     arrived: Millis
+    version: ConfigurationVersion | None = None
 
     @property
     def path(self) -> str:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -109,6 +109,8 @@
         here,
         here,
         None,
+        None,
+        (),
         here,
         Millis(6_000.0),
         Millis(3_000.0),
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -8,10 +8,12 @@
 nodeName = "front-tvm-1"
 ip = "10.1.0.9"
 zone = "tvm"
+seedNodes = ["10.1.0.9:8106", "10.2.0.9:8106"]
 unknown = [1]
 [bindAddresses]
 front = "10.1.0.9:8104"
 ready = "10.1.0.9:8108"
+control = "10.1.0.9:8106"
 [bounds]
 drainMs = 3000
 graceS = 6
@@ -30,6 +32,8 @@
         settings = read_node_file(path, 9464)
         assert (settings.host, settings.domain) == ("front-tvm-1", "tvm")
         assert settings.callers == "10.1.0.9:8104"
+        assert settings.peers == "10.1.0.9:8106"
+        assert settings.seeds == ("10.1.0.9:8106", "10.2.0.9:8106")
         assert settings.metrics == "10.1.0.9:9464"
         assert (settings.grace, settings.drain) == (6000.0, 3000.0)
         assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 52.0)
