Send from the caller's task, count repeats by a sliding window, say why shards are missing

The new causes in the log showed that hedges on the grown deployment failed for want of budget: the token bucket granted the slack once, while the bound grants it in each window.

--- a/src/masticgate/_failures.py
+++ b/src/masticgate/_failures.py
@@ -44,6 +44,7 @@
     VERSION_GONE = "version_gone"
     WRONG_VERSION = "wrong_version"
     CANCELLED = "cancelled"
+    BUDGET = "budget"
     COVERAGE = "coverage"
     TICKET_UNKNOWN = "ticket_unknown"
     TICKET_EXPIRED = "ticket_expired"
--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -10,6 +10,6 @@
 from ._dialect import peer_dialect as peer_dialect
 from ._encoding import read_missing as read_missing
 from ._listener import Listener as Listener
-from ._searcher_task import Closing as Closing
+from ._searcher_task import Load as Load
 from ._searcher_task import SearcherTask as SearcherTask
 from ._searcher_task import TaskOwner as TaskOwner
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -2,14 +2,14 @@
 
 import select
 import socket
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis
-from ...request.gateway._exchange import Header
 from .._address import split_address
-from ._parser import Malformed, ParsedResponse, ResponseParser, find_header
+from ._parser import Malformed, ResponseParser
 
 RECEIVE_BYTES = 65_536
 LARGEST_RESPONSE = 8_000_000
@@ -27,13 +27,8 @@
     """A whole response."""
 
     status: int
-    headers: tuple[Header, ...]
     body: bytes
 
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of the first header ``name``, which is in lower case."""
-        return find_header(self.headers, name)
-
 
 @dataclass(frozen=True, slots=True)
 class NoReply:
@@ -59,7 +54,6 @@
         self.socket: socket.socket | None = None
         self.aborted = False
         self.reusable = False
-        self.keep_for: Millis | None = None
 
     def connect(self, timeout: Millis) -> NoReply | None:
         """Open the connection, unless it is open."""
@@ -97,22 +91,16 @@
             return NoReply(True, f"send: {error}")
         return None
 
-    def receive(
-        self, deadline: Millis, expected: tuple[bytes, bytes] | None = None
-    ) -> HttpResponse | NoReply | BadReply:
-        """Receive the response whose header ``expected`` has the given value.
-
-        Others are late answers to earlier requests, and skipped.
-        """
+    def receive(self, deadline: Millis) -> HttpResponse | NoReply | BadReply:
+        """Receive the response."""
         parser = ResponseParser(LARGEST_RESPONSE)
         while True:
             problem = self._feed(parser, deadline)
-            for position, response in enumerate(parser.ready):
-                if expected is None or find_header(response.headers, expected[0]) == expected[1]:
-                    clean = problem is None and not parser.begun
-                    self._finish(response, clean and position + 1 == len(parser.ready))
-                    return HttpResponse(response.status, tuple(response.headers), response.body)
-            parser.ready.clear()
+            if parser.ready:
+                response = parser.ready[0]
+                if problem is not None or parser.begun or not response.keep_alive:
+                    self.close()
+                return HttpResponse(response.status, response.body)
             if problem is not None:
                 self.close()
                 return problem
@@ -147,20 +135,13 @@
         problem = parser.feed(data)
         return BadReply(problem.detail) if isinstance(problem, Malformed) else None
 
-    def _finish(self, response: ParsedResponse, clean: bool) -> None:
-        """Keep the connection only where nothing but the response came."""
-        self.keep_for = _keep_alive_timeout(response)
-        if not clean or not response.keep_alive:
-            self.close()
-
     def _seconds(self, deadline: Millis) -> float:
         return max(0.001, (deadline - self.clock.now()) / MILLIS_PER_SECOND)
 
 
-def _keep_alive_timeout(response: ParsedResponse) -> Millis | None:
-    """Return the idle time that the server states, ``None`` where it states none."""
-    value = find_header(response.headers, b"keep-alive") or b""
-    for token in value.split(b","):
+def keep_alive_timeout(fields: Mapping[bytes, bytes]) -> Millis | None:
+    """Return the idle time that a server states, ``None`` where it states none."""
+    for token in fields.get(b"keep-alive", b"").split(b","):
         name, _, number = token.strip().partition(b"=")
         if name.lower() == b"timeout" and number.isdigit():
             return Millis(int(number) * MILLIS_PER_SECOND)
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -9,7 +9,7 @@
 
 from ..._clock import Clock
 from ..._ids import Millis
-from ...request.gateway import Call, CallerLeft
+from ...request.gateway import Answered, Call, CallerLeft
 
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -74,12 +74,18 @@
     def __init__(self, link: Link) -> None:
         self.link = link
         self.finished: deque[Call] = deque()
+        self.expected = 1
         link.watch_caller()
 
     def put(self, call: Call) -> None:
         """Hand over a finished call; any task may call this."""
         self.finished.append(call)
-        self.link.wake()
+        if len(self.finished) >= self.expected or not _is_success(call):
+            self.link.wake()
+
+    def expect(self, number: int) -> None:
+        """Let a wait go on until so many calls finished, or one of them without success."""
+        self.expected = number
 
     def wait(self, until: Millis) -> Call | CallerLeft | None:
         """Return the next finished call, or ``None`` at ``until``."""
@@ -93,3 +99,7 @@
                 return None
             if self.link.poll(until):
                 return CallerLeft()
+
+
+def _is_success(call: Call) -> bool:
+    return isinstance(call.outcome, Answered) and call.outcome.success
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -160,10 +160,11 @@
 
 @dataclass(slots=True)
 class ParsedResponse:
-    """One whole response as received."""
+    """One whole response as received; ``fields`` are its headers by name in lower case."""
 
     status: int
     headers: list[Header]
+    fields: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
 
@@ -199,6 +200,7 @@
         self.framed = False
         self.body_size = 0
         self.headers: list[Header] = []
+        self.fields: dict[bytes, bytes] = {}
         self.chunks: list[bytes] = []
 
     def on_message_begin(self) -> None:
@@ -208,12 +210,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
         self.headers.append((name, value))
+        self.fields[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """Note whether the response says where it ends."""
         self.in_body = True
-        names = {name.lower() for name, _ in self.headers}
-        self.framed = b"content-length" in names or b"transfer-encoding" in names
+        self.framed = b"content-length" in self.fields or b"transfer-encoding" in self.fields
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -228,5 +230,5 @@
         status = self.parser.get_status_code()
         if status >= 200:
             body = b"".join(self.chunks)
-            self.ready.append(ParsedResponse(status, self.headers, body, keep_alive))
+            self.ready.append(ParsedResponse(status, self.headers, self.fields, body, keep_alive))
         self._begin()
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -1,33 +1,30 @@
-"""One task for each connection to a searcher."""
+"""One task for each connection to a searcher.
 
+The task connects and then reads; the task of the caller's connection sends, so that a call costs
+one hand-over between threads. Since the task always reads, it notices at once when the searcher
+closes an idle connection.
+"""
+
+import select
+import socket
 from dataclasses import dataclass
-from enum import Enum
-from queue import Empty, SimpleQueue
 from threading import Lock
 from typing import Protocol
 
-from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._clock import Clock
 from ..._failures import Reason
 from ..._ids import Address, Millis, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome
-from ._client import BadReply, HttpClient, HttpResponse, NoReply
+from ._client import HttpClient, keep_alive_timeout
 from ._dialect import Dialect
 from ._encoding import encode_request
+from ._parser import ParsedResponse, ResponseParser
 
 CONNECT_TIMEOUT = Millis(300.0)
 """Many times the round trip within a region; a silent host is given up after it."""
 
-IDLE_DEFAULT = Millis(4_000.0)
-"""How long a connection is kept idle where the searcher states no time."""
-
-IDLE_LONGEST = Millis(10_000.0)
-IDLE_MARGIN = Millis(700.0)
-"""A connection is closed so long before the searcher would close it."""
-
-
-@dataclass(frozen=True, slots=True)
-class Closing:
-    """The connection is no longer wanted."""
+RECEIVE_BYTES = 65_536
+LARGEST_RESPONSE = 8_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,36 +36,29 @@
     slots: int
 
 
-class Idleness(Enum):
-    """What becomes of a connection that was idle for long."""
-
-    BUSY = "busy"
-    RENEW = "renew"
-    CLOSE = "close"
-
-
 class TaskOwner(Protocol):
     """Who decides what the tasks of a searcher's connections do."""
 
-    def finish(self, task: "SearcherTask", call: Call, load: Load | None) -> None:
-        """Take the outcome of a call; the task is free again."""
-        ...
-
-    def idle_expired(self, task: "SearcherTask") -> Idleness:
-        """Decide about a connection that was idle for long."""
+    def opened(self, task: "SearcherTask") -> None:
+        """Note that a connection without work opened."""
         ...
 
-    def renewed(self, task: "SearcherTask", connected: bool) -> None:
-        """Note that a connection without work opened, or could not."""
+    def finish(
+        self, task: "SearcherTask", call: Call, load: Load | None, *, reusable: bool
+    ) -> None:
+        """Take the outcome of a call; a ``reusable`` connection is idle again."""
         ...
 
-    def ended(self, task: "SearcherTask") -> None:
-        """Note that the task has ended."""
+    def ended(self, task: "SearcherTask", *, connected: bool) -> None:
+        """Note that the task has ended; ``connected`` tells whether it ever opened."""
         ...
 
 
 class SearcherTask:
-    """One connection to one searcher; it serves one call at a time."""
+    """One connection to one searcher; it serves one call at a time.
+
+    ``idle_since`` and ``keep_for`` belong to the owner's lock.
+    """
 
     def __init__(
         self,
@@ -77,35 +67,43 @@
         owner: TaskOwner,
         dialect: Dialect,
         clock: Clock,
+        first: Call | None = None,
     ) -> None:
         self.searcher = searcher
-        self.address = address
         self.owner = owner
         self.dialect = dialect
         self.clock = clock
         self.client = HttpClient(address, clock)
-        self.work: SimpleQueue[Call | Closing] = SimpleQueue()
         self.lock = Lock()
-        self.current: Call | None = None
+        self.current = first
+        self.was_given = first is not None
+        self.began = clock.now()
+        self.ended = False
+        self.idle_since = self.began
+        self.keep_for: Millis | None = None
+        self.parser = ResponseParser(LARGEST_RESPONSE)
 
     def run(self) -> None:
-        """Serve calls until told to close."""
-        while True:
-            match self._next():
-                case Call() as call:
-                    self._serve(call)
-                case Closing():
-                    break
-                case None:
-                    match self.owner.idle_expired(self):
-                        case Idleness.CLOSE:
-                            break
-                        case Idleness.RENEW:
-                            self.renew()
-                        case Idleness.BUSY:
-                            continue
-        self.client.close()
-        self.owner.ended(self)
+        """Connect, then read until the connection ends."""
+        wait = CONNECT_TIMEOUT
+        if self.current is not None:
+            wait = min(wait, Millis(self.current.deadline - self.began))
+        failed = self.client.connect(wait)
+        if failed is not None:
+            self._end(Lost(self.searcher, False, failed.detail), connected=False)
+            return
+        self._begin()
+        self._end(self._read_all(), connected=True)
+
+    def give(self, call: Call) -> bool:
+        """Send ``call`` over the idle connection; return ``False`` if it has just ended."""
+        with self.lock:
+            if self.ended:
+                return False
+            self.current = call
+            self.began = self.clock.now()
+        self._send(call)
+        return True
 
     def cancel(self, call: Call) -> None:
         """Cut the connection if it serves ``call``; a call that waits is dropped unsent."""
@@ -114,69 +112,124 @@
             if self.current is call and call.started:
                 self.client.abort()
 
-    def renew(self) -> None:
-        """Open the connection anew, so that the next call finds a warm one."""
-        self.client.close()
-        self.owner.renewed(self, self.client.connect(CONNECT_TIMEOUT) is None)
-
-    def _next(self) -> Call | Closing | None:
-        kept = IDLE_DEFAULT if self.client.keep_for is None else self.client.keep_for
-        wait = max(IDLE_MARGIN, min(IDLE_LONGEST, Millis(kept - IDLE_MARGIN)))
+    def close(self) -> None:
+        """End the connection; any task may call this."""
+        self.client.abort()
+
+    def _begin(self) -> None:
+        """Send the call that the connection was opened for, if any."""
+        assert self.client.socket is not None
+        self.client.socket.settimeout(None)
+        call = self.current
+        if call is None:
+            self.owner.opened(self)
+        elif call.cancelled:
+            self._finish(call, Lost(self.searcher, False, "cancelled before it was sent"), None)
+        else:
+            self._send(call)
+
+    def _send(self, call: Call) -> None:
+        """Send the call's request; where that fails, the reading task notices the end."""
+        call.started = True
+        left = Millis(call.deadline - self.clock.now())
+        data = memoryview(encode_request(call.request, self.dialect, self.searcher, left))
+        opened = self.client.socket
         try:
-            return self.work.get(timeout=wait / MILLIS_PER_SECOND)
-        except Empty:
-            return None
-
-    def _serve(self, call: Call) -> None:
-        began = self.clock.now()
-        with self.lock:
-            self.current = call
-        call.outcome, load = self._exchange(call, began)
+            while data and opened is not None:
+                try:
+                    data = data[opened.send(data, socket.MSG_DONTWAIT) :]
+                except BlockingIOError:
+                    if not self._wait_writable(opened, call.deadline):
+                        raise
+        except OSError:
+            self.client.abort()
+
+    def _wait_writable(self, opened: socket.socket, deadline: Millis) -> bool:
+        poller = select.poll()
+        poller.register(opened, select.POLLOUT)
+        return bool(poller.poll(max(0, deadline - self.clock.now())))
+
+    def _read_all(self) -> Outcome:
+        """Read answers until the connection ends; return what that means for an open call."""
+        opened = self.client.socket
+        assert opened is not None
+        while True:
+            try:
+                data = opened.recv(RECEIVE_BYTES)
+            except OSError as error:
+                return Lost(self.searcher, True, f"receive: {error}")
+            if not data:
+                return self._read_end()
+            if self.current is None:
+                return Lost(self.searcher, True, "bytes that nobody asked for")
+            problem = self.parser.feed(data)
+            reusable = problem is None and not self.parser.begun
+            if not self._take_answers(reusable=reusable):
+                return Lost(self.searcher, True, f"bad reply: {problem}")
+            if problem is not None:
+                return Lost(self.searcher, True, f"bad reply: {problem.detail}")
+
+    def _take_answers(self, *, reusable: bool) -> bool:
+        """Finish the call with the answer that is its own; others are late and skipped.
+
+        Return ``False`` where the connection has to end.
+        """
+        answers, self.parser.ready = self.parser.ready, []
+        for position, answer in enumerate(answers):
+            call = self.current
+            if call is None or not self._is_for(call, answer):
+                continue
+            keeps = reusable and answer.keep_alive and position + 1 == len(answers)
+            self.keep_for = keep_alive_timeout(answer.fields)
+            self._finish(call, self._read(answer), self._load(answer), reusable=keeps)
+            if not keeps:
+                return False
+        return True
+
+    def _read_end(self) -> Outcome:
+        """Return the outcome of a call whose answer ends with the connection."""
+        if not self.client.aborted:
+            self.parser.end()
+        call = self.current
+        for answer in self.parser.ready:
+            if call is not None and self._is_for(call, answer):
+                return self._read(answer)
+        return Lost(self.searcher, True, "closed before the end of a response")
+
+    def _is_for(self, call: Call, answer: ParsedResponse) -> bool:
+        expected = call.request.id.encode("latin-1")
+        return answer.fields.get(self.dialect.request_id) == expected
+
+    def _finish(
+        self, call: Call, outcome: Outcome, load: Load | None, *, reusable: bool = True
+    ) -> None:
+        call.outcome = outcome
         with self.lock:
             self.current = None
-        if self.client.aborted:
-            self.client.close()
-        self.owner.finish(self, call, load)
+            self.ended = not reusable or self.client.aborted
+        self.owner.finish(self, call, load, reusable=not self.ended)
         call.inbox.put(call)
 
-    def _exchange(self, call: Call, began: Millis) -> tuple[Outcome, Load | None]:
-        if self.client.is_stale():
-            self.client.close()
-        wait = min(CONNECT_TIMEOUT, Millis(call.deadline - began))
-        failed = self.client.connect(wait)
-        if failed is not None:
-            return Lost(self.searcher, False, failed.detail), None
-        call.started = not call.cancelled
-        if not call.started or call.cancelled:
-            return Lost(self.searcher, False, "cancelled before it was sent"), None
-        left = Millis(call.deadline - self.clock.now())
-        data = encode_request(call.request, self.dialect, self.searcher, left)
-        failed = self.client.send(data, call.deadline)
-        if failed is not None:
-            return Lost(self.searcher, failed.sent, failed.detail), None
-        expected = (self.dialect.request_id, call.request.id.encode("latin-1"))
-        reply = self.client.receive(call.deadline, expected)
-        match reply:
-            case NoReply(sent=sent, detail=detail):
-                return Lost(self.searcher, sent, detail), None
-            case BadReply(detail=detail):
-                return Lost(self.searcher, True, f"bad reply: {detail}"), None
-            case HttpResponse() as response:
-                return self._read(response, began), self._load(response)
-
-    def _read(self, response: HttpResponse, began: Millis) -> Outcome:
-        if response.status == 421:
+    def _end(self, outcome: Outcome, *, connected: bool) -> None:
+        with self.lock:
+            self.ended = True
+        if self.current is not None:
+            self._finish(self.current, outcome, None, reusable=False)
+        self.client.close()
+        self.owner.ended(self, connected=connected)
+
+    def _read(self, answer: ParsedResponse) -> Outcome:
+        if answer.status == 421:
             return Declined(self.searcher, Reason.NO_SEARCHER)
-        if response.header(self.dialect.not_run) is not None:
+        if self.dialect.not_run in answer.fields:
             return Declined(self.searcher, Reason.SEARCHER_SHED)
-        stamp = (response.header(self.dialect.stamp) or b"").decode("latin-1")
-        latency = Millis(self.clock.now() - began)
-        return Answered(
-            self.searcher, response.status, response.headers, response.body, stamp, latency
-        )
-
-    def _load(self, response: HttpResponse) -> Load | None:
-        parts = (response.header(self.dialect.load) or b"").split(b",")
+        stamp = answer.fields.get(self.dialect.stamp, b"").decode("latin-1")
+        latency = Millis(self.clock.now() - self.began)
+        headers = tuple(answer.headers)
+        return Answered(self.searcher, answer.status, headers, answer.body, stamp, latency)
+
+    def _load(self, answer: ParsedResponse) -> Load | None:
+        parts = answer.fields.get(self.dialect.load, b"").split(b",")
         if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
             return None
         running, waiting, slots = (int(part) for part in parts)
--- a/src/masticgate/process/_hedge_budget.py
+++ b/src/masticgate/process/_hedge_budget.py
@@ -4,6 +4,10 @@
 from ._latency_window import LatencyWindow
 from ._policy import Hedge, Hedging, NoHedge
 
+RETRY_RESERVE = 4.0
+"""Tokens that hedges leave for retries: without a retry a lost send costs coverage for certain."""
+
+MAX_TOKENS = RETRY_RESERVE + 8.0
 FIRST_DELAY = Millis(50.0)
 
 HEDGE_PERCENTILE = 90.0
@@ -21,25 +25,16 @@
     """Earns a share of each first send, spends one a hedge or retry; the owner's lock guards it."""
 
     def __init__(self, hedging: Hedging) -> None:
-        self.resize(hedging)
-        self.tokens = min(self.most, self.reserve + 1.0)
+        self.hedging = hedging
+        self.tokens = RETRY_RESERVE + 1.0
         self.usual: Millis | None = None
         self.window = LatencyWindow()
 
-    def resize(self, hedging: Hedging) -> None:
-        """Follow another policy from now on."""
-        self.hedging = hedging
-        self.reserve = 0.0
-        self.most = 0.0
-        if isinstance(hedging, Hedge):
-            self.reserve = hedging.reserve
-            self.most = hedging.reserve + hedging.burst
-
     def earn(self) -> None:
         """Count one first send."""
         match self.hedging:
             case Hedge(budget=budget):
-                self.tokens = min(self.most, self.tokens + budget)
+                self.tokens = min(MAX_TOKENS, self.tokens + budget)
             case NoHedge():
                 self.tokens = 0.0
 
@@ -49,7 +44,7 @@
 
     def spend_on_hedge(self) -> bool:
         """Take one token for a hedge; return ``False`` where only the reserve is left."""
-        return self._spend(self.reserve)
+        return self._spend(RETRY_RESERVE)
 
     def _spend(self, reserve: float) -> bool:
         if self.tokens < reserve + 1.0:
@@ -75,6 +70,6 @@
     def _delay(self) -> Millis:
         if self.usual is None:
             return FIRST_DELAY
-        spare = (self.tokens - self.reserve) / (self.most - self.reserve)
+        spare = (self.tokens - RETRY_RESERVE) / (MAX_TOKENS - RETRY_RESERVE)
         fill = max(0.0, min(1.0, spare))
         return Millis(self.usual * (MARGIN_EMPTY + fill * (MARGIN_FULL - MARGIN_EMPTY)))
--- a/src/masticgate/process/_policy.py
+++ b/src/masticgate/process/_policy.py
@@ -44,16 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Hedge:
-    """A straggler is asked again elsewhere, within a share of the work sent.
-
-    ``budget`` is earned by each first send. Hedges leave ``reserve`` tokens for retries, since
-    without a retry a lost send costs coverage for certain; ``burst`` tokens may pile up beside it.
-    """
+    """A straggler is asked again elsewhere, within a share of the work sent."""
 
     budget: float = 0.048
     minimum_delay: Millis = Millis(15.0)
-    reserve: float = 4.0
-    burst: float = 8.0
 
 
 Hedging = NoHedge | Hedge
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -7,16 +7,14 @@
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
 from ..._ids import Millis, RouteId, SearcherId, ServiceId
-from ...connection.gateway import Closing, Dialect, SearcherTask, peer_dialect
-from ...connection.gateway._searcher_task import Idleness, Load
+from ...connection.gateway import Dialect, Load, SearcherTask, peer_dialect
 from ...request.gateway import Answered, Call, Declined, Lost
 from ...version.gateway import Route, RouteTable
-from .._hedge_budget import HedgeBudget
 from .._latency_window import LatencyWindow
-from .._policy import Hedge
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._repeat_window import RepeatWindow
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 
@@ -44,6 +42,14 @@
 
 HEDGE_LONGEST_SHARE = 0.5
 USUAL_PERCENTILE = 50.0
+IDLE_DEFAULT = Millis(4_000.0)
+"""How long a connection is kept idle where the searcher states no time."""
+
+IDLE_LONGEST = Millis(10_000.0)
+IDLE_MARGIN = Millis(1_000.0)
+"""A connection is closed so long before the searcher would: two sweeps."""
+
+STUCK_MARGIN = Millis(100.0)
 WARM_FOR = Millis(20_000.0)
 """A connection is renewed while its searcher was used within this time."""
 
@@ -103,11 +109,9 @@
         self.shards: set[ServiceId] = set()
         self.shares = Shares(1, 1, False)
         self.peer_dialect = peer_dialect(dialect)
-        self.budgets: dict[ServiceId, HedgeBudget] = {}
+        self.budgets: dict[ServiceId, RepeatWindow] = {}
         self.windows: dict[RouteId, LatencyWindow] = {}
-        repeats = settings.repeats
-        self.ratio = repeats.ratio * RATIO_MARGIN
-        self.slack = repeats.slack * SLACK_MARGIN
+        self.started = clock.now()
 
     def now(self) -> Millis:
         """Return the gateway's clock."""
@@ -115,20 +119,26 @@
 
     def send(self, call: Call, tried: set[SearcherId]) -> FleetSending | NotRun:
         """Send ``call`` to the best searcher of its service that is not in ``tried``."""
-        with self.lock:
-            replica = self._choose(call.service, tried)
-            if isinstance(replica, NotRun):
-                return replica
-            task = replica.idle.pop() if replica.idle else self._open(replica)
-            if task is None:
-                return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "no task can start")
-            replica.in_flight += 1
-            replica.used_at = self.clock.now()
-            if not call.repeat:
-                self._budget(call.service).earn()
-            task.work.put(call)
+        while True:
+            with self.lock:
+                replica = self._choose(call.service, tried)
+                if isinstance(replica, NotRun):
+                    return replica
+                idle = replica.idle.pop() if replica.idle else None
+                task = idle or self._open(replica, call)
+                if task is None:
+                    return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "no task can start")
+                replica.in_flight += 1
+                replica.used_at = self.clock.now()
+            if idle is None or idle.give(call):
+                break
+            with self.lock:
+                replica.in_flight -= 1
         if call.repeat:
             self.metrics.count("repeats")
+        else:
+            with self.lock:
+                self._budget(call.service).note_request(self.clock.now())
         return FleetSending(call, replica.entry.id, task)
 
     def hedge_delay(self, route: Route) -> Millis:
@@ -143,14 +153,20 @@
     def allow_hedge(self, service: ServiceId) -> bool:
         """Take one repeat from the budget, leaving the reserve of retries."""
         with self.lock:
-            return self._budget(service).spend_on_hedge()
+            return self._budget(service).spend(self.clock.now(), RETRY_RESERVE)
 
     def allow_retry(self, service: ServiceId) -> bool:
         """Take one repeat from the budget after a send that failed."""
         with self.lock:
-            return self._budget(service).spend_on_retry()
+            return self._budget(service).spend(self.clock.now(), 0.0)
+
+    def opened(self, task: SearcherTask) -> None:
+        """Take a connection that was opened ahead of its first call."""
+        self.metrics.count("connections_opened")
+        with self.lock:
+            self._keep(self.tasks[task], task)
 
-    def finish(self, task: SearcherTask, call: Call, load: Load | None) -> None:
+    def finish(self, task: SearcherTask, call: Call, load: Load | None, *, reusable: bool) -> None:
         """Take the outcome of a call; its connection is idle again, or ends."""
         now = self.clock.now()
         with self.lock:
@@ -160,38 +176,22 @@
             if load is not None:
                 replica.waiting = max(0, load.running + load.waiting - replica.in_flight - 1)
                 replica.reported_at = now
-            self._keep(replica, task)
+            if reusable:
+                self._keep(replica, task)
 
-    def idle_expired(self, task: SearcherTask) -> Idleness:
-        """Decide about a connection that was idle for long."""
-        with self.lock:
-            replica = self.tasks[task]
-            if task not in replica.idle:
-                return Idleness.BUSY
-            replica.idle.remove(task)
-            recent = self.clock.now() - replica.used_at < WARM_FOR
-            wanted = self._is_warm(replica.entry.service) and replica.tasks == 1
-            if replica.state is ReplicaState.ACTIVE and (recent or wanted) and replica.tasks <= 2:
-                return Idleness.RENEW
-            return Idleness.CLOSE
-
-    def renewed(self, task: SearcherTask, connected: bool) -> None:
-        """Take back a connection that was opened anew."""
-        self.metrics.count("connections_opened" if connected else "connections_failed")
+    def ended(self, task: SearcherTask, *, connected: bool) -> None:
+        """Count out a connection."""
         with self.lock:
-            replica = self.tasks[task]
-            if connected:
-                self._keep(replica, task)
+            replica = self.tasks.pop(task)
+            replica.tasks -= 1
+            if task in replica.idle:
+                replica.idle.remove(task)
+            if connected or task.was_given:
                 return
-            task.work.put(Closing())
+            self.metrics.count("connections_failed")
             if replica.fail(self.clock.now()):
                 self._log_ejection(replica, "", "connect")
 
-    def ended(self, task: SearcherTask) -> None:
-        """Count out a connection."""
-        with self.lock:
-            self.tasks.pop(task).tasks -= 1
-
     def apply_table(self, table: RouteTable) -> None:
         """Take the services' connections and the services to keep warm from a configuration."""
         with self.lock:
@@ -212,7 +212,7 @@
             for replica in self.replicas.values():
                 replica.connections = self._connections(replica.entry.service)
             for service, budget in self.budgets.items():
-                budget.resize(self._hedging(service))
+                budget.ratio, budget.slack = self._repeat_share(service)
         self.warm_up()
 
     def warm_up(self) -> None:
@@ -221,7 +221,7 @@
             for service in self.shards if self.shares.warm else ():
                 for replica in self.services.get(service, {}).values():
                     if replica.state is ReplicaState.ACTIVE and replica.tasks == 0:
-                        self._open(replica, warm=True)
+                        self._open(replica)
 
     def list_searcher(self, entry: SearcherEntry) -> None:
         """Take a listing as it is now."""
@@ -268,6 +268,8 @@
                     replica.state = ReplicaState.GONE
                 if replica.state is ReplicaState.GONE and replica.in_flight == 0:
                     self._drop(replica)
+                self._expire_idle(replica, now)
+            self._cut_stuck(now)
         self.warm_up()
 
     def _choose(self, service: ServiceId, tried: set[SearcherId]) -> Replica | NotRun:
@@ -286,35 +288,47 @@
         cost = replica.cost(now) + (FOREIGN_DOMAIN_COST if foreign else 0.0)
         return replica.state is ReplicaState.LEAVING, cost
 
-    def _open(self, replica: Replica, *, warm: bool = False) -> SearcherTask | None:
+    def _open(self, replica: Replica, first: Call | None = None) -> SearcherTask | None:
         """Start the task of a new connection; return ``None`` where the process has no room."""
         entry = replica.entry
         dialect = self.peer_dialect if entry.service == PEERS else self.dialect
-        task = SearcherTask(entry.id, entry.address, self, dialect, self.clock)
+        task = SearcherTask(entry.id, entry.address, self, dialect, self.clock, first)
         replica.tasks += 1
         self.tasks[task] = replica
         try:
-            self.executor.submit(self._run_warm if warm else self._run, task)
+            self.executor.submit(task.run)
         except RuntimeError as error:
             self.tasks.pop(task).tasks -= 1
             self.log.write(LogEvent.TASK_REFUSED, searcher=entry.id, detail=str(error))
             return None
         return task
 
-    def _run(self, task: SearcherTask) -> None:
-        self.metrics.count("connections_opened")
-        task.run()
-
-    def _run_warm(self, task: SearcherTask) -> None:
-        task.renew()
-        task.run()
-
     def _keep(self, replica: Replica, task: SearcherTask) -> None:
-        """Keep an idle connection, or let it end; the lock is held."""
+        """Keep an idle connection, or end it; the lock is held."""
         if replica.state is ReplicaState.GONE:
-            task.work.put(Closing())
-        else:
-            replica.idle.append(task)
+            task.close()
+            return
+        task.idle_since = self.clock.now()
+        replica.idle.append(task)
+
+    def _expire_idle(self, replica: Replica, now: Millis) -> None:
+        """Close connections before their searcher would, and renew what is in use."""
+        for task in list(replica.idle):
+            kept = IDLE_DEFAULT if task.keep_for is None else min(IDLE_LONGEST, task.keep_for)
+            if now - task.idle_since < kept - IDLE_MARGIN:
+                continue
+            recent = now - replica.used_at < WARM_FOR or self._is_warm(replica.entry.service)
+            if recent and replica.state is ReplicaState.ACTIVE and replica.tasks <= 2:
+                self._open(replica)
+            replica.idle.remove(task)
+            task.close()
+
+    def _cut_stuck(self, now: Millis) -> None:
+        """Cut connections whose call should have ended; the lock is held."""
+        for task in self.tasks:
+            call = task.current
+            if call is not None and call.started and now > call.deadline + STUCK_MARGIN:
+                task.close()
 
     def _judge(self, replica: Replica, call: Call, now: Millis) -> None:
         """Learn from one outcome; the lock is held."""
@@ -357,19 +371,23 @@
             window.add(now, latency)
         return latency / usual if usual else 1.0
 
-    def _budget(self, service: ServiceId) -> HedgeBudget:
+    def _budget(self, service: ServiceId) -> RepeatWindow:
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = HedgeBudget(self._hedging(service))
+            bounds = self.settings.repeats
+            ratio, slack = self._repeat_share(service)
+            budget = RepeatWindow(bounds, ratio, slack, self.started)
+            self.budgets[service] = budget
         return budget
 
-    def _hedging(self, service: ServiceId) -> Hedge:
-        """Return this gateway's part of what all may repeat of one service."""
+    def _repeat_share(self, service: ServiceId) -> tuple[float, float]:
+        """Return this gateway's ratio and slack of what all may repeat of one service."""
+        bounds = self.settings.repeats
         if service == PEERS:
-            return Hedge(budget=self.ratio * PEER_SHARE, reserve=RETRY_RESERVE, burst=0.0)
+            return bounds.ratio * PEER_SHARE, 1.0
         sharers = self.shares.gatherers if service in self.shards else self.shares.gateways
-        burst = self.slack / max(LEAST_SHARERS, sharers) - RETRY_RESERVE
-        return Hedge(budget=self.ratio, reserve=RETRY_RESERVE, burst=max(0.0, burst))
+        slack = bounds.slack * SLACK_MARGIN / max(LEAST_SHARERS, sharers)
+        return bounds.ratio * RATIO_MARGIN, slack
 
     def _connections(self, service: ServiceId) -> int:
         """Return how many connections to each searcher of a service this gateway may have."""
@@ -441,7 +459,7 @@
     def _drop(self, replica: Replica) -> None:
         """Forget a searcher and end its connections; the lock is held."""
         for task in replica.idle:
-            task.work.put(Closing())
+            task.close()
         replica.idle.clear()
         replica.state = ReplicaState.GONE
         if self.replicas.get(replica.entry.id) is replica:
--- /dev/null
+++ b/src/masticgate/process/gateway/_repeat_window.py
@@ -0,0 +1,56 @@
+"""What one gateway may repeat of one service: a sliding window of sends."""
+
+from collections import deque
+
+from ..._ids import Millis
+from ._settings import RepeatBounds
+
+BUCKETS = 10
+"""The window's requests are counted in so many parts."""
+
+
+class RepeatWindow:
+    """Counts the requests and the repeats of the last window; the fleet's lock guards it.
+
+    ``slack`` is this gateway's share. A gateway that has just started does not know what it
+    repeated before, so its slack grows from nothing over the first window.
+    """
+
+    def __init__(self, bounds: RepeatBounds, ratio: float, slack: float, started: Millis) -> None:
+        self.window = bounds.window
+        self.ratio = ratio
+        self.slack = slack
+        self.started = started
+        self.repeats: deque[Millis] = deque()
+        self.requests: deque[tuple[int, int]] = deque()
+
+    def note_request(self, now: Millis) -> None:
+        """Count the first send of a request."""
+        bucket = self._bucket(now)
+        if self.requests and self.requests[-1][0] == bucket:
+            self.requests[-1] = (bucket, self.requests[-1][1] + 1)
+        else:
+            self._forget(now)
+            self.requests.append((bucket, 1))
+
+    def spend(self, now: Millis, reserve: float) -> bool:
+        """Count one repeat; return ``False`` where that would leave less than ``reserve``."""
+        self._forget(now)
+        if len(self.repeats) + 1 + reserve > self._allowed(now):
+            return False
+        self.repeats.append(now)
+        return True
+
+    def _allowed(self, now: Millis) -> float:
+        known = min(1.0, (now - self.started) / self.window)
+        return self.ratio * sum(count for _, count in self.requests) + self.slack * known
+
+    def _forget(self, now: Millis) -> None:
+        while self.repeats and now - self.repeats[0] > self.window:
+            self.repeats.popleft()
+        oldest = self._bucket(now) - BUCKETS
+        while self.requests and self.requests[0][0] <= oldest:
+            self.requests.popleft()
+
+    def _bucket(self, now: Millis) -> int:
+        return int(now * BUCKETS / self.window)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -17,6 +17,7 @@
 TROUBLE_KEPT = Millis(3_000.0)
 """The share of refused and failed sends halves in each such time without a send."""
 
+LEAST_TROUBLE = 0.001
 TROUBLE_COST = 4.0
 """What a send that fails costs over one that succeeds: a repeat, and a part of the budget."""
 
@@ -92,6 +93,8 @@
 
     def trouble_now(self, now: Millis) -> float:
         """Return the share of failed sends, less the time since it was last observed."""
+        if self.trouble < LEAST_TROUBLE:
+            return 0.0
         return float(self.trouble * 0.5 ** ((now - self.trouble_at) / TROUBLE_KEPT))
 
     def note_trouble(self, now: Millis) -> None:
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -202,8 +202,9 @@
     match reply:
         case Merged(missing=0):
             return "whole", ""
-        case Merged(missing=missing, stamps=stamps):
-            return "partial", f"{missing} of {missing + len(stamps)} shards missing"
+        case Merged(missing=missing, stamps=stamps, causes=causes):
+            counts = f"{missing} of {missing + len(stamps)} shards missing"
+            return "partial", "; ".join((counts, *causes))
         case Relayed(answer=answer) if answer.success:
             return "whole", ""
         case Relayed(answer=answer):
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from ..._failures import Failure, NotRun, Reason, Step
+from ..._failures import Failure, NotRun, Reason, Step, describe
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route
 from ._exchange import Answered, Call, Declined, Inbox, Lost, Request, Senders, Sending
@@ -40,6 +40,7 @@
         self.sends = 0
         self.failure: Failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, service)
         self.answer: Answered | None = None
+        self.repeat_failure: NotRun | None = None
         self.hedged = False
         self.cut_started = False
 
@@ -98,6 +99,17 @@
         """Send again after a failure, where the bound and the budget allow it."""
         return self._repeat(Repeat.RETRY)
 
+    def describe(self) -> str:
+        """Return in a few words why there is no answer."""
+        if not self.sendings:
+            return f"{self.service}: {describe(self.failure)}, sent {self.sends}"
+        asked = ", ".join(
+            f"{s.searcher}{'' if s.call.started else ' (connecting)'}"
+            for s in self.sendings.values()
+        )
+        repeat = f", {describe(self.repeat_failure)}" if self.repeat_failure else ""
+        return f"{self.service}: no answer yet of {asked}, sent {self.sends}{repeat}"
+
     def cancel(self) -> None:
         """Cut every send on its way; one that has not started never will."""
         for sending in self.sendings.values():
@@ -123,13 +135,19 @@
                 allowed = self.senders.allow_hedge(self.service)
             case Repeat.RETRY:
                 allowed = self.senders.allow_retry(self.service)
-        return allowed and self._send(repeat=True)
+        if not allowed:
+            self.repeat_failure = NotRun(Reason.BUDGET, Step.ROUTE, self.service)
+            return False
+        return self._send(repeat=True)
 
     def _send(self, *, repeat: bool) -> bool:
         call = Call(self.request, self.route, self.service, self.deadline, self.inbox, repeat)
         sending = self.senders.send(call, self.tried)
         if isinstance(sending, NotRun):
-            self.failure = sending
+            if repeat:
+                self.repeat_failure = sending
+            else:
+                self.failure = sending
             return False
         self.sends += 1
         self.tried.add(sending.searcher)
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -106,6 +106,10 @@
         """Hand over a call whose outcome is known; any task may call this."""
         ...
 
+    def expect(self, number: int) -> None:
+        """Let a wait go on until so many calls finished, or one of them without success."""
+        ...
+
     def wait(self, until: Millis) -> Call | CallerLeft | None:
         """Return the next finished call, or ``None`` at ``until``."""
         ...
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -19,6 +19,9 @@
 
 SHORTEST_ANSWER_TIME = Millis(5.0)
 
+MOST_CAUSES = 4
+"""Missing shards whose cause is kept for the log."""
+
 RETRY_AFTER = Millis(30.0)
 """A refused query is worth another try once the next catalogue event may have come."""
 
@@ -57,6 +60,7 @@
         for attempts in self.waiting:
             attempts.send_first()
         while not self._is_over():
+            self.inbox.expect(len(self.waiting))
             match self.inbox.wait(self._next_time()):
                 case CallerLeft():
                     self._cancel()
@@ -111,7 +115,8 @@
             return self._failure()
         stamps = tuple(answer.stamp for answer in answers)
         records = merge_records((answer.body for answer in answers), self.top)
-        return Merged(stamps, self.total - len(answers), records)
+        causes = tuple(attempts.describe() for attempts in self.waiting[:MOST_CAUSES])
+        return Merged(stamps, self.total - len(answers), records, causes)
 
     def _failure(self) -> Reply:
         detail = f"{len(self.done)} of {self.total} shards"
--- a/src/masticgate/request/gateway/_reply.py
+++ b/src/masticgate/request/gateway/_reply.py
@@ -1,6 +1,6 @@
 """The final answers of a gateway to one request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..._failures import NotRun, Unknown
 from ..._ids import Millis
@@ -16,11 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Merged:
-    """The merged records of some shards; ``stamps`` names the answers that are included."""
+    """The merged records of some shards; ``stamps`` names the answers that are included.
+
+    ``causes`` tells for some of the missing shards why they are.
+    """
 
     stamps: tuple[str, ...]
     missing: int
     records: bytes
+    causes: tuple[str, ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -192,6 +192,9 @@
     def allow_retry(self, service):
         return self._spend()
 
+    def expect(self, number):
+        pass
+
     def put(self, call):
         raise AssertionError("the script hands over the outcomes itself")
 
