Let the seeds relay the platform's changes where there are many gateways

From 13 gateways on the seeds read it and the others follow them by long polls; a relay that has not heard the platform for 2.6 s passes nothing on, and its followers go to another one or to the platform.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -2,6 +2,9 @@
 
 from ._caller import CallerSettings as CallerSettings
 from ._caller import Handler as Handler
+from ._catalogue_codec import BadCatalogueError as BadCatalogueError
+from ._catalogue_codec import decode_changes as decode_changes
+from ._catalogue_codec import encode_change as encode_change
 from ._client import BadReply as BadReply
 from ._client import HttpClient as HttpClient
 from ._client import HttpResponse as HttpResponse
--- /dev/null
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -0,0 +1,162 @@
+"""Encodes what the platform publishes for other gateways, as JSON."""
+
+import json
+from dataclasses import asdict
+from typing import Any
+
+from ..._ids import (
+    Address,
+    ConfigurationVersion,
+    FailureDomainId,
+    Millis,
+    RouteId,
+    SearcherId,
+    ServiceId,
+)
+from ...process.gateway._catalogue import (
+    Change,
+    Listed,
+    Published,
+    SearcherEntry,
+    SearcherPhase,
+    Unlisted,
+    Unreadable,
+)
+from ...version.gateway import (
+    Kind,
+    Limits,
+    OneService,
+    Route,
+    RouteTable,
+    ServiceEntry,
+    Shards,
+    Split,
+    Target,
+    WeightedService,
+)
+
+
+class BadCatalogueError(Exception):
+    """The bytes are no catalogue of this release."""
+
+
+def encode_change(change: Change) -> Any:
+    """Return a change as plain JSON values."""
+    match change:
+        case Published(table=table):
+            return {"table": _encode_table(table)}
+        case Listed(entry=entry):
+            return {"listed": asdict(entry) | {"phase": entry.phase.value}}
+        case Unlisted(searcher=searcher):
+            return {"unlisted": searcher}
+        case Unreadable(key=key, detail=detail, searcher=searcher):
+            return {"unreadable": [key, detail, searcher]}
+
+
+def decode_changes(body: bytes) -> tuple[int, tuple[Change, ...]]:
+    """Return the number up to which changes are told, and the changes.
+
+    :raises BadCatalogueError: the bytes are no catalogue of this release.
+    """
+    try:
+        value = json.loads(body)
+        return int(value["number"]), tuple(_decode_change(item) for item in value["changes"])
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadCatalogueError(str(error)) from error
+
+
+def _encode_table(table: RouteTable) -> Any:
+    return {
+        "version": table.version,
+        "routes": [_encode_route(route) for route in table.routes],
+        "services": {service.id: service.connections for service in table.services.values()},
+        "limits": asdict(table.limits),
+    }
+
+
+def _encode_route(route: Route) -> Any:
+    names = ("id", "host", "prefix", "attempts", "timeout", "objective", "rank")
+    plain = {name: getattr(route, name) for name in names}
+    return plain | {"kind": route.kind.value, "target": _encode_target(route.target)}
+
+
+def _encode_target(target: Target) -> Any:
+    match target:
+        case OneService(service=service):
+            return {"service": service}
+        case Split(parts=parts):
+            return {"split": [[part.service, part.weight] for part in parts]}
+        case Shards(services=services, top=top, least_share=least):
+            return {"shards": list(services), "top": top, "least": least}
+
+
+def _decode_change(item: dict[str, Any]) -> Change:
+    match item:
+        case {"table": table}:
+            return Published(_decode_table(table))
+        case {"listed": entry}:
+            return Listed(_decode_entry(entry))
+        case {"unlisted": searcher}:
+            return Unlisted(SearcherId(searcher))
+        case {"unreadable": [key, detail, searcher]}:
+            return Unreadable(key, detail, None if searcher is None else SearcherId(searcher))
+        case _:
+            raise ValueError("an unknown kind of change")
+
+
+def _decode_entry(entry: dict[str, Any]) -> SearcherEntry:
+    return SearcherEntry(
+        id=SearcherId(entry["id"]),
+        service=ServiceId(entry["service"]),
+        address=Address(entry["address"]),
+        domain=FailureDomainId(entry["domain"]),
+        slots=int(entry["slots"]),
+        phase=SearcherPhase(entry["phase"]),
+        cold=Millis(entry["cold"]),
+        born=int(entry["born"]),
+    )
+
+
+def _decode_table(table: dict[str, Any]) -> RouteTable:
+    services = {
+        ServiceId(name): ServiceEntry(ServiceId(name), int(connections))
+        for name, connections in table["services"].items()
+    }
+    limits = table["limits"]
+    return RouteTable(
+        ConfigurationVersion(table["version"]),
+        tuple(_decode_route(route) for route in table["routes"]),
+        services,
+        Limits(
+            int(limits["header_bytes"]),
+            int(limits["body_bytes"]),
+            Millis(limits["header_timeout"]),
+            Millis(limits["idle_timeout"]),
+        ),
+    )
+
+
+def _decode_route(route: dict[str, Any]) -> Route:
+    return Route(
+        id=RouteId(route["id"]),
+        host=route["host"],
+        prefix=route["prefix"],
+        kind=Kind(route["kind"]),
+        target=_decode_target(route["target"]),
+        attempts=int(route["attempts"]),
+        timeout=Millis(route["timeout"]),
+        objective=Millis(route["objective"]),
+        rank=int(route["rank"]),
+    )
+
+
+def _decode_target(target: dict[str, Any]) -> Target:
+    match target:
+        case {"service": service}:
+            return OneService(ServiceId(service))
+        case {"split": parts}:
+            return Split(tuple(WeightedService(ServiceId(n), float(w)) for n, w in parts))
+        case {"shards": services, "top": top, "least": least}:
+            return Shards(tuple(ServiceId(name) for name in services), int(top), float(least))
+        case _:
+            raise ValueError("an unknown kind of target")
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -21,8 +21,9 @@
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._relay import CatalogueLog
 
-WATCH_WAIT = Millis(2_500.0)
+WATCH_WAIT = Millis(1_800.0)
 """A watch on a connection that fell silent is noticed within it and the client's margin."""
 
 BATCH_INTERVAL = Millis(400.0)
@@ -52,6 +53,7 @@
         self.metrics = metrics
         self.random = random.Random()
         self.table: RouteTable | None = None
+        self.catalogue = CatalogueLog(self.age)
         self.recent: tuple[RouteTable, ...] = ()
         self.stopping = Event()
         self.lost_at: Millis | None = None
@@ -133,9 +135,11 @@
             if isinstance(change, Listed):
                 listed.add(change.entry.id)
         for searcher in self.fleet.unlisted(listed):
+            self.catalogue.add(Unlisted(searcher))
             self._unlist(searcher, "not in the list")
 
     def _apply(self, change: Change) -> None:
+        self.catalogue.add(change)
         match change:
             case Published(table=table):
                 self._publish(table)
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._peers import Peers
+from ._relay import RELAY_AGE, RelayedSource
 from ._service import Beliefs, GatewayService
 from ._settings import GatewaySettings
 
@@ -53,9 +54,20 @@
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
         self.fleet = Fleet(settings, dialect, self.clock, self.executor, self.log, self.metrics)
-        self.follower = Follower(source, self.fleet, self.clock, self.log, self.metrics)
+        relayed = RelayedSource(
+            source, self._relays, self.clock, self.log, lambda seconds: Event().wait(seconds)
+        )
+        self.follower = Follower(relayed, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
-        self.peers = Peers(settings, self.fleet, self.clock, self.log, self._table, self._is_ready)
+        self.peers = Peers(
+            settings,
+            self.fleet,
+            self.clock,
+            self.log,
+            self._table,
+            self._is_ready,
+            self._hears_platform,
+        )
         self.service = GatewayService(
             self.fleet,
             self._beliefs,
@@ -63,6 +75,7 @@
             self.metrics,
             self.peers,
             self.follower.find_table,
+            self.follower.catalogue,
         )
         self.ended = Event()
         self.was_ready = False
@@ -139,6 +152,12 @@
     def _table(self) -> RouteTable | None:
         return self.follower.table
 
+    def _relays(self) -> list[Address]:
+        return self.peers.relays()
+
+    def _hears_platform(self) -> bool:
+        return self.follower.age() <= RELAY_AGE
+
     def _limits(self) -> Limits:
         table = self.follower.table
         return table.limits if table is not None else Limits()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -44,6 +44,7 @@
     SEARCHER_HELD = "searcher_held"
     SEARCHER_EJECTED = "searcher_ejected"
     SEARCHER_BACK = "searcher_back"
+    SOURCE = "source"
     GATHERING = "gathering"
     GATHERER_FOUND = "gatherer_found"
     GATHERER_LOST = "gatherer_lost"
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -23,6 +23,10 @@
 
 HEARTBEAT_HOST = "heartbeat.gateway"
 HEARTBEAT_INTERVAL = Millis(500.0)
+FIRST_HEARTBEAT = Millis(50.0)
+HEARTBEAT_RETRY = Millis(250.0)
+"""Between heartbeats to a seed that does not answer, so that a start is short."""
+
 HEARTBEAT_TIMEOUT = Millis(400.0)
 MISSES = 2
 """A gatherer is left after so many heartbeats without an answer, about a second."""
@@ -33,6 +37,9 @@
 SETTLING = Millis(2_000.0)
 """After its start a seed waits so long for the others before it says how many there are."""
 
+RELAY_MEMBERS = 13
+"""From so many gateways on, the seeds read the platform for all."""
+
 LEAST_CONNECTIONS = 2
 """Own connections to each searcher that a gateway needs to fan out itself: one and a hedge."""
 
@@ -82,6 +89,7 @@
         log: EventLog,
         table: Callable[[], RouteTable | None],
         ready: Callable[[], bool],
+        hears_platform: Callable[[], bool],
     ) -> None:
         self.settings = settings
         self.fleet = fleet
@@ -89,9 +97,11 @@
         self.log = log
         self.table = table
         self.ready = ready
+        self.hears_platform = hears_platform
         self.lock = Lock()
         self.started_at = clock.now()
         self.heard: dict[HostId, Millis] = {}
+        self.found: dict[Address, FailureDomainId] = {}
         self.members = 1
         self.gathering: Gathering = GatherHere()
         self.ended = Event()
@@ -122,15 +132,27 @@
             for known in old:
                 del self.heard[known]
             members = 1 + len(self.heard)
-        settled = now - self.started_at > SETTLING
         reply = {
             "host": self.settings.host,
             "domain": self.settings.domain,
             "ready": self.ready(),
-            "members": members if settled else 0,
+            "relays": self.ready() and self.hears_platform(),
+            "members": members,
         }
         return Plain(200, json.dumps(reply).encode())
 
+    def relays(self) -> list[Address]:
+        """Return the seeds to follow the platform by, those of the own domain first.
+
+        With few gateways each reads the platform itself, which is fresher by one hop.
+        """
+        with self.lock:
+            if self.is_seed or self.members < RELAY_MEMBERS:
+                return []
+            found = dict(self.found)
+        own = self.settings.domain
+        return sorted(found, key=lambda seed: (found[seed] != own, seed))
+
     def decide(self) -> None:
         """Decide who gathers, from what is known now; due regularly."""
         table = self.table()
@@ -167,19 +189,23 @@
         client = HttpClient(seed, self.clock)
         peer = SearcherId(f"{PEERS}/{seed}")
         misses = MISSES
-        while not self.ended.wait(HEARTBEAT_INTERVAL / MILLIS_PER_SECOND):
+        wait = FIRST_HEARTBEAT
+        while not self.ended.wait(wait / MILLIS_PER_SECOND):
+            wait = HEARTBEAT_INTERVAL if misses < MISSES else HEARTBEAT_RETRY
             reply = self._beat(client)
             if reply is not None and reply.get("ready") is True:
                 if misses >= MISSES:
                     self.log.write(LogEvent.GATHERER_FOUND, peer=seed)
                 misses = 0
-                self._note_members(reply)
+                self._note_found(seed, reply)
                 self.fleet.list_searcher(_entry(peer, seed, reply))
                 continue
             misses += 1
             if misses == MISSES or (reply is not None and misses < MISSES):
                 misses = MISSES
                 self.log.write(LogEvent.GATHERER_LOST, peer=seed, answered=reply is not None)
+                with self.lock:
+                    self.found.pop(seed, None)
                 self.fleet.unlist_searcher(peer, "no heartbeat")
 
     def _beat(self, client: HttpClient) -> dict[str, object] | None:
@@ -200,10 +226,14 @@
             return None
         return reply if isinstance(reply, dict) else None
 
-    def _note_members(self, reply: dict[str, object]) -> None:
+    def _note_found(self, seed: Address, reply: dict[str, object]) -> None:
         members = reply.get("members")
-        if isinstance(members, int) and members > 0:
-            with self.lock:
+        with self.lock:
+            if reply.get("relays") is True:
+                self.found[seed] = FailureDomainId(str(reply.get("domain")))
+            else:
+                self.found.pop(seed, None)
+            if isinstance(members, int) and members > 0:
                 self.members = members
 
 
--- /dev/null
+++ b/src/masticgate/process/gateway/_relay.py
@@ -0,0 +1,202 @@
+"""Passes on what the platform publishes, so that few gateways have to read it."""
+
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from threading import Condition
+from time import monotonic
+from urllib.parse import parse_qs, urlencode
+
+from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._ids import Address, Millis, Revision
+from ...connection.gateway import (
+    BadCatalogueError,
+    HttpClient,
+    HttpResponse,
+    decode_changes,
+    encode_change,
+)
+from ...request.gateway import Plain, Request
+from ._catalogue import (
+    Change,
+    Changes,
+    Contents,
+    HistoryGone,
+    Listed,
+    Published,
+    Source,
+    Unavailable,
+    Unlisted,
+    Unreadable,
+)
+from ._log import EventLog, LogEvent
+
+CATALOGUE_HOST = "catalogue.gateway"
+MOST_CHANGES = 2_000
+"""Changes kept for those that follow; who is further behind reads everything."""
+
+LONGEST_WAIT = Millis(5_000.0)
+RELAY_AGE = Millis(2_600.0)
+"""A relay that has not heard the platform for so long passes nothing on any more."""
+
+RELAY_RETRY = Millis(3_000.0)
+"""After reading the platform itself, a gateway looks for a relay again so much later."""
+
+READ_TIMEOUT = Millis(1_000.0)
+WATCH_MARGIN = Millis(500.0)
+CONNECT_TIMEOUT = Millis(300.0)
+START_WAIT_S = 0.8
+"""A starting gateway gives the seeds so long to say whether they relay."""
+
+START_POLL_S = 0.1
+GONE = 410
+
+
+class CatalogueLog:
+    """The published state and its latest changes, as JSON values, for gateways that follow."""
+
+    def __init__(self, age: Callable[[], Millis]) -> None:
+        self.age = age
+        self.changed = Condition()
+        self.epoch = f"{random.getrandbits(48):x}"
+        self.number = 0
+        self.state: dict[str, object] = {}
+        self.changes: deque[tuple[int, object]] = deque(maxlen=MOST_CHANGES)
+
+    def add(self, change: Change) -> None:
+        """Take one change of the platform's."""
+        value = encode_change(change)
+        with self.changed:
+            match change:
+                case Published():
+                    self.state["table"] = value
+                case Listed(entry=entry):
+                    self.state[f"searcher {entry.id}"] = value
+                case Unlisted(searcher=searcher) | Unreadable(searcher=searcher):
+                    self.state.pop(f"searcher {searcher}", None)
+            self.number += 1
+            self.changes.append((self.number, value))
+            self.changed.notify_all()
+
+    def answer(self, request: Request) -> Plain:
+        """Answer a read, or a watch once something changed or its wait is over."""
+        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        after = query.get("after", [""])[0]
+        if self.age() > RELAY_AGE:
+            return Plain(503, b"the platform was not heard")
+        if not after.isdigit():
+            return self._answer_all()
+        wait = query.get("wait", ["0"])[0]
+        if query.get("epoch", [""])[0] != self.epoch or not wait.isdigit():
+            return Plain(GONE, b"another start of this gateway")
+        return self._answer_since(int(after), min(LONGEST_WAIT, Millis(float(wait))))
+
+    def _answer_all(self) -> Plain:
+        with self.changed:
+            if "table" not in self.state:
+                return Plain(503, b"no configuration")
+            return self._encode(list(self.state.values()))
+
+    def _answer_since(self, after: int, wait: Millis) -> Plain:
+        deadline = monotonic() + wait / MILLIS_PER_SECOND
+        with self.changed:
+            while self.number <= after and (left := deadline - monotonic()) > 0:
+                self.changed.wait(left)
+            if self.age() > RELAY_AGE:
+                return Plain(503, b"the platform was not heard")
+            if self.changes and after + 1 < self.changes[0][0]:
+                return Plain(GONE, b"the changes are no longer known")
+            return self._encode([value for number, value in self.changes if number > after])
+
+    def _encode(self, changes: list[object]) -> Plain:
+        body = {"epoch": self.epoch, "number": self.number, "changes": changes}
+        return Plain(200, json.dumps(body, separators=(",", ":")).encode())
+
+
+class RelayedSource:
+    """Reads from a gateway that relays while there is one, and from the platform otherwise.
+
+    ``relays`` returns the addresses of the gateways that relay now, the preferred one first.
+    """
+
+    def __init__(
+        self,
+        platform: Source,
+        relays: Callable[[], list[Address]],
+        clock: Clock,
+        log: EventLog,
+        wait: Callable[[float], object],
+    ) -> None:
+        self.platform = platform
+        self.relays = relays
+        self.clock = clock
+        self.log = log
+        self.wait = wait
+        self.client: HttpClient | None = None
+        self.epoch = ""
+        self.started = False
+        self.retry_at = Millis(0.0)
+
+    def read(self) -> Contents | Unavailable:
+        """Read everything from the first relay that answers, or from the platform."""
+        self._wait_for_relays()
+        for address in self.relays():
+            self._leave()
+            self.client = HttpClient(address, self.clock)
+            reply = self._get({}, READ_TIMEOUT)
+            if isinstance(reply, tuple):
+                self.log.write(LogEvent.SOURCE, relay=address)
+                return Contents(reply[1], Revision(reply[0]))
+        if self.client is not None:
+            self.log.write(LogEvent.SOURCE, relay=None)
+        self._leave()
+        self.retry_at = Millis(self.clock.now() + RELAY_RETRY)
+        return self.platform.read()
+
+    def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
+        """Wait for changes; a relay that fails or is no longer one is left for another."""
+        if self.client is None:
+            if self.relays() and self.clock.now() >= self.retry_at:
+                return HistoryGone()
+            return self.platform.watch(after, wait)
+        if self.client.address not in self.relays():
+            return HistoryGone()
+        query = {"after": after, "epoch": self.epoch, "wait": int(wait)}
+        reply = self._get(query, Millis(wait + WATCH_MARGIN))
+        if isinstance(reply, tuple):
+            return Changes(reply[1], Revision(reply[0]))
+        return HistoryGone()
+
+    def _wait_for_relays(self) -> None:
+        """Give the relays a moment to be found after the start of this process."""
+        deadline = monotonic() + START_WAIT_S
+        while not self.started and not self.relays() and monotonic() < deadline:
+            self.wait(START_POLL_S)
+        self.started = True
+
+    def _leave(self) -> None:
+        if self.client is not None:
+            self.client.close()
+        self.client = None
+
+    def _get(
+        self, query: dict[str, object], timeout: Millis
+    ) -> tuple[int, tuple[Change, ...]] | Unavailable:
+        """Return the number and the changes, or why the relay gives none."""
+        assert self.client is not None
+        if self.client.is_stale():
+            self.client.close()
+        deadline = Millis(self.clock.now() + timeout)
+        head = f"GET /?{urlencode(query)} HTTP/1.1\r\nHost: {CATALOGUE_HOST}\r\n\r\n"
+        failed = self.client.connect(CONNECT_TIMEOUT) or self.client.send(head.encode(), deadline)
+        response = failed or self.client.receive(deadline)
+        if not isinstance(response, HttpResponse):
+            return Unavailable(response.detail)
+        if response.status != 200:
+            return Unavailable(f"status {response.status}")
+        try:
+            self.epoch = json.loads(response.body)["epoch"]
+            return decode_changes(response.body)
+        except (BadCatalogueError, KeyError, ValueError) as error:
+            return Unavailable(f"unreadable: {error}")
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -26,6 +26,7 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._peers import HEARTBEAT_HOST, GatherAtPeers, GatherHere, Peers, peer_route
+from ._relay import CATALOGUE_HOST, CatalogueLog
 
 NO_CONFIGURATION_RETRY = Millis(300.0)
 """A gateway that starts has read the configuration by then."""
@@ -77,6 +78,7 @@
         metrics: Metrics,
         peers: Peers,
         find_table: Callable[[ConfigurationVersion], RouteTable | None],
+        catalogue: CatalogueLog,
     ) -> None:
         self.fleet = fleet
         self.beliefs = beliefs
@@ -84,6 +86,7 @@
         self.metrics = metrics
         self.find_table = find_table
         self.peers = peers
+        self.catalogue = catalogue
         self.turns = SplitTurns()
         self.served = 0
 
@@ -103,6 +106,8 @@
         """Answer another gateway: a heartbeat, or a query to gather by the version it names."""
         if request.host == HEARTBEAT_HOST:
             return self.peers.answer_heartbeat(request)
+        if request.host == CATALOGUE_HOST:
+            return self.catalogue.answer(request)
         version = request.version
         table = None if version is None else self.find_table(version)
         if table is None or not self.peers.ready():
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,162 @@
+"""Following the platform through other gateways."""
+
+from threading import Event
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticgate import Address, Millis, Revision, SearcherId, ServiceId, SystemClock
+from masticgate._ids import HostId, RequestId
+from masticgate.connection.gateway import decode_changes
+from masticgate.process.gateway import (
+    Changes,
+    Contents,
+    HistoryGone,
+    Listed,
+    Published,
+    SearcherPhase,
+    Unavailable,
+    Unlisted,
+    Unreadable,
+)
+from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._relay import CatalogueLog, RelayedSource
+from masticgate.request.gateway import Request
+from masticgate.version.gateway import Kind, Shards, Split, WeightedService
+
+from .fakes import make_entry, make_route, make_table
+from .loopback import StandInSearcher
+
+SHARDS = make_route(Shards((ServiceId("s1"), ServiceId("s2")), 3, 0.5))
+SPLIT = make_route(
+    Split((WeightedService(ServiceId("a"), 3.0),)), Kind.NON_IDEMPOTENT, prefix="/b/"
+)
+
+
+def get(catalogue: CatalogueLog, query: str = ""):
+    target = b"/?" + query.encode()
+    request = Request(RequestId(""), b"GET", target, "", (), b"", None, Millis(0.0))
+    return catalogue.answer(request)
+
+
+def since(catalogue: CatalogueLog, after: int, wait: int = 0):
+    return get(catalogue, f"after={after}&epoch={catalogue.epoch}&wait={wait}")
+
+
+def make_catalogue(age: float = 0.0) -> CatalogueLog:
+    catalogue = CatalogueLog(lambda: Millis(age))
+    catalogue.add(Published(make_table(SHARDS, SPLIT, make_route(prefix="/c/"), version=7)))
+    return catalogue
+
+
+class TestCatalogueLog:
+    def test_a_read_returns_the_state_as_it_was_published(self):
+        catalogue = make_catalogue()
+        entry = make_entry("a", phase=SearcherPhase.DRAINING)
+        catalogue.add(Listed(entry))
+        catalogue.add(Listed(make_entry("b")))
+        catalogue.add(Unlisted(SearcherId("b")))
+        number, changes = decode_changes(get(catalogue).body)
+        table = make_table(SHARDS, SPLIT, make_route(prefix="/c/"), version=7)
+        assert number == 4
+        assert changes == (Published(table), Listed(entry))
+
+    def test_a_watch_returns_what_came_after(self):
+        catalogue = make_catalogue()
+        unreadable = Unreadable("servers/x", "no slots", SearcherId("x"))
+        catalogue.add(Unlisted(SearcherId("b")))
+        catalogue.add(unreadable)
+        number, changes = decode_changes(since(catalogue, 1).body)
+        assert (number, changes) == (3, (Unlisted(SearcherId("b")), unreadable))
+        assert decode_changes(since(catalogue, 3).body) == (3, ())
+
+    def test_another_start_and_lost_changes_are_told(self):
+        catalogue = make_catalogue()
+        assert get(catalogue, "after=1&epoch=other&wait=0").status == 410
+        for number in range(2_100):
+            catalogue.add(Unlisted(SearcherId(str(number))))
+        assert since(catalogue, 1).status == 410
+
+    def test_one_that_does_not_hear_the_platform_passes_nothing_on(self):
+        assert get(make_catalogue(age=3_000.0)).status == 503
+        assert since(make_catalogue(age=3_000.0), 1).status == 503
+
+
+class TestCodec:
+    @given(st.binary(max_size=60))
+    def test_bytes_that_are_no_catalogue_are_refused(self, data):
+        from masticgate.connection.gateway import BadCatalogueError
+
+        try:
+            decode_changes(data)
+        except BadCatalogueError:
+            return
+
+
+class FixedPlatform:
+    def __init__(self) -> None:
+        self.reads = 0
+
+    def read(self):
+        self.reads += 1
+        return Contents((), Revision(50))
+
+    def watch(self, after, wait):
+        return Changes((), after)
+
+
+def relayed(answer):
+    """Return a source over one relay, its platform, and the list of relays to change."""
+    server = StandInSearcher(answer)
+    relays: list[Address] = [server.address]
+    platform = FixedPlatform()
+    log = EventLog(HostId("g"), SystemClock())
+    wait = Event().wait
+    source = RelayedSource(platform, lambda: relays, SystemClock(), log, wait)
+    return source, platform, relays
+
+
+def http(status: int, body: bytes) -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+class TestRelayedSource:
+    def test_it_reads_and_watches_the_relay(self):
+        catalogue = make_catalogue()
+        source, platform, _ = relayed(lambda head: http(200, get(catalogue).body))
+        contents = source.read()
+        assert isinstance(contents, Contents) and contents.revision == 1
+        changes = source.watch(Revision(1), Millis(10.0))
+        assert isinstance(changes, Changes)
+        assert platform.reads == 0
+
+    def test_a_relay_that_refuses_is_left_for_the_platform(self):
+        source, platform, _ = relayed(lambda head: http(503, b"not heard"))
+        assert source.read() == Contents((), Revision(50))
+        assert platform.reads == 1
+
+    def test_a_relay_that_fails_in_a_watch_makes_it_read_again(self):
+        answers = [http(200, get(make_catalogue()).body), None]
+        source, platform, relays = relayed(lambda head: answers.pop(0))
+        source.read()
+        assert source.watch(Revision(1), Millis(10.0)) == HistoryGone()
+        relays.clear()
+        assert not isinstance(source.read(), Unavailable)
+        assert platform.reads == 1
+
+    def test_a_relay_that_is_no_longer_one_is_left(self):
+        source, _, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
+        source.read()
+        relays.clear()
+        assert source.watch(Revision(1), Millis(10.0)) == HistoryGone()
+
+    def test_a_relay_found_later_is_used(self):
+        source, platform, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
+        address = relays.pop()
+        source.started = True
+        source.read()
+        assert isinstance(source.watch(Revision(50), Millis(1.0)), Changes)
+        relays.append(address)
+        assert isinstance(source.watch(Revision(50), Millis(1.0)), Changes)
+        source.retry_at = Millis(0.0)
+        assert source.watch(Revision(50), Millis(1.0)) == HistoryGone()
