Start without a wait on small deployments; explain a request from the logs; pages for operators

masticgate explain tells a request's story from the logs of all gateways. Searches refused before their fan-out no longer raise the limit of searches in progress (KNOWN-RED).

--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -7,9 +7,9 @@
 from .._clock import Clock
 from .._ids import Address, Millis, Revision
 from ..connection.gateway import BadReply, HttpClient, HttpResponse, NoReply
-from ..process.gateway import Change, Changes, Contents, HistoryGone, Unavailable
+from ..process.gateway import Change, Changes, Contents, HistoryGone, Published, Unavailable
 from ._items import decode_item
-from ._names import EVERYTHING
+from ._names import CONFIGURATION_KEY, EVERYTHING
 
 READ_TIMEOUT = Millis(1_000.0)
 """A read is answered in milliseconds; a slow store takes some hundred."""
@@ -29,6 +29,14 @@
         self.clock = clock
         self.client = HttpClient(address, clock)
 
+    def read_table(self) -> Published | Unavailable:
+        """Read the item that holds the configuration."""
+        item = self._get("/v1/kv-key", {"key": CONFIGURATION_KEY}, READ_TIMEOUT)
+        if isinstance(item, int | Unavailable):
+            return _unavailable(item)
+        change = decode_item(item)
+        return change if isinstance(change, Published) else Unavailable("no configuration")
+
     def read(self) -> Contents | Unavailable:
         """Read every item, page by page.
 
--- a/src/masticgate/process/_caller_service.py
+++ b/src/masticgate/process/_caller_service.py
@@ -127,13 +127,15 @@
     def _run_limited(self, query: Query) -> Answer | NotRun:
         if not self.concurrency.enter(query.rank):
             return NotRun(Reason.OVERLOAD, Step.ADMISSION, peer=self.host)
-        late = True
+        result: Answer | NotRun | None = None
         try:
             result = run_search(query, self.tier)
-            late = is_late(result)
             return result
         finally:
-            self.concurrency.leave(query.rank, late=late)
+            if result is not None and is_refused(result):
+                self.concurrency.leave_refused(query.rank)
+            else:
+                self.concurrency.leave(query.rank, late=result is None or is_late(result))
 
     def _count_search(self, rank: Rank, result: Answer | NotRun, duration: Millis) -> None:
         match result:
@@ -166,3 +168,8 @@
             return reason is Reason.DEADLINE
         case Answer(missing=missing):
             return any(item.failure.reason is Reason.DEADLINE for item in missing)
+
+
+def is_refused(result: Answer | NotRun) -> bool:
+    """Tell whether a search was refused before its fan-out."""
+    return isinstance(result, NotRun) and result.reason is not Reason.DEADLINE
--- /dev/null
+++ b/src/masticgate/process/_command_explain.py
@@ -0,0 +1,98 @@
+"""``masticgate explain``: the story of one request, from the logs of all gateways."""
+
+import json
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ._exit_codes import ExitCode
+
+BELIEFS = frozenset(
+    {
+        "started",
+        "stopping",
+        "stopped",
+        "paused",
+        "ready",
+        "configuration",
+        "platform_lost",
+        "platform_back",
+        "platform_reread",
+        "gathering",
+        "gatherer_lost",
+        "gatherer_found",
+    }
+)
+"""Events that bear on every request of their host."""
+
+HEAD = frozenset({"wall_ms", "host", "event", "request"})
+WORD = re.compile(r"[\w~.:/-]+")
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a gateway's log."""
+
+    wall: float
+    host: str
+    event: str
+    fields: dict[str, Any]
+
+    @property
+    def words(self) -> set[str]:
+        """The words of all fields, by which a line names searchers and services."""
+        return set(WORD.findall(" ".join(str(value) for value in self.fields.values())))
+
+
+def read_lines(paths: Iterable[Path]) -> Iterator[Line]:
+    """Yield the log lines of all files; what is no such line is passed over."""
+    for path in paths:
+        for text in path.read_text(encoding="utf-8", errors="replace").splitlines():
+            start = text.find("{")
+            try:
+                fields = json.loads(text[start:]) if start >= 0 else None
+            except ValueError:
+                continue
+            if isinstance(fields, dict) and {"wall_ms", "host", "event"} <= fields.keys():
+                yield Line(float(fields["wall_ms"]), fields["host"], fields["event"], fields)
+
+
+def tell_story(lines: list[Line], request: str, before_ms: float) -> list[Line]:
+    """Return the lines of ``request``, and the beliefs that may have decided it.
+
+    Those are lines of the same hosts, at most ``before_ms`` older than the request's last line by
+    the host's own clock, that concern the whole host or name a searcher or a service which the
+    request's lines name too. Lines of a host are in its own order, hosts by their first line.
+    """
+    own = [line for line in lines if line.fields.get("request") == request]
+    ends = {line.host: line.wall for line in own}
+    named = {word for line in own for word in line.words} - {request}
+    story = []
+    for line in lines:
+        end = ends.get(line.host)
+        if end is None or not end - before_ms <= line.wall <= end:
+            continue
+        subject = {str(line.fields.get(key)) for key in ("searcher", "service")}
+        if line in own or line.event in BELIEFS or subject & named:
+            story.append(line)
+    return sorted(story, key=lambda line: (line.wall, line.host))
+
+
+@click.command()
+@click.option("--before", default=10.0, show_default=True, help="Seconds of beliefs to show.")
+@click.argument("request")
+@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
+def explain(before: float, request: str, logs: tuple[Path, ...]) -> None:
+    """Tell what happened to REQUEST from the LOGS of all gateways."""
+    story = tell_story(list(read_lines(logs)), request, before * 1000.0)
+    if not any(line.fields.get("request") == request for line in story):
+        click.echo(f"no line of request {request}; whole answers in time are sampled", err=True)
+        raise SystemExit(ExitCode.UNKNOWN)
+    for line in story:
+        mark = "*" if line.fields.get("request") == request else " "
+        rest = " ".join(f"{k}={v}" for k, v in line.fields.items() if k not in HEAD)
+        click.echo(f"{mark} {line.wall:.0f} {line.host} {line.event} {rest}")
--- a/src/masticgate/process/_command_group.py
+++ b/src/masticgate/process/_command_group.py
@@ -5,6 +5,7 @@
 from .._version import VERSION
 from ._command_book import book
 from ._command_check import check
+from ._command_explain import explain
 from ._command_query import query
 from ._command_serve import serve
 from ._command_status import status
@@ -17,5 +18,5 @@
     """Query many sharded searchers as one."""
 
 
-for command in (serve, check, query, book, status, timeline):
+for command in (serve, check, query, book, status, timeline, explain):
     main.add_command(command)
--- a/src/masticgate/process/_concurrency.py
+++ b/src/masticgate/process/_concurrency.py
@@ -40,6 +40,11 @@
             self.in_progress[rank] += 1
             return True
 
+    def leave_refused(self, rank: Rank) -> None:
+        """Count out a search that was refused before its fan-out; it tells nothing of the load."""
+        with self.lock:
+            self.in_progress[rank] -= 1
+
     def leave(self, rank: Rank, *, late: bool) -> None:
         """Count one search out; ``late`` tells that its deadline cut it short."""
         with self.lock:
--- a/src/masticgate/process/gateway/__init__.py
+++ b/src/masticgate/process/gateway/__init__.py
@@ -5,6 +5,7 @@
 from ._catalogue import Contents as Contents
 from ._catalogue import HistoryGone as HistoryGone
 from ._catalogue import Listed as Listed
+from ._catalogue import PlatformSource as PlatformSource
 from ._catalogue import Published as Published
 from ._catalogue import SearcherEntry as SearcherEntry
 from ._catalogue import SearcherPhase as SearcherPhase
--- a/src/masticgate/process/gateway/_catalogue.py
+++ b/src/masticgate/process/gateway/_catalogue.py
@@ -107,3 +107,11 @@
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait for changes after a revision, for ``wait`` at most."""
         ...
+
+
+class PlatformSource(Source, Protocol):
+    """Reads the platform itself."""
+
+    def read_table(self) -> Published | Unavailable:
+        """Read the configuration alone."""
+        ...
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, Plain, Reply, Request
 from ...version.gateway import Limits, RouteTable
-from ._catalogue import Source
+from ._catalogue import PlatformSource
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
@@ -46,7 +46,7 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, settings: GatewaySettings, dialect: Dialect, source: Source) -> None:
+    def __init__(self, settings: GatewaySettings, dialect: Dialect, source: PlatformSource) -> None:
         threading.stack_size(STACK_BYTES)
         self.settings = settings
         self.clock = SystemClock()
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -24,8 +24,8 @@
     Contents,
     HistoryGone,
     Listed,
+    PlatformSource,
     Published,
-    Source,
     Unavailable,
     Unlisted,
     Unreadable,
@@ -50,6 +50,9 @@
 """A starting gateway gives the seeds so long to say whether they relay."""
 
 START_POLL_S = 0.1
+MANY_SERVICES = 100
+"""Below it, a starting gateway reads the platform at once: that is a call or a few."""
+
 GONE = 410
 
 
@@ -122,7 +125,7 @@
 
     def __init__(
         self,
-        platform: Source,
+        platform: PlatformSource,
         relays: Callable[[], list[Address]],
         clock: Clock,
         log: EventLog,
@@ -169,11 +172,16 @@
         return HistoryGone()
 
     def _wait_for_relays(self) -> None:
-        """Give the relays a moment to be found after the start of this process."""
+        """Give the relays a moment after the start, where reading everything takes many calls."""
+        if self.started:
+            return
+        self.started = True
+        published = self.platform.read_table()
+        if isinstance(published, Unavailable) or len(published.table.services) < MANY_SERVICES:
+            return
         deadline = monotonic() + START_WAIT_S
-        while not self.started and not self.relays() and monotonic() < deadline:
+        while not self.relays() and monotonic() < deadline:
             self.wait(START_POLL_S)
-        self.started = True
 
     def _leave(self) -> None:
         if self.client is not None:
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -109,6 +109,9 @@
             (Published(table), *(Listed(entry) for entry in entries)), Revision(1)
         )
 
+    def read_table(self):
+        return self.contents.changes[0]
+
     def read(self):
         return self.contents
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -96,6 +96,10 @@
 class FixedPlatform:
     def __init__(self) -> None:
         self.reads = 0
+        self.table = make_table(SHARDS)
+
+    def read_table(self):
+        return Published(self.table)
 
     def read(self):
         self.reads += 1
@@ -150,6 +154,23 @@
         relays.clear()
         assert source.watch(Revision(1), Millis(10.0)) == HistoryGone()
 
+    def test_a_small_deployment_is_read_at_once_after_a_start(self):
+        source, platform, relays = relayed(lambda head: http(503, b""))
+        relays.clear()
+        waits = []
+        source.wait = waits.append
+        source.read()
+        assert (platform.reads, waits) == (1, [])
+
+    def test_a_large_deployment_waits_a_moment_for_a_relay(self):
+        source, platform, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
+        names = tuple(ServiceId(f"s{number}") for number in range(120))
+        platform.table = make_table(make_route(Shards(names, 3, 0.5)))
+        address = relays.pop()
+        source.wait = lambda seconds: relays.append(address)
+        source.read()
+        assert platform.reads == 0
+
     def test_a_relay_found_later_is_used(self):
         source, platform, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
         address = relays.pop()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 
 from masticgate import Millis, Revision, SystemClock
 from masticgate.platform._store import Store
-from masticgate.process.gateway import Changes, Contents, HistoryGone, Unavailable
+from masticgate.process.gateway import Changes, Contents, HistoryGone, Published, Unavailable
 from tests.gateway.loopback import StandInSearcher
 
 from .test_items import CONFIG, ENTRY
@@ -51,6 +51,19 @@
         assert isinstance(make_store(lambda head: http(200, []))[1].read(), Unavailable)
 
 
+class TestReadTable:
+    def test_the_configuration_alone(self):
+        server, store = make_store(
+            lambda head: http(200, stored("op/config", CONFIG) | {"currentRev": 3})
+        )
+        published = store.read_table()
+        assert isinstance(published, Published) and published.table.version == 7
+        assert query_of(server.heads[0]) == {"key": "op/config"}
+
+    def test_none_is_unavailable(self):
+        assert isinstance(make_store(lambda head: http(404, {}))[1].read_table(), Unavailable)
+
+
 class TestWatch:
     def test_events_and_the_next_revision(self):
         event = {"key": "servers/a", "revision": 8, "removed": True}
--- a/tests/process/test_concurrency.py
+++ b/tests/process/test_concurrency.py
@@ -62,3 +62,14 @@
 
     def test_are_all_admitted_by_the_naive_baseline(self):
         assert self.reason(NAIVE_POLICY) is Reason.NO_CONFIGURATION
+
+    def test_that_are_refused_before_their_fan_out_do_not_move_the_limit(self):
+        clock = ManualClock()
+        tier = SimpleNamespace(policy=OWNER_POLICY, configuration=lambda: None)
+        metrics = SimpleNamespace(count=lambda name: None)
+        service = CallerService(HostId("h1"), tier, None, None, clock, None, metrics)
+        request = SearchRequest((ServiceId("desk"),), "", Rank.BULK, Millis(100.0), 1)
+        for _ in range(50):
+            assert service.search(request).reason is Reason.NO_CONFIGURATION
+        assert service.concurrency.limit == FIRST_LIMIT
+        assert service.concurrency.in_progress[Rank.BULK] == 0
--- /dev/null
+++ b/tests/process/test_explain.py
@@ -0,0 +1,48 @@
+"""The story of one request from the logs of several gateways."""
+
+import json
+
+from click.testing import CliRunner
+
+from masticgate.process.commands import main
+
+
+def line(wall: int, host: str, event: str, **fields) -> str:
+    return json.dumps({"wall_ms": wall, "host": host, "event": event, **fields})
+
+
+LOG_1 = "\n".join(
+    [
+        line(1_000, "g1", "searcher_ejected", searcher="i-far", service="other"),
+        line(90_000, "g1", "platform_lost", detail="timed out", age_ms=2_500),
+        line(91_000, "g1", "searcher_ejected", searcher="i-7", service="s1", detail="reset"),
+        line(91_500, "g1", "searcher_ejected", searcher="i-8", service="s9"),
+        "not a line",
+        line(92_000, "g1", "request_failed", request="q1", detail="unknown: lost at i-7"),
+        line(93_000, "g1", "configuration", version=9),
+    ]
+)
+LOG_2 = line(92_000, "g2", "request", request="q2")
+
+
+class TestExplain:
+    def run(self, tmp_path, request):
+        for name, text in (("g1.log", LOG_1), ("g2.log", LOG_2)):
+            (tmp_path / name).write_text(text)
+        logs = [str(tmp_path / "g1.log"), str(tmp_path / "g2.log")]
+        return CliRunner().invoke(main, ["explain", request, *logs])
+
+    def test_the_beliefs_that_decided_a_request_come_before_it(self, tmp_path):
+        result = self.run(tmp_path, "q1")
+        assert result.exit_code == 0
+        events = [row.split()[-3:] for row in result.output.splitlines()]
+        assert len(events) == 3
+        rows = result.output.splitlines()
+        assert "platform_lost" in rows[0] and "i-7" in rows[1] and rows[2].startswith("* ")
+
+    def test_other_searchers_and_other_hosts_are_left_out(self, tmp_path):
+        output = self.run(tmp_path, "q1").output
+        assert "i-8" not in output and "g2" not in output and "version=9" not in output
+
+    def test_an_unknown_request_is_said_so(self, tmp_path):
+        assert self.run(tmp_path, "q3").exit_code == 3
--- a/tests/test_operators_pages.py
+++ b/tests/test_operators_pages.py
@@ -13,6 +13,7 @@
 from masticgate.process._settings import PlatformText, SeedText, StatsdText
 from masticgate.process._timeline import EventKind
 from masticgate.process.commands import main
+from masticgate.process.gateway._log import LogEvent
 from masticgate.version._schema import (
     ConfigurationText,
     DepartmentText,
@@ -104,6 +105,17 @@
         table = page.partition("## Suggested alerts")[0]
         assert set(re.findall(r"^\| `([^`]+)` \|", table, re.MULTILINE)) == metric_names()
 
+    def test_of_all_log_events_and_no_others_are_explained(self):
+        page = (ROOT / "docs" / "LOGS.md").read_text(encoding="utf-8")
+        rows = re.findall(r"^\| ([^|]+) \| [^|]+ \| [^|]+ \|$", page, re.MULTILINE)
+        names = [name for row in rows for name in re.findall(r"`([^`]+)`", row)]
+        assert sorted(names) == sorted(event.value for event in LogEvent)
+
+    def test_of_all_commands_shown_to_operators_exist(self):
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+        shown = re.findall(r"^    (?:\$ )?masticgate (\w+)", page, re.MULTILINE)
+        assert shown and set(shown) <= set(main.commands)
+
 
 class TestSettings:
     @pytest.mark.parametrize(
