--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -18,6 +18,7 @@
 RELOAD_INTERVAL_S = 5.0
 """The settings file may change without a signal; it is read again so often."""
 
+START_STATUS = 1
 USAGE_STATUS = 2
 
 
@@ -36,7 +37,11 @@
 
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, note)
-    gateway = Gateway(settings, DIALECT, Store(settings.catalogue, SystemClock()))
+    try:
+        gateway = Gateway(settings, DIALECT, Store(settings.catalogue, SystemClock()))
+    except OSError as error:
+        print(f"masticgate: cannot listen: {error}", file=sys.stderr)
+        raise SystemExit(START_STATUS) from error
     gateway.start()
     _run(gateway, settings, path, metrics_port, signals)
     gateway.stop()
