Send nothing to a searcher whose lapsed listing was waited for in vain

Ruled out: the relay's delay, the change was there within a second. A listing that is not back in time ends the use at once, and a seed relays a removal only once it no longer waits for the listing.

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -242,12 +242,17 @@
                 known = self._add(entry, now)
             self._update(known, entry, now)
 
-    def unlist_searcher(self, searcher: SearcherId, why: str) -> None:
-        """Stop using a searcher whose listing is gone."""
+    def unlist_searcher(
+        self, searcher: SearcherId, why: str, last_resort: Millis | None = None
+    ) -> None:
+        """Stop using a searcher whose listing is gone.
+
+        It stays a last resort for ``last_resort``, by default for a part of the drain time.
+        """
         with self.lock:
             replica = self.replicas.get(searcher)
             if replica is not None:
-                self._leave(replica, why)
+                self._leave(replica, why, last_resort)
 
     def unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
         """Return the searchers that are in use but not ``listed``."""
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -135,20 +135,20 @@
             if isinstance(change, Listed):
                 listed.add(change.entry.id)
         for searcher in self.fleet.unlisted(listed):
-            self.catalogue.add(Unlisted(searcher))
             self._unlist(searcher, "not in the list")
 
     def _apply(self, change: Change) -> None:
-        self.catalogue.add(change)
         match change:
             case Published(table=table):
                 self._publish(table)
             case Listed(entry=entry):
+                self.catalogue.add(change)
                 self.held.discard(entry.id)
                 self.fleet.list_searcher(entry)
             case Unlisted(searcher=searcher):
                 self._unlist(searcher, "unlisted")
             case Unreadable(key=key, detail=detail, searcher=searcher):
+                self.catalogue.add(change)
                 self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
                 if searcher is not None:
                     self.fleet.unlist_searcher(searcher, "unreadable")
@@ -161,6 +161,7 @@
                     LogEvent.CONFIGURATION_IGNORED, version=table.version, newer=known.version
                 )
             return
+        self.catalogue.add(Published(table))
         self.recent = (table, *self.recent)[:RECENT_TABLES]
         self.table = table
         self.fleet.apply_table(table)
@@ -178,6 +179,7 @@
             self.held.add(searcher)
             self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
         else:
+            self.catalogue.add(Unlisted(searcher))
             self.fleet.unlist_searcher(searcher, why)
 
     def _just_returned(self) -> bool:
@@ -192,5 +194,6 @@
             return
         self.returned_at = None
         for searcher in self.held:
-            self.fleet.unlist_searcher(searcher, "not back in the list")
+            self.catalogue.add(Unlisted(searcher))
+            self.fleet.unlist_searcher(searcher, "not back in the list", Millis(0.0))
         self.held.clear()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -143,6 +143,31 @@
         )
         assert not is_used(fleet, "a")
 
+    def test_a_listing_that_was_waited_for_in_vain_is_no_last_resort(self):
+        _, fleet, _ = follow(
+            (0, contents(Listed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            (10, changes(5, Unlisted(SearcherId("a")))),
+            (2_500, changes(6)),
+        )
+        assert not is_used(fleet, "a")
+
+    def test_a_held_listing_is_relayed_as_gone_only_when_it_is(self):
+        back = (10, changes(5, Unlisted(SearcherId("a"))))
+        follower, _, _ = follow(
+            (0, contents(Published(make_table(ROUTE)), Listed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            back,
+        )
+        assert "searcher a" in follower.catalogue.state
+        follower, _, _ = follow(
+            (0, contents(Published(make_table(ROUTE)), Listed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            back,
+            (2_500, changes(6)),
+        )
+        assert "searcher a" not in follower.catalogue.state
+
     def test_an_unreadable_listing_names_no_searcher_and_the_others_hold(self):
         _, fleet, _ = follow(
             (0, contents(Listed(make_entry("a")), Listed(make_entry("b")))),
