--- /dev/null
+++ b/tests/gateway/test_log.py
@@ -0,0 +1,61 @@
+"""Log lines and metrics of a gateway."""
+
+import json
+import os
+import threading
+
+from masticgate import ManualClock, Millis
+from masticgate._ids import HostId
+from masticgate.process.gateway._log import MOST_PER_SECOND, MOST_QUEUED, EventLog, LogEvent
+from masticgate.process.gateway._metrics import Metrics
+
+
+class TestEventLog:
+    def test_a_line_is_one_json_object_with_host_and_event(self):
+        reader, writer = os.pipe()
+        log = EventLog(HostId("g1"), ManualClock(), writer)
+        log.write(LogEvent.REQUEST, request="q1", outcome="whole")
+        log.stop()
+        log.run()
+        line = json.loads(os.read(reader, 4096))
+        assert (line["host"], line["event"], line["request"]) == ("g1", "request", "q1")
+
+    def test_a_full_pipe_holds_up_no_writer(self):
+        _, writer = os.pipe()
+        clock = ManualClock()
+        log = EventLog(HostId("g1"), clock, writer)
+        threading.Thread(target=log.run, daemon=True).start()
+        for _ in range(200):
+            clock.advance(Millis(1_001.0))
+            for _ in range(MOST_PER_SECOND):
+                log.write(LogEvent.REQUEST, request="q" * 200)
+            log.wake()
+        assert len(log.queue) <= MOST_QUEUED + 200
+
+    def test_a_flood_of_one_event_is_bounded_and_what_is_dropped_is_counted(self):
+        clock = ManualClock()
+        log = EventLog(HostId("g1"), clock)
+        for _ in range(MOST_PER_SECOND + 25):
+            log.write(LogEvent.REQUEST, request="q")
+        log.write(LogEvent.PLATFORM_LOST)
+        clock.advance(Millis(1_001.0))
+        log.write(LogEvent.REQUEST, request="q")
+        dropped = [json.loads(line) for line in log.queue if '"dropped"' in line]
+        assert [line["request"] for line in dropped] == [25]
+        assert any('"platform_lost"' in line for line in log.queue)
+
+
+class TestMetrics:
+    def test_counters_gauges_and_histograms_as_text(self):
+        metrics = Metrics()
+        metrics.count("repeats", 3)
+        metrics.set_gauge("tasks", 12)
+        metrics.observe("rank0", "whole", Millis(11.0))
+        metrics.observe("rank0", "whole", Millis(9_000.0))
+        lines = metrics.render().decode().splitlines()
+        assert "masticgate_repeats_total 3" in lines
+        assert "masticgate_tasks 12" in lines
+        name = 'masticgate_request_ms_bucket{kind="rank0",outcome="whole",le='
+        assert f'{name}"10"}} 0' in lines and f'{name}"15"}} 1' in lines
+        assert f'{name}"+Inf"}} 2' in lines
+        assert 'masticgate_request_ms_count{kind="rank0",outcome="whole"} 2' in lines
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,78 @@
+"""Who gathers, and what a gateway knows of the others."""
+
+import json
+
+import pytest
+
+from masticgate import Address, ManualClock, Millis
+from masticgate._ids import HostId, RequestId
+from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._peers import (
+    HEARTBEAT_HOST,
+    GatherAtPeers,
+    GatherHere,
+    Peers,
+    choose_gathering,
+    peer_route,
+)
+from masticgate.request.gateway import Request
+from masticgate.version.gateway import Kind
+
+from .fakes import make_fleet, make_route, make_settings
+
+
+def make_peers(clock: ManualClock) -> Peers:
+    log = EventLog(HostId("g1"), clock)
+    fleet = make_fleet(clock)
+    return Peers(make_settings(), fleet, clock, log, lambda: None, lambda: True, lambda: True)
+
+
+def beat(peers: Peers, host: str) -> dict:
+    target = f"/?host={host}".encode()
+    request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
+    return json.loads(peers.answer_heartbeat(request).body)
+
+
+class TestGathering:
+    @pytest.mark.parametrize(
+        ("members", "connections", "chosen"),
+        [
+            (1, 25, GatherHere()),
+            (6, 25, GatherHere()),
+            (10, 26, GatherHere()),
+            (13, 25, GatherAtPeers()),
+            (58, 51, GatherAtPeers()),
+        ],
+    )
+    def test_follows_from_the_gateways_and_the_connections(self, members, connections, chosen):
+        assert choose_gathering(members, connections, is_seed=False) == chosen
+
+    def test_a_seed_always_gathers_itself(self):
+        assert choose_gathering(58, 51, is_seed=True) == GatherHere()
+
+    def test_a_query_is_handed_on_once_unless_it_did_not_run(self):
+        assert peer_route(make_route()).kind is Kind.NON_IDEMPOTENT
+
+
+class TestMembers:
+    def test_a_seed_counts_those_that_it_hears_and_itself(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        beat(peers, "g2")
+        assert beat(peers, "g3")["members"] == 3
+        assert beat(peers, "g3")["members"] == 3
+
+    def test_a_gateway_that_falls_silent_is_no_longer_counted(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        beat(peers, "g2")
+        clock.advance(Millis(6_000.0))
+        assert beat(peers, "g3")["members"] == 2
+
+    def test_relays_are_used_from_many_gateways_on_and_the_own_domain_first(self):
+        peers = make_peers(ManualClock())
+        peers.found = {Address("127.0.0.2:1"): "z2", Address("127.0.0.3:1"): "z1"}
+        peers.members = 6
+        assert peers.relays() == []
+        peers.members = 58
+        assert peers.relays() == ["127.0.0.3:1", "127.0.0.2:1"]
