Never say "not run" of a query whose sends were cut without an answer

Found by a test of a lost gatherer: at the deadline the cut sends no longer counted as started, so a query that every searcher left unanswered was refused with 503 instead of failed with 504. A query gathered again after its gatherer was lost ends with 502 where no searcher takes it. The log's task waits for a full pipe instead of trying again at once.

--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import select
 from collections import Counter, deque
 from enum import Enum
 from threading import Condition
@@ -124,6 +125,11 @@
             try:
                 data = data[os.write(self.descriptor, data) :]
             except BlockingIOError:
-                continue
+                self._wait_writable()
             except OSError:
                 return
+
+    def _wait_writable(self) -> None:
+        poller = select.poll()
+        poller.register(self.descriptor, select.POLLOUT)
+        poller.poll()
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -162,6 +162,8 @@
                 self.metrics.count("gathered_without_peer")
             case Failed(status=502) if self.fleet.allow_retry(PEERS):
                 self.metrics.count("gathered_again")
+                again = run_gather(request, route, shards, self.fleet, inbox)
+                return _after_loss(again)
             case _:
                 return reply
         return run_gather(request, route, shards, self.fleet, inbox)
@@ -202,6 +204,16 @@
         )
 
 
+def _after_loss(reply: Reply) -> Reply:
+    """Return the reply to a query of which another gateway may have sent parts already."""
+    match reply:
+        case Refused(failure=failure):
+            unknown = Unknown(failure.reason, failure.step, failure.peer, failure.detail)
+            return Failed(502, unknown)
+        case _:
+            return reply
+
+
 def _describe_reply(reply: Reply) -> tuple[str, str]:
     """Return the outcome's name and why it came to that."""
     match reply:
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -57,7 +57,7 @@
     @property
     def started(self) -> bool:
         """Tell whether a searcher may have received the request."""
-        return self.arrived or self.sending_started
+        return self.arrived or self.cut_started or self.sending_started
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -122,13 +122,16 @@
 
 
 @contextmanager
-def running_gateway(routes, searchers: dict[str, list[StandInSearcher]]) -> Iterator[Gateway]:
+def running_gateway(
+    routes, searchers: dict[str, list[StandInSearcher]], *, version: int = 1, **settings
+) -> Iterator[Gateway]:
     entries = [
         replace(make_entry(f"{service}-{number}", service), address=searcher.address)
         for service, group in searchers.items()
         for number, searcher in enumerate(group)
     ]
-    gateway = Gateway(make_settings(), DIALECT, FixedSource(make_table(*routes), entries))
+    source = FixedSource(make_table(*routes, version=version), entries)
+    gateway = Gateway(replace(make_settings(), **settings), DIALECT, source)
     gateway.log.descriptor = -1
     gateway.fleet.started -= 10_000.0  # as if it ran for a window of repeats already
     gateway.start()
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -57,6 +57,11 @@
         assert isinstance(reply, Failed) and reply.status == 504
         assert script.now() == 400.0
 
+    def test_sends_that_nobody_answered_may_have_run(self):
+        script = Script({"a": [(0, "silent"), (0, "silent")], "b": [(0, "silent")]})
+        reply = gather(script)
+        assert isinstance(reply, Failed) and reply.status == 504
+
     def test_nothing_sent_is_refused_as_not_run(self):
         script = Script({"a": [], "b": []})
         reply = gather(script)
