--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -6,27 +6,18 @@
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import Millis, RouteId, SearcherId, ServiceId
+from ..._ids import Millis, SearcherId, ServiceId
 from ...connection.gateway import Dialect, Load, SearcherTask, peer_dialect
 from ...request.gateway import Answered, Call, Declined, Lost
 from ...version.gateway import Route, RouteTable
-from .._latency_window import LatencyWindow
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
+from ._hedge_delays import HedgeDelays
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._repeat_window import RepeatWindow
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
-
-LEAST_SHARERS = 8
-"""Gateways that are taken to share budgets at least, since some may not be known yet."""
-
-RATIO_MARGIN = 0.85
-"""The part of the allowed ratio of repeats that is spent, since windows slide."""
-
-SLACK_MARGIN = 0.8
-PEER_SHARE = 0.1
-"""The part of the repeats that goes to queries whose gatherer was lost on the way."""
+from ._shares import Shares
 
 RETRY_RESERVE = 1.0
 DEFAULT_CONNECTIONS = 8
@@ -35,13 +26,6 @@
 FOREIGN_DOMAIN_COST = 0.25
 """Added to the cost of a searcher in another failure domain, for its round trip and bytes."""
 
-HEDGE_PERCENTILE = 90.0
-HEDGE_MARGIN = 1.2
-HEDGE_FIRST_SHARE = 0.25
-"""The hedge delay over the route's objective while no latencies are known."""
-
-HEDGE_LONGEST_SHARE = 0.5
-USUAL_PERCENTILE = 50.0
 IDLE_DEFAULT = Millis(4_000.0)
 """How long a connection is kept idle where the searcher states no time."""
 
@@ -60,15 +44,6 @@
 """Searchers remembered as drained; days of ordinary releases."""
 
 
-@dataclass(frozen=True, slots=True)
-class Shares:
-    """How many gateways there are, how many gather queries, and whether this one does."""
-
-    gateways: int
-    gatherers: int
-    warm: bool
-
-
 @dataclass(slots=True)
 class FleetSending:
     """A call on its way through one connection."""
@@ -110,7 +85,7 @@
         self.shares = Shares(1, 1, False)
         self.peer_dialect = peer_dialect(dialect)
         self.budgets: dict[ServiceId, RepeatWindow] = {}
-        self.windows: dict[RouteId, LatencyWindow] = {}
+        self.delays = HedgeDelays()
         self.started = clock.now()
 
     def now(self) -> Millis:
@@ -144,11 +119,7 @@
     def hedge_delay(self, route: Route) -> Millis:
         """Return the age at which a send on ``route`` is repeated elsewhere."""
         with self.lock:
-            window = self.windows.get(route.id)
-            usual = window.percentile(HEDGE_PERCENTILE) if window is not None else None
-        if usual is None:
-            return Millis(route.objective * HEDGE_FIRST_SHARE)
-        return Millis(min(usual * HEDGE_MARGIN, route.objective * HEDGE_LONGEST_SHARE))
+            return self.delays.delay(route)
 
     def allow_hedge(self, service: ServiceId) -> bool:
         """Take one repeat from the budget, leaving the reserve of retries."""
@@ -199,8 +170,7 @@
             self.shards = table.shard_services()
             for replica in self.replicas.values():
                 replica.connections = self._connections(replica.entry.service)
-            routes = {route.id for route in table.routes}
-            self.windows = {key: kept for key, kept in self.windows.items() if key in routes}
+            self.delays.keep({route.id for route in table.routes})
         self.warm_up()
 
     def share(self, shares: Shares) -> None:
@@ -339,7 +309,8 @@
         """Learn from one outcome; the lock is held."""
         match call.outcome:
             case Answered(status=status, latency=latency) if status < 500:
-                ratio = self._note_latency(call, latency, now)
+                first = not call.repeat
+                ratio = self.delays.note(call.route.id, latency, now, first=first)
                 if replica.succeed(ratio, now):
                     self.log.write(LogEvent.SEARCHER_BACK, searcher=replica.entry.id)
             case Declined(reason=Reason.NO_SEARCHER):
@@ -368,14 +339,6 @@
             next_ejection_ms=round(replica.ejection),
         )
 
-    def _note_latency(self, call: Call, latency: Millis, now: Millis) -> float:
-        """Record a latency; return it over the usual latency of its route."""
-        window = self.windows.setdefault(call.route.id, LatencyWindow())
-        usual = window.percentile(USUAL_PERCENTILE)
-        if not call.repeat:
-            window.add(now, latency)
-        return latency / usual if usual else 1.0
-
     def _budget(self, service: ServiceId) -> RepeatWindow:
         budget = self.budgets.get(service)
         if budget is None:
@@ -389,18 +352,15 @@
         """Return this gateway's ratio and slack of what all may repeat of one service."""
         bounds = self.settings.repeats
         if service == PEERS:
-            return bounds.ratio * PEER_SHARE, 1.0
-        sharers = self.shares.gatherers if service in self.shards else self.shares.gateways
-        slack = bounds.slack * SLACK_MARGIN / max(LEAST_SHARERS, sharers)
-        return bounds.ratio * RATIO_MARGIN, slack
+            return self.shares.peer_repeats(bounds)
+        return self.shares.repeats(bounds, shard=service in self.shards)
 
     def _connections(self, service: ServiceId) -> int:
         """Return how many connections to each searcher of a service this gateway may have."""
         accepted = self.accepted.get(service)
         if accepted is None:
             return DEFAULT_CONNECTIONS
-        sharers = self.shares.gatherers if service in self.shards else self.shares.gateways
-        return max(1, accepted // max(LEAST_SHARERS, sharers))
+        return self.shares.connections(accepted, shard=service in self.shards)
 
     def _is_warm(self, service: ServiceId) -> bool:
         return self.shares.warm and service in self.shards
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -17,9 +17,10 @@
 from ...request.gateway import Plain, Request
 from ...version.gateway import Kind, OneService, Route, RouteTable
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
-from ._fleet import Fleet, Shares
+from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._settings import GatewaySettings
+from ._shares import Shares
 
 HEARTBEAT_HOST = "heartbeat.gateway"
 HEARTBEAT_INTERVAL = Millis(500.0)
--- /dev/null
+++ b/src/masticgate/process/gateway/_shares.py
@@ -0,0 +1,42 @@
+"""What one gateway may have of what all gateways share."""
+
+from dataclasses import dataclass
+
+from ._settings import RepeatBounds
+
+LEAST_SHARERS = 8
+"""Gateways that are taken to share at least, since some may not be known yet."""
+
+RATIO_MARGIN = 0.85
+"""The part of the allowed ratio of repeats that is spent, since windows slide."""
+
+SLACK_MARGIN = 0.8
+PEER_SHARE = 0.1
+"""The part of the repeats that goes to queries whose gatherer was lost on the way."""
+
+PEER_SLACK = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How many gateways there are, how many gather queries, and whether this one does."""
+
+    gateways: int
+    gatherers: int
+    warm: bool
+
+    def connections(self, accepted: int, *, shard: bool) -> int:
+        """Return this gateway's part of the connections that one searcher accepts."""
+        return max(1, accepted // self._sharers(shard))
+
+    def repeats(self, bounds: RepeatBounds, *, shard: bool) -> tuple[float, float]:
+        """Return this gateway's ratio and slack of the repeats of one service."""
+        slack = bounds.slack * SLACK_MARGIN / self._sharers(shard)
+        return bounds.ratio * RATIO_MARGIN, slack
+
+    def peer_repeats(self, bounds: RepeatBounds) -> tuple[float, float]:
+        """Return this gateway's ratio and slack of queries that are gathered again."""
+        return bounds.ratio * PEER_SHARE, PEER_SLACK
+
+    def _sharers(self, shard: bool) -> int:
+        return max(LEAST_SHARERS, self.gatherers if shard else self.gateways)
