--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -36,7 +36,7 @@
 """A gateway counts as running for so long after its last heartbeat."""
 
 SETTLING = Millis(2_000.0)
-"""After its start a seed waits so long for the others before it says how many there are."""
+"""After its start a gateway waits so long for the others before it warms connections up."""
 
 RELAY_MEMBERS = 13
 """From so many gateways on, the seeds read the platform for all."""
