Let the soak excuse only requests whose every permitted answer was lost; one GET, backoff and deadline

Ruled out: the budget of repeats (its refusal is named in the line now, and was not there).

The check of recovery compares each failure with the answers that searchers lost: of a booking exactly one, of /one/ exactly both. It is stricter than before for bookings, of which any 502 was passed over.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -3,9 +3,11 @@
 from ._caller import CallerSettings as CallerSettings
 from ._caller import Handler as Handler
 from ._catalogue_codec import BadCatalogueError as BadCatalogueError
+from ._catalogue_codec import CatalogueNews as CatalogueNews
 from ._catalogue_codec import decode_changes as decode_changes
 from ._catalogue_codec import encode_change as encode_change
 from ._client import BadReply as BadReply
+from ._client import GetTimeouts as GetTimeouts
 from ._client import HttpClient as HttpClient
 from ._client import HttpResponse as HttpResponse
 from ._client import NoReply as NoReply
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -1,7 +1,7 @@
 """Encodes what the platform publishes for other gateways, as JSON."""
 
 import json
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from ..._ids import (
@@ -9,6 +9,7 @@
     ConfigurationVersion,
     FailureDomainId,
     Millis,
+    Revision,
     RouteId,
     SearcherId,
     ServiceId,
@@ -53,14 +54,24 @@
             return {"unreadable": [key, detail, searcher]}
 
 
-def decode_changes(body: bytes) -> tuple[int, tuple[Change, ...]]:
-    """Return the number up to which changes are told, and the changes.
+@dataclass(frozen=True, slots=True)
+class CatalogueNews:
+    """What a relay tells: the changes up to ``number``, counted since its start ``epoch``."""
+
+    epoch: str
+    number: Revision
+    changes: tuple[Change, ...]
+
+
+def decode_changes(body: bytes) -> CatalogueNews:
+    """Return what a relay tells.
 
     :raises BadCatalogueError: the bytes are no catalogue of this release.
     """
     try:
         value = json.loads(body)
-        return int(value["number"]), tuple(_decode_change(item) for item in value["changes"])
+        changes = tuple(_decode_change(item) for item in value["changes"])
+        return CatalogueNews(str(value["epoch"]), Revision(int(value["number"])), changes)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadCatalogueError(str(error)) from error
 
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from urllib.parse import urlencode
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis
@@ -45,6 +46,14 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class GetTimeouts:
+    """How long one GET may take to connect, and from then on to be answered."""
+
+    connect: Millis
+    answer: Millis
+
+
 class HttpClient:
     """One connection; its own task uses it, any task may :meth:`abort` it."""
 
@@ -55,6 +64,19 @@
         self.aborted = False
         self.reusable = False
 
+    def get(
+        self, host: str, path: str, query: Mapping[str, object], timeouts: GetTimeouts
+    ) -> HttpResponse | NoReply | BadReply:
+        """Exchange one GET; the connection is opened where it is not, or no longer, usable."""
+        if self.is_stale():
+            self.close()
+        failed = self.connect(timeouts.connect)
+        if failed is not None:
+            return failed
+        deadline = Millis(self.clock.now() + timeouts.answer)
+        head = f"GET {path}?{urlencode(query)} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+        return self.send(head.encode(), deadline) or self.receive(deadline)
+
     def connect(self, timeout: Millis) -> NoReply | None:
         """Open the connection, unless it is open."""
         if self.socket is not None:
--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -2,11 +2,10 @@
 
 import json
 from typing import Any
-from urllib.parse import urlencode
 
 from .._clock import Clock
 from .._ids import Address, Millis, Revision
-from ..connection.gateway import BadReply, HttpClient, HttpResponse, NoReply
+from ..connection.gateway import BadReply, GetTimeouts, HttpClient, NoReply
 from ..process.gateway import Change, Changes, Contents, HistoryGone, Published, Unavailable
 from ._items import decode_item
 from ._names import CONFIGURATION_KEY, EVERYTHING
@@ -72,7 +71,8 @@
         self, path: str, query: dict[str, Any], timeout: Millis
     ) -> dict[str, Any] | int | Unavailable:
         """Return the decoded body, the status of a failure, or why there is no answer."""
-        response = self._exchange(path, query, timeout)
+        timeouts = GetTimeouts(CONNECT_TIMEOUT, timeout)
+        response = self.client.get(self.address, path, query, timeouts)
         if isinstance(response, NoReply | BadReply):
             self.client.close()
             return Unavailable(response.detail)
@@ -86,20 +86,6 @@
             return Unavailable("a body without a revision")
         return body
 
-    def _exchange(
-        self, path: str, query: dict[str, Any], timeout: Millis
-    ) -> HttpResponse | NoReply | BadReply:
-        if self.client.is_stale():
-            self.client.close()
-        failed = self.client.connect(CONNECT_TIMEOUT)
-        if failed is not None:
-            return failed
-        target = f"{path}?{urlencode(query)}"
-        head = f"GET {target} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
-        deadline = Millis(self.clock.now() + timeout)
-        failed = self.client.send(head.encode(), deadline)
-        return failed if failed is not None else self.client.receive(deadline)
-
 
 def _decode_items(items: list[Any]) -> list[Change]:
     return [change for item in items if (change := decode_item(item)) is not None]
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -394,14 +394,11 @@
     def _update(self, replica: Replica, entry: SearcherEntry, now: Millis) -> None:
         was = replica.entry.phase
         replica.entry = entry
-        match entry.phase:
-            case SearcherPhase.DRAINING:
-                self._remember_drained(entry)
-                self._leave(replica, "draining")
-            case SearcherPhase.READY if was is SearcherPhase.READY:
-                replica.return_to_list()
-            case SearcherPhase.READY:
-                replica.entry = entry
+        if entry.phase is SearcherPhase.DRAINING:
+            self._remember_drained(entry)
+            self._leave(replica, "draining")
+        elif was is SearcherPhase.READY:
+            replica.return_to_list()
 
     def _remember_drained(self, entry: SearcherEntry) -> None:
         self.drained[entry.id] = entry.born
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -1,11 +1,11 @@
 """The one task that follows what the platform publishes."""
 
-import random
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import ConfigurationVersion, Millis, Revision, SearcherId
 from ...version.gateway import RouteTable
+from .._backoff import Backoff
 from ._catalogue import (
     Change,
     Changes,
@@ -34,7 +34,6 @@
 
 RETRY_FIRST = Millis(100.0)
 RETRY_LONGEST = Millis(1_000.0)
-LEAST_JITTER = 0.5
 
 RETURN_WAIT = Millis(2_300.0)
 """Listings that lapsed with the platform are back so long after its return, or gone."""
@@ -51,7 +50,7 @@
         self.clock = clock
         self.log = log
         self.metrics = metrics
-        self.random = random.Random()
+        self.backoff = Backoff(RETRY_FIRST, RETRY_LONGEST)
         self.table: RouteTable | None = None
         self.catalogue = CatalogueLog(self.age)
         self.recent: tuple[RouteTable, ...] = ()
@@ -60,7 +59,6 @@
         self.heard_at = clock.now()
         self.returned_at: Millis | None = None
         self.held: set[SearcherId] = set()
-        self.delay = RETRY_FIRST
 
     def run(self) -> None:
         """Read everything, then follow the changes, until :meth:`stop`."""
@@ -110,7 +108,7 @@
 
     def _note_heard(self) -> None:
         self.heard_at = self.clock.now()
-        self.delay = RETRY_FIRST
+        self.backoff.reset()
         if self.lost_at is not None:
             self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(self.heard_at - self.lost_at))
             self.lost_at = None
@@ -124,9 +122,7 @@
             self.log.write(
                 LogEvent.PLATFORM_LOST, detail=detail, version=version, age_ms=round(self.age())
             )
-        jitter = self.random.uniform(LEAST_JITTER, 1.0)
-        self.stopping.wait(self.delay * jitter / MILLIS_PER_SECOND)
-        self.delay = min(RETRY_LONGEST, Millis(self.delay * 2))
+        self.stopping.wait(self.backoff.next() / MILLIS_PER_SECOND)
 
     def _apply_all(self, contents: Contents) -> None:
         listed = set()
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from threading import Event, Lock, Thread
-from urllib.parse import parse_qs, urlencode
+from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, FailureDomainId, HostId, Millis, RouteId, SearcherId
-from ...connection.gateway import HttpClient, HttpResponse
+from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse
 from ...request.gateway import Plain, Request
 from ...version.gateway import Kind, OneService, Route, RouteTable
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
@@ -28,7 +28,7 @@
 HEARTBEAT_RETRY = Millis(250.0)
 """Between heartbeats to a seed that does not answer, so that a start is short."""
 
-HEARTBEAT_TIMEOUT = Millis(400.0)
+HEARTBEAT_TIMEOUTS = GetTimeouts(Millis(400.0), Millis(400.0))
 MISSES = 2
 """A gatherer is left after so many heartbeats without an answer, about a second."""
 
@@ -211,13 +211,8 @@
 
     def _beat(self, client: HttpClient) -> dict[str, object] | None:
         """Exchange one heartbeat; return ``None`` where no answer came."""
-        if client.is_stale():
-            client.close()
-        deadline = Millis(self.clock.now() + HEARTBEAT_TIMEOUT)
-        query = urlencode({"host": self.settings.host})
-        head = f"GET /?{query} HTTP/1.1\r\nHost: {HEARTBEAT_HOST}\r\n\r\n"
-        failed = client.connect(HEARTBEAT_TIMEOUT) or client.send(head.encode(), deadline)
-        response = failed or client.receive(deadline)
+        query = {"host": self.settings.host}
+        response = client.get(HEARTBEAT_HOST, "/", query, HEARTBEAT_TIMEOUTS)
         if not isinstance(response, HttpResponse):
             client.close()
             return None
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from threading import Condition
 from time import monotonic
-from urllib.parse import parse_qs, urlencode
+from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis, Revision
 from ...connection.gateway import (
     BadCatalogueError,
+    CatalogueNews,
+    GetTimeouts,
     HttpClient,
     HttpResponse,
     decode_changes,
@@ -148,9 +150,9 @@
             self._leave()
             self.client = HttpClient(address, self.clock)
             reply = self._get({}, READ_TIMEOUT)
-            if isinstance(reply, tuple):
+            if isinstance(reply, CatalogueNews):
                 self.log.write(LogEvent.SOURCE, relay=address)
-                return Contents(reply[1], Revision(reply[0]))
+                return Contents(reply.changes, reply.number)
         if self.client is not None:
             self.log.write(LogEvent.SOURCE, relay=None)
         self._leave()
@@ -167,8 +169,8 @@
             return HistoryGone()
         query = {"after": after, "epoch": self.epoch, "wait": int(wait)}
         reply = self._get(query, Millis(wait + WATCH_MARGIN))
-        if isinstance(reply, tuple):
-            return Changes(reply[1], Revision(reply[0]))
+        if isinstance(reply, CatalogueNews):
+            return Changes(reply.changes, reply.number)
         return HistoryGone()
 
     def _wait_for_relays(self) -> None:
@@ -188,23 +190,18 @@
             self.client.close()
         self.client = None
 
-    def _get(
-        self, query: dict[str, object], timeout: Millis
-    ) -> tuple[int, tuple[Change, ...]] | Unavailable:
-        """Return the number and the changes, or why the relay gives none."""
+    def _get(self, query: dict[str, object], timeout: Millis) -> CatalogueNews | Unavailable:
+        """Return what the relay told, or why it tells nothing."""
         assert self.client is not None
-        if self.client.is_stale():
-            self.client.close()
-        deadline = Millis(self.clock.now() + timeout)
-        head = f"GET /?{urlencode(query)} HTTP/1.1\r\nHost: {CATALOGUE_HOST}\r\n\r\n"
-        failed = self.client.connect(CONNECT_TIMEOUT) or self.client.send(head.encode(), deadline)
-        response = failed or self.client.receive(deadline)
+        timeouts = GetTimeouts(CONNECT_TIMEOUT, timeout)
+        response = self.client.get(CATALOGUE_HOST, "/", query, timeouts)
         if not isinstance(response, HttpResponse):
             return Unavailable(response.detail)
         if response.status != 200:
             return Unavailable(f"status {response.status}")
         try:
-            self.epoch = json.loads(response.body)["epoch"]
-            return decode_changes(response.body)
-        except (BadCatalogueError, KeyError, ValueError) as error:
+            news = decode_changes(response.body)
+        except BadCatalogueError as error:
             return Unavailable(f"unreadable: {error}")
+        self.epoch = news.epoch
+        return news
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -101,11 +101,8 @@
         return self._repeat(Repeat.RETRY)
 
     def explain(self) -> NotRun:
-        """Return why there is no answer, and why no other searcher was asked."""
-        if self.repeat_failure is None:
-            return self.failure
-        repeat = f"repeat {describe(self.repeat_failure)}"
-        detail = f"{self.failure.detail}; {repeat}" if self.failure.detail else repeat
+        """Return why there is no answer, and how many searchers were asked."""
+        detail = "; ".join(filter(None, (self.failure.detail, self.describe_sends())))
         return replace(self.failure, detail=detail)
 
     def describe_sends(self) -> str:
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -38,6 +38,11 @@
         """The path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    def deadline(self, route: Route) -> Millis:
+        """Return when to give up: the caller's patience and the route's timeout bound it."""
+        patience = route.timeout if self.patience is None else self.patience
+        return Millis(self.arrived + min(patience, route.timeout))
+
 
 @dataclass(frozen=True, slots=True)
 class Answered:
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -34,8 +34,7 @@
         self.senders = senders
         self.inbox = inbox
         self.repeatable = route.kind is Kind.IDEMPOTENT
-        patience = route.timeout if request.patience is None else request.patience
-        self.deadline = Millis(request.arrived + min(patience, route.timeout))
+        self.deadline = request.deadline(route)
         self.attempts = Attempts(request, route, service, senders, inbox, self.deadline)
         self.hedge_at: Millis | None = None
         if self.repeatable:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -42,8 +42,7 @@
         self.senders = senders
         self.inbox = inbox
         self.top = shards.top
-        patience = route.timeout if request.patience is None else request.patience
-        self.deadline = Millis(request.arrived + min(patience, route.timeout))
+        self.deadline = request.deadline(route)
         left = route.objective - request.network - ANSWER_MARGIN
         soon = Millis(max(SHORTEST_ANSWER_TIME, left))
         self.answer_at = min(self.deadline, Millis(request.arrived + soon))
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -15,7 +15,7 @@
 import sys
 import threading
 import time
-from collections import Counter, defaultdict
+from collections import defaultdict
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
@@ -33,6 +33,9 @@
 SETTLE_S = 4.0
 """What a gateway needs after its last disturbance before time bounds hold for it again."""
 
+ATTEMPTS = 2
+"""The searchers that one request may be sent to, for each shard."""
+
 LOST_ALWAYS = 0.02
 """The share of answers that are lost after their run, also without a fault."""
 
@@ -108,6 +111,7 @@
         self.trouble = 0.0
         self.slow = 0.0
         self.runs: list[tuple[str, float]] = []
+        self.lost: list[str] = []
         self.drained_at: float | None = None
         super().__init__(self.serve)
         self.proxy = Proxy(self.address)
@@ -127,6 +131,7 @@
         )
         chance = self.source.random()
         if chance < LOST_ALWAYS + self.trouble / 4:
+            self.lost.append(request)
             return None
         if chance < LOST_ALWAYS + self.trouble / 2:
             return answer + answer
@@ -216,12 +221,17 @@
     body: bytes
 
 
+def gateway_address(number: int) -> str:
+    """Return an address of this run's own, so that runs beside each other do not meet."""
+    process = os.getpid()
+    return f"127.{1 + process % 250}.{number}.{1 + process // 250 % 250}"
+
+
 class GatewayProcess:
     """One real gateway, started and stopped from outside."""
 
-    def __init__(self, number: int, network: str, folder: Path, store: Store) -> None:
-        self.network = network
-        self.ip = f"{network}.{number}.1"
+    def __init__(self, number: int, folder: Path, store: Store) -> None:
+        self.ip = gateway_address(number)
         self.number = number
         self.path = folder / f"g{number}.toml"
         self.log = folder / f"g{number}.log"
@@ -234,7 +244,7 @@
     def settings(self) -> str:
         ports = {"front": 8104, "ready": 8108, "control": 8106}
         listen = "\n".join(f'{name} = "{self.ip}:{port}"' for name, port in ports.items())
-        seeds = ", ".join(f'"{self.network}.{number}.1:8106"' for number in range(1, GATEWAYS + 1))
+        seeds = ", ".join(f'"{gateway_address(number)}:8106"' for number in range(1, GATEWAYS + 1))
         return (
             f'nodeName = "g{self.number}"\nip = "{self.ip}"\nzone = "z{self.number}"\n'
             f"seedNodes = [{seeds}]\n[bindAddresses]\n{listen}\n[bounds]\ngraceS = {GRACE_S}\n"
@@ -297,8 +307,7 @@
             self.add_searcher("orders", f"orders-{replica}")
         self.publish()
         self.gateways = [
-            GatewayProcess(number, f"127.{1 + self.seed % 250}", self.folder, self.store)
-            for number in range(1, GATEWAYS + 1)
+            GatewayProcess(number, self.folder, self.store) for number in range(1, GATEWAYS + 1)
         ]
         for gateway in self.gateways:
             gateway.start()
@@ -342,7 +351,12 @@
         self.store.put(f"servers/{searcher.identity}", entry)
 
     def publish(self) -> None:
-        common = {"hostname": HOST, "maxAttempts": 2, "timeoutMs": 1000, "targetLatencyMs": 150}
+        common = {
+            "hostname": HOST,
+            "maxAttempts": ATTEMPTS,
+            "timeoutMs": 1000,
+            "targetLatencyMs": 150,
+        }
         shards = [f"s{number}" for number in range(SHARDS)]
         routes = [
             common
@@ -413,16 +427,29 @@
             fault.join()
 
     def check_recovery(self) -> None:
-        """All requests are served again once nothing is disturbed any more."""
+        """All requests are served again once nothing is disturbed any more.
+
+        Searchers lose a few answers all the time; who was sent a request as often as it may be,
+        and lost each answer, is no failure of a gateway.
+        """
         self.wait_ready()
         time.sleep(SETTLE_S)
         start = len(self.told)
         time.sleep(2.0)
-        lost = ("/book/x", 502)
-        late = [t for t in self.told[start:] if t.status != 200 and (t.path, t.status) != lost]
-        if late or len(self.told) - start < 20:
-            counts = Counter(told.status for told in self.told[start:])
-            self.problems.append(f"not recovered: {dict(counts)}")
+        told = self.told[start:]
+        failed = [t for t in told if t.status != 200 and not self.is_lost_everywhere(t)]
+        if failed or len(told) < 20:
+            names = [(t.request, t.path, t.status, self.losses(t.request)) for t in failed]
+            self.problems.append(f"not recovered: {names} of {len(told)}")
+
+    def is_lost_everywhere(self, told: Told) -> bool:
+        """Tell whether every answer that the gateway was allowed to ask for was lost."""
+        allowed = {"/book/x": 1, "/one/x": ATTEMPTS}.get(told.path)
+        return told.status == 502 and self.losses(told.request) == allowed
+
+    def losses(self, request: str) -> int:
+        """Return how many searchers ran a request and lost its answer."""
+        return sum(searcher.lost.count(request) for searcher in self.searchers)
 
     def audit(self) -> None:
         """Compare what callers were told with what the searchers ran."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -7,7 +7,7 @@
 
 from masticgate import Address, Millis, Revision, SearcherId, ServiceId, SystemClock
 from masticgate._ids import HostId, RequestId
-from masticgate.connection.gateway import decode_changes
+from masticgate.connection.gateway import CatalogueNews, decode_changes
 from masticgate.process.gateway import (
     Changes,
     Contents,
@@ -56,7 +56,8 @@
         catalogue.add(Listed(entry))
         catalogue.add(Listed(make_entry("b")))
         catalogue.add(Unlisted(SearcherId("b")))
-        number, changes = decode_changes(get(catalogue).body)
+        news = decode_changes(get(catalogue).body)
+        number, changes = news.number, news.changes
         table = make_table(SHARDS, SPLIT, make_route(prefix="/c/"), version=7)
         assert number == 4
         assert changes == (Published(table), Listed(entry))
@@ -66,9 +67,10 @@
         unreadable = Unreadable("servers/x", "no slots", SearcherId("x"))
         catalogue.add(Unlisted(SearcherId("b")))
         catalogue.add(unreadable)
-        number, changes = decode_changes(since(catalogue, 1).body)
+        news = decode_changes(since(catalogue, 1).body)
+        number, changes = news.number, news.changes
         assert (number, changes) == (3, (Unlisted(SearcherId("b")), unreadable))
-        assert decode_changes(since(catalogue, 3).body) == (3, ())
+        assert decode_changes(since(catalogue, 3).body) == CatalogueNews(catalogue.epoch, 3, ())
 
     def test_another_start_and_lost_changes_are_told(self):
         catalogue = make_catalogue()
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -9,7 +9,12 @@
 SECONDS = float(os.environ.get("MASTICGATE_SOAK_SECONDS", "60"))
 SEED = int(os.environ.get("MASTICGATE_SOAK_SEED", "1"))
 SHORT_SECONDS = 6.0
-FAILED_SEEDS: list[int] = []
+FAILED_SEEDS = [
+    # Both searchers that may be asked for /one/ ran it and lost the answer, by the 2 % that are
+    # always lost; the check of recovery took that for a failure of the gateway.
+    301,
+    315,
+]
 """Seeds that failed once, each with a line on its cause."""
 
 
