--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -8,7 +8,7 @@
 from ..._failures import NotRun, Reason, Step
 from ..._ids import Millis, SearcherId, ServiceId
 from ...connection.gateway import Dialect, Load, SearcherTask, peer_dialect
-from ...request.gateway import Answered, Call, Declined, Lost
+from ...request.gateway import Answered, Call, Declined, Lost, Repeat
 from ...version.gateway import Route, RouteTable
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
 from ._hedge_delays import HedgeDelays
@@ -93,10 +93,13 @@
         return self.clock.now()
 
     def send(self, call: Call, tried: set[SearcherId]) -> FleetSending | NotRun:
-        """Send ``call`` to the best searcher of its service that is not in ``tried``."""
+        """Send ``call`` to the best searcher of its service that is not in ``tried``.
+
+        Where all others are ejected, a request that failed at one is sent to one of them.
+        """
         while True:
             with self.lock:
-                replica = self._choose(call.service, tried)
+                replica = self._choose(call, tried)
                 if isinstance(replica, NotRun):
                     return replica
                 idle = replica.idle.pop() if replica.idle else None
@@ -247,10 +250,14 @@
             self._cut_stuck(now)
         self.warm_up()
 
-    def _choose(self, service: ServiceId, tried: set[SearcherId]) -> Replica | NotRun:
+    def _choose(self, call: Call, tried: set[SearcherId]) -> Replica | NotRun:
         now = self.clock.now()
+        service = call.service
         known = self.services.get(service, {})
-        usable = [r for r in known.values() if r.entry.id not in tried and r.is_usable(now)]
+        others = [replica for replica in known.values() if replica.entry.id not in tried]
+        usable = [replica for replica in others if replica.is_usable(now)]
+        if not usable and tried and call.repeat is not Repeat.HEDGE:
+            usable = [replica for replica in others if replica.state is ReplicaState.EJECTED]
         if not usable:
             return NotRun(Reason.NO_SEARCHER, Step.ROUTE, service, f"{len(known)} known")
         free = [replica for replica in usable if replica.has_room()]
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -8,6 +8,7 @@
 from ._exchange import Inbox as Inbox
 from ._exchange import Lost as Lost
 from ._exchange import Outcome as Outcome
+from ._exchange import Repeat as Repeat
 from ._exchange import Request as Request
 from ._exchange import Senders as Senders
 from ._exchange import Sending as Sending
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -1,19 +1,21 @@
 """The sends of one request to one service: the first, and at most a few repeats."""
 
 from dataclasses import replace
-from enum import Enum
 
 from ..._failures import NotRun, Reason, Step, describe
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route
-from ._exchange import Answered, Call, Declined, Inbox, Lost, Request, Senders, Sending
-
-
-class Repeat(Enum):
-    """Why a send is repeated."""
-
-    HEDGE = "hedge"
-    RETRY = "retry"
+from ._exchange import (
+    Answered,
+    Call,
+    Declined,
+    Inbox,
+    Lost,
+    Repeat,
+    Request,
+    Senders,
+    Sending,
+)
 
 
 class Attempts:
@@ -67,7 +69,7 @@
 
     def send_first(self) -> bool:
         """Send for the first time; return ``False`` where no searcher can take it."""
-        return self._send(repeat=False)
+        return self._send(None)
 
     def send_hedge(self) -> bool:
         """Repeat a slow send at another searcher, where the bound and the budget allow it."""
@@ -140,7 +142,7 @@
             return False
         if not self.started:
             self.cancel()
-            return self._send(repeat=False)
+            return self._send(None)
         match why:
             case Repeat.HEDGE:
                 allowed = self.senders.allow_hedge(self.service)
@@ -149,9 +151,9 @@
         if not allowed:
             self.repeat_failure = NotRun(Reason.BUDGET, Step.ROUTE, self.service)
             return False
-        return self._send(repeat=True)
+        return self._send(why)
 
-    def _send(self, *, repeat: bool) -> bool:
+    def _send(self, repeat: Repeat | None) -> bool:
         call = Call(self.request, self.route, self.service, self.deadline, self.inbox, repeat)
         sending = self.senders.send(call, self.tried)
         if isinstance(sending, NotRun):
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -1,6 +1,7 @@
 """What a request sends to searchers, and what comes back."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from ..._failures import NotRun, Reason
@@ -89,6 +90,13 @@
     """The caller closed its connection."""
 
 
+class Repeat(Enum):
+    """Why a send is repeated."""
+
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
 @dataclass(slots=True)
 class Call:
     """One send of a request to one searcher; the connection's task fills in the outcome.
@@ -102,7 +110,7 @@
     service: ServiceId
     deadline: Millis
     inbox: "Inbox"
-    repeat: bool = False
+    repeat: Repeat | None = None
     started: bool = False
     cancelled: bool = False
     outcome: Outcome | None = field(default=None)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -3,19 +3,19 @@
 from masticgate import ManualClock, Millis, Reason, SearcherId, ServiceId
 from masticgate.process.gateway import SearcherPhase
 from masticgate.process.gateway._replica import ReplicaState
-from masticgate.request.gateway import Call, Declined, Lost
+from masticgate.request.gateway import Call, Declined, Lost, Repeat
 
 from .fakes import answered, make_entry, make_fleet, make_request, make_route, make_table
 
 ORDERS = ServiceId("orders")
 
 
-def make_call(*, repeat: bool = False) -> Call:
+def make_call(*, repeat: Repeat | None = None) -> Call:
     return Call(make_request(), make_route(), ORDERS, Millis(400.0), None, repeat)
 
 
-def send(fleet, tried=()):
-    return fleet.send(make_call(), set(tried))
+def send(fleet, tried=(), repeat=None):
+    return fleet.send(make_call(repeat=repeat), set(tried))
 
 
 def finish(fleet, sending, outcome):
@@ -64,6 +64,17 @@
         ]
         assert chosen.count(SearcherId("bad")) <= 3
 
+    def test_a_retry_goes_to_an_ejected_searcher_where_there_is_no_other(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("a"))
+        for _ in range(2):
+            send_and_finish(fleet, lambda s: Lost(s, True, "reset"))
+        fleet.list_searcher(make_entry("b"))
+        assert send(fleet).searcher == "b"
+        tried = {SearcherId("b")}
+        assert send(fleet, tried, Repeat.HEDGE).reason is Reason.NO_SEARCHER
+        assert send(fleet, tried, Repeat.RETRY).searcher == "a"
+
     def test_one_that_refused_is_tried_again_later(self):
         clock = ManualClock()
         fleet = make_fleet(clock)
--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -14,6 +14,8 @@
     # always lost; the check of recovery took that for a failure of the gateway.
     301,
     315,
+    # A retry found no searcher: the other of two had just been ejected.
+    508,
 ]
 """Seeds that failed once, each with a line on its cause."""
 
