Prefer searchers of the own domain until one is late again and again

Ruled out: heartbeats (58 x 3 x 2 a second, about 6 MB), relays.

A ratio counts up to 4, and another domain costs 0.8 instead of 0.25.

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -23,8 +23,9 @@
 DEFAULT_CONNECTIONS = 8
 """Connections to a searcher whose service the configuration does not name."""
 
-FOREIGN_DOMAIN_COST = 0.25
-"""Added to the cost of a searcher in another failure domain, for its round trip and bytes."""
+FOREIGN_DOMAIN_COST = 0.8
+"""Added to the cost of a searcher in another failure domain, for its round trip and bytes: more
+than one answer that came late by chance adds to the cost of a near one."""
 
 IDLE_DEFAULT = Millis(4_000.0)
 """How long a connection is kept idle where the searcher states no time."""
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -10,6 +10,9 @@
 FIRST_EJECTION = Millis(500.0)
 LONGEST_EJECTION = Millis(4_000.0)
 SLOWNESS_WEIGHT = 0.15
+LARGEST_RATIO = 4.0
+"""A later answer counts no more, so that a single pause does not divert what follows."""
+
 SLOWNESS_KEPT = Millis(2_000.0)
 """The slowness of an idle searcher counts as unknown once its last answer is older."""
 
@@ -110,7 +113,7 @@
         """Count an answer; return ``True`` where it ends an ejection."""
         self.failures = 0
         self._note_outcome(0.0, now)
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+        self.slowness += SLOWNESS_WEIGHT * (min(ratio, LARGEST_RATIO) - self.slowness)
         self.measured_at = now
         if self.state is not ReplicaState.EJECTED:
             return False
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -51,6 +51,25 @@
         fleet.list_searcher(make_entry("a"))
         assert send(fleet, tried={SearcherId("a")}).reason is Reason.NO_SEARCHER
 
+    def test_one_late_answer_does_not_move_requests_to_another_domain(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("near", domain="z1"))
+        fleet.list_searcher(make_entry("far", domain="z2"))
+        for _ in range(30):
+            send_and_finish(fleet, answered)
+        send_and_finish(fleet, lambda s: answered(s, latency=130.0))
+        assert send_and_finish(fleet, answered) == "near"
+
+    def test_late_answers_in_a_row_do(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("near", domain="z1"))
+        fleet.list_searcher(make_entry("far", domain="z2"))
+        for _ in range(30):
+            send_and_finish(fleet, answered)
+        for _ in range(4):
+            send_and_finish(fleet, lambda s: answered(s, latency=130.0 if s == "near" else 10.0))
+        assert send_and_finish(fleet, answered) == "far"
+
     def test_one_that_refuses_most_requests_is_avoided(self):
         fleet = make_fleet()
         fleet.list_searcher(make_entry("bad", domain="z1"))
