Wait for a relay also where the configuration is not there yet

Seeds no longer go through the relayed source. Without a configuration a failed read is repeated within 300 ms.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -34,6 +34,9 @@
 
 RETRY_FIRST = Millis(100.0)
 RETRY_LONGEST = Millis(1_000.0)
+RETRY_LONGEST_UNREADY = Millis(300.0)
+"""Without a configuration nothing can be served, so that its return must not be missed."""
+
 
 RETURN_WAIT = Millis(2_300.0)
 """Listings that lapsed with the platform are back so long after its return, or gone."""
@@ -122,7 +125,10 @@
             self.log.write(
                 LogEvent.PLATFORM_LOST, detail=detail, version=version, age_ms=round(self.age())
             )
-        self.stopping.wait(self.backoff.next() / MILLIS_PER_SECOND)
+        wait = self.backoff.next()
+        if self.table is None:
+            wait = min(wait, RETRY_LONGEST_UNREADY)
+        self.stopping.wait(wait / MILLIS_PER_SECOND)
 
     def _apply_all(self, contents: Contents) -> None:
         listed = set()
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, Plain, Reply, Request
 from ...version.gateway import Limits, RouteTable
-from ._catalogue import PlatformSource
+from ._catalogue import PlatformSource, Source
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
@@ -54,10 +54,8 @@
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
         self.fleet = Fleet(settings, dialect, self.clock, self.executor, self.log, self.metrics)
-        relayed = RelayedSource(
-            source, self._relays, self.clock, self.log, lambda seconds: Event().wait(seconds)
-        )
-        self.follower = Follower(relayed, self.fleet, self.clock, self.log, self.metrics)
+        followed = self._follow_relays(source) if not settings.is_seed else source
+        self.follower = Follower(followed, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
         self.peers = Peers(
             settings,
@@ -149,12 +147,13 @@
         )
         return Listener(address, settings, self.executor, MOST_CALLERS)
 
+    def _follow_relays(self, platform: PlatformSource) -> Source:
+        wait = Event().wait
+        return RelayedSource(platform, lambda: self.peers.relays(), self.clock, self.log, wait)
+
     def _table(self) -> RouteTable | None:
         return self.follower.table
 
-    def _relays(self) -> list[Address]:
-        return self.peers.relays()
-
     def _hears_platform(self) -> bool:
         return self.follower.age() <= RELAY_AGE
 
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -107,11 +107,6 @@
         self.gathering: Gathering = GatherHere()
         self.ended = Event()
 
-    @property
-    def is_seed(self) -> bool:
-        """Tell whether this gateway gathers for others."""
-        return self.settings.peers is not None and self.settings.peers in self.settings.seeds
-
     def start(self) -> None:
         """Start one task for each seed but this one."""
         for seed in self.settings.seeds:
@@ -148,7 +143,7 @@
         With few gateways each reads the platform itself, which is fresher by one hop.
         """
         with self.lock:
-            if self.is_seed or self.members < RELAY_MEMBERS:
+            if self.settings.is_seed or self.members < RELAY_MEMBERS:
                 return []
             found = dict(self.found)
         own = self.settings.domain
@@ -160,13 +155,13 @@
         if table is None:
             return
         with self.lock:
-            if self.is_seed:
+            if self.settings.is_seed:
                 self.members = 1 + len(self.heard)
             members = self.members
         shards = table.shard_services()
         accepted = [table.services[name].connections for name in shards if name in table.services]
         connections = min(accepted, default=0)
-        chosen = choose_gathering(members, connections, is_seed=self.is_seed)
+        chosen = choose_gathering(members, connections, is_seed=self.settings.is_seed)
         alone = choose_gathering(members, connections, is_seed=False)
         if chosen != self.gathering:
             self.gathering = chosen
@@ -183,7 +178,9 @@
     def _knows_members(self) -> bool:
         """Tell whether the number of gateways is known, or no seed is going to tell it."""
         age = self.clock.now() - self.started_at
-        return (age > SETTLING and (self.is_seed or self.members > 1)) or age > 2 * SETTLING
+        return (
+            age > SETTLING and (self.settings.is_seed or self.members > 1)
+        ) or age > 2 * SETTLING
 
     def _follow(self, seed: Address) -> None:
         """Send heartbeats to one seed until the process ends."""
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -48,8 +48,9 @@
 READ_TIMEOUT = Millis(1_000.0)
 WATCH_MARGIN = Millis(500.0)
 CONNECT_TIMEOUT = Millis(300.0)
-START_WAIT_S = 0.8
-"""A starting gateway gives the seeds so long to say whether they relay."""
+START_TRIES = 2
+START_WAIT_S = 0.4
+"""A starting gateway gives the seeds so long in each try to say whether they relay."""
 
 START_POLL_S = 0.1
 MANY_SERVICES = 100
@@ -174,16 +175,21 @@
         return HistoryGone()
 
     def _wait_for_relays(self) -> None:
-        """Give the relays a moment after the start, where reading everything takes many calls."""
-        if self.started:
-            return
+        """Give the relays a moment after the start, where reading everything may take many calls.
+
+        Whether it does is not known until the configuration is there.
+        """
+        tries = 0 if self.started else START_TRIES
         self.started = True
-        published = self.platform.read_table()
-        if isinstance(published, Unavailable) or len(published.table.services) < MANY_SERVICES:
-            return
-        deadline = monotonic() + START_WAIT_S
-        while not self.relays() and monotonic() < deadline:
-            self.wait(START_POLL_S)
+        for _ in range(tries):
+            published = self.platform.read_table()
+            if isinstance(published, Published) and len(published.table.services) < MANY_SERVICES:
+                return
+            deadline = monotonic() + START_WAIT_S
+            while not self.relays() and monotonic() < deadline:
+                self.wait(START_POLL_S)
+            if self.relays():
+                return
 
     def _leave(self) -> None:
         if self.client is not None:
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -37,3 +37,8 @@
     grace: Millis
     drain: Millis
     repeats: RepeatBounds
+
+    @property
+    def is_seed(self) -> bool:
+        """Tell whether this gateway gathers queries and reads the platform for others."""
+        return self.peers is not None and self.peers in self.seeds
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -173,6 +173,21 @@
         source.read()
         assert platform.reads == 0
 
+    def test_a_start_before_the_configuration_waits_for_a_relay_too(self):
+        source, platform, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
+        platform.read_table = lambda: Unavailable("no configuration")
+        address = relays.pop()
+        source.wait = lambda seconds: relays.append(address)
+        source.read()
+        assert platform.reads == 0
+
+    def test_without_relays_the_platform_is_read_after_the_wait(self):
+        source, platform, relays = relayed(lambda head: http(503, b""))
+        platform.read_table = lambda: Unavailable("no configuration")
+        relays.clear()
+        source.read()
+        assert platform.reads == 1
+
     def test_a_relay_found_later_is_used(self):
         source, platform, relays = relayed(lambda head: http(200, get(make_catalogue()).body))
         address = relays.pop()
