Keep late tasks from writing to descriptors that belong to others

CallerLeft left the link marked as waiting, so that it took no race, only a caller that leaves.

The same family, found beside it: a send or a shutdown on a connection that its own task closes meanwhile; a call marked as started after the check whether it was cancelled, so that a booking could be sent twice; a searcher that answers before it has read the request whole and is given the next one in between. Links, clients and tasks guard their descriptors with a lock each; the rest of a request is sent before the next. Each has a test that fails without the change.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -2,7 +2,6 @@
 
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -73,29 +72,28 @@
         limits = settings.limits()
         self.parser = RequestParser(limits.header_bytes, limits.body_bytes)
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
+        self.link = Link(connection, settings.clock)
 
     def run(self) -> None:
         """Serve requests until either side closes."""
-        link = Link(self.connection, self.clock)
         try:
             while (parsed := self._read()) is not None:
                 self._enter(CallerState.SERVING)
-                if not self._serve(parsed, link):
+                if not self._serve(parsed):
                     break
                 self._enter(CallerState.IDLE)
         finally:
-            link.close()
+            self.link.close()
 
     def stop_reading(self) -> None:
         """Let the task end once it has nothing to serve; any task may call this."""
-        with suppress(OSError):
-            self.connection.shutdown(socket.SHUT_RD)
+        self.link.stop_reading()
 
     def _enter(self, state: CallerState) -> None:
         self.state = state
         self.since = self.clock.now()
 
-    def _serve(self, parsed: ParsedRequest, link: Link) -> bool:
+    def _serve(self, parsed: ParsedRequest) -> bool:
         """Answer one request; return ``False`` where the connection has to end."""
         arrived = Millis(self.clock.now() - self.settings.head_start)
         request = decode_request(parsed, self.settings.dialect, arrived)
@@ -105,7 +103,7 @@
         if not self.settings.between_gateways:
             request = replace(request, fresh=self.fresh, network=Millis(0.0), version=None)
             self.fresh = False
-        reply = self.settings.handler(request, RequestInbox(link))
+        reply = self.settings.handler(request, RequestInbox(self.link))
         if isinstance(reply, Abandoned):
             return False
         close = not parsed.keep_alive or self.settings.closing()
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from threading import Lock
 from urllib.parse import urlencode
 
 from ..._clock import MILLIS_PER_SECOND, Clock
@@ -55,11 +56,16 @@
 
 
 class HttpClient:
-    """One connection; its own task uses it, any task may :meth:`abort` it."""
+    """One connection; its own task uses it, any task may :meth:`abort` it.
+
+    The lock keeps a task from using the descriptor after another has closed it, when its number
+    may belong to another connection already.
+    """
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self.address = address
         self.clock = clock
+        self.lock = Lock()
         self.socket: socket.socket | None = None
         self.aborted = False
         self.reusable = False
@@ -128,21 +134,32 @@
                 self.close()
                 return problem
 
+    def send_now(self, data: memoryview) -> int:
+        """Send what the connection takes without waiting; any task may call this.
+
+        :raises OSError: the connection is closed, or takes nothing now.
+        """
+        with self.lock:
+            if self.socket is None:
+                raise ConnectionError("closed")
+            return self.socket.send(data, socket.MSG_DONTWAIT)
+
     def abort(self) -> None:
         """Cut the connection from another task; a receive in progress fails at once."""
-        self.aborted = True
-        opened = self.socket
-        if opened is not None:
-            with suppress(OSError):
-                opened.shutdown(socket.SHUT_RDWR)
+        with self.lock:
+            self.aborted = True
+            if self.socket is not None:
+                with suppress(OSError):
+                    self.socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection."""
-        self.reusable = False
-        if self.socket is not None:
-            with suppress(OSError):
-                self.socket.close()
-            self.socket = None
+        with self.lock:
+            self.reusable = False
+            if self.socket is not None:
+                with suppress(OSError):
+                    self.socket.close()
+                self.socket = None
 
     def _feed(
         self, parser: ResponseParser, buffer: memoryview, deadline: Millis
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -6,6 +6,7 @@
 from collections import deque
 from contextlib import suppress
 from math import ceil
+from threading import Lock
 
 from ..._clock import Clock
 from ..._ids import Millis
@@ -15,7 +16,11 @@
 
 
 class Link:
-    """One caller's connection and the pipe that wakes its task."""
+    """One caller's connection and the pipe that wakes its task.
+
+    A call may finish after the connection ended, when the numbers of its descriptors are in use
+    again: the lock keeps a late wake from writing to them.
+    """
 
     def __init__(self, connection: socket.socket, clock: Clock) -> None:
         self.connection = connection
@@ -23,7 +28,9 @@
         self.reader, self.writer = os.pipe()
         os.set_blocking(self.reader, False)
         os.set_blocking(self.writer, False)
+        self.lock = Lock()
         self.waiting = False
+        self.closed = False
         self.poller = select.poll()
         self.poller.register(self.reader, select.POLLIN)
 
@@ -33,9 +40,11 @@
 
     def wake(self) -> None:
         """Wake the task if it waits."""
-        if self.waiting:
+        with self.lock:
+            if not self.waiting or self.closed:
+                return
             self.waiting = False
-            with suppress(OSError):
+            with suppress(BlockingIOError):
                 os.write(self.writer, b"\0")
 
     def poll(self, until: Millis) -> bool:
@@ -51,10 +60,19 @@
 
     def close(self) -> None:
         """Release the descriptors."""
-        os.close(self.reader)
-        os.close(self.writer)
-        with suppress(OSError):
-            self.connection.close()
+        with self.lock:
+            self.closed = True
+            os.close(self.reader)
+            os.close(self.writer)
+            with suppress(OSError):
+                self.connection.close()
+
+    def stop_reading(self) -> None:
+        """Let a read in progress find the end; any task may call this."""
+        with self.lock:
+            if not self.closed:
+                with suppress(OSError):
+                    self.connection.shutdown(socket.SHUT_RD)
 
     def _has_left(self) -> bool:
         try:
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -79,7 +79,7 @@
         with self.lock:
             self.callers.discard(caller)
             self.turned_away += 1
-        caller.connection.close()
+        caller.link.close()
 
     def _close_longest_unserved(self, newest: Caller) -> None:
         """Make room: a connection without a whole request gives way, the oldest first."""
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -6,7 +6,6 @@
 """
 
 import select
-import socket
 from dataclasses import dataclass
 from threading import Lock
 from typing import Protocol
@@ -81,6 +80,7 @@
         self.was_given = first is not None
         self.began = clock.now()
         self.ended = False
+        self.sending = Lock()
         self.idle_since = self.began
         self.keep_for: Millis | None = None
         self.parser = ResponseParser(LARGEST_RESPONSE)
@@ -104,13 +104,14 @@
                 return False
             self.current = call
             self.began = self.clock.now()
+            call.started = True
         self._send(call)
         return True
 
     def cancel(self, call: Call) -> None:
         """Cut the connection if it serves ``call``; a call that waits is dropped unsent."""
-        call.cancelled = True
         with self.lock:
+            call.cancelled = True
             if self.current is call and call.started:
                 self.client.abort()
 
@@ -125,28 +126,44 @@
         call = self.current
         if call is None:
             self.owner.opened(self)
-        elif call.cancelled:
-            self._finish(call, Lost(self.searcher, False, "cancelled before it was sent"), None)
-        else:
+        elif self._start(call):
             self._send(call)
+        else:
+            self._finish(call, Lost(self.searcher, False, "cancelled before it was sent"), None)
+
+    def _start(self, call: Call) -> bool:
+        """Mark the call as started; return ``False`` where it was cancelled before."""
+        with self.lock:
+            call.started = not call.cancelled
+        return call.started
 
     def _send(self, call: Call) -> None:
-        """Send the call's request; where that fails, the reading task notices the end."""
-        call.started = True
+        """Send the call's request; where that fails, the reading task notices the end.
+
+        An answer may come before the request is sent whole: what follows waits for its rest.
+        """
         left = Millis(call.deadline - self.clock.now())
         data = memoryview(encode_request(call.request, self.dialect, self.searcher, left))
-        opened = self.client.socket
+        with self.sending:
+            try:
+                while data and self.client.socket is not None:
+                    data = data[self._send_some(data, call.deadline) :]
+            except OSError:
+                self.client.abort()
+
+    def _send_some(self, data: memoryview, deadline: Millis) -> int:
+        """Send what the connection takes; return how much, which is none after a wait."""
         try:
-            while data and opened is not None:
-                try:
-                    data = data[opened.send(data, socket.MSG_DONTWAIT) :]
-                except BlockingIOError:
-                    if not self._wait_writable(opened, call.deadline):
-                        raise
-        except OSError:
-            self.client.abort()
-
-    def _wait_writable(self, opened: socket.socket, deadline: Millis) -> bool:
+            return self.client.send_now(data)
+        except BlockingIOError:
+            if self._wait_writable(deadline):
+                return 0
+            raise
+
+    def _wait_writable(self, deadline: Millis) -> bool:
+        opened = self.client.socket
+        if opened is None:
+            return False
         poller = select.poll()
         poller.register(opened, select.POLLOUT)
         return bool(poller.poll(max(0, deadline - self.clock.now())))
--- /dev/null
+++ b/tests/gateway/test_descriptors.py
@@ -0,0 +1,134 @@
+"""Tasks that end beside others: no byte and no request may go astray."""
+
+import os
+import socket
+import threading
+
+import pytest
+
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
+from masticgate.connection.gateway import HttpClient, SearcherTask
+from masticgate.connection.gateway._inbox import Link, RequestInbox
+from masticgate.request.gateway import Call, CallerLeft
+
+from .fakes import DIALECT, make_request, make_route
+from .test_buffers import Mailbox, Owner, connect_pair
+
+ORDERS = ServiceId("orders")
+CLOCK = ManualClock()
+
+
+def make_call(request=None) -> Call:
+    return Call(request or make_request(), make_route(), ORDERS, Millis(400.0), Mailbox())
+
+
+@pytest.fixture
+def reused():
+    """Return a way to take all free descriptor numbers up to one; they are pipes."""
+    opened: list[int] = []
+
+    def take(number: int) -> list[int]:
+        while not opened or max(opened) < number:
+            opened.extend(os.pipe())
+        return opened[::2]
+
+    yield take
+    for descriptor in opened:
+        os.close(descriptor)
+
+
+def readable(descriptors: list[int]) -> list[int]:
+    for descriptor in descriptors:
+        os.set_blocking(descriptor, False)
+    found = []
+    for descriptor in descriptors:
+        try:
+            found += [descriptor] if os.read(descriptor, 1) else []
+        except BlockingIOError:
+            continue
+    return found
+
+
+class TestLateWake:
+    def test_a_call_that_ends_after_its_caller_writes_to_no_other_descriptor(self, reused):
+        near, far = connect_pair()
+        link = Link(near, CLOCK)
+        inbox = RequestInbox(link)
+        far.close()
+        assert inbox.wait(Millis(CLOCK.now() + 1_000.0)) == CallerLeft()
+        number = link.writer
+        link.close()
+        descriptors = reused(number)
+        inbox.put(make_call())
+        assert readable(descriptors) == []
+
+
+class TestLateSend:
+    def test_nothing_is_sent_once_the_connection_is_closed(self):
+        near, far = connect_pair()
+        client = HttpClient(Address("127.0.0.1:9"), CLOCK)
+        client.socket = near
+        client.close()
+        with pytest.raises(OSError):
+            client.send_now(memoryview(b"GET"))
+        assert far.recv(1) == b""
+
+    def test_a_request_waits_for_the_rest_of_the_one_before(self):
+        near, far = connect_pair()
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        task = SearcherTask(SearcherId("s1"), Address("127.0.0.1:9"), Owner(), DIALECT, CLOCK)
+        task.client.socket = near
+        large = make_request()
+        large = type(large)(
+            large.id, b"POST", large.target, large.host, (), b"x" * 4_000_000, None, Millis(0.0)
+        )
+        first = threading.Thread(target=task.give, args=(make_call(large),), daemon=True)
+        first.start()
+        received = far.recv(65_536)
+        task.current = None
+        second = threading.Thread(target=task.give, args=(make_call(),), daemon=True)
+        second.start()
+        while not received.endswith(b"\r\n\r\n") or received.count(b"HTTP/1.1") < 2:
+            received += far.recv(65_536)
+        head, _, rest = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"POST") and rest[: len(large.body)] == large.body
+        assert rest[len(large.body) :].startswith(b"GET")
+
+
+class CancelledAsItStarts(Call):
+    """A call that another task cancels right after it was found not to be cancelled."""
+
+    @property
+    def cancelled(self) -> bool:
+        found = self.is_cancelled
+        if self.other is not None:
+            other, self.other = self.other, None
+            other.start()
+            other.join(0.3)
+        return found
+
+    @cancelled.setter
+    def cancelled(self, value: bool) -> None:
+        self.is_cancelled = value
+
+
+class TestCancel:
+    def test_a_call_that_is_cancelled_as_it_starts_is_unsent_or_known_as_started(self):
+        near, far = connect_pair()
+        CancelledAsItStarts.other = None
+        call = CancelledAsItStarts(
+            make_request(), make_route(), ORDERS, Millis(400.0), Mailbox(), None
+        )
+        task = SearcherTask(SearcherId("s1"), Address("127.0.0.1:9"), Owner(), DIALECT, CLOCK, call)
+        task.client.socket = near
+        seen = []
+
+        def cancel():
+            task.cancel(call)
+            seen.append(call.started)
+
+        call.other = other = threading.Thread(target=cancel)
+        task._begin()
+        other.join(5)
+        near.close()
+        assert seen == [True] or far.recv(65_536) == b""
