--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -1,4 +1,4 @@
-"""The searchers of all services: choice, connections, budgets of repeats."""
+"""The searchers of all services: their listings, connections and choice."""
 
 from concurrent.futures import Executor
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 from ._hedge_delays import HedgeDelays
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
-from ._repeat_window import RepeatWindow
+from ._repeat_budgets import RepeatBudgets
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 from ._shares import Shares
@@ -85,9 +85,15 @@
         self.shards: set[ServiceId] = set()
         self.shares = Shares(1, 1, False)
         self.peer_dialect = peer_dialect(dialect)
-        self.budgets: dict[ServiceId, RepeatWindow] = {}
+        self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.delays = HedgeDelays()
-        self.started = clock.now()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings."""
+        with self.lock:
+            self.settings = settings
+            self.budgets.bounds = settings.repeats
+            self.budgets.share(self.shares)
 
     def now(self) -> Millis:
         """Return the gateway's clock."""
@@ -117,7 +123,7 @@
             self.metrics.count("repeats")
         else:
             with self.lock:
-                self._budget(call.service).note_request(self.clock.now())
+                self.budgets.note_request(call.service, self.clock.now())
         return FleetSending(call, replica.entry.id, task)
 
     def hedge_delay(self, route: Route) -> Millis:
@@ -128,12 +134,12 @@
     def allow_hedge(self, service: ServiceId) -> bool:
         """Take one repeat from the budget, leaving the reserve of retries."""
         with self.lock:
-            return self._budget(service).spend(self.clock.now(), RETRY_RESERVE)
+            return self.budgets.spend(service, self.clock.now(), RETRY_RESERVE)
 
     def allow_retry(self, service: ServiceId) -> bool:
         """Take one repeat from the budget after a send that failed."""
         with self.lock:
-            return self._budget(service).spend(self.clock.now(), 0.0)
+            return self.budgets.spend(service, self.clock.now())
 
     def opened(self, task: SearcherTask) -> None:
         """Take a connection that was opened ahead of its first call."""
@@ -172,6 +178,7 @@
         with self.lock:
             self.accepted = {service.id: service.connections for service in table.services.values()}
             self.shards = table.shard_services()
+            self.budgets.shards = self.shards
             for replica in self.replicas.values():
                 replica.connections = self._connections(replica.entry.service)
             self.delays.keep({route.id for route in table.routes})
@@ -185,8 +192,7 @@
             self.shares = shares
             for replica in self.replicas.values():
                 replica.connections = self._connections(replica.entry.service)
-            for service, budget in self.budgets.items():
-                budget.ratio, budget.slack = self._repeat_share(service)
+            self.budgets.share(shares)
         self.warm_up()
 
     def warm_up(self) -> None:
@@ -347,22 +353,6 @@
             next_ejection_ms=round(replica.ejection),
         )
 
-    def _budget(self, service: ServiceId) -> RepeatWindow:
-        budget = self.budgets.get(service)
-        if budget is None:
-            bounds = self.settings.repeats
-            ratio, slack = self._repeat_share(service)
-            budget = RepeatWindow(bounds, ratio, slack, self.started)
-            self.budgets[service] = budget
-        return budget
-
-    def _repeat_share(self, service: ServiceId) -> tuple[float, float]:
-        """Return this gateway's ratio and slack of what all may repeat of one service."""
-        bounds = self.settings.repeats
-        if service == PEERS:
-            return self.shares.peer_repeats(bounds)
-        return self.shares.repeats(bounds, shard=service in self.shards)
-
     def _connections(self, service: ServiceId) -> int:
         """Return how many connections to each searcher of a service this gateway may have."""
         accepted = self.accepted.get(service)
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -8,7 +8,8 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from threading import Event, Lock, Thread
+from threading import Lock, Thread
+from time import sleep
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
@@ -105,7 +106,6 @@
         self.found: dict[Address, FailureDomainId] = {}
         self.members = 1
         self.gathering: Gathering = GatherHere()
-        self.ended = Event()
 
     def start(self) -> None:
         """Start one task for each seed but this one."""
@@ -113,10 +113,6 @@
             if seed != self.settings.peers:
                 Thread(target=self._follow, args=(seed,), daemon=True).start()
 
-    def stop(self) -> None:
-        """Send no more heartbeats."""
-        self.ended.set()
-
     def answer_heartbeat(self, request: Request) -> Plain:
         """Count a heartbeat, and say how many gateways there are."""
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
@@ -188,7 +184,8 @@
         peer = SearcherId(f"{PEERS}/{seed}")
         misses = MISSES
         wait = FIRST_HEARTBEAT
-        while not self.ended.wait(wait / MILLIS_PER_SECOND):
+        while True:
+            sleep(wait / MILLIS_PER_SECOND)
             wait = HEARTBEAT_INTERVAL if misses < MISSES else HEARTBEAT_RETRY
             reply = self._beat(client)
             if reply is not None and reply.get("ready") is True:
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -133,7 +133,7 @@
     source = FixedSource(make_table(*routes, version=version), entries)
     gateway = Gateway(replace(make_settings(), **settings), DIALECT, source)
     gateway.log.descriptor = -1
-    gateway.fleet.started -= 10_000.0  # as if it ran for a window of repeats already
+    gateway.fleet.budgets.started -= 10_000.0  # as if it ran for a window of repeats already
     gateway.start()
     deadline = Event()
     while gateway.follower.table is None and not deadline.wait(0.01):
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,7 +5,15 @@
 from masticgate.process.gateway._replica import ReplicaState
 from masticgate.request.gateway import Call, Declined, Lost, Repeat
 
-from .fakes import answered, make_entry, make_fleet, make_request, make_route, make_table
+from .fakes import (
+    answered,
+    make_entry,
+    make_fleet,
+    make_request,
+    make_route,
+    make_settings,
+    make_table,
+)
 
 ORDERS = ServiceId("orders")
 
@@ -270,7 +278,7 @@
             clock.advance(Millis(5.0))
             if number % 4 == 0:
                 requests.append(clock.now())
-                fleet._budget(ORDERS).note_request(clock.now())
+                fleet.budgets.note_request(ORDERS, clock.now())
             for spend in (fleet.allow_retry, fleet.allow_hedge):
                 if spend(ORDERS):
                     repeats.append(clock.now())
@@ -293,6 +301,14 @@
     def test_a_gateway_that_has_just_started_has_no_slack_yet(self):
         assert not make_fleet(ManualClock()).allow_retry(ORDERS)
 
+    def test_changed_settings_hold_for_the_windows_that_there_are(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        clock.advance(Millis(10_000.0))
+        assert fleet.allow_retry(ORDERS)
+        fleet.reload(make_settings(ratio=0.0, slack=0.0))
+        assert not fleet.allow_retry(ORDERS)
+
     def test_hedges_leave_a_reserve_for_retries(self):
         clock = ManualClock()
         fleet = make_fleet(clock)
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -88,7 +88,7 @@
     def test_a_query_whose_seed_is_lost_on_the_way_is_gathered_again_within_the_budget(self):
         searchers = {"s1": [HangingSearcher()], "s2": [HangingSearcher()]}
         with pair(searchers) as (entry, _):
-            entry.fleet._budget(PEERS).slack = 1.0
+            entry.fleet.budgets.window(PEERS).slack = 1.0
             caller = RawCaller(entry).get()
             assert searchers["s1"][0].asked.wait(5)
             asked = [t for t in entry.fleet.tasks if t.searcher.startswith(PEERS)]
@@ -100,7 +100,7 @@
     def test_a_lost_query_that_finds_no_searcher_is_not_said_not_to_have_run(self):
         searchers = {"s1": [HangingSearcher()], "s2": [HangingSearcher()]}
         with pair(searchers) as (entry, _):
-            entry.fleet._budget(PEERS).slack = 1.0
+            entry.fleet.budgets.window(PEERS).slack = 1.0
             caller = RawCaller(entry).get()
             assert searchers["s1"][0].asked.wait(5)
             for name in ("s1-0", "s2-0"):
