Do not wait for room on a connection that has closed meanwhile

Cause, by reading: registering the descriptor of a closed socket raises ValueError, which would have ended the caller's task without an answer. The test fails without the change.

--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -162,10 +162,11 @@
 
     def _wait_writable(self, deadline: Millis) -> bool:
         opened = self.client.socket
-        if opened is None:
+        descriptor = -1 if opened is None else opened.fileno()
+        if descriptor < 0:
             return False
         poller = select.poll()
-        poller.register(opened, select.POLLOUT)
+        poller.register(descriptor, select.POLLOUT)
         return bool(poller.poll(max(0, deadline - self.clock.now())))
 
     def _read_all(self) -> Outcome:
--- a/tests/gateway/test_descriptors.py
+++ b/tests/gateway/test_descriptors.py
@@ -73,6 +73,14 @@
             client.send_now(memoryview(b"GET"))
         assert far.recv(1) == b""
 
+    def test_a_connection_that_closed_meanwhile_is_not_waited_for(self):
+        near, far = connect_pair()
+        task = SearcherTask(SearcherId("s1"), Address("127.0.0.1:9"), Owner(), DIALECT, CLOCK)
+        task.client.socket = near
+        near.close()
+        assert not task._wait_writable(Millis(CLOCK.now() + 1_000.0))
+        far.close()
+
     def test_a_request_waits_for_the_rest_of_the_one_before(self):
         near, far = connect_pair()
         near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
