Answer a request that was read just before its idle connection is closed

Cause: a stopping gateway shuts down reading on idle connections. Ruled out: the time for which connections are accepted, the grace (both searchers and gateway had seconds left).

A link that reads no more does not take the end for its caller's. The test fails without the change.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -31,6 +31,7 @@
         self.lock = Lock()
         self.waiting = False
         self.closed = False
+        self.reads_no_more = False
         self.poller = select.poll()
         self.poller.register(self.reader, select.POLLIN)
 
@@ -68,13 +69,20 @@
                 self.connection.close()
 
     def stop_reading(self) -> None:
-        """Let a read in progress find the end; any task may call this."""
+        """Let a read in progress find the end; any task may call this.
+
+        A request that was read just before is still served: the end is not the caller's then.
+        """
         with self.lock:
+            self.reads_no_more = True
             if not self.closed:
                 with suppress(OSError):
                     self.connection.shutdown(socket.SHUT_RD)
 
     def _has_left(self) -> bool:
+        if self.reads_no_more:
+            self.poller.unregister(self.connection)
+            return False
         try:
             if self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
                 return True
--- a/tests/gateway/test_descriptors.py
+++ b/tests/gateway/test_descriptors.py
@@ -6,10 +6,12 @@
 
 import pytest
 
-from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
-from masticgate.connection.gateway import HttpClient, SearcherTask
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId, SystemClock
+from masticgate.connection.gateway import CallerSettings, HttpClient, SearcherTask
+from masticgate.connection.gateway._caller import Caller
 from masticgate.connection.gateway._inbox import Link, RequestInbox
-from masticgate.request.gateway import Call, CallerLeft
+from masticgate.request.gateway import Call, CallerLeft, Plain
+from masticgate.version.gateway import Limits
 
 from .fakes import DIALECT, make_request, make_route
 from .test_buffers import Mailbox, Owner, connect_pair
@@ -63,6 +65,29 @@
         assert readable(descriptors) == []
 
 
+class TestStopReading:
+    def test_a_request_that_was_read_just_before_is_still_answered(self):
+        near, far = connect_pair()
+        outcomes = []
+
+        def handle(request, inbox):
+            caller.stop_reading()
+            outcomes.append(inbox.wait(Millis(clock.now() + 100.0)))
+            return Plain(200, b"served")
+
+        clock = SystemClock()
+        settings = CallerSettings(handle, DIALECT, clock, Limits, lambda: True)
+        caller = Caller(near, settings)
+        threading.Thread(target=caller.run, daemon=True).start()
+        far.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nx-id: q\r\n\r\n")
+        far.settimeout(5)
+        received = b""
+        while data := far.recv(65_536):
+            received += data
+        assert outcomes == [None]
+        assert received.endswith(b"served")
+
+
 class TestLateSend:
     def test_nothing_is_sent_once_the_connection_is_closed(self):
         near, far = connect_pair()
