--- a/src/masticgate/_ids.py
+++ b/src/masticgate/_ids.py
@@ -33,3 +33,6 @@
 """The caller's name for one attempt at a request."""
 
 RouteId = NewType("RouteId", str)
+
+ConnectionNumber = NewType("ConnectionNumber", int)
+"""Counts the connections to searchers that a process has opened; log lines name them by it."""
--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -15,6 +15,10 @@
 from ._dialect import peer_dialect as peer_dialect
 from ._encoding import read_missing as read_missing
 from ._listener import Listener as Listener
+from ._searcher_task import Irregularity as Irregularity
 from ._searcher_task import Load as Load
 from ._searcher_task import SearcherTask as SearcherTask
+from ._searcher_task import SkippedAnswer as SkippedAnswer
 from ._searcher_task import TaskOwner as TaskOwner
+from ._searcher_task import TrailingBytes as TrailingBytes
+from ._searcher_task import UnrequestedBytes as UnrequestedBytes
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from ...request.gateway._exchange import Header
+from ...request.gateway._exchange import Ending, Header
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -167,6 +167,7 @@
     fields: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
+    ending: Ending
 
 
 class ResponseParser:
@@ -192,7 +193,7 @@
     def end(self) -> None:
         """Complete a response without a length, whose connection ended in order."""
         if self.begun and self.in_body and not self.framed:
-            self._complete(keep_alive=False)
+            self._complete(Ending.CLOSE, keep_alive=False)
 
     def _begin(self) -> None:
         self.begun = False
@@ -224,11 +225,13 @@
 
     def on_message_complete(self) -> None:
         """Queue the response, unless it is an interim one."""
-        self._complete(keep_alive=self.parser.should_keep_alive())
+        ending = Ending.CHUNKS if b"transfer-encoding" in self.fields else Ending.LENGTH
+        self._complete(ending, keep_alive=self.parser.should_keep_alive())
 
-    def _complete(self, *, keep_alive: bool) -> None:
+    def _complete(self, ending: Ending, *, keep_alive: bool) -> None:
         status = self.parser.get_status_code()
         if status >= 200:
             body = b"".join(self.chunks)
-            self.ready.append(ParsedResponse(status, self.headers, self.fields, body, keep_alive))
+            response = ParsedResponse(status, self.headers, self.fields, body, keep_alive, ending)
+            self.ready.append(response)
         self._begin()
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -12,8 +12,8 @@
 
 from ..._clock import Clock
 from ..._failures import Reason
-from ..._ids import Address, Millis, SearcherId
-from ...request.gateway import Answered, Call, Declined, Lost, Outcome
+from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
+from ...request.gateway import Answered, Call, Declined, Lost, Outcome, Receipt
 from ._client import HttpClient, keep_alive_timeout
 from ._dialect import Dialect
 from ._encoding import encode_request
@@ -37,6 +37,31 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class SkippedAnswer:
+    """A whole answer that bears another request's id, or none, came while a call waited."""
+
+    answered: RequestId
+    expected: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class UnrequestedBytes:
+    """Bytes came while no call was on the connection, which ends."""
+
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrailingBytes:
+    """More bytes came with a whole answer; its connection ends."""
+
+    request: RequestId
+
+
+Irregularity = SkippedAnswer | UnrequestedBytes | TrailingBytes
+
+
 class TaskOwner(Protocol):
     """Who decides what the tasks of a searcher's connections do."""
 
@@ -54,11 +79,16 @@
         """Note that the task has ended; ``connected`` tells whether it ever opened."""
         ...
 
+    def note(self, task: "SearcherTask", irregularity: Irregularity) -> None:
+        """Note bytes that belong to no call of the connection."""
+        ...
+
 
 class SearcherTask:
     """One connection to one searcher; it serves one call at a time.
 
-    ``idle_since`` and ``keep_for`` belong to the owner's lock.
+    ``idle_since`` and ``keep_for`` belong to the owner's lock; ``number`` names the connection in
+    log lines.
     """
 
     def __init__(
@@ -69,7 +99,10 @@
         dialect: Dialect,
         clock: Clock,
         first: Call | None = None,
+        number: ConnectionNumber = ConnectionNumber(0),
     ) -> None:
+        self.number = number
+        self.skipped = 0
         self.searcher = searcher
         self.owner = owner
         self.dialect = dialect
@@ -182,6 +215,7 @@
             if not count:
                 return self._read_end()
             if self.current is None:
+                self.owner.note(self, UnrequestedBytes(count))
                 return Lost(self.searcher, True, "bytes that nobody asked for")
             problem = self.parser.feed(buffer[:count])
             reusable = problem is None and not self.parser.begun
@@ -198,8 +232,13 @@
         answers, self.parser.ready = self.parser.ready, []
         for position, answer in enumerate(answers):
             call = self.current
-            if call is None or not self._is_for(call, answer):
+            if call is None:
                 continue
+            if not self._is_for(call, answer):
+                self._skip(call, answer)
+                continue
+            if not reusable or position + 1 < len(answers):
+                self.owner.note(self, TrailingBytes(call.request.id))
             keeps = reusable and answer.keep_alive and position + 1 == len(answers)
             self.keep_for = keep_alive_timeout(answer.fields)
             self._finish(call, self._read(answer), self._load(answer), reusable=keeps)
@@ -217,6 +256,11 @@
                 return self._read(answer)
         return Lost(self.searcher, True, "closed before the end of a response")
 
+    def _skip(self, call: Call, answer: ParsedResponse) -> None:
+        self.skipped += 1
+        answered = answer.fields.get(self.dialect.request_id, b"").decode("latin-1")
+        self.owner.note(self, SkippedAnswer(RequestId(answered), call.request.id))
+
     def _is_for(self, call: Call, answer: ParsedResponse) -> bool:
         expected = call.request.id.encode("latin-1")
         return answer.fields.get(self.dialect.request_id) == expected
@@ -247,7 +291,8 @@
         stamp = answer.fields.get(self.dialect.stamp, b"").decode("latin-1")
         latency = Millis(self.clock.now() - self.began)
         headers = tuple(answer.headers)
-        return Answered(self.searcher, answer.status, headers, answer.body, stamp, latency)
+        receipt = Receipt(self.number, answer.ending, self.skipped)
+        return Answered(self.searcher, answer.status, headers, answer.body, stamp, latency, receipt)
 
     def _load(self, answer: ParsedResponse) -> Load | None:
         parts = answer.fields.get(self.dialect.load, b"").split(b",")
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -2,13 +2,23 @@
 
 from concurrent.futures import Executor
 from dataclasses import dataclass
+from itertools import count
 from threading import Lock
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import Millis, SearcherId, ServiceId
-from ...connection.gateway import Dialect, Load, SearcherTask, peer_dialect
-from ...request.gateway import Answered, Call, Declined, Lost, Repeat
+from ..._ids import ConnectionNumber, Millis, SearcherId, ServiceId
+from ...connection.gateway import (
+    Dialect,
+    Irregularity,
+    Load,
+    SearcherTask,
+    SkippedAnswer,
+    TrailingBytes,
+    UnrequestedBytes,
+    peer_dialect,
+)
+from ...request.gateway import Answered, Call, Declined, Ending, Lost, Repeat
 from ...version.gateway import Route, RouteTable
 from ._catalogue import PEERS, SearcherEntry, SearcherPhase
 from ._hedge_delays import HedgeDelays
@@ -80,6 +90,7 @@
         self.services: dict[ServiceId, dict[SearcherId, Replica]] = {}
         self.replicas: dict[SearcherId, Replica] = {}
         self.tasks: dict[SearcherTask, Replica] = {}
+        self.numbers = count(1)
         self.drained: dict[SearcherId, int] = {}
         self.accepted: dict[ServiceId, int] = {}
         self.shards: set[ServiceId] = set()
@@ -173,6 +184,24 @@
             if replica.fail(self.clock.now()):
                 self._log_ejection(replica, "", "connect")
 
+    def note(self, task: SearcherTask, irregularity: Irregularity) -> None:
+        """Log and count bytes that belong to no call of their connection."""
+        fields: dict[str, object] = {"searcher": task.searcher, "connection": task.number}
+        match irregularity:
+            case SkippedAnswer(answered=answered, expected=expected):
+                self.metrics.count("answer_skipped")
+                event = LogEvent.ANSWER_SKIPPED
+                fields |= {"answered": answered, "request": expected}
+            case UnrequestedBytes(count=number):
+                self.metrics.count("bytes_unrequested")
+                event = LogEvent.BYTES_UNREQUESTED
+                fields |= {"bytes": number}
+            case TrailingBytes(request=request):
+                self.metrics.count("bytes_trailing")
+                event = LogEvent.BYTES_TRAILING
+                fields |= {"request": request}
+        self.log.write(event, **fields)
+
     def apply_table(self, table: RouteTable) -> None:
         """Take the services' connections and the services to keep warm from a configuration."""
         with self.lock:
@@ -281,7 +310,8 @@
         """Start the task of a new connection; return ``None`` where the process has no room."""
         entry = replica.entry
         dialect = self.peer_dialect if entry.service == PEERS else self.dialect
-        task = SearcherTask(entry.id, entry.address, self, dialect, self.clock, first)
+        number = ConnectionNumber(next(self.numbers))
+        task = SearcherTask(entry.id, entry.address, self, dialect, self.clock, first, number)
         replica.tasks += 1
         self.tasks[task] = replica
         try:
@@ -322,7 +352,9 @@
     def _judge(self, replica: Replica, call: Call, now: Millis) -> None:
         """Learn from one outcome; the lock is held."""
         match call.outcome:
-            case Answered(status=status, latency=latency) if status < 500:
+            case Answered(status=status, latency=latency, receipt=receipt) if status < 500:
+                if receipt.ending is Ending.CLOSE:
+                    self.metrics.count("answers_ended_by_close")
                 first = not call.repeat
                 ratio = self.delays.note(call.route.id, latency, now, first=first)
                 if replica.succeed(ratio, now):
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -175,7 +175,9 @@
     def _read_peer_answer(self, answer: Answered) -> Reply:
         """Return a gatherer's answer as this gateway's own."""
         if answer.success:
-            return Merged(tuple(answer.stamp.split(", ")), read_missing(answer), answer.body)
+            stamps = tuple(answer.stamp.split(", "))
+            gatherer = (f"gathered by {answer.searcher}, {answer.receipt}",)
+            return Merged(stamps, read_missing(answer), answer.body, gatherer)
         detail = answer.body.decode("utf-8", "replace")
         failure = Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail)
         return Failed(answer.status, failure)
@@ -189,7 +191,7 @@
         kind = "none" if isinstance(route, Refused) else f"rank{route.rank}"
         self.metrics.observe(kind, outcome, took)
         late = not isinstance(route, Refused) and took > route.objective
-        if outcome == "whole" and not late:
+        if outcome == "whole" and not late and _is_ordinary(reply):
             self.served += 1
             if self.served % SAMPLE:
                 return
@@ -219,16 +221,28 @@
             return reply
 
 
+def _is_ordinary(reply: Reply) -> bool:
+    """Tell whether every answer in the reply said where it ends, and came alone."""
+    match reply:
+        case Relayed(answer=answer):
+            return answer.receipt.is_ordinary
+        case Merged(unusual=unusual):
+            return not unusual
+        case _:
+            return True
+
+
 def _describe_reply(reply: Reply) -> tuple[str, str]:
     """Return the outcome's name and why it came to that."""
     match reply:
-        case Merged(missing=0):
-            return "whole", ""
-        case Merged(missing=missing, stamps=stamps, causes=causes):
+        case Merged(missing=0, causes=causes, unusual=unusual):
+            return "whole", "; ".join((*causes, *unusual))
+        case Merged(missing=missing, stamps=stamps, causes=causes, unusual=unusual):
             counts = f"{missing} of {missing + len(stamps)} shards missing"
-            return "partial", "; ".join((counts, *causes))
+            return "partial", "; ".join((counts, *causes, *unusual))
         case Relayed(answer=answer, sends=sends) if answer.success:
-            return "whole", f"answer of {answer.searcher}, {sends}"
+            detail = f"answer of {answer.searcher}, {answer.receipt}, stamp {answer.stamp}, {sends}"
+            return "whole", detail
         case Relayed(answer=answer, sends=sends):
             return "searcher_failure", f"status {answer.status} of {answer.searcher}, {sends}"
         case Refused(status=status, failure=failure):
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -5,9 +5,11 @@
 from ._exchange import Call as Call
 from ._exchange import CallerLeft as CallerLeft
 from ._exchange import Declined as Declined
+from ._exchange import Ending as Ending
 from ._exchange import Inbox as Inbox
 from ._exchange import Lost as Lost
 from ._exchange import Outcome as Outcome
+from ._exchange import Receipt as Receipt
 from ._exchange import Repeat as Repeat
 from ._exchange import Request as Request
 from ._exchange import Senders as Senders
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -5,7 +5,14 @@
 from typing import Protocol
 
 from ..._failures import NotRun, Reason
-from ..._ids import ConfigurationVersion, Millis, RequestId, SearcherId, ServiceId
+from ..._ids import (
+    ConfigurationVersion,
+    ConnectionNumber,
+    Millis,
+    RequestId,
+    SearcherId,
+    ServiceId,
+)
 from ...version.gateway import Route
 
 Header = tuple[bytes, bytes]
@@ -45,6 +52,37 @@
         return Millis(self.arrived + min(patience, route.timeout))
 
 
+class Ending(Enum):
+    """What told that an answer was whole."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+@dataclass(frozen=True, slots=True)
+class Receipt:
+    """How an answer was received.
+
+    ``skipped`` counts the answers to other requests that came before it on its connection.
+    """
+
+    connection: ConnectionNumber = ConnectionNumber(0)
+    ending: Ending = Ending.LENGTH
+    skipped: int = 0
+
+    @property
+    def is_ordinary(self) -> bool:
+        """Tell whether the answer said where it ends, and came alone."""
+        return self.ending is not Ending.CLOSE and not self.skipped
+
+    def __str__(self) -> str:
+        return f"connection {self.connection}, ended by {self.ending.value}, {self.skipped} skipped"
+
+
+ORDINARY = Receipt()
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """A searcher's whole answer, a failure of its own included.
@@ -58,6 +96,7 @@
     body: bytes
     stamp: str
     latency: Millis
+    receipt: Receipt = ORDINARY
 
     @property
     def success(self) -> bool:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from heapq import nlargest
+from itertools import islice
 from math import ceil
 
 from ..._failures import NotRun, Reason, Step, Unknown
@@ -20,7 +21,7 @@
 SHORTEST_ANSWER_TIME = Millis(5.0)
 
 MOST_CAUSES = 4
-"""Missing shards whose cause is kept for the log."""
+"""Missing shards whose cause, and unusual parts whose receipt, is kept for the log."""
 
 RETRY_AFTER = Millis(30.0)
 """A refused query is worth another try once the next catalogue event may have come."""
@@ -116,7 +117,9 @@
         stamps = tuple(answer.stamp for answer in answers)
         records = merge_records((answer.body for answer in answers), self.top)
         causes = tuple(attempts.describe() for attempts in self.waiting[:MOST_CAUSES])
-        return Merged(stamps, self.total - len(answers), records, causes)
+        unusual = (answer for answer in answers if not answer.receipt.is_ordinary)
+        received = tuple(f"{a.searcher}: {a.receipt}" for a in islice(unusual, MOST_CAUSES))
+        return Merged(stamps, self.total - len(answers), records, causes, received)
 
     def _failure(self) -> Reply:
         detail = f"{len(self.done)} of {self.total} shards"
--- a/src/masticgate/request/gateway/_reply.py
+++ b/src/masticgate/request/gateway/_reply.py
@@ -19,13 +19,16 @@
 class Merged:
     """The merged records of some shards; ``stamps`` names the answers that are included.
 
-    ``causes`` tells for some of the missing shards why they are.
+    ``causes`` tells for some of the missing shards why they are, or which gateway gathered the
+    answer; ``unusual`` tells of some parts that did not say where they end, or came behind answers
+    to other requests, how they were received.
     """
 
     stamps: tuple[str, ...]
     missing: int
     records: bytes
     causes: tuple[str, ...] = field(default=(), compare=False)
+    unusual: tuple[str, ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_buffers.py
+++ b/tests/gateway/test_buffers.py
@@ -58,6 +58,9 @@
     def ended(self, task, *, connected):
         pass
 
+    def note(self, task, irregularity):
+        pass
+
 
 class Mailbox:
     """An inbox that nobody reads."""
--- /dev/null
+++ b/tests/gateway/test_irregular_answers.py
@@ -0,0 +1,136 @@
+"""What a connection tells of bytes that belong to none of its calls."""
+
+import json
+import threading
+
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
+from masticgate._ids import ConnectionNumber
+from masticgate.connection.gateway import (
+    SearcherTask,
+    SkippedAnswer,
+    TrailingBytes,
+    UnrequestedBytes,
+)
+from masticgate.process.gateway._service import _describe_reply
+from masticgate.request.gateway import Answered, Call, Ending, Merged, Receipt
+
+from .fakes import DIALECT, make_entry, make_fleet, make_request, make_route
+from .test_buffers import Mailbox, Owner, connect_pair
+
+ANSWER = b"HTTP/1.1 200 OK\r\nx-id: %s\r\nx-stamp: s\r\nContent-Length: 2\r\n\r\nok"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nx-id: %s\r\nx-stamp: s\r\n\r\nok"
+
+
+class NotingOwner(Owner):
+    """Keeps what a task notes, and the outcomes of its calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.noted = []
+        self.outcomes = []
+
+    def finish(self, task, call, load, *, reusable):
+        self.outcomes.append(call.outcome)
+        super().finish(task, call, load, reusable=reusable)
+
+    def note(self, task, irregularity):
+        self.noted.append(irregularity)
+
+
+class Connection:
+    """A task that reads one connection, and the searcher's end of it."""
+
+    def __init__(self) -> None:
+        near, self.far = connect_pair()
+        self.owner = NotingOwner()
+        self.task = SearcherTask(
+            SearcherId("s1"),
+            Address("127.0.0.1:9"),
+            self.owner,
+            DIALECT,
+            ManualClock(),
+            number=ConnectionNumber(7),
+        )
+        self.task.client.socket = near
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+
+    def _read(self) -> None:
+        self.task._end(self.task._read_all(), connected=True)
+
+    def ask(self, identity: str, answer: bytes) -> None:
+        call = Call(
+            make_request(identity),
+            make_route(),
+            ServiceId("orders"),
+            Millis(400.0),
+            Mailbox(),
+        )
+        assert self.task.give(call)
+        assert self.far.recv(65_536).endswith(b"\r\n\r\n")
+        self.far.sendall(answer)
+
+    def close(self) -> None:
+        self.far.close()
+        self.reader.join(5)
+        assert not self.reader.is_alive()
+
+
+class TestNotes:
+    def test_an_answer_to_another_request_is_noted_and_skipped(self):
+        connection = Connection()
+        connection.ask("q2", ANSWER % b"q1" + ANSWER % b"q2")
+        assert connection.owner.finished.acquire(timeout=5)
+        connection.close()
+        assert connection.owner.noted == [SkippedAnswer("q1", "q2")]
+        receipt = connection.owner.outcomes[0].receipt
+        assert receipt == Receipt(ConnectionNumber(7), Ending.LENGTH, 1)
+        assert not receipt.is_ordinary
+
+    def test_bytes_behind_an_answer_are_noted(self):
+        connection = Connection()
+        connection.ask("q1", ANSWER % b"q1" + b"more")
+        connection.close()
+        assert connection.owner.noted == [TrailingBytes("q1")]
+
+    def test_bytes_on_an_idle_connection_are_noted(self):
+        connection = Connection()
+        connection.far.sendall(b"nobody asked")
+        connection.close()
+        assert connection.owner.noted == [UnrequestedBytes(len(b"nobody asked"))]
+
+    def test_an_answer_tells_that_the_close_ended_it(self):
+        connection = Connection()
+        connection.ask("q1", UNFRAMED % b"q1")
+        connection.close()
+        assert connection.owner.outcomes[0].receipt.ending is Ending.CLOSE
+
+
+class TestFleetNotes:
+    def test_each_is_logged_with_its_connection_and_counted(self):
+        fleet = make_fleet()
+        fleet.list_searcher(make_entry("s1"))
+        fleet.log.queue.clear()
+        replica = fleet.replicas[SearcherId("s1")]
+        task = fleet._open(replica)
+        fleet.note(task, SkippedAnswer("q1", "q2"))
+        line = json.loads(fleet.log.queue[-1])
+        assert line["event"] == "answer_skipped"
+        assert (line["searcher"], line["connection"]) == ("s1", 1)
+        assert (line["answered"], line["request"]) == ("q1", "q2")
+        fleet.note(task, UnrequestedBytes(5))
+        assert json.loads(fleet.log.queue[-1])["bytes"] == 5
+        fleet.note(task, TrailingBytes("q2"))
+        assert json.loads(fleet.log.queue[-1])["request"] == "q2"
+        assert b"masticgate_answer_skipped_total 1" in fleet.metrics.render()
+
+
+class TestRequestLine:
+    def test_names_what_a_query_took_unusually(self):
+        unusual = Receipt(ConnectionNumber(3), Ending.CLOSE, 0)
+        answer = Answered(SearcherId("s1"), 200, (), b"", "s", Millis(1.0), unusual)
+        merged = Merged(("s",), 0, b"", (), (f"{answer.searcher}: {answer.receipt}",))
+        assert _describe_reply(merged) == (
+            "whole",
+            "s1: connection 3, ended by close, 0 skipped",
+        )
