--- /dev/null
+++ b/tests/gateway/test_refused_tasks.py
@@ -0,0 +1,131 @@
+"""A connection whose task could not be started: it is refused once and for all."""
+
+import os
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from threading import Event, Thread
+
+import pytest
+
+from masticgate import Address, HostId, Millis, NotRun, ServiceId, SystemClock
+from masticgate.connection.gateway import CallerSettings, Listener
+from masticgate.process.gateway._fleet import Fleet
+from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._metrics import Metrics
+from masticgate.request.gateway import Call, Plain
+from masticgate.version.gateway import Limits
+
+from .fakes import DIALECT, make_entry, make_request, make_route, make_settings
+from .loopback import StandInSearcher, reply_to
+from .test_buffers import Mailbox, connect_pair
+
+
+class OneTask:
+    """A pool with one busy task, whose process has no room for another thread meanwhile."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.executor = ThreadPoolExecutor(8)
+        self.release = Event()
+        self.monkeypatch = monkeypatch
+        self.executor.submit(self._occupy)
+
+    def _occupy(self) -> None:
+        self.release.wait(10)
+
+    def refuse_threads(self) -> None:
+        def start(thread):
+            raise RuntimeError("can't start new thread")
+
+        self.monkeypatch.setattr(Thread, "start", start)
+
+    def end_task(self) -> None:
+        """Let threads start again, and give the busy task's thread time to take what is queued."""
+        self.monkeypatch.undo()
+        self.release.set()
+        ending = Thread(target=self.executor.shutdown, daemon=True)
+        ending.start()
+        ending.join(2)
+
+
+@pytest.fixture
+def pool(monkeypatch):
+    return OneTask(monkeypatch)
+
+
+def serve_page(request, inbox):
+    return Plain(200, b"served")
+
+
+class TestRefusedCaller:
+    # Guards against a caller's connection whose descriptors are closed twice, by number.
+    def test_its_descriptors_are_not_closed_again_when_others_have_their_numbers(self, pool):
+        clock = SystemClock()
+        settings = CallerSettings(serve_page, DIALECT, clock, Limits, lambda: False)
+        listener = Listener(Address("127.0.0.1:0"), settings, pool.executor, 4)
+        near, far = connect_pair()
+        highest = near.fileno() + 16
+        pool.refuse_threads()
+        listener._admit(near)
+        far.settimeout(5)
+        assert far.recv(1) == b""
+        opened: list[int] = []
+        while not opened or max(opened) < highest:
+            opened.extend(os.pipe())
+        pool.end_task()
+        closed = [number for number in opened if not is_open(number)]
+        for number in opened:
+            if number not in closed:
+                os.close(number)
+        listener.stop()
+        assert closed == []
+
+
+def is_open(number: int) -> bool:
+    try:
+        os.fstat(number)
+    except OSError:
+        return False
+    return True
+
+
+class TestRefusedSend:
+    # Guards against a request that was refused as not run and is sent later all the same.
+    def test_a_request_that_was_refused_is_never_sent(self, pool):
+        searcher = StandInSearcher(reply_to)
+        searcher.hangs_up = True
+        clock = SystemClock()
+        log = EventLog(HostId("g1"), clock)
+        fleet = Fleet(make_settings(), DIALECT, clock, pool.executor, log, Metrics())
+        fleet.list_searcher(replace(make_entry("s1"), address=searcher.address))
+        deadline = Millis(clock.now() + 5_000.0)
+        call = Call(make_request(), make_route(), ServiceId("orders"), deadline, Mailbox())
+        pool.refuse_threads()
+        assert isinstance(fleet.send(call, set()), NotRun)
+        pool.end_task()
+        searcher.listener.close()
+        assert searcher.heads == []
+
+
+class TestLaterTasks:
+    # Guards against a connection that is accepted and never read, after others were refused.
+    def test_each_starts_at_once_though_others_wait_and_were_refused(self, pool):
+        clock = SystemClock()
+        settings = CallerSettings(serve_page, DIALECT, clock, Limits, lambda: False)
+        listener = Listener(Address("127.0.0.1:0"), settings, pool.executor, 16)
+        refused = [connect_pair() for _ in range(2)]
+        pool.refuse_threads()
+        for near, _ in refused:
+            listener._admit(near)
+        pool.monkeypatch.undo()
+        pool.release.set()
+        kept = []
+        for _ in range(4):
+            near, far = connect_pair()
+            listener._admit(near)
+            far.settimeout(2)
+            far.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nx-id: q\r\n\r\n")
+            kept.append(far)
+            assert far.recv(65_536).endswith(b"served")
+        for far in kept:
+            far.close()
+        listener.stop()
