Refuse a task for good where no thread can be started

Cause: ThreadPoolExecutor.submit raises where no thread can start, but has queued the task before; it runs as soon as a thread is free. Listener and Fleet had given the connection up by then. The executor also takes one of its busy threads for an idle one from then on, so that a later task waits until another ends. The class of fault: a resource whose owner is told that it never started has two owners.

Fix: TaskPool starts a task or refuses it for good, in one place for callers and searchers. A task begins or is refused under its own lock; threads that could not be joined by another finish their present tasks, and new ones go to other threads, which keeps the count of idle ones true.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -22,3 +22,5 @@
 from ._searcher_task import TaskOwner as TaskOwner
 from ._searcher_task import TrailingBytes as TrailingBytes
 from ._searcher_task import UnrequestedBytes as UnrequestedBytes
+from ._task_starter import TaskRefused as TaskRefused
+from ._task_starter import TaskStarter as TaskStarter
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -1,23 +1,23 @@
 """Accepts callers, one task each, and bounds how many there are."""
 
 import socket
-from concurrent.futures import Executor
 from contextlib import suppress
 from threading import Lock
 
 from ..._ids import Address, Millis
 from .._address import listen_on
 from ._caller import Caller, CallerSettings, CallerState
+from ._task_starter import TaskStarter
 
 
 class Listener:
     """One listening socket and its callers' connections."""
 
     def __init__(
-        self, address: Address, settings: CallerSettings, executor: Executor, most: int
+        self, address: Address, settings: CallerSettings, tasks: TaskStarter, most: int
     ) -> None:
         self.settings = settings
-        self.executor = executor
+        self.tasks = tasks
         self.most = most
         self.lock = Lock()
         self.callers: set[Caller] = set()
@@ -62,9 +62,7 @@
             crowded = len(self.callers) > self.most
         if crowded:
             self._close_longest_unserved(caller)
-        try:
-            self.executor.submit(self._run, caller)
-        except RuntimeError:
+        if self.tasks.start(self._run, caller) is not None:
             self._turn_away(caller)
 
     def _run(self, caller: Caller) -> None:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -1,6 +1,5 @@
 """The searchers of all services: their listings, connections and choice."""
 
-from concurrent.futures import Executor
 from dataclasses import dataclass
 from itertools import count
 from threading import Lock
@@ -14,6 +13,7 @@
     Load,
     SearcherTask,
     SkippedAnswer,
+    TaskStarter,
     TrailingBytes,
     UnrequestedBytes,
     peer_dialect,
@@ -76,14 +76,14 @@
         settings: GatewaySettings,
         dialect: Dialect,
         clock: Clock,
-        executor: Executor,
+        starter: TaskStarter,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
         self.clock = clock
-        self.executor = executor
+        self.starter = starter
         self.log = log
         self.metrics = metrics
         self.lock = Lock()
@@ -314,13 +314,12 @@
         task = SearcherTask(entry.id, entry.address, self, dialect, self.clock, first, number)
         replica.tasks += 1
         self.tasks[task] = replica
-        try:
-            self.executor.submit(task.run)
-        except RuntimeError as error:
-            self.tasks.pop(task).tasks -= 1
-            self.log.write(LogEvent.TASK_REFUSED, searcher=entry.id, detail=str(error))
-            return None
-        return task
+        refused = self.starter.start(task.run)
+        if refused is None:
+            return task
+        self.tasks.pop(task).tasks -= 1
+        self.log.write(LogEvent.TASK_REFUSED, searcher=entry.id, detail=refused.detail)
+        return None
 
     def _keep(self, replica: Replica, task: SearcherTask) -> None:
         """Keep an idle connection, or end it; the lock is held."""
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-from concurrent.futures import ThreadPoolExecutor
 from threading import Event, Thread
 
 from ..._clock import MILLIS_PER_SECOND, SystemClock
@@ -20,6 +19,7 @@
 from ._relay import RELAY_AGE, RelayedSource
 from ._service import Beliefs, GatewayService
 from ._settings import GatewaySettings
+from ._task_pool import TaskPool
 
 MOST_CALLERS = 1_500
 """Connections of callers at one time; each is a task and three descriptors."""
@@ -50,10 +50,10 @@
         threading.stack_size(STACK_BYTES)
         self.settings = settings
         self.clock = SystemClock()
-        self.executor = ThreadPoolExecutor(MOST_TASKS)
+        self.pool = TaskPool(MOST_TASKS)
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
-        self.fleet = Fleet(settings, dialect, self.clock, self.executor, self.log, self.metrics)
+        self.fleet = Fleet(settings, dialect, self.clock, self.pool, self.log, self.metrics)
         followed = self._follow_relays(source) if not settings.is_seed else source
         self.follower = Follower(followed, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
@@ -133,7 +133,7 @@
         self, address: Address, dialect: Dialect, handler: Handler, most: int = MOST_PAGE_CALLERS
     ) -> Listener:
         settings = CallerSettings(handler, dialect, self.clock, self._limits, self.stopping.is_set)
-        return Listener(address, settings, self.executor, most)
+        return Listener(address, settings, self.pool, most)
 
     def _listen_to_peers(self, address: Address, dialect: Dialect) -> Listener:
         settings = CallerSettings(
@@ -145,7 +145,7 @@
             between_gateways=True,
             head_start=PEER_HEAD_START,
         )
-        return Listener(address, settings, self.executor, MOST_CALLERS)
+        return Listener(address, settings, self.pool, MOST_CALLERS)
 
     def _follow_relays(self, platform: PlatformSource) -> Source:
         wait = Event().wait
--- /dev/null
+++ b/src/masticgate/process/gateway/_task_pool.py
@@ -0,0 +1,91 @@
+"""Runs the tasks of connections, each in a thread of its own."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from enum import Enum
+from threading import Lock
+from typing import Any
+
+from ...connection.gateway import TaskRefused
+
+
+class TaskState(Enum):
+    """How far a task has come."""
+
+    QUEUED = "queued"
+    BEGUN = "begun"
+    REFUSED = "refused"
+
+
+class Task:
+    """One task; it begins or is refused, never both."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call = call
+        self.lock = Lock()
+        self.state = TaskState.QUEUED
+
+    def run(self) -> None:
+        """Run the task, unless it was refused."""
+        with self.lock:
+            if self.state is TaskState.REFUSED:
+                return
+            self.state = TaskState.BEGUN
+        self.call()
+
+    def refuse(self) -> bool:
+        """Keep the task from running; return ``False`` where it has begun."""
+        with self.lock:
+            if self.state is TaskState.BEGUN:
+                return False
+            self.state = TaskState.REFUSED
+            return True
+
+
+class TaskPool:
+    """Starts each task at once or refuses it for good.
+
+    ``ThreadPoolExecutor.submit`` keeps a task in its queue though it raises, and takes one of its
+    busy threads for an idle one from then on. So threads that could not be joined by another are
+    given up to their present tasks, and new tasks go to other threads.
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.lock = Lock()
+        self.running = 0
+        self.threads = self._make_threads()
+
+    def start(self, run: Callable[..., None], *args: Any) -> TaskRefused | None:
+        """Start a task at once, or refuse it for good."""
+        task = Task(lambda: self._run(run, args))
+        with self.lock:
+            if self.running >= self.most:
+                return TaskRefused("all tasks are in use")
+            self.running += 1
+            try:
+                self.threads.submit(task.run)
+            except RuntimeError as error:
+                self.threads.shutdown(wait=False)
+                self.threads = self._make_threads()
+                if task.refuse():
+                    self.running -= 1
+                    return TaskRefused(str(error))
+        return None
+
+    def close(self) -> None:
+        """Refuse tasks from now on; the present ones run to their ends."""
+        with self.lock:
+            self.most = 0
+            self.threads.shutdown(wait=False)
+
+    def _run(self, run: Callable[..., None], args: tuple[Any, ...]) -> None:
+        try:
+            run(*args)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def _make_threads(self) -> ThreadPoolExecutor:
+        """Return threads enough for all tasks beside those that just ended theirs."""
+        return ThreadPoolExecutor(2 * self.most)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -118,20 +118,20 @@
     )
 
 
-class HeldExecutor:
+class HeldTasks:
     """Takes tasks and runs none of them."""
 
     def __init__(self) -> None:
-        self.submitted = 0
+        self.started = 0
 
-    def submit(self, run, *arguments):
-        self.submitted += 1
+    def start(self, run, *arguments):
+        self.started += 1
 
 
 def make_fleet(clock: ManualClock | None = None, **settings: float) -> Fleet:
     clock = clock or ManualClock()
     log = EventLog(HostId("g1"), clock)
-    return Fleet(make_settings(**settings), DIALECT, clock, HeldExecutor(), log, Metrics())
+    return Fleet(make_settings(**settings), DIALECT, clock, HeldTasks(), log, Metrics())
 
 
 def answered(searcher: SearcherId, body: bytes = b"", status: int = 200, latency: float = 10.0):
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -148,7 +148,7 @@
         gateway.log.stop()
         for task in list(gateway.fleet.tasks):
             task.close()
-        gateway.executor.shutdown(wait=False)
+        gateway.pool.close()
         for listener in gateway.listeners:
             listener.stop()
         for group in searchers.values():
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -234,7 +234,7 @@
         clock.advance(Millis(200.0))
         fleet.sweep()
         assert first.task.client.aborted
-        assert fleet.executor.submitted == 2
+        assert fleet.starter.started == 2
 
     def test_a_connection_that_ends_as_it_is_given_work_is_replaced(self):
         fleet = make_fleet()
--- a/tests/gateway/test_refused_tasks.py
+++ b/tests/gateway/test_refused_tasks.py
@@ -1,17 +1,17 @@
 """A connection whose task could not be started: it is refused once and for all."""
 
 import os
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from threading import Event, Thread
 
 import pytest
 
 from masticgate import Address, HostId, Millis, NotRun, ServiceId, SystemClock
-from masticgate.connection.gateway import CallerSettings, Listener
+from masticgate.connection.gateway import CallerSettings, Listener, TaskRefused
 from masticgate.process.gateway._fleet import Fleet
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
+from masticgate.process.gateway._task_pool import Task, TaskPool
 from masticgate.request.gateway import Call, Plain
 from masticgate.version.gateway import Limits
 
@@ -24,10 +24,11 @@
     """A pool with one busy task, whose process has no room for another thread meanwhile."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.executor = ThreadPoolExecutor(8)
+        self.tasks = TaskPool(8)
+        self.threads = self.tasks.threads
         self.release = Event()
         self.monkeypatch = monkeypatch
-        self.executor.submit(self._occupy)
+        self.tasks.start(self._occupy)
 
     def _occupy(self) -> None:
         self.release.wait(10)
@@ -42,7 +43,7 @@
         """Let threads start again, and give the busy task's thread time to take what is queued."""
         self.monkeypatch.undo()
         self.release.set()
-        ending = Thread(target=self.executor.shutdown, daemon=True)
+        ending = Thread(target=self.threads.shutdown, daemon=True)
         ending.start()
         ending.join(2)
 
@@ -61,7 +62,7 @@
     def test_its_descriptors_are_not_closed_again_when_others_have_their_numbers(self, pool):
         clock = SystemClock()
         settings = CallerSettings(serve_page, DIALECT, clock, Limits, lambda: False)
-        listener = Listener(Address("127.0.0.1:0"), settings, pool.executor, 4)
+        listener = Listener(Address("127.0.0.1:0"), settings, pool.tasks, 4)
         near, far = connect_pair()
         highest = near.fileno() + 16
         pool.refuse_threads()
@@ -95,7 +96,7 @@
         searcher.hangs_up = True
         clock = SystemClock()
         log = EventLog(HostId("g1"), clock)
-        fleet = Fleet(make_settings(), DIALECT, clock, pool.executor, log, Metrics())
+        fleet = Fleet(make_settings(), DIALECT, clock, pool.tasks, log, Metrics())
         fleet.list_searcher(replace(make_entry("s1"), address=searcher.address))
         deadline = Millis(clock.now() + 5_000.0)
         call = Call(make_request(), make_route(), ServiceId("orders"), deadline, Mailbox())
@@ -111,7 +112,7 @@
     def test_each_starts_at_once_though_others_wait_and_were_refused(self, pool):
         clock = SystemClock()
         settings = CallerSettings(serve_page, DIALECT, clock, Limits, lambda: False)
-        listener = Listener(Address("127.0.0.1:0"), settings, pool.executor, 16)
+        listener = Listener(Address("127.0.0.1:0"), settings, pool.tasks, 16)
         refused = [connect_pair() for _ in range(2)]
         pool.refuse_threads()
         for near, _ in refused:
@@ -129,3 +130,28 @@
         for far in kept:
             far.close()
         listener.stop()
+
+
+class TestTaskPool:
+    # Guards against a task that is reported as refused though a free thread took it meanwhile.
+    def test_a_task_that_has_begun_cannot_be_refused(self):
+        ran = []
+        task = Task(lambda: ran.append(1))
+        task.run()
+        assert not task.refuse()
+        assert ran == [1]
+
+    def test_a_refused_task_does_not_run(self):
+        ran = []
+        task = Task(lambda: ran.append(1))
+        assert task.refuse()
+        task.run()
+        assert ran == []
+
+    def test_refuses_more_tasks_than_it_may_run(self):
+        tasks = TaskPool(1)
+        release = Event()
+        assert tasks.start(release.wait) is None
+        assert tasks.start(release.wait) == TaskRefused("all tasks are in use")
+        release.set()
+        tasks.close()
