Give up an answer that does not end

What callers saw: nothing by itself, but a server in trouble took the gateway with it. A head without end cost all of a core (one header line: 15 MB in 10 s at the parser, since httptools copies what it has with each receive) or the memory (header lines or trailers: 680 MB for 64 MB); interim answers, chunk extensions and whole answers to other requests were taken without any bound until the call's deadline.

Cause: only the body of one answer was bounded, by its own size. Heads, what is around chunks, and answers that nobody accepts were not counted.

Fix: the parser counts the bytes that it takes between two accepted answers: 65,536 beside bodies, with half of the bodies for what is around chunks, and 8,000,000 in bodies as before. Whatever the bytes are, they are one of the two, so that there are no cases. It counts once a receive.

The tests fail before, with the parser made as it was then: 24 of the endless answers at a searcher's and at the platform's connection ended only when the stand-in stopped after 64 MB or 10 s ("closed before the end of a response" in place of a bad reply, connection not closed). Four bodies (with a length, without, in chunks, in tiny chunks) ended before too, and the trickles of a searcher were cut after the deadline before too, also where another searcher had answered: these are guards.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -14,7 +14,6 @@
 from ._parser import Malformed, ResponseParser
 
 RECEIVE_BYTES = 16_384
-LARGEST_RESPONSE = 8_000_000
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
@@ -121,7 +120,7 @@
 
     def receive(self, deadline: Millis) -> HttpResponse | NoReply | BadReply:
         """Receive the response."""
-        parser = ResponseParser(LARGEST_RESPONSE)
+        parser = ResponseParser()
         buffer = memoryview(bytearray(RECEIVE_BYTES))
         while True:
             problem = self._feed(parser, buffer, deadline)
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -23,6 +23,15 @@
 )
 """What concerns one connection only, or is set anew for the next one."""
 
+LARGEST_HEAD = 65_536
+"""Bytes of all heads that come for one request: several times the largest between gateways."""
+
+LARGEST_BODY = 8_000_000
+"""Bytes of all bodies that come for one request."""
+
+CHUNK_SHARE = 0.5
+"""Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
+
 
 @dataclass(slots=True)
 class ParsedRequest:
@@ -170,25 +179,37 @@
 
 
 class ResponseParser:
-    """Collects whole responses from one server's bytes."""
+    """Collects whole responses from one server's bytes.
 
-    def __init__(self, body_bytes: int) -> None:
-        self.body_bytes = body_bytes
+    What is taken between two accepted responses is bounded: responses that nobody accepts, such as
+    interim and late ones, count together with the one that is waited for.
+    """
+
+    def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.ready: list[ParsedResponse] = []
-        self.begun = False
+        self.taken = 0
+        self.body_size = 0
         self._begin()
 
     def feed(self, data: bytes | memoryview) -> Malformed | None:
         """Take received bytes; return what is wrong with them, if anything."""
+        self.taken += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             return Malformed(str(error))
-        if self.body_size > self.body_bytes:
+        if self.body_size > LARGEST_BODY:
             return Malformed("body too large")
+        if self.taken - self.body_size > LARGEST_HEAD + self.body_size * CHUNK_SHARE:
+            return Malformed("too many bytes around the body")
         return None
 
+    def accept(self) -> None:
+        """Begin to count anew: a response was taken for the one that was waited for."""
+        self.taken = 0
+        self.body_size = 0
+
     def end(self) -> None:
         """Complete a response without a length, whose connection ended in order."""
         if self.begun and self.in_body and not self.framed:
@@ -198,7 +219,6 @@
         self.begun = False
         self.in_body = False
         self.framed = False
-        self.body_size = 0
         self.headers: list[Header] = []
         self.fields: dict[bytes, bytes] = {}
         self.chunks: list[bytes] = []
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -25,8 +25,6 @@
 RECEIVE_BYTES = 4_096
 """The buffer of one connection; most answers of shards fit in it whole."""
 
-LARGEST_RESPONSE = 8_000_000
-
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -83,7 +81,7 @@
         self.sending = Lock()
         self.idle_since = self.began
         self.keep_for: Millis | None = None
-        self.parser = ResponseParser(LARGEST_RESPONSE)
+        self.parser = ResponseParser()
 
     def run(self) -> None:
         """Connect, then read until the connection ends."""
@@ -201,6 +199,7 @@
             if call is None or not self._is_for(call, answer):
                 continue
             keeps = reusable and answer.keep_alive and position + 1 == len(answers)
+            self.parser.accept()
             self.keep_for = keep_alive_timeout(answer.fields)
             self._finish(call, self._read(answer), self._load(answer), reusable=keeps)
             if not keeps:
--- /dev/null
+++ b/tests/gateway/test_answers_without_end.py
@@ -0,0 +1,227 @@
+"""Answers that do not end: they cost a bounded number of bytes, and their connection is closed."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from itertools import chain, cycle
+from time import monotonic
+
+import pytest
+
+from masticgate import Address, Millis, SearcherId, ServiceId, SystemClock
+from masticgate.connection.gateway import (
+    BadReply,
+    GetTimeouts,
+    HttpClient,
+    SearcherTask,
+    peer_dialect,
+)
+from masticgate.connection.gateway._parser import Malformed, ResponseParser
+from masticgate.request.gateway import Call, Lost
+
+from .fakes import DIALECT, make_request, make_route
+from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
+from .pouring import (
+    CHUNKED,
+    ENDLESS,
+    ENDLESS_ANSWERS,
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    OWN,
+    POURED_BYTES,
+    Flow,
+    PouringServer,
+)
+
+HEAD_BYTES = 65_536
+BODY_BYTES = 8_000_000
+CHUNKED_BYTES = BODY_BYTES * 3 // 2
+RECEIVED_BYTES = 4_096
+SOON_S = 5.0
+LONG = Millis(60_000.0)
+TRICKLE = Flow(OWN + b"Content-Length: 1000000\r\n\r\n", b"x")
+INTERIM_TRICKLE = Flow(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def pieces(data: bytes) -> Iterator[bytes]:
+    """Yield ``data`` as a connection receives it."""
+    for start in range(0, len(data), RECEIVED_BYTES):
+        yield data[start : start + RECEIVED_BYTES]
+
+
+def take(parser: ResponseParser, data: bytes) -> Malformed | None:
+    """Feed ``data``; return what the parser first says against it."""
+    return next(filter(None, map(parser.feed, pieces(data))), None)
+
+
+def count_taken(flow: Flow) -> int:
+    """Return how many bytes of ``flow`` a parser takes until it gives up."""
+    parser = ResponseParser()
+    taken = 0
+    for piece in chain(pieces(flow.opening), cycle(pieces(flow.block))):
+        taken += len(piece)
+        if parser.feed(piece) is not None or taken > POURED_BYTES:
+            break
+        parser.ready.clear()
+    return taken
+
+
+@contextmanager
+def pouring(flow: Flow, pause_s: float | None = None):
+    server = PouringServer(flow, pause_s)
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def chunked(body: bytes, size: int) -> bytes:
+    parts = (body[start : start + size] for start in range(0, len(body), size))
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    return CHUNKED + chunks + b"0\r\n\r\n"
+
+
+class TestResponseParser:
+    @pytest.mark.parametrize("name", ENDLESS_HEADS)
+    def test_an_endless_head_is_given_up_at_the_largest_head(self, name):
+        assert count_taken(ENDLESS_HEADS[name]) <= HEAD_BYTES + RECEIVED_BYTES
+
+    @pytest.mark.parametrize("name", ENDLESS_BODIES | ENDLESS_ANSWERS)
+    def test_an_endless_body_is_given_up_at_the_largest_body(self, name):
+        assert count_taken(ENDLESS[name]) <= HEAD_BYTES + CHUNKED_BYTES + RECEIVED_BYTES
+
+    @pytest.mark.parametrize("size", [16, 1_024, 65_536])
+    def test_an_answer_in_chunks_is_taken_whole(self, size):
+        parser = ResponseParser()
+        body = bytes(1_000_000)
+        assert take(parser, chunked(body, size)) is None
+        assert [answer.body for answer in parser.ready] == [body]
+
+    def test_the_largest_answer_is_taken_whole(self):
+        parser = ResponseParser()
+        fill = b"x-fill: " + b"x" * (HEAD_BYTES - 200) + b"\r\n"
+        head = OWN + fill + b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+        assert take(parser, head + bytes(BODY_BYTES)) is None
+        assert len(parser.ready[0].body) == BODY_BYTES
+
+    def test_each_accepted_answer_lets_the_count_begin_anew(self):
+        parser = ResponseParser()
+        answer = OWN + b"Content-Length: 1000000\r\n\r\n" + bytes(1_000_000)
+        for _ in range(20):
+            assert take(parser, answer) is None
+            assert len(parser.ready.pop().body) == 1_000_000
+            parser.accept()
+
+
+class Owner:
+    """Notes when a task's call finished and its connection ended."""
+
+    def __init__(self) -> None:
+        self.reusable = True
+        self.finished = threading.Event()
+        self.over = threading.Event()
+
+    def opened(self, task):
+        pass
+
+    def finish(self, task, call, load, *, reusable):
+        self.reusable = reusable
+        self.finished.set()
+
+    def ended(self, task, *, connected):
+        self.over.set()
+
+
+class Mailbox:
+    """An inbox that nobody reads."""
+
+    def put(self, call):
+        pass
+
+
+def ask(address: Address, dialect=DIALECT) -> tuple[Call, Owner]:
+    """Run one call at ``address`` that may last long, until it ends."""
+    clock, owner = SystemClock(), Owner()
+    request = replace(make_request(), headers=((b"x-id", b"q1"),))
+    deadline = Millis(clock.now() + LONG)
+    call = Call(request, make_route(), ServiceId("orders"), deadline, Mailbox())
+    task = SearcherTask(SearcherId("s1"), address, owner, dialect, clock, call)
+    threading.Thread(target=task.run, daemon=True).start()
+    assert owner.finished.wait(2 * SOON_S)
+    return call, owner
+
+
+class TestSearcherAnswer:
+    @pytest.mark.parametrize("name", ENDLESS)
+    def test_an_endless_answer_ends_the_call_and_the_connection(self, name):
+        with pouring(ENDLESS[name]) as server:
+            call, owner = ask(server.address)
+            assert isinstance(call.outcome, Lost)
+            assert call.outcome.sent
+            assert call.outcome.detail.startswith("bad reply")
+            assert not owner.reusable
+            assert owner.over.wait(SOON_S)
+            assert server.closed.wait(SOON_S)
+            assert server.written < POURED_BYTES
+
+    def test_the_own_answer_counts_behind_late_ones(self):
+        late = b"HTTP/1.1 200 OK\r\nx-id: q0\r\nContent-Length: 3\r\n\r\nold"
+        searcher = StandInSearcher(lambda head: 100 * late + reply_to(head, b"mine"))
+        with running_gateway([make_route()], {"orders": [searcher]}) as gateway:
+            caller = RawCaller(gateway)
+            for number in range(20):
+                assert caller.get(identity=f"n{number}").read()[2] == b"mine"
+        assert len(searcher.heads) == 20
+
+    @pytest.mark.parametrize("flow", [TRICKLE, INTERIM_TRICKLE], ids=["body", "interim_answers"])
+    def test_an_endless_trickle_is_cut_after_the_deadline(self, flow):
+        with pouring(flow, pause_s=0.005) as server:
+            running = running_gateway([make_route(attempts=1)], {"orders": [server]})
+            with running as gateway:
+                began = monotonic()
+                assert RawCaller(gateway).get().read()[0] == 504
+                assert server.closed.wait(SOON_S)
+                assert monotonic() - began < 2.0
+
+    @pytest.mark.parametrize("flow", [TRICKLE, INTERIM_TRICKLE], ids=["body", "interim_answers"])
+    def test_an_endless_trickle_is_cut_also_where_another_searcher_answered(self, flow):
+        with pouring(flow, pause_s=0.005) as server:
+            searchers = {"orders": [server, StandInSearcher(reply_to)]}
+            with running_gateway([make_route()], searchers) as gateway:
+                began = monotonic()
+                for number in range(4):
+                    assert RawCaller(gateway).get(identity=f"q{number}").read()[0] == 200
+                assert server.closed.wait(SOON_S)
+                assert monotonic() - began < 3.0
+
+
+class TestPeerAnswer:
+    @pytest.mark.parametrize("name", ENDLESS)
+    def test_an_endless_answer_ends_a_query_that_was_handed_on(self, name):
+        with pouring(ENDLESS[name]) as server:
+            call, owner = ask(server.address, peer_dialect(DIALECT))
+            assert isinstance(call.outcome, Lost)
+            assert call.outcome.detail.startswith("bad reply")
+            assert not owner.reusable
+            assert owner.over.wait(SOON_S)
+            assert server.closed.wait(SOON_S)
+
+    def test_a_head_that_names_300_parts_is_taken(self):
+        stamps = ", ".join(f"{number:08x}.07.5a2.600.0.c9f2a4d1" for number in range(300))
+        head = OWN + b"x-gateway-stamps: %s\r\n" % stamps.encode()
+        parser = ResponseParser()
+        assert take(parser, head + b"Content-Length: 2\r\n\r\nok") is None
+        assert parser.ready[0].fields[b"x-gateway-stamps"] == stamps.encode()
+
+
+class TestPlatformAnswer:
+    @pytest.mark.parametrize("name", ENDLESS_HEADS | ENDLESS_BODIES)
+    def test_an_endless_answer_ends_the_read_and_the_connection(self, name):
+        with pouring(ENDLESS[name]) as server:
+            client = HttpClient(server.address, SystemClock())
+            response = client.get("platform", "/", {}, GetTimeouts(LONG, LONG))
+            assert isinstance(response, BadReply)
+            assert client.socket is None
+            assert server.closed.wait(SOON_S)
+            assert server.written < POURED_BYTES
