End a read of the platform or a peer at its deadline while bytes come

What was seen: a read whose bytes came without a pause of a millisecond went on beyond its deadline until the answer ended or became too large.

Cause: each receive had a timeout of the time left, of a millisecond at least, and nothing else looked at the deadline. Linux gives out bytes that are there whatever the timeout.

Fix: no receive begins at or after the deadline.

The test failed before with BadReply("body too large"), 500 receives on a clock that moves on by 10 ms each time, where the read had 200 ms. With real time a trickle of single bytes was not steady enough on this machine to show the fault, so that the test uses a clock of its own.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -164,6 +164,8 @@
         self, parser: ResponseParser, buffer: memoryview, deadline: Millis
     ) -> NoReply | BadReply | None:
         assert self.socket is not None
+        if self.clock.now() >= deadline:
+            return NoReply(True, "receive: no whole response in time")
         try:
             self.socket.settimeout(self._seconds(deadline))
             count = self.socket.recv_into(buffer)
--- a/tests/gateway/test_answers_without_end.py
+++ b/tests/gateway/test_answers_without_end.py
@@ -9,11 +9,12 @@
 
 import pytest
 
-from masticgate import Address, Millis, SearcherId, ServiceId, SystemClock
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId, SystemClock
 from masticgate.connection.gateway import (
     BadReply,
     GetTimeouts,
     HttpClient,
+    NoReply,
     SearcherTask,
     peer_dialect,
 )
@@ -40,6 +41,7 @@
 RECEIVED_BYTES = 4_096
 SOON_S = 5.0
 LONG = Millis(60_000.0)
+SHORT = Millis(200.0)
 TRICKLE = Flow(OWN + b"Content-Length: 1000000\r\n\r\n", b"x")
 INTERIM_TRICKLE = Flow(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -215,6 +217,14 @@
         assert parser.ready[0].fields[b"x-gateway-stamps"] == stamps.encode()
 
 
+class HurriedClock(ManualClock):
+    """Moves on by 10 ms whenever it is read."""
+
+    def now(self) -> Millis:
+        self.advance(Millis(10.0))
+        return self.current
+
+
 class TestPlatformAnswer:
     @pytest.mark.parametrize("name", ENDLESS_HEADS | ENDLESS_BODIES)
     def test_an_endless_answer_ends_the_read_and_the_connection(self, name):
@@ -225,3 +235,12 @@
             assert client.socket is None
             assert server.closed.wait(SOON_S)
             assert server.written < POURED_BYTES
+
+    # While bytes came, each of them was waited for anew, also beyond the deadline.
+    def test_an_endless_body_does_not_outlast_the_deadline(self):
+        with pouring(ENDLESS_BODIES["body_with_length"]) as server:
+            client = HttpClient(server.address, clock := HurriedClock())
+            response = client.get("platform", "/", {}, GetTimeouts(LONG, SHORT))
+            assert response == NoReply(True, "receive: no whole response in time")
+            assert clock.current < 2 * SHORT
+            assert server.closed.wait(SOON_S)
