Play random exchanges over one searcher's connection, and check each answer

A real connection carries a series of requests, and each is answered in one of many ways: with a length, in chunks, without a length, reset, cut short with the end of the connection, twice at once or late, with interim answers, foreign bytes, another id or none, or refused. The bytes are cut anywhere, and the next call is given as the last one finishes, while the connection is idle, or within a receive. One thread plays both ends, so each example repeats.

A call either has no answer or the one that its searcher meant for it. Whole answers are all taken.

--- /dev/null
+++ b/tests/gateway/test_answers.py
@@ -0,0 +1,387 @@
+"""An answer is a call's own and whole, or the call has none, whatever else a connection carries."""
+
+import random
+import select
+import socket
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from hypothesis import assume, given, settings
+from hypothesis import strategies as st
+
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
+from masticgate.connection.gateway import SearcherTask
+from masticgate.request.gateway import Answered, Call, Declined, Lost
+
+from .fakes import DIALECT, make_request, make_route
+from .test_buffers import Mailbox, connect_pair
+
+EXAMPLES = 600
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+STATUS_LINE_START = 9
+"""The bytes of ``HTTP/1.1`` and a space."""
+
+
+class Framing(Enum):
+    """How an answer tells where it ends."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class End(Enum):
+    """What the searcher does with the connection after its bytes."""
+
+    OPEN = "open"
+    ORDERLY = "orderly"
+    RESET = "reset"
+
+
+class Moment(Enum):
+    """When the next call is given to a connection that has become idle."""
+
+    AT_FINISH = "at finish"
+    BEFORE_RECEIVE = "before receive"
+    IN_RECEIVE = "in receive"
+
+
+@dataclass(frozen=True)
+class Message:
+    """One answer as its searcher meant it."""
+
+    identity: str | None
+    status: int
+    body: bytes
+    framing: Framing = Framing.LENGTH
+    not_run: bool = False
+    order: tuple[int, ...] = (0, 1, 2, 3, 4)
+
+    @property
+    def stamp(self) -> str:
+        return f"stamp-{self.identity}-{self.status}"
+
+    @property
+    def refusal(self) -> bool:
+        return self.not_run or self.status == 421
+
+    @property
+    def head(self) -> bytes:
+        lines = [
+            b"" if self.identity is None else b"x-id: %s\r\n" % self.identity.encode(),
+            b"" if self.refusal else b"x-stamp: %s\r\n" % self.stamp.encode(),
+            self._framing(),
+            b"Server: stand-in\r\n",
+            b"x-not-run: 1\r\n" if self.not_run else b"",
+        ]
+        line = b"HTTP/1.1 %d Some Reason\r\n" % self.status
+        return line + b"".join(lines[place] for place in self.order) + b"\r\n"
+
+    def encode(self) -> bytes:
+        if self.framing is not Framing.CHUNKED:
+            return self.head + self.body
+        half = len(self.body) // 2
+        chunks = [part for part in (self.body[:half], self.body[half:]) if part]
+        sized = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in chunks)
+        return self.head + sized + b"0\r\n\r\n"
+
+    def _framing(self) -> bytes:
+        match self.framing:
+            case Framing.LENGTH:
+                return b"Content-Length: %d\r\n" % len(self.body)
+            case Framing.CHUNKED:
+                return b"Transfer-Encoding: chunked\r\n"
+            case Framing.CLOSE:
+                return b""
+
+
+def records(identity: str, count: int) -> bytes:
+    """Return records that no other identity has."""
+    return random.Random(identity).randbytes(16 * count)
+
+
+@dataclass(frozen=True)
+class Exchange:
+    """One request and all that its searcher sends because of it.
+
+    ``late`` follows once the connection is idle, but for its bytes from ``split`` on: they come
+    before the answer to the next request.
+    """
+
+    message: Message
+    sent: bytes
+    end: End = End.OPEN
+    late: bytes = b""
+    split: int = 0
+    moment: Moment = Moment.BEFORE_RECEIVE
+    cuts: tuple[int, ...] = ()
+
+
+class StagedSocket(socket.socket):
+    """Lets the far end go one step on whenever the reader has taken all that was sent."""
+
+    def __init__(self, plain: socket.socket, conversation: "Conversation") -> None:
+        super().__init__(fileno=plain.detach())
+        self.conversation = conversation
+
+    def recv_into(self, buffer, size=0, flags=0):
+        poller = select.poll()
+        poller.register(self, select.POLLIN)
+        if not poller.poll(0):
+            next(self.conversation.script)
+        count = super().recv_into(buffer, size, flags)
+        self.conversation.received()
+        return count
+
+
+class Conversation:
+    """Plays exchanges over one real connection, in one thread, and keeps their calls."""
+
+    def __init__(self, exchanges: list[Exchange]) -> None:
+        near, self.far = connect_pair()
+        self.waiting = list(exchanges)
+        self.calls: list[tuple[Exchange, Call]] = []
+        self.given_in_receive = False
+        self.script = self._play()
+        self.task = SearcherTask(
+            SearcherId("s1"), Address("127.0.0.1:9"), self, DIALECT, ManualClock()
+        )
+        self.task.client.socket = self.near = StagedSocket(near, self)
+
+    def run(self) -> list[tuple[Exchange, Call]]:
+        self.task.run()
+        self.far.close()
+        return self.calls
+
+    def opened(self, task):
+        pass
+
+    def finish(self, task, call, load, *, reusable):
+        if reusable and self.calls[-1][0].moment is Moment.AT_FINISH:
+            self._give()
+
+    def ended(self, task, *, connected):
+        pass
+
+    def received(self) -> None:
+        if self.given_in_receive:
+            self.given_in_receive = False
+            self._give()
+
+    def _give(self) -> None:
+        """Give the next call, as another task would."""
+        if not self.waiting:
+            return
+        exchange = self.waiting.pop(0)
+        call = make_call(exchange.message.identity)
+        self.calls.append((exchange, call))
+        assert self.task.give(call)
+
+    def _play(self) -> Iterator[None]:
+        """Do what the searcher does, until the connection ends; each step is one to receive."""
+        pending = b""
+        number = 0
+        while self._is_given(number):
+            exchange, call = self.calls[number]
+            yield from self._send(pending + exchange.sent, exchange.cuts)
+            if exchange.end is not End.OPEN:
+                self._end(exchange.end)
+                yield
+            number += 1
+            pending = exchange.late
+            if call.outcome is None:
+                yield from self._send(pending, exchange.cuts)
+                break
+            if number == len(self.calls) and exchange.split:
+                self.given_in_receive = exchange.moment is Moment.IN_RECEIVE
+                yield from self._send(pending[: exchange.split], exchange.cuts)
+                pending = pending[exchange.split :]
+        self.task.close()
+        yield
+
+    def _is_given(self, number: int) -> bool:
+        if number == len(self.calls):
+            self._give()
+        return number < len(self.calls)
+
+    def _send(self, data: bytes, cuts: tuple[int, ...]) -> Iterator[None]:
+        places = sorted({cut % len(data) for cut in cuts}) if data else []
+        for start, stop in zip([0, *places], [*places, len(data)], strict=True):
+            if start < stop:
+                self.far.sendall(data[start:stop])
+                yield
+
+    def _end(self, end: End) -> None:
+        """Close the connection; a request that was not received would make that a reset."""
+        if end is End.RESET:
+            self.far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        else:
+            self.far.recv(65_536)
+        self.far.close()
+
+
+def make_call(identity: str) -> Call:
+    request = replace(make_request(identity), headers=((b"x-id", identity.encode()),))
+    return Call(request, make_route(), ServiceId("orders"), Millis(400.0), Mailbox())
+
+
+def field_values(answer: Answered, name: bytes) -> list[bytes]:
+    return [value for key, value in answer.headers if key.lower() == name]
+
+
+def check(exchange: Exchange, call: Call) -> None:
+    """Fail where a call got what its searcher did not mean for it."""
+    message = exchange.message
+    match call.outcome:
+        case Answered() as answer:
+            assert not message.refusal
+            assert (answer.status, answer.stamp) == (message.status, message.stamp)
+            assert answer.body == message.body
+            assert field_values(answer, DIALECT.request_id) == [message.identity.encode()]
+            assert field_values(answer, DIALECT.stamp) == [message.stamp.encode()]
+        case Declined():
+            assert message.refusal
+        case Lost():
+            return
+        case None:
+            raise AssertionError("a call without an outcome")
+
+
+JUNK = [
+    b"\0" * 20,
+    b"garbage\r\n\r\n",
+    b"\r\n",
+    b"x-id: q0\r\n\r\n",
+    b"HTTP/1.1 ",
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n",
+]
+INTERIM = [b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"]
+STATUSES = [(200, False)] * 6 + [
+    (500, False),
+    (404, False),
+    (204, False),
+    (503, True),
+    (421, False),
+]
+ENDS = [End.OPEN] * 4 + [End.ORDERLY, End.RESET]
+
+
+@dataclass(frozen=True)
+class Part:
+    """Some of the bytes that a searcher sends; ``missing`` is what a cut answer lacks."""
+
+    data: bytes
+    unframed: bool = False
+    missing: int = 0
+
+
+def is_decidable(parts: list[Part], end: End) -> bool:
+    """Tell whether a receiver can know the part that is an answer to the call and whole."""
+    for place, part in enumerate(parts):
+        behind = parts[place + 1 :]
+        # An answer without a length ends with its connection, as does what stands behind it.
+        if part.unframed and end is End.ORDERLY and (part.missing or behind):
+            return False
+        # Bytes that fill up a cut answer are told from it only if they look like a next one.
+        if part.missing and any(other.data in JUNK for other in behind):
+            return False
+        if 0 < part.missing < STATUS_LINE_START and behind:
+            return False
+    return True
+
+
+@st.composite
+def messages(draw, identity: str) -> Message:
+    status, not_run = draw(st.sampled_from(STATUSES))
+    empty = status == 204
+    return Message(
+        identity,
+        status,
+        b"" if empty else records(identity, draw(st.sampled_from([0, 1, 3, 20, 300]))),
+        Framing.LENGTH if empty else draw(st.sampled_from(Framing)),
+        not_run,
+        tuple(draw(st.permutations(range(5)))),
+    )
+
+
+@st.composite
+def parts(draw, message: Message, cut: bool) -> Part:
+    """Return an answer, which may have another framing or be cut short."""
+    if message.status != 204 and draw(st.booleans()):
+        message = replace(message, framing=draw(st.sampled_from(Framing)))
+    data = message.encode()
+    kept = draw(st.integers(1, len(data) - 1)) if cut else len(data)
+    return Part(data[:kept], message.framing is Framing.CLOSE, len(data) - kept)
+
+
+@st.composite
+def first_parts(draw, message: Message, cut: bool) -> list[Part]:
+    """Return what a searcher sends where an answer is due."""
+    match draw(st.sampled_from(["whole"] * 5 + ["interim", "cut", "other", "none", "junk"])):
+        case "interim":
+            return [Part(draw(st.sampled_from(INTERIM))), draw(parts(message, False))]
+        case "cut" if cut:
+            return [draw(parts(message, True))]
+        case "other":
+            return [draw(parts(replace(message, identity="other", body=records("o", 2)), False))]
+        case "none":
+            return [draw(parts(replace(message, identity=None, body=records("n", 2)), False))]
+        case "junk":
+            return [Part(draw(st.sampled_from(JUNK))), draw(parts(message, False))]
+        case _:
+            return [draw(parts(message, False))]
+
+
+@st.composite
+def exchanges(draw, number: int, cut_open: bool) -> Exchange:
+    """Return an exchange; answers are cut on open connections only if ``cut_open``."""
+    message = draw(messages(f"q{number}"))
+    end = draw(st.sampled_from(ENDS))
+    sent = draw(first_parts(message, cut_open or end is not End.OPEN))
+    copied = cut_open and draw(st.booleans())
+    goes_on = cut_open or not sent[-1].missing
+    for _ in range(draw(st.sampled_from([0, 0, 0, 1, 2])) if goes_on else 0):
+        sent.append(draw(st.sampled_from(JUNK).map(Part) | parts(message, copied)))
+    late = [draw(parts(message, cut_open and draw(st.booleans())))] if draw(st.booleans()) else []
+    assume(is_decidable(sent + (late if end is End.OPEN else []), end))
+    data, data_late = (b"".join(part.data for part in group) for group in (sent, late))
+    split = draw(st.sampled_from([0, len(data_late), len(data_late) // 3]))
+    cuts = tuple(draw(st.lists(st.integers(0, 600), max_size=3)))
+    return Exchange(message, data, end, data_late, split, draw(st.sampled_from(Moment)), cuts)
+
+
+@st.composite
+def series(draw, cut_open: bool) -> list[Exchange]:
+    return [draw(exchanges(number, cut_open)) for number in range(draw(st.integers(1, 4)))]
+
+
+def play(*planned: Exchange) -> None:
+    """Play exchanges on one connection and check each call."""
+    for exchange, call in Conversation(list(planned)).run():
+        check(exchange, call)
+
+
+class TestAnswersOfOneConnection:
+    """No call takes what its searcher did not mean for it."""
+
+    @settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
+    @given(series(cut_open=False))
+    def test_each_call_gets_its_own_whole_answer_or_none(self, planned):
+        play(*planned)
+
+    @settings(max_examples=EXAMPLES // 4, deadline=None, derandomize=True)
+    @given(st.lists(messages("q"), min_size=1, max_size=4), st.sampled_from(Moment))
+    def test_whole_answers_are_all_taken(self, planned, moment):
+        own = [replace(message, identity=f"q{place}") for place, message in enumerate(planned)]
+        last = own[-1].framing is Framing.CLOSE
+        own = [m for m in own[:-1] if m.framing is not Framing.CLOSE] + own[-1:]
+        series = [Exchange(message, message.encode(), moment=moment) for message in own]
+        series[-1] = replace(series[-1], end=End.ORDERLY if last else End.OPEN)
+        played = Conversation(series).run()
+        assert len(played) == len(series)
+        for exchange, call in played:
+            check(exchange, call)
+            assert isinstance(call.outcome, Answered | Declined)
