Give up an answer whose head holds the beginning of another

Cause: a late second answer that is cut short within its status line or a header, on a connection that goes on, makes one head with the next answer. 'HTTP/1.1 200 HTTP/1.1 500 Some Reason' is status 200 with a reason phrase, and of repeated headers the last counted, so that the next answer's id let the whole pass. An id says whose the last line is, not whose the head is.

Fix: the parser looks for a status line in the reason phrase, as it comes in pieces, and in each header; no searcher's own head has one. A cut at the end of a line is no header to the parser. The connection ends and the call is lost, so that it is repeated where it may be.

Evidence: the three tests of TestCutAnswersOnOpenConnections fail before: (200, 'stamp-q1-500') for (500, 'stamp-q1-500'); ids [b'q0', b'q1']; Declined for q1, whose searcher answered 200. The property test passes.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -1,5 +1,6 @@
 """Reads HTTP/1.1 messages with httptools, and bounds what a message may hold."""
 
+import re
 from dataclasses import dataclass
 
 import httptools
@@ -29,6 +30,9 @@
 LARGEST_BODY = 8_000_000
 """Bytes of all bodies that come for one request."""
 
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+"""The beginning of a response; within a head it tells that an earlier one was cut short."""
+
 CHUNK_SHARE = 0.5
 """Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
 
@@ -179,6 +183,10 @@
     ending: Ending
 
 
+class CutResponseError(Exception):
+    """A response begins within another that did not end."""
+
+
 class ResponseParser:
     """Collects whole responses from one server's bytes.
 
@@ -199,7 +207,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            return Malformed(str(error))
+            return Malformed(str(error.__context__ or error))
         if self.body_size > LARGEST_BODY:
             return Malformed("body too large")
         if self.taken - self.body_size > LARGEST_HEAD + self.body_size * CHUNK_SHARE:
@@ -220,6 +228,7 @@
         self.begun = False
         self.in_body = False
         self.framed = False
+        self.reason = b""
         self.headers: list[Header] = []
         self.fields: dict[bytes, bytes] = {}
         self.chunks: list[bytes] = []
@@ -228,8 +237,14 @@
         """Note the first byte of a response."""
         self.begun = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the next part of the reason phrase."""
+        self.reason += reason
+        _check_field(self.reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
+        _check_field(value)
         self.headers.append((name, value))
         self.fields[name.lower()] = value
 
@@ -255,3 +270,9 @@
             response = ParsedResponse(status, self.headers, self.fields, body, keep_alive, ending)
             self.ready.append(response)
         self._begin()
+
+
+def _check_field(value: bytes) -> None:
+    """Raise where a part of a head holds the beginning of another response."""
+    if b"HTTP/" in value and STATUS_LINE.search(value):
+        raise CutResponseError("a response begins within a head")
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -165,6 +165,9 @@
     def ended(self, task, *, connected):
         pass
 
+    def note(self, task, irregularity):
+        pass
+
     def received(self) -> None:
         if self.given_in_receive:
             self.given_in_receive = False
@@ -385,3 +388,27 @@
         for exchange, call in played:
             check(exchange, call)
             assert isinstance(call.outcome, Answered | Declined)
+
+
+class TestCutAnswersOnOpenConnections:
+    """A searcher stops within an answer, keeps the connection and goes on with the next one."""
+
+    # Guards against a success whose searcher had failed: the status was a cut late answer's.
+    def test_the_status_of_a_cut_answer_is_not_taken_for_the_next_ones(self):
+        before, own = Message("q0", 200, b""), Message("q1", 500, records("q1", 1))
+        late = b"HTTP/1.1 200 "
+        play(Exchange(before, before.encode(), late=late), Exchange(own, own.encode()))
+        bytewise = Exchange(own, own.encode(), cuts=tuple(range(60)))
+        play(Exchange(before, before.encode(), late=late), bytewise)
+
+    # Guards against an answer that bears two requests' ids and stamps, the first a stranger's.
+    def test_headers_of_a_cut_answer_are_not_taken_for_the_next_ones(self):
+        before, own = Message("q0", 200, b""), Message("q1", 200, records("q1", 1))
+        cut = before.encode().partition(b"-q0-200")[0]
+        play(Exchange(before, before.encode(), late=cut), Exchange(own, own.encode()))
+
+    # Guards against a promise of not having run, for a request that ran.
+    def test_a_cut_refusal_does_not_make_the_next_answer_one(self):
+        before, own = Message("q0", 503, b"", not_run=True), Message("q1", 200, records("q1", 1))
+        cut = b"HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-id: "
+        play(Exchange(before, before.encode(), late=cut), Exchange(own, own.encode()))
--- a/tests/gateway/test_answers_without_end.py
+++ b/tests/gateway/test_answers_without_end.py
@@ -134,6 +134,9 @@
     def ended(self, task, *, connected):
         self.over.set()
 
+    def note(self, task, irregularity):
+        pass
+
 
 class Mailbox:
     """An inbox that nobody reads."""
