Give up an answer that is filled up by its own copy

Cause: a searcher announces a length, stops short of it and sends the whole answer again on the same connection. The beginning of the copy completes the body, and the bytes that are too many were looked at only once the call was finished.

Fix: a body that holds a copy of its answer's own head, or ends within one (nine bytes or more), is not whole. The head bears the request's id, so that a body that quotes HTTP is taken; the search costs one scan for 'HTTP/'. Where fewer than nine bytes are missing no receiver can tell.

Evidence: test_a_copy_that_comes_at_once_... and test_a_copy_that_comes_in_pieces_... fail before, by these bytes in the body.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -33,6 +33,9 @@
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 """The beginning of a response; within a head it tells that an earlier one was cut short."""
 
+SHORTEST_COPY = 9
+"""The bytes of ``HTTP/1.1`` and a space: fewer at the end of a body may be its own."""
+
 CHUNK_SHARE = 0.5
 """Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
 
@@ -221,7 +224,7 @@
 
     def end(self) -> None:
         """Complete a response without a length, whose connection ended in order."""
-        if self.begun and self.in_body and not self.framed:
+        if self.begun and self.in_body and not self.framed and not self._holds_own_head():
             self._complete(Ending.CLOSE, keep_alive=False)
 
     def _begin(self) -> None:
@@ -260,9 +263,31 @@
 
     def on_message_complete(self) -> None:
         """Queue the response, unless it is an interim one."""
+        if self._holds_own_head():
+            raise CutResponseError("a response is filled up by its own copy")
         ending = Ending.CHUNKS if b"transfer-encoding" in self.fields else Ending.LENGTH
         self._complete(ending, keep_alive=self.parser.should_keep_alive())
 
+    def _holds_own_head(self) -> bool:
+        """Tell whether the body holds a copy of its head, or ends within one."""
+        body = b"".join(self.chunks)
+        place = body.find(b"HTTP/")
+        if place < 0:
+            return False
+        head = self._encode_head()
+        while place >= 0:
+            copy = body[place : place + len(head)]
+            if len(copy) >= SHORTEST_COPY and head.startswith(copy):
+                return True
+            place = body.find(b"HTTP/", place + 1)
+        return False
+
+    def _encode_head(self) -> bytes:
+        version = self.parser.get_http_version().encode()
+        lines = [b"HTTP/%s %d %s\r\n" % (version, self.parser.get_status_code(), self.reason)]
+        lines += [b"%s: %s\r\n" % header for header in self.headers]
+        return b"".join(lines)
+
     def _complete(self, ending: Ending, *, keep_alive: bool) -> None:
         status = self.parser.get_status_code()
         if status >= 200:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -412,3 +412,22 @@
         before, own = Message("q0", 503, b"", not_run=True), Message("q1", 200, records("q1", 1))
         cut = b"HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-id: "
         play(Exchange(before, before.encode(), late=cut), Exchange(own, own.encode()))
+
+    # Guards against a body of which a part is the head of the answer's second copy.
+    def test_a_copy_that_comes_at_once_does_not_fill_up_a_cut_answer(self):
+        own = Message("q0", 200, records("q0", 3))
+        play(Exchange(own, own.encode()[:-20] + own.encode()))
+
+    # Guards against the same where the copy arrives so that nothing stands behind the body.
+    def test_a_copy_that_comes_in_pieces_does_not_fill_up_a_cut_answer(self):
+        own = Message("q0", 200, records("q0", 300))
+        missing = 2 * len(own.head)
+        cut = own.encode()[:-missing]
+        play(Exchange(own, cut, late=own.encode(), cuts=(missing,)))
+
+    def test_a_body_that_quotes_a_status_line_is_taken(self):
+        own = Message(
+            "q0", 200, b"GET / gave HTTP/1.1 200 Some Reason\r\nx-id: other\r\n\r\nand so on"
+        )
+        call = Conversation([Exchange(own, own.encode())]).run()[0][1]
+        assert isinstance(call.outcome, Answered) and call.outcome.body == own.body
