Do not complete an answer whose reset a send took

Cause: an answer without a length ends with its connection. The kernel reports a reset once; where the task that still sends a long request gets it, the reading task receives an orderly end, and the failure of the send was noted only after it had been raised.

Fix: a send that fails notes it under the lock under which it fails, and the reader asks under the same lock whether the end was in order.

Evidence: the test fails before: Answered in place of Lost.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -136,12 +136,26 @@
     def send_now(self, data: memoryview) -> int:
         """Send what the connection takes without waiting; any task may call this.
 
+        The kernel reports a reset once: a receive after a send that failed looks like an orderly
+        end, so the failure is noted under the lock.
+
         :raises OSError: the connection is closed, or takes nothing now.
         """
         with self.lock:
             if self.socket is None:
                 raise ConnectionError("closed")
-            return self.socket.send(data, socket.MSG_DONTWAIT)
+            try:
+                return self.socket.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                raise
+            except OSError:
+                self.aborted = True
+                raise
+
+    def ended_in_order(self) -> bool:
+        """Tell whether an end that was received is the other side's and no reset."""
+        with self.lock:
+            return not self.aborted
 
     def abort(self) -> None:
         """Cut the connection from another task; a receive in progress fails at once."""
@@ -172,7 +186,7 @@
         except OSError as error:
             return NoReply(True, f"receive: {error}")
         if not count:
-            if not self.aborted:
+            if self.ended_in_order():
                 parser.end()
             return NoReply(True, "closed before the end of a response")
         problem = parser.feed(buffer[:count])
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -247,7 +247,7 @@
 
     def _read_end(self) -> Outcome:
         """Return the outcome of a call whose answer ends with the connection."""
-        if not self.client.aborted:
+        if self.client.ended_in_order():
             self.parser.end()
         call = self.current
         for answer in self.parser.ready:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -4,14 +4,16 @@
 import select
 import socket
 import struct
+import threading
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
+from threading import Event
 
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
-from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId, SystemClock
 from masticgate.connection.gateway import SearcherTask
 from masticgate.request.gateway import Answered, Call, Declined, Lost
 
@@ -431,3 +433,73 @@
         )
         call = Conversation([Exchange(own, own.encode())]).run()[0][1]
         assert isinstance(call.outcome, Answered) and call.outcome.body == own.body
+
+
+class ResetNoticedBySender(socket.socket):
+    """Holds the second receive until a send has failed, and the task that sent until then."""
+
+    def __init__(self, plain: socket.socket) -> None:
+        super().__init__(fileno=plain.detach())
+        self.receives = 0
+        self.half_read, self.failed, self.read_end = Event(), Event(), Event()
+
+    def recv_into(self, buffer, size=0, flags=0):
+        self.receives += 1
+        if self.receives > 1:
+            self.half_read.set()
+            assert self.failed.wait(5)
+        return super().recv_into(buffer, size, flags)
+
+    def send(self, data, flags=0):
+        try:
+            return super().send(data, flags)
+        except BlockingIOError:
+            raise
+        except OSError:
+            self.failed.set()
+            self.read_end.wait(0.5)
+            raise
+
+
+class EndNoted:
+    """An owner that notes when a call is finished."""
+
+    def __init__(self, finished: Event) -> None:
+        self.finished = finished
+
+    def opened(self, task):
+        pass
+
+    def finish(self, task, call, load, *, reusable):
+        self.finished.set()
+
+    def ended(self, task, *, connected):
+        pass
+
+
+class TestResetWhileSending:
+    """The kernel reports a reset once: a receive after a send that failed reads an orderly end."""
+
+    # Guards against half of an answer, reset before its request was sent whole, taken as whole.
+    def test_an_answer_without_length_is_not_whole_if_a_send_took_its_reset(self):
+        near, far = connect_pair()
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        held = ResetNoticedBySender(near)
+        call = make_call("q0")
+        call.request = replace(call.request, method=b"POST", body=bytes(4_000_000))
+        owner = EndNoted(held.read_end)
+        task = SearcherTask(SearcherId("s1"), Address("127.0.0.1:9"), owner, DIALECT, SystemClock(),
+                            call)  # fmt: skip
+        call.deadline = Millis(task.clock.now() + 10_000.0)
+        task.client.socket = held
+        reader = threading.Thread(target=lambda: task._end(task._read_all(), connected=True))
+        sender = threading.Thread(target=task._send, args=(call,))
+        reader.start()
+        sender.start()
+        far.sendall(Message("q0", 200, records("q0", 300), Framing.CLOSE).encode()[:-100])
+        assert held.half_read.wait(5)
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        far.close()
+        for thread in (reader, sender):
+            thread.join(5)
+        assert isinstance(call.outcome, Lost)
