End the call and the connection at an answer that switches protocols

What callers saw: nothing until the deadline, and a connection fewer to that searcher for good.

Cause: httptools raises HttpParserUpgrade at a 101, which is no HttpParserError. It ended the connection's task within the executor, which keeps the exception to itself.

Fix: the parser of responses reports it as malformed, as that of requests did already. The test fails before: HttpParserUpgrade out of run().

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -209,6 +209,8 @@
         self.taken += len(data)
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return Malformed("upgrade")
         except httptools.HttpParserError as error:
             return Malformed(str(error.__context__ or error))
         if self.body_size > LARGEST_BODY:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -503,3 +503,13 @@
         for thread in (reader, sender):
             thread.join(5)
         assert isinstance(call.outcome, Lost)
+
+
+class TestInterimAnswers:
+    """What comes before the final answer of a call."""
+
+    # Guards against a call without an outcome and a connection that is never counted out.
+    def test_a_switch_of_protocols_ends_the_call_and_the_connection(self):
+        own = Message("q0", 200, b"")
+        switch = b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+        play(Exchange(own, switch + own.encode()))
