Take no header from trailers

Cause: the parser reports trailers like headers, and of a repeated name the last counted. Fix: what comes behind the head is no header. Both tests fail before: (200, 'stamp-q0-200') for (200, 'stamp-q1-200'), and the searcher got 'X-Id: other'.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -134,8 +134,9 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self.headers.append((name, value))
+        """Collect one header; trailers are dropped."""
+        if not self.in_body:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the size of the headers and the announced size of the body."""
@@ -248,7 +249,9 @@
         _check_field(self.reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header; trailers say nothing that their response's head should."""
+        if self.in_body:
+            return
         _check_field(value)
         self.headers.append((name, value))
         self.fields[name.lower()] = value
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -513,3 +513,12 @@
         own = Message("q0", 200, b"")
         switch = b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
         play(Exchange(own, switch + own.encode()))
+
+
+class TestFieldsOfAnswers:
+    """What an answer says of itself beside its body."""
+
+    # Guards against an answer taken for a call that only its trailers name.
+    def test_the_request_of_an_answer_is_not_taken_from_its_trailers(self):
+        own, other = Message("q1", 200, records("q1", 1)), Message("q0", 200, b"", Framing.CHUNKED)
+        play(Exchange(own, other.encode()[:-2] + b"x-id: q1\r\n\r\n"))
--- a/tests/gateway/test_whole_gateway.py
+++ b/tests/gateway/test_whole_gateway.py
@@ -58,6 +58,18 @@
             assert caller.read()[0] == 200
         assert searchers[0].heads[-1].endswith(b"\r\n\r\nabcde")
 
+    # Guards against a searcher that is told headers which a caller sent behind its body.
+    def test_trailers_are_not_passed_on_as_headers(self):
+        searchers, running = gateway_over(reply_to)
+        with running as gateway:
+            caller = RawCaller(gateway)
+            caller.send(
+                b"POST /a/x HTTP/1.1\r\nHost: host.example\r\nX-Id: q\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Id: other\r\n\r\n"
+            )
+            assert caller.read()[0] == 200
+        assert b"other" not in searchers[0].heads[-1]
+
     def test_pipelined_requests_are_answered_in_order(self):
         _, running = gateway_over(lambda head: reply_to(head, head_value(head, b"x-id")))
         with running as gateway:
