Take no trailer for a header of the answer

What callers could see: a foreign answer. A trailer of an answer in chunks replaced the header of its name, so that an answer headed with another request's id, and a trailer with this one's, counted as this request's own; a stamp in a trailer made an answer a success, and trailers were passed on to the caller as headers of a body with a length.

Cause: the parser library reports trailers as it does headers, and the parser took them alike. HTTP allows none to be merged that is not defined for it (RFC 9110, 6.5.1).

Fix: what is reported once the body has begun is dropped.

The tests failed before: the caller got 200 with the other request's body in place of 504, and headers had one and two more than were sent. Whether the users' searchers ever send trailers is not known.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -228,7 +228,9 @@
         self.begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header; trailers are none."""
+        if self.in_body:
+            return
         self.headers.append((name, value))
         self.fields[name.lower()] = value
 
