Read numbers in headers up to a length

What callers saw: 504 for every request to a searcher whose Keep-Alive or load held a number of more than 4,300 digits, or a Keep-Alive time of more than 308; their calls, and room at the searcher, were never given back. A load of more than 308 digits let the next choice among the searchers of the service fail, so that callers lost their connections without an answer, and so did a caller that sent a long version.

Cause: int() refuses more than 4,300 digits and a float has no more than 308; either error ended the task of a connection.

Fix: one function reads whole numbers of up to 18 digits, and takes all else as not stated, as it was with other text before.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -20,6 +20,7 @@
     TooLarge,
     end_to_end,
     find_header,
+    read_number,
 )
 
 RECEIVE_BYTES = 4_096
@@ -189,7 +190,7 @@
         return _refuse(400, Reason.BAD_REQUEST, "one Host header is needed")
     if not parsed.target.startswith(b"/"):
         return _refuse(400, Reason.BAD_REQUEST, "a path is needed")
-    version = find_header(parsed.headers, TABLE_VERSION)
+    version = read_number(find_header(parsed.headers, TABLE_VERSION) or b"")
     network = _read_millis(find_header(parsed.headers, NETWORK_TIME))
     own = (dialect.expected_searcher, TABLE_VERSION, NETWORK_TIME)
     host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
@@ -203,7 +204,7 @@
         _read_millis(find_header(parsed.headers, dialect.patience)),
         now,
         network=network or Millis(0.0),
-        version=ConfigurationVersion(int(version)) if version and version.isdigit() else None,
+        version=None if version is None else ConfigurationVersion(version),
     )
 
 
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -11,7 +11,7 @@
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis
 from .._address import split_address
-from ._parser import Malformed, ResponseParser
+from ._parser import Malformed, ResponseParser, read_number
 
 RECEIVE_BYTES = 16_384
 KEEP_ALIVE_IDLE_S = 1
@@ -186,8 +186,9 @@
     """Return the idle time that a server states, ``None`` where it states none."""
     for token in fields.get(b"keep-alive", b"").split(b","):
         name, _, number = token.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return Millis(int(number) * MILLIS_PER_SECOND)
+        seconds = read_number(number)
+        if name.lower() == b"timeout" and seconds is not None:
+            return Millis(seconds * MILLIS_PER_SECOND)
     return None
 
 
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -32,6 +32,9 @@
 CHUNK_SHARE = 0.5
 """Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
 
+MOST_DIGITS = 18
+"""Digits of a number in a header, which has 63 bits then."""
+
 
 @dataclass(slots=True)
 class ParsedRequest:
@@ -67,6 +70,12 @@
     return None
 
 
+def read_number(text: bytes) -> int | None:
+    """Return the whole number that ``text`` is, ``None`` where it is none or too long."""
+    digits = text.strip()
+    return int(digits) if len(digits) <= MOST_DIGITS and digits.isdigit() else None
+
+
 def end_to_end(headers: list[Header] | tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are passed on, without those that concern one connection."""
     dropped = set(CONNECTION_HEADERS)
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -17,7 +17,7 @@
 from ._client import HttpClient, keep_alive_timeout
 from ._dialect import Dialect
 from ._encoding import encode_request
-from ._parser import ParsedResponse, ResponseParser
+from ._parser import ParsedResponse, ResponseParser, read_number
 
 CONNECT_TIMEOUT = Millis(300.0)
 """Many times the round trip within a region; a silent host is given up after it."""
@@ -250,7 +250,8 @@
 
     def _load(self, answer: ParsedResponse) -> Load | None:
         parts = answer.fields.get(self.dialect.load, b"").split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return None
-        running, waiting, slots = (int(part) for part in parts)
-        return Load(running, waiting, slots)
+        match [read_number(part) for part in parts]:
+            case [int(running), int(waiting), int(slots)]:
+                return Load(running, waiting, slots)
+            case _:
+                return None
