Test that a number of 5,000 digits does not end a task (fails)

int() refuses more than 4,300 digits. In a searcher's load, or the time that it keeps a connection, the ValueError ends the connection's task within the executor: the call has no outcome until its deadline, and the fleet counts the connection and the call for ever.

--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from threading import Event
 
+import pytest
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
@@ -522,3 +523,12 @@
     def test_the_request_of_an_answer_is_not_taken_from_its_trailers(self):
         own, other = Message("q1", 200, records("q1", 1)), Message("q0", 200, b"", Framing.CHUNKED)
         play(Exchange(own, other.encode()[:-2] + b"x-id: q1\r\n\r\n"))
+
+    # Guards against a call without an outcome, as the task ends by what int() raises.
+    @pytest.mark.parametrize(
+        "field",
+        [b"x-load: 1,2,%s\r\n" % (b"9" * 5_000), b"Keep-Alive: timeout=%s\r\n" % (b"9" * 5_000)],
+    )
+    def test_a_number_of_any_length_does_not_end_the_task(self, field):
+        own = Message("q0", 200, records("q0", 1))
+        play(Exchange(own, own.encode().replace(b"Server", field + b"Server")))
