Merge the parts of random exchanges, and check the merge by the stamps it names

Each shard's searchers answer an earlier call and the query in one of the many ways of the exchanges on one connection, over real connections and the tasks that read them. An answer names one good part of each service at most and counts the rest as missing, and its records are the greatest of exactly the parts named.

--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -14,11 +14,31 @@
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
-from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId, SystemClock
+from masticgate import (
+    Address,
+    ManualClock,
+    Millis,
+    NotRun,
+    Reason,
+    SearcherId,
+    ServiceId,
+    Step,
+    SystemClock,
+)
 from masticgate.connection.gateway import SearcherTask
-from masticgate.request.gateway import Answered, Call, Declined, Lost
-
-from .fakes import DIALECT, make_request, make_route
+from masticgate.request.gateway import (
+    Answered,
+    Call,
+    Declined,
+    Failed,
+    Lost,
+    Merged,
+    Refused,
+    run_gather,
+)
+from masticgate.version.gateway import Shards
+
+from .fakes import DIALECT, ScriptedSending, make_request, make_route
 from .test_buffers import Mailbox, connect_pair
 
 EXAMPLES = 400
@@ -61,10 +81,11 @@
     framing: Framing = Framing.LENGTH
     not_run: bool = False
     order: tuple[int, ...] = (0, 1, 2, 3, 4)
+    part: str = ""
 
     @property
     def stamp(self) -> str:
-        return f"stamp-{self.identity}-{self.status}"
+        return f"stamp-{self.identity}-{self.status}{self.part}"
 
     @property
     def refusal(self) -> bool:
@@ -142,8 +163,9 @@
 class Conversation:
     """Plays exchanges over one real connection, in one thread, and keeps their calls."""
 
-    def __init__(self, exchanges: list[Exchange]) -> None:
+    def __init__(self, exchanges: list[Exchange], last: Call | None = None) -> None:
         near, self.far = connect_pair()
+        self.last = last
         self.waiting = list(exchanges)
         self.calls: list[tuple[Exchange, Call]] = []
         self.given_in_receive = False
@@ -181,7 +203,8 @@
         if not self.waiting:
             return
         exchange = self.waiting.pop(0)
-        call = make_call(exchange.message.identity)
+        call = self.last if self.last and not self.waiting else None
+        call = call or make_call(exchange.message.identity)
         self.calls.append((exchange, call))
         assert self.task.give(call)
 
@@ -302,16 +325,17 @@
 
 
 @st.composite
-def messages(draw, identity: str) -> Message:
+def messages(draw, identity: str, part: str = "") -> Message:
     status, not_run = draw(st.sampled_from(STATUSES))
     empty = status == 204
     return Message(
         identity,
         status,
-        b"" if empty else records(identity, draw(st.sampled_from([0, 1, 3, 20, 300]))),
+        b"" if empty else records(identity + part, draw(st.sampled_from([0, 1, 3, 20, 300]))),
         Framing.LENGTH if empty else draw(st.sampled_from(FRAMINGS)),
         not_run,
         tuple(draw(st.permutations(range(5)))),
+        part,
     )
 
 
@@ -351,9 +375,9 @@
 
 
 @st.composite
-def exchanges(draw, number: int, cut_open: bool) -> Exchange:
+def exchanges(draw, identity: str, cut_open: bool = False, part: str = "") -> Exchange:
     """Return an exchange; answers are cut on open connections only if ``cut_open``."""
-    message = draw(messages(f"q{number}"))
+    message = draw(messages(identity, part))
     end = draw(st.sampled_from(ENDS))
     sent = draw(first_parts(message, 4 if cut_open else int(end is not End.OPEN)))
     copied = cut_open and draw(st.booleans())
@@ -372,7 +396,82 @@
 
 @st.composite
 def series(draw, cut_open: bool) -> list[Exchange]:
-    return [draw(exchanges(number, cut_open)) for number in range(draw(st.integers(1, 4)))]
+    return [draw(exchanges(f"q{number}", cut_open)) for number in range(draw(st.integers(1, 4)))]
+
+
+QUERY = "query"
+TOP = 5
+LEAST_SHARE = 0.5
+Plans = dict[str, list[list[Exchange]]]
+
+
+@st.composite
+def queries(draw) -> Plans:
+    """Return for each shard what two of its searchers send before the query and because of it."""
+    return {
+        f"s{shard}": [
+            draw(st.lists(exchanges(f"before-{shard}-{attempt}"), max_size=1))
+            + [draw(exchanges(QUERY, part=f"-{shard}-{attempt}"))]
+            for attempt in range(2)
+        ]
+        for shard in range(draw(st.integers(1, 4)))
+    }
+
+
+class PlayedShards:
+    """Senders and inbox in one: each send is played on a connection of its own until it ends."""
+
+    def __init__(self, plans: Plans) -> None:
+        self.plans = {service: list(plan) for service, plan in plans.items()}
+        self.finished: list[Call] = []
+
+    def now(self):
+        return Millis(0.0)
+
+    def send(self, call, tried):
+        if not self.plans[call.service]:
+            return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service)
+        planned = self.plans[call.service].pop(0)
+        Conversation(planned, call).run()
+        if not call.started:
+            Conversation(planned[-1:], call).run()
+        self.finished.append(call)
+        return ScriptedSending(call, SearcherId(f"{call.service}-{len(tried)}"))
+
+    def hedge_delay(self, route):
+        return Millis(1_000.0)
+
+    def allow_hedge(self, service):
+        return False
+
+    def allow_retry(self, service):
+        return True
+
+    def expect(self, number):
+        pass
+
+    def put(self, call):
+        pass
+
+    def wait(self, until):
+        return self.finished.pop(0)
+
+
+def check_merged(merged: Merged, plans: Plans) -> None:
+    """Fail where a query's answer is not the merge of the parts that it names."""
+    meant = {
+        plan[-1].message.stamp: (service, plan[-1].message)
+        for service, tried in plans.items()
+        for plan in tried
+        if plan[-1].message.status in (200, 204)
+    }
+    assert set(merged.stamps) <= set(meant)
+    named = [meant[stamp] for stamp in merged.stamps]
+    assert len({service for service, _ in named}) == len(named) >= len(plans) * LEAST_SHARE
+    assert len(named) + merged.missing == len(plans)
+    bodies = b"".join(message.body for _, message in named)
+    held = [bodies[start : start + 16] for start in range(0, len(bodies), 16)]
+    assert merged.records == b"".join(sorted(held, reverse=True)[:TOP])
 
 
 def play(*planned: Exchange) -> None:
@@ -548,3 +647,20 @@
     def test_a_number_of_any_length_does_not_end_the_task(self, field):
         own = Message("q0", 200, records("q0", 1))
         play(Exchange(own, own.encode().replace(b"Server", field + b"Server")))
+
+
+class TestQueries:
+    """The parts of a query come over connections that carry other answers too."""
+
+    @settings(max_examples=EXAMPLES // 2, deadline=None, derandomize=True)
+    @given(queries())
+    def test_a_merge_holds_the_records_of_the_parts_that_it_names(self, plans):
+        target = Shards(tuple(ServiceId(name) for name in plans), TOP, LEAST_SHARE)
+        request = make_call(QUERY).request
+        played = PlayedShards(plans)
+        reply = run_gather(request, make_route(target), target, played, played)
+        match reply:
+            case Merged() as merged:
+                check_merged(merged, plans)
+            case _:
+                assert isinstance(reply, Failed | Refused)
