Break a gatherer's answers at each byte, and check who gathered what is told

A stand-in gatherer ends every second connection within its answer, in order or by a reset, at another byte each time; shards send each answer once more before the next one. What the caller is told is wholly the gatherer's or wholly the entry's own, by the stamps, and nothing is missing.

--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -1,6 +1,7 @@
 """A whole gateway on loopback, with searchers that answer as the test says."""
 
 import socket
+import struct
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
@@ -83,6 +84,44 @@
         return head + b"\r\n\r\n" + body
 
 
+class RepeatingSearcher(StandInSearcher):
+    """Sends each answer once more on its connection, right before the next one."""
+
+    def _serve(self, connection: socket.socket) -> None:
+        before = b""
+        with connection:
+            while head := self._read(connection):
+                answer = self.answer(head) or b""
+                with suppress(OSError):
+                    connection.sendall(before + answer)
+                before = answer
+
+
+class BreakingSearcher(StandInSearcher):
+    """Ends every second connection with a request within its answer, at another byte each time."""
+
+    def __init__(self, answer: Answer, *, resets: bool) -> None:
+        self.resets = resets
+        self.asked = 0
+        self.broken = 0
+        super().__init__(answer)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            while head := self._read(connection):
+                answer = self.answer(head) or b""
+                self.asked += 1
+                if self.asked % 2:
+                    connection.sendall(answer)
+                    continue
+                self.broken += 1
+                connection.sendall(answer[: self.broken * 7 % len(answer)])
+                if self.resets:
+                    reset = struct.pack("ii", 1, 0)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+                return
+
+
 class HangingSearcher(StandInSearcher):
     """Never answers, and notes when a connection with a request was closed."""
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -26,6 +26,8 @@
     SystemClock,
 )
 from masticgate.connection.gateway import SearcherTask
+from masticgate.process.gateway._catalogue import PEERS
+from masticgate.process.gateway._peers import GatherAtPeers
 from masticgate.request.gateway import (
     Answered,
     Call,
@@ -38,7 +40,14 @@
 )
 from masticgate.version.gateway import Shards
 
-from .fakes import DIALECT, ScriptedSending, make_request, make_route
+from .fakes import DIALECT, ScriptedSending, make_entry, make_request, make_route
+from .loopback import (
+    BreakingSearcher,
+    RawCaller,
+    RepeatingSearcher,
+    head_value,
+    running_gateway,
+)
 from .test_buffers import Mailbox, connect_pair
 
 EXAMPLES = 400
@@ -664,3 +673,61 @@
                 check_merged(merged, plans)
             case _:
                 assert isinstance(reply, Failed | Refused)
+
+
+PEER_QUERIES = 80
+SHARDS = Shards((ServiceId("s1"), ServiceId("s2")), TOP, LEAST_SHARE)
+
+
+def gathered_stamps(identity: str, by: str) -> list[str]:
+    return [f"{identity}-{name}-{by}" for name in SHARDS.services]
+
+
+def merged_records(identity: str, by: str) -> bytes:
+    bodies = b"".join(records(stamp, 3) for stamp in gathered_stamps(identity, by))
+    held = [bodies[start : start + 16] for start in range(0, len(bodies), 16)]
+    return b"".join(sorted(held, reverse=True)[:TOP])
+
+
+def answer_as_gatherer(head: bytes) -> bytes:
+    identity = head_value(head, b"x-id").decode()
+    body = merged_records(identity, "gatherer")
+    fields = (
+        f"x-id: {identity}\r\nx-gateway-missing: 0\r\nContent-Length: {len(body)}\r\n"
+        f"x-gateway-stamps: {', '.join(gathered_stamps(identity, 'gatherer'))}\r\n\r\n"
+    )
+    return b"HTTP/1.1 200 OK\r\n" + fields.encode() + body
+
+
+def answer_as_shard(head: bytes) -> bytes:
+    identity = head_value(head, b"x-id").decode()
+    stamp = f"{identity}-{head_value(head, b'x-expected').decode()[:2]}-entry"
+    body = records(stamp, 3)
+    fields = f"x-id: {identity}\r\nx-stamp: {stamp}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return b"HTTP/1.1 200 OK\r\n" + fields.encode() + body
+
+
+class TestQueriesHandedOver:
+    """A gatherer ends within its answers, and the entry gathers again."""
+
+    # Guards against an answer made of what two gateways gathered, or of a part of either.
+    @pytest.mark.parametrize("resets", [False, True])
+    def test_an_answer_is_one_gateways_wherever_the_gatherer_ends(self, resets):
+        gatherer = BreakingSearcher(answer_as_gatherer, resets=resets)
+        searchers = {name: [RepeatingSearcher(answer_as_shard)] for name in SHARDS.services}
+        told = []
+        with running_gateway([make_route(SHARDS)], searchers) as entry:
+            entry.peers.decide = lambda: None
+            entry.peers.gathering = GatherAtPeers()
+            entry.fleet.list_searcher(replace(make_entry("p", PEERS), address=gatherer.address))
+            entry.fleet.budgets.window(PEERS).slack = 1_000.0
+            for number in range(PEER_QUERIES):
+                identity = f"q{number}"
+                told.append((identity, *RawCaller(entry).get(identity=identity).read()))
+        for identity, status, head, body in told:
+            stamps = head_value(head, b"x-stamps").decode().split(", ")
+            by = stamps[0].rpartition("-")[2]
+            assert (status, head_value(head, b"x-missing")) == (200, b"0")
+            assert sorted(stamps) == gathered_stamps(identity, by)
+            assert body == merged_records(identity, by)
+        assert gatherer.broken >= PEER_QUERIES // 3
