Give up an answer that holds the head of another, whatever its framing or request

Cause: the comparison with the answer's own head knew exact copies only, and nothing looked at a body whose last bytes begin a head of which the rest is no answer any more.

Fix: a head within a body is told by its status line and by the header names that heads of one server share; the framing may differ. A body that ends like a status line, with no answer behind it, is dropped.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -33,7 +33,8 @@
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 """The beginning of a response; within a head it tells that an earlier one was cut short."""
 
-SHORTEST_COPY = 9
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"connection"})
+SHORTEST_HEAD = 9
 """The bytes of ``HTTP/1.1`` and a space: fewer at the end of a body may be its own."""
 
 CHUNK_SHARE = 0.5
@@ -222,6 +223,7 @@
         except httptools.HttpParserUpgrade:
             return Malformed("upgrade")
         except httptools.HttpParserError as error:
+            self._drop_filled_up()
             return Malformed(str(error.__context__ or error))
         if self.body_size > LARGEST_BODY:
             return Malformed("body too large")
@@ -236,7 +238,7 @@
 
     def end(self) -> None:
         """Complete a response without a length, whose connection ended in order."""
-        if self.begun and self.in_body and not self.framed and not self._holds_own_head():
+        if self.begun and self.in_body and not self.framed and not self._holds_head():
             self._complete(Ending.CLOSE, keep_alive=False)
 
     def _begin(self) -> None:
@@ -277,30 +279,49 @@
 
     def on_message_complete(self) -> None:
         """Queue the response, unless it is an interim one."""
-        if self._holds_own_head():
-            raise CutResponseError("a response is filled up by its own copy")
+        if self._holds_head():
+            raise CutResponseError("a response is filled up by the bytes of another")
         ending = Ending.CHUNKS if b"transfer-encoding" in self.fields else Ending.LENGTH
         self._complete(ending, keep_alive=self.parser.should_keep_alive())
 
-    def _holds_own_head(self) -> bool:
-        """Tell whether the body holds a copy of its head, or ends within one."""
+    def _holds_head(self) -> bool:
+        """Tell whether the body holds the head of another response, or ends within one."""
         body = b"".join(self.chunks)
         place = body.find(b"HTTP/")
-        if place < 0:
-            return False
-        head = self._encode_head()
         while place >= 0:
-            copy = body[place : place + len(head)]
-            if len(copy) >= SHORTEST_COPY and head.startswith(copy):
+            if len(body) - place >= SHORTEST_HEAD and self._is_head(body[place:]):
                 return True
             place = body.find(b"HTTP/", place + 1)
         return False
 
-    def _encode_head(self) -> bytes:
+    def _is_head(self, text: bytes) -> bool:
+        """Tell whether ``text`` begins with a head like this one, or is the beginning of one.
+
+        The same server's heads have the same header names but for the framing.
+        """
+        head, blank, _ = text.partition(b"\r\n\r\n")
+        first, *lines = head.split(b"\r\n")
+        if not lines:
+            return self._status_line().startswith(first.rstrip(b"\r"))
+        if not STATUS_LINE.match(first):
+            return False
+        names = [line.partition(b":")[0].lower() for line in lines]
+        own = self.fields.keys() - FRAMING_HEADERS
+        if blank:
+            return own <= set(names)
+        *whole, last = names
+        known = self.fields.keys() | FRAMING_HEADERS
+        return known.issuperset(whole) and any(name.startswith(last) for name in known)
+
+    def _drop_filled_up(self) -> None:
+        """Drop a response that ends like the beginning of another, of which the rest follows."""
+        starts = tuple(b"HTTP/1."[:size] for size in range(1, SHORTEST_HEAD))
+        if self.ready and self.ready[-1].body.endswith(starts):
+            self.ready.pop()
+
+    def _status_line(self) -> bytes:
         version = self.parser.get_http_version().encode()
-        lines = [b"HTTP/%s %d %s\r\n" % (version, self.parser.get_status_code(), self.reason)]
-        lines += [b"%s: %s\r\n" % header for header in self.headers]
-        return b"".join(lines)
+        return b"HTTP/%s %d %s" % (version, self.parser.get_status_code(), self.reason)
 
     def _complete(self, ending: Ending, *, keep_alive: bool) -> None:
         status = self.parser.get_status_code()
--- /dev/null
+++ b/tests/gateway/test_filled_answers.py
@@ -0,0 +1,85 @@
+"""An answer that was cut short and is filled up with the bytes of the next one."""
+
+import threading
+
+import pytest
+
+from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
+from masticgate.connection.gateway import SearcherTask
+from masticgate.request.gateway import Answered, Call
+from masticgate.version.gateway import Shards
+
+from .fakes import DIALECT, ORDERS, make_request, make_route
+from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
+from .test_buffers import Mailbox, connect_pair
+from .test_irregular_answers import NotingOwner
+
+RECORDS = bytes(range(64))
+ANSWER = b"HTTP/1.1 200 OK\r\nx-id: q1\r\nx-stamp: s\r\nContent-Length: 64\r\n\r\n" + RECORDS
+
+
+def outcomes_of(data: bytes) -> list[object]:
+    """Return the outcomes of one call whose searcher sends ``data`` and hangs up."""
+    near, far = connect_pair()
+    owner = NotingOwner()
+    task = SearcherTask(SearcherId("s1"), Address("127.0.0.1:9"), owner, DIALECT, ManualClock())
+    task.client.socket = near
+    call = Call(make_request("q1"), make_route(), ServiceId("orders"), Millis(400.0), Mailbox())
+    assert task.give(call)
+    assert far.recv(65_536).endswith(b"\r\n\r\n")
+    far.sendall(data)
+    far.close()
+    reader = threading.Thread(
+        target=lambda: task._end(task._read_all(), connected=True), daemon=True
+    )
+    reader.start()
+    reader.join(5)
+    assert not reader.is_alive()
+    return owner.outcomes
+
+
+class TestCutAnswer:
+    # Guards against the head of a late second answer passed on as the end of the first one's body.
+    @pytest.mark.parametrize("missing", [1, 16, 17, 48, 63])
+    def test_is_no_success_when_the_second_answer_fills_it_up(self, missing):
+        (outcome,) = outcomes_of(ANSWER[:-missing] + ANSWER)
+        assert not isinstance(outcome, Answered) or outcome.body == RECORDS
+
+    # Guards against a cut answer that is filled up with the bytes of another request's answer.
+    def test_is_no_success_when_another_requests_answer_fills_it_up(self):
+        (outcome,) = outcomes_of(ANSWER[:-16] + ANSWER.replace(b"q1", b"q0"))
+        assert not isinstance(outcome, Answered) or outcome.body == RECORDS
+
+
+class TestAnswerWithoutLength:
+    # Guards against a late second answer of an earlier request as part of a body without a length.
+    def test_is_no_success_when_an_earlier_requests_answer_comes_within_it(self):
+        unframed = ANSWER.replace(b"Content-Length: 64\r\n", b"")
+        late = ANSWER.replace(b"q1", b"q0")
+        (outcome,) = outcomes_of(unframed + late)
+        assert not isinstance(outcome, Answered) or outcome.body == RECORDS
+
+    # Guards against a second copy of the same answer as part of a body without a length.
+    def test_is_no_success_when_its_own_copy_comes_within_it(self):
+        unframed = ANSWER.replace(b"Content-Length: 64\r\n", b"")
+        (outcome,) = outcomes_of(unframed + unframed)
+        assert not isinstance(outcome, Answered) or outcome.body == RECORDS
+
+
+def cut_then_whole(head: bytes) -> bytes:
+    """Return an answer that lacks its last 16 bytes, and the same answer once more."""
+    whole = reply_to(head, RECORDS)
+    return whole[:-16] + whole
+
+
+class TestCallerOfCutAnswer:
+    # Guards against a caller that gets the head of a late second answer in its body.
+    @pytest.mark.parametrize("target", [ORDERS, Shards((ServiceId("orders"),), 4, 1.0)])
+    def test_gets_no_success_with_foreign_bytes(self, target):
+        searcher = StandInSearcher(cut_then_whole)
+        route = make_route(target, attempts=1)
+        with running_gateway([route], {"orders": [searcher]}) as gateway:
+            caller = RawCaller(gateway)
+            status, _, body = caller.get().read()
+            caller.close()
+        assert status >= 500 or sorted(body) == sorted(RECORDS)
