Answer a whole request before refusing the bytes behind it

Cause: the refusal was written as soon as the parser met it, though requests that had come whole with the same bytes waited to be served.

Fix: what is wrong is kept until the requests before it are answered. A request that is refused itself is not queued, also where it came whole or asks for another protocol.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -72,6 +72,7 @@
         self.since = settings.clock.now()
         limits = settings.limits()
         self.parser = RequestParser(limits.header_bytes, limits.body_bytes)
+        self.problem: TooLarge | Malformed | None = None
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
         self.link = Link(connection, settings.clock)
 
@@ -130,6 +131,9 @@
         """Return the next request, ``None`` where none comes any more."""
         idle_limit = self.settings.limits().idle_timeout
         while not self.parser.ready:
+            if self.problem is not None:
+                self._refuse_bytes(self.problem)
+                return None
             if self.parser.idle:
                 idle_limit = max(idle_limit, self.settings.limits().idle_timeout)
                 deadline = Millis(self.since + idle_limit)
@@ -157,16 +161,19 @@
             return self.buffer[:0]
 
     def _feed(self, data: memoryview) -> bool:
-        problem = self.parser.feed(data)
+        """Take received bytes; return ``False`` where the caller is gone.
+
+        Requests that came whole are answered before what is wrong with the bytes behind them.
+        """
+        self.problem = self.parser.feed(data)
+        return self.problem is not None or self._continue()
+
+    def _refuse_bytes(self, problem: TooLarge | Malformed) -> None:
         match problem:
             case TooLarge(status=status):
                 self._write(_refuse(status, Reason.TOO_LARGE, ""), close=True)
-                return False
             case Malformed(detail=detail):
                 self._write(_refuse(400, Reason.BAD_REQUEST, detail), close=True)
-                return False
-            case None:
-                return self._continue()
 
     def _continue(self) -> bool:
         if not self.parser.expects_continue or not self.parser.in_body:
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -169,18 +169,18 @@
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Queue the request, and expect the next one."""
-        self.ready.append(
-            ParsedRequest(
-                self.parser.get_method(),
-                self.target,
-                self.parser.get_http_version(),
-                self.headers,
-                b"".join(self.chunks),
-                self.parser.should_keep_alive(),
-            )
+        """Queue the request unless it is to be refused, and expect the next one."""
+        request = ParsedRequest(
+            self.parser.get_method(),
+            self.target,
+            self.parser.get_http_version(),
+            self.headers,
+            b"".join(self.chunks),
+            self.parser.should_keep_alive(),
         )
         excess = self.excess
+        if excess is None and not self.parser.should_upgrade():
+            self.ready.append(request)
         self._begin()
         self.excess = excess
 
--- /dev/null
+++ b/tests/gateway/test_pipelined_refusals.py
@@ -0,0 +1,74 @@
+"""A whole request with bytes behind it that are refused."""
+
+import threading
+
+import pytest
+
+from masticgate import SystemClock
+from masticgate.connection.gateway import CallerSettings
+from masticgate.connection.gateway._caller import Caller
+from masticgate.request.gateway import Plain
+from masticgate.version.gateway import Limits
+
+from .fakes import DIALECT
+from .test_buffers import connect_pair
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nx-id: q1\r\n\r\n"
+MALFORMED = b"\x00\x01 no request\r\n\r\n"
+TOO_LARGE = b"POST /b HTTP/1.1\r\nHost: h\r\nx-id: q2\r\nContent-Length: 999999999\r\n\r\n"
+
+
+class TestRequestBeforeRefusedBytes:
+    # Guards against the refusal of later bytes as the answer to the whole request before them.
+    @pytest.mark.parametrize("behind", [MALFORMED, TOO_LARGE])
+    def test_gets_its_own_answer(self, behind):
+        near, far = connect_pair()
+        settings = CallerSettings(
+            lambda request, inbox: Plain(200, b"served"),
+            DIALECT,
+            SystemClock(),
+            Limits,
+            lambda: False,
+        )
+        far.settimeout(5)
+        far.sendall(REQUEST + behind)
+        serving = threading.Thread(target=Caller(near, settings).run, daemon=True)
+        serving.start()
+        first = far.recv(65_536)
+        far.close()
+        serving.join(5)
+        assert first.startswith(b"HTTP/1.1 200 ")
+
+
+class TestRefusedRequest:
+    # Guards against a request that is served though it is refused, since it came whole.
+    @pytest.mark.parametrize(
+        ("request_bytes", "status"),
+        [
+            (
+                b"POST /b HTTP/1.1\r\nHost: h\r\nx-id: q\r\nContent-Length: 9\r\n\r\n" + b"x" * 9,
+                413,
+            ),
+            (b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", 400),
+            (b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+        ],
+    )
+    def test_is_not_served(self, request_bytes, status):
+        near, far = connect_pair()
+        served = []
+
+        def handle(request, inbox):
+            served.append(request)
+            return Plain(200, b"served")
+
+        limits = Limits(body_bytes=8)
+        settings = CallerSettings(handle, DIALECT, SystemClock(), lambda: limits, lambda: False)
+        far.settimeout(5)
+        far.sendall(request_bytes)
+        serving = threading.Thread(target=Caller(near, settings).run, daemon=True)
+        serving.start()
+        first = far.recv(65_536)
+        far.close()
+        serving.join(5)
+        assert first.startswith(b"HTTP/1.1 %d " % status)
+        assert served == []
