Do not spin on a caller that left bytes unread

What was seen: 390 of 400 ms of a wait were processor time, and the caller was not seen to leave (GONE), where a caller sends bytes of a next request and then closes.

Cause: the unread bytes hid the end: the watch for the close alone is level-triggered, and its event was answered by another peek at the bytes. Fix: an event that tells of the close is one.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -51,11 +51,11 @@
     def poll(self, until: Millis) -> bool:
         """Wait until woken or ``until``; return ``True`` where the caller closed."""
         left = max(0, ceil(until - self.clock.now()))
-        for descriptor, _ in self.poller.poll(left):
+        for descriptor, events in self.poller.poll(left):
             if descriptor == self.reader:
                 with suppress(OSError):
                     os.read(self.reader, 64)
-            elif self._has_left():
+            elif self._has_left(events):
                 return True
         return False
 
@@ -79,10 +79,12 @@
                 with suppress(OSError):
                     self.connection.shutdown(socket.SHUT_RD)
 
-    def _has_left(self) -> bool:
+    def _has_left(self, events: int) -> bool:
         if self.reads_no_more:
             self.poller.unregister(self.connection)
             return False
+        if events & CLOSED:
+            return True
         try:
             if self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
                 return True
