Go on where no descriptor is left for a connection

What callers saw: a listener that accepts nobody any more; a searcher whose connections count as busy for ever and a call without an outcome; heartbeats and the follower ended; a core spent on failed accepts.

Cause: a socket or a pipe that finds no descriptor raised outside of what handles errors, and ended the task; the accept loop tried again at once. Fix: a connection that gets no descriptor failed like any other; a caller's is closed and counted as turned away; after a failed accept the listener pauses.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -87,11 +87,11 @@
         if self.socket is not None:
             return None
         self.aborted = False
-        opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        opened.settimeout(max(0.001, timeout / MILLIS_PER_SECOND))
-        _detect_silence(opened)
-        self.socket = opened
         try:
+            opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            opened.settimeout(max(0.001, timeout / MILLIS_PER_SECOND))
+            _detect_silence(opened)
+            self.socket = opened
             opened.connect(split_address(self.address))
         except OSError as error:
             self.close()
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -3,12 +3,16 @@
 import socket
 from contextlib import suppress
 from threading import Lock
+from time import sleep
 
 from ..._ids import Address, Millis
 from .._address import listen_on
 from ._caller import Caller, CallerSettings, CallerState
 from ._task_starter import TaskStarter
 
+ACCEPT_RETRY_S = 0.05
+"""After a failed accept, which is for want of a descriptor: until some connection ended."""
+
 
 class Listener:
     """One listening socket and its callers' connections."""
@@ -33,6 +37,7 @@
             except OSError:
                 if self.stopped:
                     return
+                sleep(ACCEPT_RETRY_S)
                 continue
             self._admit(connection)
 
@@ -56,7 +61,13 @@
             caller.stop_reading()
 
     def _admit(self, connection: socket.socket) -> None:
-        caller = Caller(connection, self.settings)
+        try:
+            caller = Caller(connection, self.settings)
+        except OSError:
+            connection.close()
+            with self.lock:
+                self.turned_away += 1
+            return
         with self.lock:
             self.callers.add(caller)
             crowded = len(self.callers) > self.most
