--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -50,9 +50,9 @@
         threading.stack_size(STACK_BYTES)
         self.settings = settings
         self.clock = SystemClock()
-        self.pool = TaskPool(MOST_TASKS)
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
+        self.pool = TaskPool(MOST_TASKS, self.log, self.metrics)
         self.fleet = Fleet(settings, dialect, self.clock, self.pool, self.log, self.metrics)
         followed = self._follow_relays(source) if not settings.is_seed else source
         self.follower = Follower(followed, self.fleet, self.clock, self.log, self.metrics)
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -50,6 +50,7 @@
     GATHERER_FOUND = "gatherer_found"
     GATHERER_LOST = "gatherer_lost"
     TASK_REFUSED = "task_refused"
+    TASK_FAILED = "task_failed"
     ANSWER_SKIPPED = "answer_skipped"
     BYTES_UNREQUESTED = "bytes_unrequested"
     BYTES_TRAILING = "bytes_trailing"
--- a/src/masticgate/process/gateway/_task_pool.py
+++ b/src/masticgate/process/gateway/_task_pool.py
@@ -1,12 +1,16 @@
 """Runs the tasks of connections, each in a thread of its own."""
 
+import traceback
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from enum import Enum
+from os.path import basename
 from threading import Lock
 from typing import Any
 
 from ...connection.gateway import TaskRefused
+from ._log import EventLog, LogEvent
+from ._metrics import Metrics
 
 
 class TaskState(Enum):
@@ -50,8 +54,10 @@
     given up to their present tasks, and new tasks go to other threads.
     """
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, log: EventLog, metrics: Metrics) -> None:
         self.most = most
+        self.log = log
+        self.metrics = metrics
         self.lock = Lock()
         self.running = 0
         self.threads = self._make_threads()
@@ -82,10 +88,23 @@
     def _run(self, run: Callable[..., None], args: tuple[Any, ...]) -> None:
         try:
             run(*args)
+        except Exception as error:
+            self._note_failure(run, error)
         finally:
             with self.lock:
                 self.running -= 1
 
+    def _note_failure(self, run: Callable[..., None], error: Exception) -> None:
+        """Log an error that would stay in a future that nobody asks."""
+        self.metrics.count("tasks_failed")
+        where = traceback.extract_tb(error.__traceback__)[-1]
+        self.log.write(
+            LogEvent.TASK_FAILED,
+            task=run.__qualname__,
+            detail=repr(error),
+            at=f"{basename(where.filename)}:{where.lineno}",
+        )
+
     def _make_threads(self) -> ThreadPoolExecutor:
         """Return threads enough for all tasks beside those that just ended theirs."""
         return ThreadPoolExecutor(2 * self.most)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -18,6 +18,7 @@
 from masticgate.process.gateway._fleet import Fleet
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
+from masticgate.process.gateway._task_pool import TaskPool
 from masticgate.request.gateway import Answered, Call, CallerLeft, Declined, Lost, Request
 from masticgate.version.gateway import (
     Kind,
@@ -128,6 +129,10 @@
         self.started += 1
 
 
+def make_pool(most: int) -> TaskPool:
+    return TaskPool(most, EventLog(HostId("g1"), ManualClock()), Metrics())
+
+
 def make_fleet(clock: ManualClock | None = None, **settings: float) -> Fleet:
     clock = clock or ManualClock()
     log = EventLog(HostId("g1"), clock)
--- a/tests/gateway/test_refused_tasks.py
+++ b/tests/gateway/test_refused_tasks.py
@@ -1,5 +1,6 @@
 """A connection whose task could not be started: it is refused once and for all."""
 
+import json
 import os
 from dataclasses import replace
 from threading import Event, Thread
@@ -11,11 +12,11 @@
 from masticgate.process.gateway._fleet import Fleet
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
-from masticgate.process.gateway._task_pool import Task, TaskPool
+from masticgate.process.gateway._task_pool import Task
 from masticgate.request.gateway import Call, Plain
 from masticgate.version.gateway import Limits
 
-from .fakes import DIALECT, make_entry, make_request, make_route, make_settings
+from .fakes import DIALECT, make_entry, make_pool, make_request, make_route, make_settings
 from .loopback import StandInSearcher, reply_to
 from .test_buffers import Mailbox, connect_pair
 
@@ -24,7 +25,7 @@
     """A pool with one busy task, whose process has no room for another thread meanwhile."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.tasks = TaskPool(8)
+        self.tasks = make_pool(8)
         self.threads = self.tasks.threads
         self.release = Event()
         self.monkeypatch = monkeypatch
@@ -149,9 +150,20 @@
         assert ran == []
 
     def test_refuses_more_tasks_than_it_may_run(self):
-        tasks = TaskPool(1)
+        tasks = make_pool(1)
         release = Event()
         assert tasks.start(release.wait) is None
         assert tasks.start(release.wait) == TaskRefused("all tasks are in use")
         release.set()
         tasks.close()
+
+    # Guards against a task that ends by an error which nobody is told of.
+    def test_logs_and_counts_a_task_that_fails(self):
+        tasks = make_pool(1)
+        tasks.start(int, "no number")
+        tasks.threads.shutdown()
+        line = json.loads(tasks.log.queue[-1])
+        assert (line["event"], line["task"]) == ("task_failed", "int")
+        assert "no number" in line["detail"]
+        assert tasks.metrics.counters["tasks_failed"] == 1
+        assert tasks.running == 0
--- a/tests/gateway/test_scarce_descriptors.py
+++ b/tests/gateway/test_scarce_descriptors.py
@@ -14,11 +14,10 @@
 from masticgate.process.gateway._fleet import Fleet
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
-from masticgate.process.gateway._task_pool import TaskPool
 from masticgate.request.gateway import Call, Plain
 from masticgate.version.gateway import Limits
 
-from .fakes import DIALECT, make_entry, make_request, make_route, make_settings
+from .fakes import DIALECT, make_entry, make_pool, make_request, make_route, make_settings
 from .loopback import StandInSearcher, reply_to
 from .test_buffers import Mailbox
 
@@ -49,7 +48,7 @@
     settings = CallerSettings(
         lambda request, inbox: Plain(200, b"served"), DIALECT, SystemClock(), Limits, lambda: False
     )
-    tasks = TaskPool(8)
+    tasks = make_pool(8)
     listener = Listener(Address("127.0.0.1:0"), settings, tasks, 16)
     yield listener
     listener.stop()
@@ -60,7 +59,7 @@
     # Guards against a call without outcome, and a searcher whose connections count as busy forever.
     def test_a_connection_that_gets_no_descriptor_is_counted_out(self, monkeypatch):
         clock = SystemClock()
-        tasks = TaskPool(8)
+        tasks = make_pool(8)
         log = EventLog(HostId("g1"), clock)
         fleet = Fleet(make_settings(), DIALECT, clock, tasks, log, Metrics())
         searcher = StandInSearcher(reply_to)
