End a connection that brought more than one answer to a read

What was seen: a read of the platform or a peer dropped answers that came in one receive with the first, and kept the connection. These answers have no id, so that another one behind them, come just after the next request was sent, would be taken for its answer.

Cause: only an answer that had begun counted as bytes behind the first.

Fix: whole ones count too.

The test failed before: the client's connection was open after two answers to one request. That a wrong answer was taken was not seen.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -125,8 +125,8 @@
         while True:
             problem = self._feed(parser, buffer, deadline)
             if parser.ready:
-                response = parser.ready[0]
-                if problem is not None or parser.begun or not response.keep_alive:
+                response, *others = parser.ready
+                if problem is not None or others or parser.begun or not response.keep_alive:
                     self.close()
                 return HttpResponse(response.status, response.body)
             if problem is not None:
--- a/tests/gateway/pouring.py
+++ b/tests/gateway/pouring.py
@@ -25,7 +25,7 @@
 
     @property
     def block(self) -> bytes:
-        return self.unit * max(1, BLOCK_BYTES // len(self.unit))
+        return self.unit * (BLOCK_BYTES // len(self.unit))
 
 
 OWN = b"HTTP/1.1 200 OK\r\nx-id: q1\r\nx-stamp: s\r\n"
@@ -62,9 +62,9 @@
 
 
 class PouringServer:
-    """Answers a request on each connection with ``flow``, all at once or a unit at a time.
+    """Answers one request of each connection with ``flow``, in blocks or a unit at a time.
 
-    It notes when the other side closed, and never closes before :data:`POURED_S` are over.
+    It notes when the other side closed, and closes itself only at its bounds.
     """
 
     def __init__(self, flow: Flow, pause_s: float | None = None) -> None:
--- a/tests/gateway/test_answers_without_end.py
+++ b/tests/gateway/test_answers_without_end.py
@@ -14,6 +14,7 @@
     BadReply,
     GetTimeouts,
     HttpClient,
+    HttpResponse,
     NoReply,
     SearcherTask,
     peer_dialect,
@@ -244,3 +245,13 @@
             assert response == NoReply(True, "receive: no whole response in time")
             assert clock.current < 2 * SHORT
             assert server.closed.wait(SOON_S)
+
+    # Answers that came in one receive with the first were dropped, and the connection was kept.
+    @pytest.mark.parametrize("name", ENDLESS_ANSWERS)
+    def test_answers_behind_the_first_end_the_connection(self, name):
+        unit = ENDLESS_ANSWERS[name].unit
+        with pouring(Flow(2 * unit, unit), pause_s=1.0) as server:
+            client = HttpClient(server.address, SystemClock())
+            response = client.get("platform", "/", {}, GetTimeouts(LONG, LONG))
+            assert isinstance(response, HttpResponse)
+            assert client.socket is None
