Wait 50 ms, not 3 s, for a peer that takes no more

What was seen: a send over a link of the product's own front end to a host that took no more bytes lasted 3 s, with the link's lock held, so that all tasks with a message for this host stood still as long.

Cause: the timeout of reads was set on the socket, and Python waits so long for room before a send too, whatever its flags.

Fix: reads wait with poll for what they receive into a buffer of their own; the socket has no timeout. A read costs one poll and one receive, as it did before.

--- a/src/masticgate/connection/_socket.py
+++ b/src/masticgate/connection/_socket.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 from threading import Lock
 
-from .._clock import MILLIS_PER_SECOND
 from .._ids import Millis
 from ._frames import BadFrameError, Message, decode_message, encode_message
 
@@ -16,6 +15,7 @@
 """The longest that a sender waits for room in the socket before the peer counts as stuck."""
 
 SEND_BUFFER_BYTES = 1_000_000
+RECEIVE_BYTES = 65_536
 
 
 class FrameSocket:
@@ -24,14 +24,16 @@
     def __init__(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        connection.settimeout(None)
         self.connection = connection
-        self.reader = connection.makefile("rb")
+        self.received = bytearray()
+        self.timeout: Millis | None = None
         self.lock = Lock()
         self.closed = False
 
     def set_timeout(self, timeout: Millis) -> None:
         """Let a read fail after ``timeout`` without a byte."""
-        self.connection.settimeout(timeout / MILLIS_PER_SECOND)
+        self.timeout = timeout
 
     def send(self, message: Message) -> bool:
         """Send ``message`` whole; return ``False`` and close where the peer takes no more.
@@ -54,7 +56,7 @@
         :raises OSError: the connection failed or timed out.
         """
         while True:
-            head = self.reader.read(LENGTH.size)
+            head = self._read(LENGTH.size)
             if not head:
                 return
             if len(head) < LENGTH.size:
@@ -62,7 +64,7 @@
             (length,) = LENGTH.unpack(head)
             if length > MAX_FRAME_BYTES:
                 raise BadFrameError(f"frame of {length} bytes")
-            data = self.reader.read(length)
+            data = self._read(length)
             if len(data) < length:
                 raise BadFrameError("truncated frame")
             yield decode_message(data)
@@ -78,9 +80,24 @@
     def release(self) -> None:
         """Close the file descriptor; only the reading task calls this, at its end."""
         self.close()
-        self.reader.close()
         self.connection.close()
 
+    def _read(self, size: int) -> bytes:
+        """Return ``size`` bytes, or fewer at the end of the connection."""
+        while len(self.received) < size and (chunk := self._receive()):
+            self.received += chunk
+        data = bytes(self.received[:size])
+        del self.received[:size]
+        return data
+
+    def _receive(self) -> bytes:
+        """Wait for bytes in a way that leaves sends without a timeout of their own."""
+        poller = select.poll()
+        poller.register(self.connection, select.POLLIN)
+        if not poller.poll(self.timeout):
+            raise TimeoutError("nothing arrived")
+        return self.connection.recv(RECEIVE_BYTES)
+
     def _send_all(self, data: bytes) -> bool:
         view = memoryview(data)
         try:
