Close a link whose message does not end

What was seen: a peer that sent a message byte by byte, or one byte now and then, kept the link of the product's own front end open for hours: no message came, no heartbeat was answered, and the link was never opened anew. The size of a message was bounded (4 MB), its time was not.

Cause: the timeout of reads began again with each byte.

The test failed before: a read with a timeout of 300 ms took 20.6 s and 6.5 s, until the stand-in had sent all its bytes, where less than 2 s is expected.

--- a/src/masticgate/connection/_socket.py
+++ b/src/masticgate/connection/_socket.py
@@ -5,7 +5,9 @@
 import struct
 from collections.abc import Iterator
 from threading import Lock
+from time import monotonic
 
+from .._clock import MILLIS_PER_SECOND
 from .._ids import Millis
 from ._frames import BadFrameError, Message, decode_message, encode_message
 
@@ -32,7 +34,7 @@
         self.closed = False
 
     def set_timeout(self, timeout: Millis) -> None:
-        """Let a read fail after ``timeout`` without a byte."""
+        """Let a read fail where the next message is not whole within ``timeout``."""
         self.timeout = timeout
 
     def send(self, message: Message) -> bool:
@@ -56,7 +58,8 @@
         :raises OSError: the connection failed or timed out.
         """
         while True:
-            head = self._read(LENGTH.size)
+            until = None if self.timeout is None else monotonic() + self.timeout / MILLIS_PER_SECOND
+            head = self._read(LENGTH.size, until)
             if not head:
                 return
             if len(head) < LENGTH.size:
@@ -64,7 +67,7 @@
             (length,) = LENGTH.unpack(head)
             if length > MAX_FRAME_BYTES:
                 raise BadFrameError(f"frame of {length} bytes")
-            data = self._read(length)
+            data = self._read(length, until)
             if len(data) < length:
                 raise BadFrameError("truncated frame")
             yield decode_message(data)
@@ -82,20 +85,21 @@
         self.close()
         self.connection.close()
 
-    def _read(self, size: int) -> bytes:
+    def _read(self, size: int, until: float | None) -> bytes:
         """Return ``size`` bytes, or fewer at the end of the connection."""
-        while len(self.received) < size and (chunk := self._receive()):
+        while len(self.received) < size and (chunk := self._receive(until)):
             self.received += chunk
         data = bytes(self.received[:size])
         del self.received[:size]
         return data
 
-    def _receive(self) -> bytes:
+    def _receive(self, until: float | None) -> bytes:
         """Wait for bytes in a way that leaves sends without a timeout of their own."""
+        left = None if until is None else (until - monotonic()) * MILLIS_PER_SECOND
         poller = select.poll()
         poller.register(self.connection, select.POLLIN)
-        if not poller.poll(self.timeout):
-            raise TimeoutError("nothing arrived")
+        if (left is not None and left <= 0) or not poller.poll(left):
+            raise TimeoutError("no whole message in time")
         return self.connection.recv(RECEIVE_BYTES)
 
     def _send_all(self, data: bytes) -> bool:
--- a/tests/connection/test_frame_times.py
+++ b/tests/connection/test_frame_times.py
@@ -77,6 +77,17 @@
             next(frames.read_messages())
         assert SHORT / 1_000 <= monotonic() - began < SOON_S
 
+    # A byte now and then kept a link open whose peer answered nothing any more.
+    def test_an_endless_message_ends_at_the_timeout(self, ends):
+        left, frames = ends
+        frames.set_timeout(SHORT)
+        trickle = Trickle(left, struct.pack("!I", 1_000_000) + bytes(1_000))
+        began = monotonic()
+        with pytest.raises(TimeoutError):
+            next(frames.read_messages())
+        assert monotonic() - began < 2.0
+        trickle.ended.set()
+
     def test_messages_that_come_slowly_each_have_the_timeout(self, ends):
         left, frames = ends
         frames.set_timeout(Millis(1_000.0))
