Let the soak's searchers answer late, twice and without a length, and pass resets on

A searcher now sends a second answer while the connection is idle, or right before the next one, with a length or without, and ends answers without a length in order or by a reset within them; one answer in twenty also where nothing else is wrong. The proxies closed in order where the far end was reset, and where they should reset themselves; they now reset.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -10,7 +10,6 @@
 import random
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import threading
@@ -22,7 +21,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-from .loopback import StandInSearcher, head_value
+from .loopback import RESET_AT_CLOSE, End, StandInSearcher, head_value
 
 GATEWAYS = 3
 SHARDS = 4
@@ -39,6 +38,14 @@
 LOST_ALWAYS = 0.02
 """The share of answers that are lost after their run, also without a fault."""
 
+SECOND_ALWAYS = 0.05
+"""The share of answers that come twice, or without a length, also without a fault."""
+
+IDLE_S = 0.01
+"""After an answer its connection is idle at the gateway by then."""
+
+RECORD_BYTES = 16
+
 HOST = "soak.example"
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 
@@ -63,15 +70,13 @@
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.open: set[socket.socket] = set()
+        self.broken: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def turn(self, mode: Mode) -> None:
         self.mode = mode
         if mode is Mode.RESET:
-            for end in list(self.open):
-                with suppress(OSError):
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                    end.shutdown(socket.SHUT_RDWR)
+            self._break(*self.open)
 
     def _accept(self) -> None:
         with suppress(OSError):
@@ -86,19 +91,51 @@
             back.start()
             self._pump(near, far, False)
             back.join()
-        self.open -= {near}
+            self.open -= {near, far}
+        self.broken -= {near, far}
+
+    def _break(self, *ends: socket.socket) -> None:
+        """Wake the tasks that read from both ends, which then close by a reset."""
+        self.broken |= {*ends}
+        for end in ends:
+            with suppress(OSError):
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                end.shutdown(socket.SHUT_RD)
 
     def _pump(self, source: socket.socket, sink: socket.socket, answers: bool) -> None:
-        with suppress(OSError):
+        try:
             while data := source.recv(65_536):
                 if self.mode is Mode.DELAY:
                     time.sleep(0.05)
                 while self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and answers):
                     time.sleep(0.02)
                 sink.sendall(data)
+        except OSError:
+            self._break(source, sink)
         for end in (source, sink):
             with suppress(OSError):
-                end.shutdown(socket.SHUT_RDWR)
+                end.shutdown(socket.SHUT_RD if end in self.broken else socket.SHUT_RDWR)
+
+
+class Second(Enum):
+    """How a searcher answers other than once and with a length."""
+
+    AT_ONCE = "at once"
+    WHILE_IDLE = "while idle"
+    BEFORE_THE_NEXT = "before the next"
+    UNFRAMED_BEFORE_THE_NEXT = "unframed before the next"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed reset"
+
+
+@dataclass(frozen=True)
+class Sent:
+    """What a searcher sends for one request; ``late`` follows right before the next answer."""
+
+    data: bytes
+    idle: bytes = b""
+    late: bytes = b""
+    end: End = End.OPEN
 
 
 class Searcher(StandInSearcher):
@@ -113,15 +150,38 @@
         self.runs: list[tuple[str, float]] = []
         self.lost: list[str] = []
         self.drained_at: float | None = None
-        super().__init__(self.serve)
+        super().__init__(lambda head: None)
         self.proxy = Proxy(self.address)
 
-    def serve(self, head: bytes) -> bytes | None:
-        request = head_value(head, b"x-masticgate-request-id").decode()
+    def _serve(self, connection: socket.socket) -> None:
+        late = b""
+        with connection, suppress(OSError):
+            while head := self._read(connection):
+                sent = self.serve(head)
+                connection.sendall(late + sent.data)
+                if late and not is_framed(late):
+                    self.note_lost(request_of(head))
+                    return
+                if sent.idle:
+                    time.sleep(IDLE_S)
+                    connection.sendall(sent.idle)
+                if sent.end is End.RESET:
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                if sent.end is not End.OPEN:
+                    return
+                late = sent.late
+
+    def note_lost(self, request: str) -> None:
+        if request not in self.lost:
+            self.lost.append(request)
+
+    def serve(self, head: bytes) -> Sent:
+        request = request_of(head)
         if head_value(head, b"x-masticgate-expected-instance").decode() != self.identity:
-            return self.reply(request, 421, b"", b"")
+            return self.repeat(self.reply(request, 421, b"", b""))
         if self.source.random() < self.trouble / 2:
-            return self.reply(request, 503, b"x-masticgate-not-executed: 1\r\n", b"")
+            refusal = self.reply(request, 503, b"x-masticgate-not-executed: 1\r\n", b"")
+            return self.repeat(refusal)
         self.runs.append((request, time.monotonic()))
         time.sleep(0.002 + self.slow)
         stamp = f"{request}.{self.identity}.{self.service}"
@@ -129,13 +189,31 @@
         answer = self.reply(
             request, 200, b"x-masticgate-server-stamp: %s\r\n" % stamp.encode(), body
         )
-        chance = self.source.random()
-        if chance < LOST_ALWAYS + self.trouble / 4:
-            self.lost.append(request)
-            return None
-        if chance < LOST_ALWAYS + self.trouble / 2:
-            return answer + answer
-        return answer
+        if self.source.random() < LOST_ALWAYS + self.trouble / 4:
+            self.note_lost(request)
+            return Sent(b"", end=End.ORDERLY)
+        return self.repeat(answer, request)
+
+    def repeat(self, answer: bytes, request: str = "") -> Sent:
+        """Answer once, or at times in another way; that of a ``request`` may be lost."""
+        if self.source.random() > SECOND_ALWAYS + self.trouble / 2:
+            return Sent(answer)
+        match self.source.choice(list(Second)):
+            case Second.AT_ONCE:
+                return Sent(answer + answer)
+            case Second.WHILE_IDLE if self.trouble:
+                return Sent(answer, idle=answer)
+            case Second.BEFORE_THE_NEXT:
+                return Sent(answer, late=answer)
+            case Second.UNFRAMED_BEFORE_THE_NEXT:
+                return Sent(answer, late=unframed(answer))
+            case Second.UNFRAMED:
+                return Sent(unframed(answer), end=End.ORDERLY)
+            case Second.UNFRAMED_RESET if request:
+                self.note_lost(request)
+                return Sent(unframed(answer)[:-RECORD_BYTES], end=End.RESET)
+            case _:
+                return Sent(answer)
 
     def reply(self, request: str, status: int, extra: bytes, body: bytes) -> bytes:
         return b"HTTP/1.1 %d X\r\nx-masticgate-request-id: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
@@ -147,6 +225,21 @@
         )
 
 
+def request_of(head: bytes) -> str:
+    return head_value(head, b"x-masticgate-request-id").decode()
+
+
+def is_framed(answer: bytes) -> bool:
+    return b"Content-Length" in answer
+
+
+def unframed(answer: bytes) -> bytes:
+    """Return an answer without its length."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")]
+    return b"\r\n".join((*lines, b"", body))
+
+
 def records_of(request: str, service: str) -> list[bytes]:
     """Return the records that a service holds for a request."""
     source = random.Random(f"{request} {service}")
