--- a/tests/gateway/test_filled_answers.py
+++ b/tests/gateway/test_filled_answers.py
@@ -51,6 +51,20 @@
         assert not isinstance(outcome, Answered) or outcome.body == RECORDS
 
 
+class TestCutHead:
+    # Guards against a success whose stamp ends with the status line of the next answer.
+    def test_bears_no_stamp_with_foreign_bytes(self):
+        (outcome,) = outcomes_of(b"HTTP/1.1 200 OK\r\nx-id: q1\r\nx-stamp: s" + ANSWER)
+        assert not isinstance(outcome, Answered) or outcome.stamp == "s"
+        assert not isinstance(outcome, Answered) or len(outcome.headers) == 3
+
+    # Guards against a searcher's failure passed on under the status of an earlier request's answer.
+    def test_lends_no_status_to_the_failure_behind_it(self):
+        failure = ANSWER.replace(b"200 OK", b"500 No")
+        (outcome,) = outcomes_of(b"HTTP/1.1 200 OK\r\nx-id: q0\r\nx-stamp: s" + failure)
+        assert not isinstance(outcome, Answered) or outcome.status == 500
+
+
 class TestAnswerWithoutLength:
     # Guards against a late second answer of an earlier request as part of a body without a length.
     def test_is_no_success_when_an_earlier_requests_answer_comes_within_it(self):
