Go on accepting after a connection that found no descriptor or no thread

What callers saw: a host that accepts nobody any more (the product's own front end and its links), and a connection that counts as open for ever.

Cause: one failed accept, or one task that could not be started, ended the accept loop. Fix: one generator of accepted connections serves all three listeners, and pauses where none can be accepted; a connection without a task is refused or closed.

Left as it is: these listeners use a plain ThreadPoolExecutor, whose refused task may still run; their connections are socket objects, which close once.

--- a/src/masticgate/connection/_caller_server.py
+++ b/src/masticgate/connection/_caller_server.py
@@ -14,7 +14,7 @@
 from .._clock import MILLIS_PER_SECOND
 from .._failures import NotRun, Reason, Step
 from .._ids import Address, Millis
-from ._address import listen_on
+from ._address import accept_connections, listen_on
 from ._caller_app import CallerApp, failure_response
 
 MAX_DISCARDED_BYTES = 1_000_000
@@ -185,11 +185,8 @@
 
     def run(self) -> None:
         """Accept connections until stopped."""
-        while not self.stopping:
-            try:
-                connection, peer = self.listener.accept()
-            except OSError:
-                return
+        accepted = accept_connections(lambda: self.listener.accept(), lambda: self.stopping)
+        for connection, peer in accepted:
             with self.lock:
                 full = len(self.open) >= self.max_callers
                 if not full:
@@ -198,7 +195,16 @@
             if full:
                 _refuse(connection)
             else:
-                self.tasks.submit(self.serve, connection, peer)
+                self._start(connection, peer)
+
+    def _start(self, connection: socket.socket, peer: Any) -> None:
+        try:
+            self.tasks.submit(self.serve, connection, peer)
+        except RuntimeError:
+            with self.lock:
+                self.open.discard(connection)
+                self.idle.discard(connection)
+            _refuse(connection)
 
     def serve(self, connection: socket.socket, peer: Any) -> None:
         """Serve one connection until the caller closes it or falls silent."""
--- a/src/masticgate/connection/_peer.py
+++ b/src/masticgate/connection/_peer.py
@@ -11,7 +11,7 @@
 from .._clock import MILLIS_PER_SECOND, Clock
 from .._ids import Address, HostId, Incarnation, Millis
 from ..process import Heartbeat, Hello
-from ._address import listen_on, open_socket
+from ._address import accept_connections, listen_on, open_socket
 from ._frames import BadFrameError, Message
 from ._socket import FrameSocket
 
@@ -161,12 +161,12 @@
 
     def run(self) -> None:
         """Accept links until stopped."""
-        while not self.stopping:
+        accepted = accept_connections(lambda: self.listener.accept(), lambda: self.stopping)
+        for connection, _ in accepted:
             try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                break
-            self.tasks.submit(self.serve, connection)
+                self.tasks.submit(self.serve, connection)
+            except RuntimeError:
+                connection.close()
 
     def serve(self, connection: socket.socket) -> None:
         """Serve one link until it closes; a bad frame closes this link only."""
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -3,16 +3,12 @@
 import socket
 from contextlib import suppress
 from threading import Lock
-from time import sleep
 
 from ..._ids import Address, Millis
-from .._address import listen_on
+from .._address import accept_connections, listen_on
 from ._caller import Caller, CallerSettings, CallerState
 from ._task_starter import TaskStarter
 
-ACCEPT_RETRY_S = 0.05
-"""After a failed accept, which is for want of a descriptor: until some connection ended."""
-
 
 class Listener:
     """One listening socket and its callers' connections."""
@@ -31,14 +27,8 @@
 
     def run(self) -> None:
         """Accept connections until :meth:`stop`."""
-        while not self.stopped:
-            try:
-                connection, _ = self.socket.accept()
-            except OSError:
-                if self.stopped:
-                    return
-                sleep(ACCEPT_RETRY_S)
-                continue
+        accepted = accept_connections(lambda: self.socket.accept(), lambda: self.stopped)
+        for connection, _ in accepted:
             self._admit(connection)
 
     def stop(self) -> None:
