Pass on no gatherer's answer that does not say what it leaves out

What callers could see: a query's answer marked as whole (no part missing) where the gatherer's answer had no number of missing parts, and no answer at all where the number was unreadable. Gateways of this code always state it; a peer in trouble may not.

Cause: a missing header was read as 0, and any other text with int().

Fix: the number is read like others in headers; an answer without it is a failure of that gateway (502), as it may have run.

The tests failed before: 200 without the header, with an empty one and with -1; the connection closed without an answer with a word and with 5,000 digits.

--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -17,7 +17,7 @@
 )
 from ...request.gateway._exchange import Header
 from ._dialect import MISSING_SHARDS, NETWORK_TIME, TABLE_VERSION, Dialect
-from ._parser import end_to_end, find_header
+from ._parser import end_to_end, find_header, read_number
 
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -59,9 +59,9 @@
             return b""
 
 
-def read_missing(answer: Answered) -> int:
-    """Return how many shards a gatherer's answer leaves out."""
-    return int(find_header(answer.headers, MISSING_SHARDS) or 0)
+def read_missing(answer: Answered) -> int | None:
+    """Return how many shards a gatherer's answer leaves out, ``None`` where it does not say."""
+    return read_number(find_header(answer.headers, MISSING_SHARDS) or b"")
 
 
 def encode_request(request: Request, dialect: Dialect, searcher: SearcherId, left: Millis) -> bytes:
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -174,11 +174,14 @@
 
     def _read_peer_answer(self, answer: Answered) -> Reply:
         """Return a gatherer's answer as this gateway's own."""
-        if answer.success:
-            return Merged(tuple(answer.stamp.split(", ")), read_missing(answer), answer.body)
-        detail = answer.body.decode("utf-8", "replace")
-        failure = Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail)
-        return Failed(answer.status, failure)
+        match answer.success, read_missing(answer):
+            case True, int(missing):
+                return Merged(tuple(answer.stamp.split(", ")), missing, answer.body)
+            case True, None:
+                status, detail = 502, "no number of missing shards"
+            case _:
+                status, detail = answer.status, answer.body.decode("utf-8", "replace")
+        return Failed(status, Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail))
 
     def _account(
         self, request: Request, beliefs: Beliefs, route: Route | Refused, reply: Reply
--- /dev/null
+++ b/tests/gateway/test_missing_counts.py
@@ -0,0 +1,38 @@
+"""How many parts a gatherer left out: an answer that does not say is not passed on as whole."""
+
+from dataclasses import replace
+
+import pytest
+
+from masticgate import ServiceId
+from masticgate.process.gateway._catalogue import PEERS
+from masticgate.process.gateway._peers import GatherAtPeers
+from masticgate.version.gateway import Shards
+
+from .fakes import make_entry, make_route
+from .loopback import RawCaller, StandInSearcher, head_value, reply_to, running_gateway
+
+SHARDS = Shards((ServiceId("s1"),), 2, 0.5)
+
+
+def ask(headers: bytes) -> tuple[int, bytes, bytes]:
+    """Return what a caller gets of a gatherer's answer with ``headers``."""
+    stamps = b"x-gateway-stamps: s, s\r\n"
+    peer = StandInSearcher(lambda head: reply_to(head, bytes(16), extra=stamps + headers))
+    with running_gateway([make_route(SHARDS)], {"s1": [StandInSearcher(reply_to)]}) as gateway:
+        gateway.peers.decide = lambda: None
+        gateway.peers.gathering = GatherAtPeers()
+        gateway.fleet.list_searcher(replace(make_entry("peer", PEERS), address=peer.address))
+        return RawCaller(gateway).get().read()
+
+
+class TestMissingCount:
+    def test_a_stated_number_is_passed_on(self):
+        status, head, _ = ask(b"x-gateway-missing: 1\r\n")
+        assert status == 200
+        assert head_value(head, b"x-missing") == b"1"
+
+    # Without the header the answer counted as whole; with any other text the caller got nothing.
+    @pytest.mark.parametrize("number", [None, b"", b"few", b"-1", b"9" * 5_000])
+    def test_an_answer_without_a_number_is_none(self, number):
+        assert ask(b"" if number is None else b"x-gateway-missing: %s\r\n" % number)[0] == 502
