--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -174,13 +174,16 @@
 
     def _read_peer_answer(self, answer: Answered) -> Reply:
         """Return a gatherer's answer as this gateway's own."""
-        if answer.success:
-            stamps = tuple(answer.stamp.split(", "))
-            gatherer = (f"gathered by {answer.searcher}, {answer.receipt}",)
-            return Merged(stamps, read_missing(answer), answer.body, gatherer)
-        detail = answer.body.decode("utf-8", "replace")
-        failure = Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail)
-        return Failed(answer.status, failure)
+        match answer.success, read_missing(answer):
+            case True, int(missing):
+                stamps = tuple(answer.stamp.split(", "))
+                gatherer = (f"gathered by {answer.searcher}, {answer.receipt}",)
+                return Merged(stamps, missing, answer.body, gatherer)
+            case True, None:
+                status, detail = 502, "no number of missing shards"
+            case _:
+                status, detail = answer.status, answer.body.decode("utf-8", "replace")
+        return Failed(status, Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail))
 
     def _account(
         self, request: Request, beliefs: Beliefs, route: Route | Refused, reply: Reply
