End the call of a searcher's connection whose task fails

What callers saw: no answer until the deadline, and a connection fewer to that searcher for good. Cause: an error in the task left its call without an outcome and its connection counted. Fix: an error ends both, and is logged. The test fails before: no outcome.

--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -117,7 +117,14 @@
         self.parser = ResponseParser()
 
     def run(self) -> None:
-        """Connect, then read until the connection ends."""
+        """Connect, then read until the connection ends; an error ends it too."""
+        try:
+            self._run()
+        except Exception as error:
+            self._end(Lost(self.searcher, True, f"internal error: {error!r}"), connected=True)
+            raise
+
+    def _run(self) -> None:
         wait = CONNECT_TIMEOUT
         if self.current is not None:
             wait = min(wait, Millis(self.current.deadline - self.began))
--- a/tests/gateway/test_irregular_answers.py
+++ b/tests/gateway/test_irregular_answers.py
@@ -3,6 +3,8 @@
 import json
 import threading
 
+import pytest
+
 from masticgate import Address, ManualClock, Millis, SearcherId, ServiceId
 from masticgate._ids import ConnectionNumber
 from masticgate.connection.gateway import (
@@ -12,7 +14,7 @@
     UnrequestedBytes,
 )
 from masticgate.process.gateway._service import _describe_reply
-from masticgate.request.gateway import Answered, Call, Ending, Merged, Receipt
+from masticgate.request.gateway import Answered, Call, Ending, Lost, Merged, Receipt
 
 from .fakes import DIALECT, make_entry, make_fleet, make_request, make_route
 from .test_buffers import Mailbox, Owner, connect_pair
@@ -134,3 +136,22 @@
             "whole",
             "s1: connection 3, ended by close, 0 skipped",
         )
+
+
+class TestFailingTask:
+    # Guards against a call without an outcome, and a connection that counts as busy for ever.
+    def test_an_error_ends_its_call_and_its_connection(self):
+        near, far = connect_pair()
+        owner = NotingOwner()
+        call = Call(make_request("q"), make_route(), ServiceId("orders"), Millis(400.0), Mailbox())
+        task = SearcherTask(
+            SearcherId("s1"), Address("127.0.0.1:9"), owner, DIALECT, ManualClock(), call
+        )
+        task.client.socket = near
+        task.parser = None
+        far.sendall(ANSWER % b"q")
+        with pytest.raises(AttributeError):
+            task.run()
+        assert isinstance(owner.outcomes[0], Lost)
+        assert task.client.socket is None
+        far.close()
