Search a body for the head of another response in one pass

What was seen: 2 MB of status lines in a body held a core for over a minute (stopped after 60 s); each place was compared with the whole rest of the body. Fix: the search begins at whole status lines only and ends where a head of the same server has to.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -37,6 +37,9 @@
 SHORTEST_HEAD = 9
 """The bytes of ``HTTP/1.1`` and a space: fewer at the end of a body may be its own."""
 
+HEAD_ROOM = 256
+"""Bytes that the head of another response may have beyond twice those of this one's headers."""
+
 CHUNK_SHARE = 0.5
 """Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
 
@@ -287,12 +290,13 @@
     def _holds_head(self) -> bool:
         """Tell whether the body holds the head of another response, or ends within one."""
         body = b"".join(self.chunks)
-        place = body.find(b"HTTP/")
-        while place >= 0:
-            if len(body) - place >= SHORTEST_HEAD and self._is_head(body[place:]):
-                return True
-            place = body.find(b"HTTP/", place + 1)
-        return False
+        if b"HTTP/" not in body:
+            return False
+        longest = 2 * sum(len(name) + len(value) for name, value in self.headers) + HEAD_ROOM
+        return self._ends_in_status_line(body) or any(
+            self._is_head(body[found.start() : found.start() + longest])
+            for found in STATUS_LINE.finditer(body)
+        )
 
     def _is_head(self, text: bytes) -> bool:
         """Tell whether ``text`` begins with a head like this one, or is the beginning of one.
@@ -300,29 +304,27 @@
         The same server's heads have the same header names but for the framing.
         """
         head, blank, _ = text.partition(b"\r\n\r\n")
-        first, *lines = head.split(b"\r\n")
-        if not lines:
-            return self._status_line().startswith(first.rstrip(b"\r"))
-        if not STATUS_LINE.match(first):
-            return False
-        names = [line.partition(b":")[0].lower() for line in lines]
-        own = self.fields.keys() - FRAMING_HEADERS
+        names = [line.partition(b":")[0].lower() for line in head.split(b"\r\n")[1:]]
         if blank:
-            return own <= set(names)
+            return self.fields.keys() - FRAMING_HEADERS <= set(names)
+        if not names:
+            return False
         *whole, last = names
         known = self.fields.keys() | FRAMING_HEADERS
         return known.issuperset(whole) and any(name.startswith(last) for name in known)
 
+    def _ends_in_status_line(self, body: bytes) -> bool:
+        """Tell whether the body ends like this response began."""
+        version = self.parser.get_http_version().encode()
+        line = b"HTTP/%s %d %s\r" % (version, self.parser.get_status_code(), self.reason)
+        return body.endswith(tuple(line[:size] for size in range(SHORTEST_HEAD, len(line) + 1)))
+
     def _drop_filled_up(self) -> None:
         """Drop a response that ends like the beginning of another, of which the rest follows."""
         starts = tuple(b"HTTP/1."[:size] for size in range(1, SHORTEST_HEAD))
         if self.ready and self.ready[-1].body.endswith(starts):
             self.ready.pop()
 
-    def _status_line(self) -> bytes:
-        version = self.parser.get_http_version().encode()
-        return b"HTTP/%s %d %s" % (version, self.parser.get_status_code(), self.reason)
-
     def _complete(self, ending: Ending, *, keep_alive: bool) -> None:
         status = self.parser.get_status_code()
         if status >= 200:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -25,6 +26,7 @@
     SystemClock,
 )
 from masticgate.connection.gateway import SearcherTask
+from masticgate.connection.gateway._parser import ResponseParser
 from masticgate.process.gateway._catalogue import PEERS
 from masticgate.process.gateway._peers import GatherAtPeers
 from masticgate.request.gateway import (
@@ -650,6 +652,22 @@
         play(Exchange(own, own.encode().replace(b"Server", field + b"Server")))
 
 
+class TestLongBodies:
+    """What the look for a head within a body costs."""
+
+    # Guards against a body that takes a core for minutes, since it is searched again and again.
+    @pytest.mark.parametrize("unit", [b"HTTP/", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200"])
+    def test_a_body_of_status_lines_is_searched_in_seconds(self, unit):
+        parser = ResponseParser()
+        body = unit * (2_000_000 // len(unit)) + b"."
+        began = time.thread_time()
+        for start in range(0, len(body), 65_536):
+            head = b"" if start else b"HTTP/1.1 200 OK\r\nx-id: q\r\nContent-Length: %d\r\n\r\n"
+            parser.feed((head % len(body) if head else b"") + body[start : start + 65_536])
+        assert [response.body for response in parser.ready] == [body]
+        assert time.thread_time() - began < 10.0
+
+
 class TestQueries:
     """The parts of a query come over connections that carry other answers too."""
 
