Take an answer with two ids or two stamps for nobody's

What callers could see (MIXED): an answer that bears two requests' ids, or two stamps, where of repeated headers the last counted. Fix: such an answer is skipped like one of another request. Both cases of the test fail before: Answered in place of Lost.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -190,7 +190,10 @@
 
 @dataclass(slots=True)
 class ParsedResponse:
-    """One whole response as received; ``fields`` are its headers by name in lower case."""
+    """One whole response as received.
+
+    ``fields`` are its headers by name in lower case; of those in ``repeated`` the last.
+    """
 
     status: int
     headers: list[Header]
@@ -198,6 +201,7 @@
     body: bytes
     keep_alive: bool
     ending: Ending
+    repeated: frozenset[bytes]
 
 
 class CutResponseError(Exception):
@@ -251,6 +255,7 @@
         self.reason = b""
         self.headers: list[Header] = []
         self.fields: dict[bytes, bytes] = {}
+        self.repeated: frozenset[bytes] = frozenset()
         self.chunks: list[bytes] = []
 
     def on_message_begin(self) -> None:
@@ -268,7 +273,10 @@
             return
         _check_field(value)
         self.headers.append((name, value))
-        self.fields[name.lower()] = value
+        key = name.lower()
+        if key in self.fields:
+            self.repeated |= {key}
+        self.fields[key] = value
 
     def on_headers_complete(self) -> None:
         """Note whether the response says where it ends."""
@@ -329,7 +337,9 @@
         status = self.parser.get_status_code()
         if status >= 200:
             body = b"".join(self.chunks)
-            response = ParsedResponse(status, self.headers, self.fields, body, keep_alive, ending)
+            response = ParsedResponse(
+                status, self.headers, self.fields, body, keep_alive, ending, self.repeated
+            )
             self.ready.append(response)
         self._begin()
 
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -268,8 +268,10 @@
         self.owner.note(self, SkippedAnswer(RequestId(answered), call.request.id))
 
     def _is_for(self, call: Call, answer: ParsedResponse) -> bool:
+        """Tell whether an answer bears the call's id and no second id or stamp."""
         expected = call.request.id.encode("latin-1")
-        return answer.fields.get(self.dialect.request_id) == expected
+        own = answer.fields.get(self.dialect.request_id) == expected
+        return own and answer.repeated.isdisjoint((self.dialect.request_id, self.dialect.stamp))
 
     def _finish(
         self, call: Call, outcome: Outcome, load: Load | None, *, reusable: bool = True
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -642,6 +642,15 @@
         own, other = Message("q1", 200, records("q1", 1)), Message("q0", 200, b"", Framing.CHUNKED)
         play(Exchange(own, other.encode()[:-2] + b"x-id: q1\r\n\r\n"))
 
+    # Guards against an answer that is passed on with two requests' ids, or with two stamps.
+    @pytest.mark.parametrize("field", [b"x-id: other\r\n", b"x-stamp: other\r\n"])
+    def test_an_answer_with_two_ids_or_stamps_is_nobodys(self, field):
+        own = Message("q0", 200, records("q0", 1))
+        (played,) = Conversation(
+            [Exchange(own, own.encode().replace(b"x-id", field + b"x-id"), End.ORDERLY)]
+        ).run()
+        assert isinstance(played[1].outcome, Lost)
+
     # Guards against a call without an outcome, as the task ends by what int() raises.
     @pytest.mark.parametrize(
         "field",
