--- a/tests/gateway/pouring.py
+++ b/tests/gateway/pouring.py
@@ -1,13 +1,12 @@
 """Servers whose answers do not end, and the answers."""
 
 import socket
-import threading
 from contextlib import suppress
 from dataclasses import dataclass
 from threading import Event
 from time import monotonic, sleep
 
-from masticgate import Address
+from .loopback import StandInSearcher
 
 POURED_BYTES = 64_000_000
 POURED_S = 10.0
@@ -61,7 +60,7 @@
 ENDLESS = ENDLESS_HEADS | ENDLESS_BODIES | ENDLESS_ANSWERS
 
 
-class PouringServer:
+class PouringServer(StandInSearcher):
     """Answers one request of each connection with ``flow``, in blocks or a unit at a time.
 
     It notes when the other side closed, and closes itself only at its bounds.
@@ -72,21 +71,11 @@
         self.pause_s = pause_s
         self.written = 0
         self.closed = Event()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = Address(f"127.0.0.1:{self.listener.getsockname()[1]}")
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__(lambda head: None)
 
     def stop(self) -> None:
         self.listener.close()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
     def _serve(self, connection: socket.socket) -> None:
         with connection, suppress(OSError):
             if not connection.recv(65_536):
