--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -300,6 +300,7 @@
         latency = Millis(self.clock.now() - self.began)
         headers = tuple(answer.headers)
         receipt = Receipt(self.number, answer.ending, self.skipped)
+        self.skipped = 0
         return Answered(self.searcher, answer.status, headers, answer.body, stamp, latency, receipt)
 
     def _load(self, answer: ParsedResponse) -> Load | None:
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -64,7 +64,7 @@
 class Receipt:
     """How an answer was received.
 
-    ``skipped`` counts the answers to other requests that came before it on its connection.
+    ``skipped`` counts the answers to other requests that came on its connection since the last.
     """
 
     connection: ConnectionNumber = ConnectionNumber(0)
--- a/tests/gateway/test_irregular_answers.py
+++ b/tests/gateway/test_irregular_answers.py
@@ -83,7 +83,10 @@
         connection = Connection()
         connection.ask("q2", ANSWER % b"q1" + ANSWER % b"q2")
         assert connection.owner.finished.acquire(timeout=5)
+        connection.ask("q3", ANSWER % b"q3")
+        assert connection.owner.finished.acquire(timeout=5)
         connection.close()
+        assert connection.owner.outcomes[1].receipt.is_ordinary
         assert connection.owner.noted == [SkippedAnswer("q1", "q2")]
         receipt = connection.owner.outcomes[0].receipt
         assert receipt == Receipt(ConnectionNumber(7), Ending.LENGTH, 1)
