--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -11,7 +11,8 @@
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis
 from .._address import split_address
-from ._parser import Malformed, ResponseParser, read_number
+from ._parser import Malformed, read_number
+from ._response_parser import ResponseParser
 
 RECEIVE_BYTES = 16_384
 KEEP_ALIVE_IDLE_S = 1
--- /dev/null
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -0,0 +1,192 @@
+"""Reads HTTP/1.1 responses with httptools, and takes none that another one may be mixed with."""
+
+import re
+from dataclasses import dataclass
+
+import httptools
+
+from ...request.gateway._exchange import Ending, Header
+from ._parser import Malformed
+
+LARGEST_HEAD = 65_536
+"""Bytes of all heads that come for one request: several times the largest between gateways."""
+
+LARGEST_BODY = 8_000_000
+"""Bytes of all bodies that come for one request."""
+
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+"""The beginning of a response; within a head it tells that an earlier one was cut short."""
+
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"connection"})
+"""Headers in which two answers of one server may differ."""
+
+SHORTEST_HEAD = 9
+"""The bytes of ``HTTP/1.1`` and a space: fewer at the end of a body may be its own."""
+
+HEAD_ROOM = 256
+"""Bytes that the head of another response may have beyond twice those of this one's headers."""
+
+CHUNK_SHARE = 0.5
+"""Bytes around chunks for each byte in them; a chunk of 16 bytes has 6 around it."""
+
+
+@dataclass(slots=True)
+class ParsedResponse:
+    """One whole response as received.
+
+    ``fields`` are its headers by name in lower case; of those in ``repeated`` the last.
+    """
+
+    status: int
+    headers: list[Header]
+    fields: dict[bytes, bytes]
+    body: bytes
+    keep_alive: bool
+    ending: Ending
+    repeated: frozenset[bytes]
+
+
+class CutResponseError(Exception):
+    """A response begins within another that did not end."""
+
+
+class ResponseParser:
+    """Collects whole responses from one server's bytes.
+
+    What is taken between two accepted responses is bounded: responses that nobody accepts, such as
+    interim and late ones, count together with the one that is waited for.
+    """
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.ready: list[ParsedResponse] = []
+        self.taken = 0
+        self.body_size = 0
+        self._begin()
+
+    def feed(self, data: bytes | memoryview) -> Malformed | None:
+        """Take received bytes; return what is wrong with them, if anything."""
+        self.taken += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return Malformed("upgrade")
+        except httptools.HttpParserError as error:
+            self._drop_filled_up()
+            return Malformed(str(error.__context__ or error))
+        if self.body_size > LARGEST_BODY:
+            return Malformed("body too large")
+        if self.taken - self.body_size > LARGEST_HEAD + self.body_size * CHUNK_SHARE:
+            return Malformed("too many bytes around the body")
+        return None
+
+    def accept(self) -> None:
+        """Begin to count anew: a response was taken for the one that was waited for."""
+        self.taken = 0
+        self.body_size = 0
+
+    def end(self) -> None:
+        """Complete a response without a length, whose connection ended in order."""
+        if self.begun and self.in_body and not self.framed and not self._holds_head():
+            self._complete(Ending.CLOSE, keep_alive=False)
+
+    def _begin(self) -> None:
+        self.begun = False
+        self.in_body = False
+        self.framed = False
+        self.reason = b""
+        self.headers: list[Header] = []
+        self.fields: dict[bytes, bytes] = {}
+        self.repeated: frozenset[bytes] = frozenset()
+        self.chunks: list[bytes] = []
+
+    def on_message_begin(self) -> None:
+        """Note the first byte of a response."""
+        self.begun = True
+
+    def on_status(self, reason: bytes) -> None:
+        """Check the next part of the reason phrase."""
+        self.reason += reason
+        _check_field(self.reason)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header; trailers are none."""
+        if self.in_body:
+            return
+        _check_field(value)
+        self.headers.append((name, value))
+        key = name.lower()
+        if key in self.fields:
+            self.repeated |= {key}
+        self.fields[key] = value
+
+    def on_headers_complete(self) -> None:
+        """Note whether the response says where it ends."""
+        self.in_body = True
+        self.framed = b"content-length" in self.fields or b"transfer-encoding" in self.fields
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self.body_size += len(body)
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the response, unless it is an interim one."""
+        if self._holds_head():
+            raise CutResponseError("a response is filled up by the bytes of another")
+        ending = Ending.CHUNKS if b"transfer-encoding" in self.fields else Ending.LENGTH
+        self._complete(ending, keep_alive=self.parser.should_keep_alive())
+
+    def _holds_head(self) -> bool:
+        """Tell whether the body holds the head of another response, or ends within one."""
+        body = b"".join(self.chunks)
+        if b"HTTP/" not in body:
+            return False
+        longest = 2 * sum(len(name) + len(value) for name, value in self.headers) + HEAD_ROOM
+        return self._ends_in_status_line(body) or any(
+            self._is_head(body[found.start() : found.start() + longest])
+            for found in STATUS_LINE.finditer(body)
+        )
+
+    def _is_head(self, text: bytes) -> bool:
+        """Tell whether ``text`` begins with a head like this one, or is the beginning of one.
+
+        The same server's heads have the same header names but for the framing.
+        """
+        head, blank, _ = text.partition(b"\r\n\r\n")
+        names = [line.partition(b":")[0].lower() for line in head.split(b"\r\n")[1:]]
+        if blank:
+            return self.fields.keys() - FRAMING_HEADERS <= set(names)
+        if not names:
+            return False
+        *whole, last = names
+        known = self.fields.keys() | FRAMING_HEADERS
+        return known.issuperset(whole) and any(name.startswith(last) for name in known)
+
+    def _ends_in_status_line(self, body: bytes) -> bool:
+        """Tell whether the body ends like this response began."""
+        version = self.parser.get_http_version().encode()
+        line = b"HTTP/%s %d %s\r" % (version, self.parser.get_status_code(), self.reason)
+        return body.endswith(tuple(line[:size] for size in range(SHORTEST_HEAD, len(line) + 1)))
+
+    def _drop_filled_up(self) -> None:
+        """Drop a response that ends like the beginning of another, of which the rest follows."""
+        starts = tuple(b"HTTP/1."[:size] for size in range(1, SHORTEST_HEAD))
+        if self.ready and self.ready[-1].body.endswith(starts):
+            self.ready.pop()
+
+    def _complete(self, ending: Ending, *, keep_alive: bool) -> None:
+        status = self.parser.get_status_code()
+        if status >= 200:
+            body = b"".join(self.chunks)
+            response = ParsedResponse(
+                status, self.headers, self.fields, body, keep_alive, ending, self.repeated
+            )
+            self.ready.append(response)
+        self._begin()
+
+
+def _check_field(value: bytes) -> None:
+    """Raise where a part of a head holds the beginning of another response."""
+    if b"HTTP/" in value and STATUS_LINE.search(value):
+        raise CutResponseError("a response begins within a head")
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -17,7 +17,8 @@
 from ._client import HttpClient, keep_alive_timeout
 from ._dialect import Dialect
 from ._encoding import encode_request
-from ._parser import ParsedResponse, ResponseParser, read_number
+from ._parser import read_number
+from ._response_parser import ParsedResponse, ResponseParser
 
 CONNECT_TIMEOUT = Millis(300.0)
 """Many times the round trip within a region; a silent host is given up after it."""
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -26,7 +26,7 @@
     SystemClock,
 )
 from masticgate.connection.gateway import SearcherTask
-from masticgate.connection.gateway._parser import ResponseParser
+from masticgate.connection.gateway._response_parser import ResponseParser
 from masticgate.process.gateway._catalogue import PEERS
 from masticgate.process.gateway._peers import GatherAtPeers
 from masticgate.request.gateway import (
--- a/tests/gateway/test_answers_without_end.py
+++ b/tests/gateway/test_answers_without_end.py
@@ -19,7 +19,8 @@
     SearcherTask,
     peer_dialect,
 )
-from masticgate.connection.gateway._parser import Malformed, ResponseParser
+from masticgate.connection.gateway._parser import Malformed
+from masticgate.connection.gateway._response_parser import ResponseParser
 from masticgate.request.gateway import Call, Lost
 
 from .fakes import DIALECT, make_request, make_route
--- a/tests/gateway/test_trailers.py
+++ b/tests/gateway/test_trailers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from masticgate.connection.gateway._parser import ResponseParser
+from masticgate.connection.gateway._response_parser import ResponseParser
 
 from .fakes import make_route
 from .loopback import RawCaller, StandInSearcher, head_value, running_gateway
