--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -10,9 +10,10 @@
 from .fakes import make_route
 from .loopback import HangingSearcher, RawCaller, StandInSearcher, head_value, reply_to
 from .loopback import running_gateway as running
+from .soak import GATEWAYS, gateway_address
 
 SHARDS = Shards((ServiceId("s1"), ServiceId("s2")), 2, 0.5)
-SEED = Address("127.0.0.1:18106")
+SEED = Address(f"{gateway_address(GATEWAYS + 1)}:18106")
 
 
 def record(number: int) -> bytes:
