Keep an attempt whose connection is still opening if there is no other searcher

Cause: a hedge that came due before the connection of the first attempt was open cancelled that attempt before it looked for another searcher. Change: the attempt is withdrawn, atomically and only if sending has not begun, once another searcher could accept the call. Requests that are not idempotent profit too: they wait no longer for a connection that hangs.

--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -174,6 +174,14 @@
             if self.current_call is call and call.started:
                 self.client.abort()
 
+    def withdraw(self, call: Call) -> bool:
+        """Cancel ``call`` unless sending it has begun; return whether it was cancelled."""
+        with self.lock:
+            if call.started:
+                return False
+            call.cancelled = True
+            return True
+
     def close(self) -> None:
         """Close the connection; any task may call this."""
         self.client.abort()
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -89,6 +89,10 @@
         """
         self.task.cancel(self.call)
 
+    def withdraw(self) -> bool:
+        """Cancel the call unless sending it has begun; return whether it was cancelled."""
+        return self.task.withdraw(self.call)
+
 
 class Fleet:
     """All searchers that the platform lists, and the gatherers; one lock guards their state.
@@ -175,6 +179,16 @@
                 self.budgets.record_request(call.service, self.clock.now())
         return DispatchedCall(call, replica.entry.id, task)
 
+    def has_searcher(self, service: ServiceId, tried: set[SearcherId]) -> bool:
+        """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
+        now = self.clock.now()
+        with self.lock:
+            return any(
+                replica.is_usable(now) and replica.has_capacity()
+                for replica in self.services.get(service, {}).values()
+                if replica.entry.id not in tried
+            )
+
     def hedge_delay(self, route: Route) -> Millis:
         """Return the age at which a request on ``route`` is hedged."""
         with self.lock:
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -8,7 +8,7 @@
 
 from ..._failures import NotRun, Reason, Step, describe_failure
 from ..._ids import Millis, SearcherId, ServiceId
-from ...version.gateway import Route
+from ...version.gateway import Idempotency, Route
 from ._exchange import (
     Answered,
     Call,
@@ -166,14 +166,18 @@
     def _repeat(self, kind: Repeat) -> bool:
         """Send the request again, if the deadline, the route's limit and the budget allow it.
 
-        If no searcher can have received it so far, the attempts in flight are cancelled, and the
-        new attempt does not use the budget.
+        If no searcher can have received it so far, the new attempt replaces the one in flight and
+        does not use the budget.
         """
         if self.upstream.now() >= self.deadline or self.attempt_count >= self.route.attempts:
             return False
         if not self.started:
-            self.cancel()
-            return self._send(None)
+            if self.pending and not self.upstream.has_searcher(self.service, self.tried):
+                return False
+            if self._withdraw():
+                return self._send(None)
+            if self.route.kind is not Idempotency.IDEMPOTENT:
+                return False
         match kind:
             case Repeat.HEDGE:
                 allowed = self.upstream.allow_hedge(self.service)
@@ -184,6 +188,14 @@
             return False
         return self._send(kind)
 
+    def _withdraw(self) -> bool:
+        """Withdraw the attempts in flight; return ``False`` if sending one of them has begun."""
+        for key, in_flight_call in list(self.in_flight_calls.items()):
+            if not in_flight_call.withdraw():
+                return False
+            del self.in_flight_calls[key]
+        return True
+
     def _send(self, repeat: Repeat | None) -> bool:
         call = Call(self.request, self.route, self.service, self.deadline, self.inbox, repeat)
         in_flight_call = self.upstream.send(call, self.tried)
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -209,6 +209,10 @@
         """Cancel the call: close its connection if it was started, or else do not send it."""
         ...
 
+    def withdraw(self) -> bool:
+        """Cancel the call unless sending it has begun; return whether it was cancelled."""
+        ...
+
 
 class UpstreamClient(Protocol):
     """Client that sends calls to the searchers of services and limits the repeats."""
@@ -224,6 +228,10 @@
         """
         ...
 
+    def has_searcher(self, service: ServiceId, tried: set[SearcherId]) -> bool:
+        """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
+        ...
+
     def hedge_delay(self, route: Route) -> Millis:
         """Return how long after its arrival a request on ``route`` is hedged."""
         ...
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -32,7 +32,8 @@
     """Send ``request`` to one searcher of ``service`` and return the reply for its caller.
 
     An idempotent request may be sent to another searcher while an attempt is slow, as a hedge, or
-    after an attempt failed, as a retry. Any other request is repeated only if it did not run.
+    after an attempt failed, as a retry. Any other request is sent to another searcher only if it
+    did not run, for example while the connection to the first one is still opening.
     """
     return _Forward(request, route, service, upstream, inbox).run()
 
@@ -53,9 +54,7 @@
         self.repeatable = route.kind is Idempotency.IDEMPOTENT
         self.deadline = request.deadline(route)
         self.attempts = Attempts(request, route, service, upstream, inbox, self.deadline)
-        self.hedge_at: Millis | None = None
-        if self.repeatable:
-            self.hedge_at = Millis(request.arrived_at + upstream.hedge_delay(route))
+        self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
 
     def run(self) -> Reply:
         """Send the request, wait for an answer until the deadline, and return the reply."""
@@ -86,7 +85,8 @@
     def _send_hedge_if_due(self) -> None:
         if self.hedge_at is not None and self.upstream.now() >= self.hedge_at:
             self.hedge_at = None
-            self.attempts.send_hedge()
+            if self.repeatable or not self.attempts.started:
+                self.attempts.send_hedge()
 
     def _build_reply(self) -> Reply:
         attempts = self.attempts
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -1,5 +1,7 @@
 """Factories for routes, requests and settings, and test doubles for the tests of a gateway."""
 
+from dataclasses import dataclass
+
 from masticgate import Address, ManualClock, Millis, NotRun, Reason, SearcherId, ServiceId, Step
 from masticgate._ids import (
     ConfigurationVersion,
@@ -145,6 +147,13 @@
     return Answered(searcher, status, (), body, f"s-{searcher}", Millis(latency))
 
 
+@dataclass(frozen=True)
+class SlowConnect:
+    """An outcome of a script: an answer whose request is sent only just before it arrives."""
+
+    body: bytes
+
+
 class ScriptedCall:
     """A call in flight whose outcome the script determines; it records whether it is cancelled."""
 
@@ -157,13 +166,18 @@
         self.call.cancelled = True
         self.cancel_requested = True
 
+    def withdraw(self) -> bool:
+        if not self.call.started:
+            self.cancel()
+        return not self.call.started
+
 
 class ScriptedUpstream:
     """An upstream client and an inbox in one, with scripted outcomes.
 
     ``plans`` maps each service to the delays in milliseconds and the outcomes of its attempts, in
-    order; a further attempt finds no searcher. An outcome is the body of an answer, an error
-    status, or one of these strings: ``"declined"`` by the searcher, ``"lost"`` after the request
+    order; a further attempt finds no searcher. An outcome is the body of an answer, such a body
+    after a :class:`SlowConnect`, an error status, or one of these strings: ``"declined"`` by the searcher, ``"lost"`` after the request
     was sent, ``"unsent"`` because the connection was refused, and ``"silent"`` if there never is an
     outcome. ``repeats`` is the number of hedges and retries that are still allowed. The caller
     disconnects at ``disconnects_at``, if set.
@@ -187,7 +201,7 @@
             return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service)
         delay, outcome = plan.pop(0)
         searcher = SearcherId(f"{call.service}-{len(tried)}")
-        call.started = outcome != "unsent"
+        call.started = outcome != "unsent" and not isinstance(outcome, SlowConnect)
         sent_call = ScriptedCall(call, searcher)
         self.sent_calls.append(sent_call)
         call.outcome = self._outcome(searcher, outcome)
@@ -195,6 +209,9 @@
             self.events.append((self.now() + delay, len(self.sent_calls), call))
         return sent_call
 
+    def has_searcher(self, service, tried):
+        return bool(self.plans[service])
+
     def hedge_delay(self, route):
         return self.hedge
 
@@ -228,7 +245,8 @@
 
     def _outcome(self, searcher, outcome):
         match outcome:
-            case bytes() as body:
+            case bytes() | SlowConnect():
+                body = outcome.body if isinstance(outcome, SlowConnect) else outcome
                 return answered(searcher, body)
             case int() as status:
                 return answered(searcher, status=status)
--- a/tests/gateway/test_forward.py
+++ b/tests/gateway/test_forward.py
@@ -8,7 +8,7 @@
 from masticgate.request.gateway import Abandoned, Failed, Refused, Relayed, run_forward
 from masticgate.version.gateway import Idempotency
 
-from .fakes import ScriptedUpstream, make_request, make_route
+from .fakes import ScriptedUpstream, SlowConnect, make_request, make_route
 
 
 def forward(
@@ -56,6 +56,23 @@
         assert script.sent_calls[0].cancel_requested
 
 
+@pytest.mark.parametrize("kind", Idempotency)
+class TestSlowConnect:
+    """Guard against giving up a searcher whose connection is still opening when a hedge is due."""
+
+    def test_keeps_attempt_if_there_is_no_other_searcher(self, kind):
+        script = ScriptedUpstream({"orders": [(35, SlowConnect(b"order"))]})
+        reply = forward(script, kind)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"order"
+
+    def test_replaces_attempt_by_one_at_another_searcher(self, kind):
+        script = ScriptedUpstream({"orders": [(300, SlowConnect(b"slow")), (5, b"fast")]})
+        reply = forward(script, kind)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"fast"
+        assert script.now() == 25.0
+        assert script.sent_calls[0].cancel_requested
+
+
 class TestAtMostOnce:
     """Requests that are not idempotent, which may run only once."""
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -10,7 +10,7 @@
 from masticgate.request.gateway._gather import merge_records
 from masticgate.version.gateway import Shards
 
-from .fakes import ScriptedUpstream, make_request, make_route
+from .fakes import ScriptedUpstream, SlowConnect, make_request, make_route
 
 
 def record(number: int) -> bytes:
@@ -42,6 +42,11 @@
         assert isinstance(reply, Merged) and reply.missing == 0
         assert script.now() == 25.0
 
+    def test_keeps_only_searcher_of_shard_whose_connection_is_still_opening_at_hedge_delay(self):
+        script = ScriptedUpstream({"a": [(30, SlowConnect(record(1)))], "b": [(5, record(2))]})
+        reply = gather(script, min_shard_ratio=1.0)
+        assert isinstance(reply, Merged) and reply.missing == 0
+
     # The objective is 100 ms, of which 5 ms are reserved for merging and writing the answer.
     def test_leaves_out_slow_shard_before_objective_if_it_may_not_hedge(self):
         script = ScriptedUpstream({"a": [(5, record(1))], "b": [(300, record(2))]}, repeats=0)
