--- a/src/masticgate/connection/_address.py
+++ b/src/masticgate/connection/_address.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable, Iterator
+from ipaddress import IPv4Address
 from time import sleep
 from typing import Any
 
@@ -14,6 +15,26 @@
 An accept fails when the process has no free file descriptor; one is free once a connection ends.
 """
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
+
+def parse_address(text: object) -> Address | None:
+    """Return the address that ``text`` states, or ``None`` if it is not an IPv4 address and port.
+
+    The port is a decimal number from 1 to 65535 in ASCII digits.
+    """
+    if not isinstance(text, str) or not text.isascii():
+        return None
+    ip, _, port = text.rpartition(":")
+    if not port.isdigit() or len(port) > MAX_PORT_DIGITS or not 0 < int(port) <= MAX_PORT:
+        return None
+    try:
+        IPv4Address(ip)
+    except ValueError:
+        return None
+    return Address(text)
+
 
 def split_address(address: Address) -> tuple[str, int]:
     """Return the IP address and the port of ``address``."""
--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -1,5 +1,6 @@
 """The sockets and the HTTP codec of a gateway, which live as long as one connection."""
 
+from .._address import parse_address as parse_address
 from ._caller import CallerSettings as CallerSettings
 from ._caller import Handler as Handler
 from ._catalogue_codec import CatalogueUpdate as CatalogueUpdate
--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -6,9 +6,11 @@
 
 from .._clock import MILLIS_PER_SECOND
 from .._ids import Address, FailureDomainId, HostId, Millis
-from ..process.gateway import GatewaySettings, RepeatBounds
+from ..process.gateway import GatewaySettings, HostCapacity, RepeatBounds
 from ._fields import FieldError, Fields
 
+DEFAULT_LINK_MBPS = 1_000.0
+
 
 @dataclass(frozen=True, slots=True)
 class InvalidNodeFile:
@@ -51,4 +53,11 @@
             slack=bounds.number("budgetSlack"),
             window=Millis(bounds.number("budgetWindowS") * MILLIS_PER_SECOND),
         ),
+        capacity=_decode_capacity(Fields.of("settings.limits", fields.values.get("limits", {}))),
     )
+
+
+def _decode_capacity(limits: Fields) -> HostCapacity:
+    # The platform states the share of a core and, separately, how many times as fast it runs.
+    cores = limits.number("cpuShare", 1.0) * limits.number("cpuSpeedup", 1.0)
+    return HostCapacity(cores, limits.number("linkMbps", DEFAULT_LINK_MBPS))
--- a/src/masticgate/process/gateway/__init__.py
+++ b/src/masticgate/process/gateway/__init__.py
@@ -18,4 +18,5 @@
 from ._catalogue import Unavailable as Unavailable
 from ._catalogue import UnreadableItem as UnreadableItem
 from ._settings import GatewaySettings as GatewaySettings
+from ._settings import HostCapacity as HostCapacity
 from ._settings import RepeatBounds as RepeatBounds
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,13 +4,14 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 from itertools import count
 from threading import Lock
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import ConnectionNumber, Millis, SearcherId, ServiceId
+from ..._ids import ConnectionNumber, FailureDomainId, Millis, SearcherId, ServiceId
 from ...connection.gateway import (
     HeaderNames,
     Load,
@@ -28,6 +29,7 @@
 from ._hedge_delays import HedgeDelays
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._rendezvous import rendezvous_weight
 from ._repeat_budgets import RepeatBudgets
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
@@ -61,6 +63,19 @@
 STUCK_CALL_MARGIN = Millis(100.0)
 """A connection is closed once its call is past its deadline by more than this."""
 
+WARM_SEARCHERS = 2
+"""The number of searchers of each shard to which a gatherer keeps a connection open."""
+
+MAX_SHARD_CONNECTIONS = 4
+"""The connections of one gateway to each searcher of a shard, whatever its share.
+
+A searcher runs about two requests at once, and a gatherer has hundreds of searchers; requests that
+wait for a slow searcher must not take a task each.
+"""
+
+MAX_GATHERER_FAILURE_RATE = 0.15
+"""A gatherer with a higher failure rate is the last choice; one failure counts for about 1 s."""
+
 RENEWAL_WINDOW = Millis(20_000.0)
 """An expired idle connection is replaced if its searcher was sent a request within this time."""
 
@@ -202,11 +217,14 @@
         with self.lock:
             return self.budgets.spend(service, self.clock.now(), RETRY_RESERVE)
 
-    def allow_retry(self, service: ServiceId) -> bool:
+    def allow_retry(self, service: ServiceId, *, possibly_ran: bool = True) -> bool:
         """Spend one repeat from the budget of ``service`` after an attempt that failed.
 
-        Return whether the retry is allowed.
+        Return whether the retry is allowed. A query that its gatherer refused has reached no
+        searcher, so that another gatherer may have it at no cost.
         """
+        if service == PEER_SERVICE and not possibly_ran:
+            return True
         with self.lock:
             return self.budgets.spend(service, self.clock.now())
 
@@ -294,14 +312,14 @@
         self.warm_up()
 
     def warm_up(self) -> None:
-        """Open a connection to each active searcher of a shard that has none.
+        """Open a connection to each searcher that is kept warm and has none.
 
         Do nothing if the shares of this gateway say that it does not keep connections warm.
         """
         with self.lock:
             for service in self.shard_services if self.shares.keeps_warm else ():
-                for replica in self.services.get(service, {}).values():
-                    if replica.state is ReplicaState.ACTIVE and replica.connection_count == 0:
+                for replica in self._warm_replicas(service):
+                    if replica.connection_count == 0:
                         self._open_connection(replica)
 
     def apply_listing(self, entry: SearcherEntry) -> None:
@@ -337,14 +355,40 @@
                 self._start_leaving(replica, why, usable_time)
 
     def find_unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
-        """Return the searchers that this gateway uses although they are not in ``listed``."""
+        """Return the searchers that this gateway uses although they are not in ``listed``.
+
+        Gatherers are left out, since the platform does not list them.
+        """
         with self.lock:
             return {
                 searcher
                 for searcher, replica in self.replicas.items()
-                if searcher not in listed and replica.state is not ReplicaState.GONE
+                if searcher not in listed
+                and replica.state is not ReplicaState.GONE
+                and replica.entry.service != PEER_SERVICE
             }
 
+    def shard_domains(self) -> set[FailureDomainId]:
+        """Return the failure domains that have searchers of at least half of the shards."""
+        with self.lock:
+            shards_by_domain = Counter(
+                domain
+                for service in self.shard_services
+                for domain in {
+                    replica.entry.domain
+                    for replica in self.services.get(service, {}).values()
+                    if replica.is_listed
+                }
+            )
+            half = len(self.shard_services) / 2
+            return {domain for domain, shards in shards_by_domain.items() if shards >= half}
+
+    def domain_of(self, searcher: SearcherId) -> FailureDomainId | None:
+        """Return the failure domain of a searcher, or ``None`` if it is not known."""
+        with self.lock:
+            replica = self.replicas.get(searcher)
+            return None if replica is None else replica.entry.domain
+
     def maintain(self) -> None:
         """Do the regular maintenance of searchers and connections.
 
@@ -367,7 +411,7 @@
         now = self.clock.now()
         service = call.service
         known = self.services.get(service, {})
-        untried = [replica for replica in known.values() if replica.entry.id not in tried]
+        untried = [r for r in self._allowed_replicas(call) if r.entry.id not in tried]
         usable = [replica for replica in untried if replica.is_usable(now)]
         if not usable and tried and call.repeat is not Repeat.HEDGE:
             usable = [replica for replica in untried if replica.state is ReplicaState.EJECTED]
@@ -376,8 +420,42 @@
         free = [replica for replica in usable if replica.has_capacity()]
         if not free:
             return NotRun(Reason.OVERLOAD, Step.CONNECT, service, "all connections are busy")
+        if service == PEER_SERVICE:
+            return min(free, key=lambda replica: self._gatherer_sort_key(replica, call, now))
         return min(free, key=lambda replica: self._sort_key(replica, now))
 
+    def _allowed_replicas(self, call: Call) -> list[Replica]:
+        """Return the searchers to which the request of ``call`` may be sent.
+
+        A query that is gathered a second time, after its gatherer was lost, must not reach more
+        searchers of a shard than its route allows. All gateways therefore restrict a query to the
+        same searchers of each shard: those in the domain of its first gatherer, and others by the
+        hash of the request id. The restriction is lifted if none of them is usable.
+        """
+        replicas = list(self.services.get(call.service, {}).values())
+        limit = call.route.attempts
+        listed = [replica for replica in replicas if replica.is_listed]
+        if call.service not in self.shard_services or len(listed) <= limit:
+            return replicas
+        domain = call.request.gathering_domain or self.settings.domain
+        listed.sort(
+            key=lambda r: (r.entry.domain != domain, rendezvous_weight(call.request.id, r.entry.id))
+        )
+        now = self.clock.now()
+        allowed = listed[:limit]
+        return allowed if any(replica.is_usable(now) for replica in allowed) else replicas
+
+    def _gatherer_sort_key(
+        self, replica: Replica, call: Call, now: Millis
+    ) -> tuple[bool, bool, int]:
+        """Return the key of a gatherer; the lowest one is chosen.
+
+        The queries of all gateways are spread evenly over the gatherers without recent failures.
+        """
+        failed = replica.current_failure_rate(now) > MAX_GATHERER_FAILURE_RATE
+        leaving = replica.state is ReplicaState.LEAVING
+        return leaving, failed, rendezvous_weight(call.request.id, replica.entry.id)
+
     def _sort_key(self, replica: Replica, now: Millis) -> tuple[bool, float]:
         in_other_domain = replica.entry.domain != self.settings.domain
         cost = replica.cost(now) + (CROSS_DOMAIN_COST if in_other_domain else 0.0)
@@ -429,14 +507,21 @@
             )
             if now - task.idle_since < idle_timeout - IDLE_TIMEOUT_MARGIN:
                 continue
-            in_use = now - replica.last_used_at < RENEWAL_WINDOW or self._is_kept_warm(
-                replica.entry.service
-            )
-            if in_use and replica.state is ReplicaState.ACTIVE and replica.connection_count <= 2:
+            if (
+                self._is_in_use(replica, now)
+                and replica.state is ReplicaState.ACTIVE
+                and replica.connection_count <= 2
+            ):
                 self._open_connection(replica)
             replica.idle.remove(task)
             task.close()
 
+    def _is_in_use(self, replica: Replica, now: Millis) -> bool:
+        """Return whether an expired idle connection of a searcher is worth replacing."""
+        if replica.entry.service in self.shard_services and not self.shares.keeps_warm:
+            return False
+        return now - replica.last_used_at < RENEWAL_WINDOW or self._is_kept_warm(replica)
+
     def _close_stuck(self, now: Millis) -> None:
         """Close connections whose call is past its deadline; the lock is held."""
         for task in self.tasks:
@@ -492,10 +577,34 @@
         accepted = self.accepted_connections.get(service)
         if accepted is None:
             return DEFAULT_CONNECTIONS
-        return self.shares.max_connections(accepted, shard=service in self.shard_services)
+        shard = service in self.shard_services
+        share = self.shares.max_connections(accepted, shard=shard)
+        return min(share, MAX_SHARD_CONNECTIONS) if shard else share
+
+    def _warm_replicas(self, service: ServiceId) -> list[Replica]:
+        """Return the searchers of a shard to which this gateway keeps a connection open.
+
+        They are one for first attempts, in this gateway's domain if there is one, and one to hedge.
+        """
+        active = [
+            replica
+            for replica in self.services.get(service, {}).values()
+            if replica.state is ReplicaState.ACTIVE
+        ]
+        own_domain = self.settings.domain
+        active.sort(
+            key=lambda r: (
+                r.entry.domain != own_domain,
+                rendezvous_weight(self.settings.host, r.entry.id),
+            )
+        )
+        return active[:WARM_SEARCHERS]
 
-    def _is_kept_warm(self, service: ServiceId) -> bool:
-        return self.shares.keeps_warm and service in self.shard_services
+    def _is_kept_warm(self, replica: Replica) -> bool:
+        service = replica.entry.service
+        if not self.shares.keeps_warm or service not in self.shard_services:
+            return False
+        return replica in self._warm_replicas(service)
 
     def _is_outdated(self, known: Replica | None, entry: SearcherEntry) -> bool:
         """Return whether a listing is older than what is known of its searcher.
--- /dev/null
+++ b/src/masticgate/process/gateway/_membership.py
@@ -0,0 +1,74 @@
+"""The gateways that a seed knows from their heartbeats."""
+
+from dataclasses import dataclass
+
+from ..._ids import HostId, Millis
+from ._gatherers import Member
+
+HEARTBEAT_INTERVAL = Millis(500.0)
+"""The interval between the heartbeats of a gatherer, and of every gateway while there are few."""
+
+HEARTBEAT_MILLIS_PER_MEMBER = 10.0
+"""The interval of the other gateways grows with their number, so that a seed receives at most 100
+of their heartbeats in a second."""
+
+MAX_HEARTBEAT_INTERVAL = Millis(5_000.0)
+
+MISSED_INTERVALS = 2.6
+"""A gateway can no longer gather after this many of its intervals without a heartbeat."""
+
+MIN_MEMBER_TTL = Millis(5_000.0)
+"""A gateway counts as running for at least this long after its last heartbeat."""
+
+
+def heartbeat_interval(members: int, *, is_gatherer: bool) -> Millis:
+    """Return the interval between the heartbeats of one of ``members`` gateways."""
+    if is_gatherer:
+        return HEARTBEAT_INTERVAL
+    interval = members * HEARTBEAT_MILLIS_PER_MEMBER
+    return Millis(min(MAX_HEARTBEAT_INTERVAL, max(HEARTBEAT_INTERVAL, interval)))
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The latest heartbeat of one gateway; the next one is due after ``interval``.
+
+    ``member`` is ``None`` if the gateway cannot gather queries now: it is not ready, or its release
+    does not state an address.
+    """
+
+    member: Member | None
+    interval: Millis
+    received_at: Millis
+
+    def age_limit(self, minimum: Millis = Millis(0.0)) -> Millis:
+        """Return the age at which this heartbeat is too old, but not less than ``minimum``."""
+        return max(minimum, Millis(self.interval * MISSED_INTERVALS))
+
+
+class Membership:
+    """The latest heartbeat of each gateway; the lock of :class:`Peers` guards it."""
+
+    def __init__(self) -> None:
+        self.heartbeats: dict[HostId, Heartbeat] = {}
+
+    def record(self, host: HostId, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat."""
+        self.heartbeats[host] = heartbeat
+
+    def count(self, now: Millis) -> int:
+        """Return the number of running gateways, this one included, and drop the others."""
+        self.heartbeats = {
+            host: heartbeat
+            for host, heartbeat in self.heartbeats.items()
+            if now - heartbeat.received_at <= heartbeat.age_limit(MIN_MEMBER_TTL)
+        }
+        return 1 + len(self.heartbeats)
+
+    def candidates(self, now: Millis) -> list[Member]:
+        """Return the other gateways that can gather queries now."""
+        return [
+            heartbeat.member
+            for heartbeat in self.heartbeats.values()
+            if heartbeat.member is not None and now - heartbeat.received_at <= heartbeat.age_limit()
+        ]
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -1,36 +1,41 @@
-"""The state of the other gateways, and the choice of the gateways that gather queries.
+"""The state of the other gateways: heartbeats, the gatherers, and the relays of the catalogue.
 
 To gather a query is to send it to one searcher of each of its shards and to merge the answers. Each
-gateway sends heartbeats to the seeds, which are the few gateways that its settings name. A seed
-counts the gateways from which it receives heartbeats. If a searcher accepts too few connections for
-all gateways, only the seeds connect to the searchers of shards, and they gather the queries for the
-other gateways. A gateway that gathers queries for others is called a gatherer.
+gateway sends heartbeats to the seeds, which are the few gateways that its settings name. The seeds
+name the gatherers, the gateways that gather the queries of all; every other gateway forwards its
+queries to one of them.
 """
 
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from math import isfinite
 from threading import Lock, Thread
 from time import sleep
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, FailureDomainId, HostId, Millis, RouteId, SearcherId
-from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse
+from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
 from ...request.gateway import LocalPage, Request
 from ...version.gateway import Idempotency, OneService, Route, RouteTable
 from ._catalogue import PEER_SERVICE, SearcherEntry, SearcherPhase
 from ._fleet import Fleet
+from ._gatherers import Member, choose_gatherers
 from ._log import EventLog, LogEvent
+from ._membership import (
+    HEARTBEAT_INTERVAL,
+    MAX_HEARTBEAT_INTERVAL,
+    Heartbeat,
+    Membership,
+    heartbeat_interval,
+)
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
 
 HEARTBEAT_HOST = "heartbeat.gateway"
 """The Host header by which a gateway recognizes a heartbeat."""
 
-HEARTBEAT_INTERVAL = Millis(500.0)
-"""The interval between heartbeats to a seed that is a gatherer."""
-
 FIRST_HEARTBEAT_DELAY = Millis(50.0)
 HEARTBEAT_RETRY_INTERVAL = Millis(250.0)
 """The interval between heartbeats to a seed that does not respond or is not ready.
@@ -38,21 +43,23 @@
 It is short, so that a starting gateway soon finds the seeds.
 """
 
+QUICK_RETRIES = 20
+"""After this many missed heartbeats in a row, the retry interval is that of other heartbeats."""
+
 HEARTBEAT_TIMEOUTS = GetTimeouts(Millis(400.0), Millis(400.0))
 """The timeouts for the connection to a seed, and for its reply to a heartbeat."""
 
 MAX_MISSED_HEARTBEATS = 2
-"""A gatherer is no longer used after this many missed heartbeats in a row.
+"""A seed no longer counts as a relay after this many missed heartbeats in a row.
 
-They take up to a second if its host refuses connections, and up to two if it does not respond. A
-gatherer that replies that it is not ready is dropped at once.
+A seed that replies that it is not ready is dropped at once.
 """
 
-MEMBER_TTL = Millis(5_000.0)
-"""How long a gateway counts as running after its last heartbeat."""
+NAMING_DELAY = Millis(1_500.0)
+"""A starting seed names no gatherers before it can have heard from every gateway."""
 
 WARM_UP_DELAY = Millis(2_000.0)
-"""How long a starting gateway waits for the number of gateways before it warms up connections.
+"""How long a starting gateway waits for the names of the gatherers before it warms up connections.
 
 It waits twice as long if it is not a seed and knows of no other gateway. To warm up is to open a
 connection to each searcher of a shard before there is a request for it.
@@ -64,22 +71,24 @@
 The catalogue is the configuration and the listings of the searchers.
 """
 
-MIN_CONNECTIONS_TO_GATHER = 2
-"""The connections to each searcher that a gateway needs to gather queries itself.
-
-One is for the first attempt, and one for a hedge.
-"""
+MAX_NAMED_GATHERERS = 1_000
+"""The number of gatherers that are accepted in one reply to a heartbeat."""
 
 PEER_SLOTS = 64
 """The number of queries that a gatherer is assumed to run at the same time."""
 
-PEER_ATTEMPTS = 2
+PEER_ATTEMPTS = 3
 """The number of gatherers to which one query may be sent."""
 
 
 @dataclass(frozen=True, slots=True)
 class GatherHere:
-    """This gateway gathers queries over many shards itself."""
+    """This gateway gathers queries over many shards itself.
+
+    ``is_gatherer`` says whether it was chosen for that; otherwise it knows of no gatherer.
+    """
+
+    is_gatherer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,15 +99,12 @@
 Gathering = GatherHere | GatherAtPeers
 
 
-def choose_gathering(members: int, connections: int, *, is_seed: bool) -> Gathering:
-    """Return where a gateway gathers its queries.
+@dataclass(frozen=True, slots=True)
+class Gatherer:
+    """A gateway that gathers queries for others, as a seed names it."""
 
-    ``members`` is the number of running gateways, and ``connections`` the number that one searcher
-    accepts from all of them together. A seed always gathers its queries itself.
-    """
-    if is_seed or connections // max(1, members) >= MIN_CONNECTIONS_TO_GATHER:
-        return GatherHere()
-    return GatherAtPeers()
+    address: Address
+    domain: FailureDomainId
 
 
 def peer_route(route: Route) -> Route:
@@ -118,9 +124,10 @@
 class Peers:
     """The state of the other gateways, as far as this gateway knows it.
 
-    ``last_heartbeats`` maps each gateway to the time of its last heartbeat; only a seed receives
-    them. ``relay_domains`` maps each seed that relays the platform's catalogue to its failure
-    domain. ``members`` is the number of running gateways.
+    ``membership`` holds the heartbeats that this gateway receives if it is a seed. ``named`` maps
+    each seed that responds to the gatherers that it names, and ``gatherers`` holds all of them; the
+    last ones stay in use while no seed names any. ``relay_domains`` maps each seed that relays the
+    platform's catalogue to its failure domain. ``members`` is the number of running gateways.
     """
 
     def __init__(
@@ -141,8 +148,11 @@
         self.is_ready = is_ready
         self.is_platform_reachable = is_platform_reachable
         self.lock = Lock()
+        self.apply_lock = Lock()
         self.started_at = clock.now()
-        self.last_heartbeats: dict[HostId, Millis] = {}
+        self.membership = Membership()
+        self.named: dict[Address, frozenset[Gatherer]] = {}
+        self.gatherers: frozenset[Gatherer] = frozenset()
         self.relay_domains: dict[Address, FailureDomainId] = {}
         self.members = 1
         self.gathering: Gathering = GatherHere()
@@ -154,28 +164,25 @@
                 Thread(target=self._run_heartbeats, args=(seed,), daemon=True).start()
 
     def handle_heartbeat(self, request: Request) -> LocalPage:
-        """Record a heartbeat, and return this gateway's state and the number of gateways."""
+        """Record a heartbeat, and return this gateway's state, the gatherers and the members."""
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
-        now = self.clock.now()
         with self.lock:
-            self.last_heartbeats[host] = now
-            expired = [
-                known
-                for known, received_at in self.last_heartbeats.items()
-                if now - received_at > MEMBER_TTL
-            ]
-            for known in expired:
-                del self.last_heartbeats[known]
-            members = 1 + len(self.last_heartbeats)
+            self.membership.record(host, heartbeat)
+            members = self.membership.count(heartbeat.received_at)
+            named = self.named.get(self.settings.peer_address or Address(""), frozenset())
         reply = {
             "host": self.settings.host,
             "domain": self.settings.domain,
             "ready": self.is_ready(),
             "relays": self.is_ready() and self.is_platform_reachable(),
             "members": members,
+            "gatherers": [
+                [gatherer.address, gatherer.domain] for gatherer in sorted(named, key=str)
+            ],
         }
-        return LocalPage(200, json.dumps(reply).encode())
+        return LocalPage(200, json.dumps(reply, separators=(",", ":")).encode())
 
     def find_relays(self) -> list[Address]:
         """Return the seeds that relay the catalogue, those in this gateway's domain first.
@@ -195,31 +202,65 @@
         table = self.current_table()
         if table is None:
             return
+        if self.settings.is_seed:
+            self._name_gatherers(table)
+        self._apply_gatherers()
         with self.lock:
-            if self.settings.is_seed:
-                self.members = 1 + len(self.last_heartbeats)
-            members = self.members
-        shards = table.shard_services()
-        accepted = [table.services[name].connections for name in shards if name in table.services]
-        connections = min(accepted, default=0)
-        chosen = choose_gathering(members, connections, is_seed=self.settings.is_seed)
-        gathering_of_others = choose_gathering(members, connections, is_seed=False)
+            members, gatherers = self.members, self.gatherers
+        is_gatherer = any(g.address == self.settings.peer_address for g in gatherers)
+        chosen: Gathering = (
+            GatherAtPeers() if gatherers and not is_gatherer else GatherHere(is_gatherer)
+        )
         if chosen != self.gathering:
             self.gathering = chosen
             self.log.write(
                 LogEvent.GATHERING,
                 chosen=type(chosen).__name__,
                 members=members,
-                connections=connections,
+                gatherers=len(gatherers),
             )
-        gatherers = (
-            len(self.settings.seeds) if isinstance(gathering_of_others, GatherAtPeers) else members
+        keeps_warm = is_gatherer or (not gatherers and self._has_waited_for_gatherers())
+        self.fleet.apply_shares(
+            GatewayShares(members, len(gatherers) if is_gatherer else members, keeps_warm)
         )
-        keeps_warm = self._knows_member_count() and isinstance(chosen, GatherHere)
-        self.fleet.apply_shares(GatewayShares(members, max(1, gatherers), keeps_warm))
 
-    def _knows_member_count(self) -> bool:
-        """Return whether the number of gateways is known, or is no longer waited for."""
+    def _name_gatherers(self, table: RouteTable) -> None:
+        """Choose the gatherers among the gateways that send heartbeats to this seed."""
+        now = self.clock.now()
+        shards = table.shard_services()
+        accepted = [table.services[name].connections for name in shards if name in table.services]
+        domains = self.fleet.shard_domains()
+        with self.lock:
+            self.members = self.membership.count(now)
+            if now - self.started_at < NAMING_DELAY or self.settings.peer_address is None:
+                return
+            members = self.membership.candidates(now)
+            if self.is_ready():
+                members.append(self._own_member(self.settings.peer_address))
+            chosen = choose_gatherers(members, domains, min(accepted, default=0))
+            self.named[self.settings.peer_address] = frozenset(
+                Gatherer(member.address, member.domain) for member in chosen
+            )
+
+    def _apply_gatherers(self) -> None:
+        """Send queries to the gatherers that the seeds name now, and no longer to others."""
+        with self.apply_lock:
+            with self.lock:
+                named = frozenset[Gatherer]().union(*self.named.values())
+            if not named:
+                return
+            for gatherer in self.gatherers - named:
+                self.log.write(LogEvent.GATHERER_LOST, peer=gatherer.address)
+                self.fleet.remove_searcher(_peer_id(gatherer.address), "not named by a seed")
+            for gatherer in named - self.gatherers:
+                self.log.write(LogEvent.GATHERER_FOUND, peer=gatherer.address)
+            for gatherer in named:
+                if gatherer.address != self.settings.peer_address:
+                    self.fleet.apply_listing(_gatherer_entry(gatherer))
+            self.gatherers = named
+
+    def _has_waited_for_gatherers(self) -> bool:
+        """Return whether the names of the gatherers are no longer waited for."""
         age = self.clock.now() - self.started_at
         return (
             age > WARM_UP_DELAY and (self.settings.is_seed or self.members > 1)
@@ -228,50 +269,62 @@
     def _run_heartbeats(self, seed: Address) -> None:
         """Send heartbeats to one seed until the process ends.
 
-        The seed is a gatherer while its replies say that it is ready.
+        The seed names gatherers, and may relay the catalogue, while it replies that it is ready.
         """
         client = HttpClient(seed, self.clock)
-        peer = SearcherId(f"{PEER_SERVICE}/{seed}")
         misses = MAX_MISSED_HEARTBEATS
         wait = FIRST_HEARTBEAT_DELAY
         while True:
             sleep(wait / MILLIS_PER_SECOND)
-            wait = (
-                HEARTBEAT_INTERVAL if misses < MAX_MISSED_HEARTBEATS else HEARTBEAT_RETRY_INTERVAL
-            )
-            reply = self._exchange_heartbeat(client)
+            wait = self._next_interval(misses)
+            reply = self._exchange_heartbeat(client, wait)
             if reply is not None and reply.get("ready") is True:
-                if misses >= MAX_MISSED_HEARTBEATS:
-                    self.log.write(LogEvent.GATHERER_FOUND, peer=seed)
                 misses = 0
                 self._record_reply(seed, reply)
-                self.fleet.apply_listing(_gatherer_entry(peer, seed, reply))
                 continue
             misses += 1
-            if misses == MAX_MISSED_HEARTBEATS or (
-                reply is not None and misses < MAX_MISSED_HEARTBEATS
-            ):
-                misses = MAX_MISSED_HEARTBEATS
-                self.log.write(LogEvent.GATHERER_LOST, peer=seed, answered=reply is not None)
+            if reply is not None or misses >= MAX_MISSED_HEARTBEATS:
+                misses = max(misses, MAX_MISSED_HEARTBEATS)
                 with self.lock:
                     self.relay_domains.pop(seed, None)
-                self.fleet.remove_searcher(peer, "no heartbeat")
+                    self.named.pop(seed, None)
 
-    def _exchange_heartbeat(self, client: HttpClient) -> dict[str, object] | None:
-        """Send one heartbeat; return the decoded reply, or ``None`` if there is no valid one."""
-        query = {"host": self.settings.host}
+    def _next_interval(self, misses: int) -> Millis:
+        if MAX_MISSED_HEARTBEATS <= misses < MAX_MISSED_HEARTBEATS + QUICK_RETRIES:
+            return HEARTBEAT_RETRY_INTERVAL
+        match self.gathering:
+            case GatherHere(is_gatherer=is_gatherer):
+                return heartbeat_interval(self.members, is_gatherer=is_gatherer)
+            case GatherAtPeers():
+                return heartbeat_interval(self.members, is_gatherer=False)
+
+    def _exchange_heartbeat(self, client: HttpClient, interval: Millis) -> dict[str, object] | None:
+        """Send one heartbeat; return the decoded reply, or ``None`` if there is no valid one.
+
+        The next heartbeat follows after ``interval``.
+        """
+        query: dict[str, object] = {"host": self.settings.host}
+        if self.settings.peer_address is not None and self.is_ready():
+            own = self._own_member(self.settings.peer_address)
+            query |= {"peer": own.address, "domain": own.domain, "rate": round(own.rate, 1)}
+            query["interval"] = round(interval)
         response = client.get(HEARTBEAT_HOST, "/", query, HEARTBEAT_TIMEOUTS)
         if not isinstance(response, HttpResponse):
             client.close()
             return None
         try:
             reply = json.loads(response.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
         return reply if isinstance(reply, dict) else None
 
+    def _own_member(self, address: Address) -> Member:
+        settings = self.settings
+        return Member(settings.host, address, settings.domain, settings.capacity.gathering_rate)
+
     def _record_reply(self, seed: Address, reply: dict[str, object]) -> None:
         members = reply.get("members")
+        gatherers = decode_gatherers(reply.get("gatherers"))
         with self.lock:
             if reply.get("relays") is True:
                 self.relay_domains[seed] = FailureDomainId(str(reply.get("domain")))
@@ -279,10 +332,47 @@
                 self.relay_domains.pop(seed, None)
             if isinstance(members, int) and members > 0:
                 self.members = members
+            self.named[seed] = gatherers
+        self._apply_gatherers()
 
 
-def _gatherer_entry(peer: SearcherId, seed: Address, reply: dict[str, object]) -> SearcherEntry:
+def decode_heartbeat(query: dict[str, list[str]], now: Millis) -> Heartbeat:
+    """Return the heartbeat that a query states; one that is invalid states no member."""
+    unknown = Heartbeat(None, HEARTBEAT_INTERVAL, now)
+    try:
+        host, domain = HostId(query["host"][0]), FailureDomainId(query["domain"][0])
+        address = parse_address(query["peer"][0])
+        rate, interval = float(query["rate"][0]), Millis(float(query["interval"][0]))
+    except (KeyError, ValueError):
+        return unknown
+    if address is None or not (0.0 < interval <= MAX_HEARTBEAT_INTERVAL and isfinite(rate)):
+        return unknown
+    return Heartbeat(Member(host, address, domain, rate), interval, now)
+
+
+def decode_gatherers(value: object) -> frozenset[Gatherer]:
+    """Return the gatherers that a reply to a heartbeat names; invalid ones are left out."""
+    gatherers = set()
+    for item in value[:MAX_NAMED_GATHERERS] if isinstance(value, list) else ():
+        match item:
+            case [text, str(domain)] if (address := parse_address(text)) is not None:
+                gatherers.add(Gatherer(address, FailureDomainId(domain)))
+    return frozenset(gatherers)
+
+
+def _peer_id(address: Address) -> SearcherId:
+    return SearcherId(f"{PEER_SERVICE}/{address}")
+
+
+def _gatherer_entry(gatherer: Gatherer) -> SearcherEntry:
     """Return a listing for a gatherer, so that the fleet can treat it as a searcher."""
-    domain = FailureDomainId(str(reply.get("domain")))
-    phase = SearcherPhase.READY
-    return SearcherEntry(peer, PEER_SERVICE, seed, domain, PEER_SLOTS, phase, Millis(0.0), 0)
+    return SearcherEntry(
+        _peer_id(gatherer.address),
+        PEER_SERVICE,
+        gatherer.address,
+        gatherer.domain,
+        PEER_SLOTS,
+        SearcherPhase.READY,
+        Millis(0.0),
+        0,
+    )
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -107,6 +107,11 @@
             case ReplicaState.GONE:
                 return False
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the searcher is listed and not about to leave, as all gateways see it."""
+        return self.state in (ReplicaState.ACTIVE, ReplicaState.EJECTED)
+
     def has_capacity(self) -> bool:
         """Return whether a connection is idle or another one may be opened."""
         return bool(self.idle) or self.connection_count < self.max_connections
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from threading import BoundedSemaphore
 
 from ..._failures import NotRun, Reason, Step, Unknown, describe_failure
-from ..._ids import ConfigurationVersion, Millis, RouteId, ServiceId
+from ..._ids import ConfigurationVersion, Millis, RouteId, SearcherId, ServiceId
 from ...connection.gateway import parse_missing_shards
 from ...request.gateway import (
     Abandoned,
@@ -32,6 +33,15 @@
 NO_CONFIGURATION_RETRY_AFTER = Millis(300.0)
 """The time after which a starting gateway has usually read the configuration."""
 
+NO_GATHERER_RETRY_AFTER = Millis(100.0)
+"""The time after which a gateway may know of another gatherer, or gathers fewer queries itself."""
+
+MAX_OWN_GATHERINGS = 4
+"""The number of queries that a gateway gathers at the same time although it is no gatherer.
+
+Each needs a connection to every shard, so that many would take hundreds of tasks on every host.
+"""
+
 LOG_SAMPLE_INTERVAL = 16
 """One in this many ordinary requests is logged.
 
@@ -105,6 +115,7 @@
         self.round_robin = WeightedRoundRobin()
         self.network_times = NetworkTimes()
         self.ordinary_reply_count = 0
+        self.own_gatherings = BoundedSemaphore(MAX_OWN_GATHERINGS)
 
     def handle(self, request: Request, inbox: Inbox) -> Reply:
         """Return the reply to one request of a caller."""
@@ -170,15 +181,17 @@
     def _gather(
         self, request: Request, table: RouteTable, route: Route, shards: Shards, inbox: Inbox
     ) -> Reply:
-        """Gather the query in this gateway, or forward it to another gateway that gathers it.
+        """Gather the query in this gateway, or forward it to a gatherer.
 
-        To gather a query is to send it to all its shards and to merge the answers. If no other
-        gateway began to gather it, it is gathered here. If the other gateway was lost while it
-        gathered, the query is gathered again here, if the budget for repeats allows it.
+        To gather a query is to send it to all its shards and to merge the answers. If no gatherer
+        began to gather it, it is gathered here. If the gatherer was lost while it gathered, the
+        query is gathered again here, if the budget for repeats allows it.
         """
         match self.peers.gathering:
-            case GatherHere():
+            case GatherHere(is_gatherer=True):
                 return run_gather(request, route, shards, self.fleet, inbox)
+            case GatherHere():
+                return self._gather_without_peer(request, route, shards, inbox)
             case GatherAtPeers():
                 peer_request = replace(request, version=table.version)
                 reply = run_forward(
@@ -189,13 +202,32 @@
                 return self._read_peer_answer(answer)
             case Refused():
                 self.metrics.count("gathered_without_peer")
-            case Failed(status=502) if self.fleet.allow_retry(PEER_SERVICE):
+                return self._gather_without_peer(request, route, shards, inbox)
+            case Failed(status=502, failure=failure) if self.fleet.allow_retry(
+                PEER_SERVICE, possibly_ran=True
+            ):
                 self.metrics.count("gathered_again")
-                again = run_gather(request, route, shards, self.fleet, inbox)
-                return _refusal_as_unknown(again)
+                domain = self.fleet.domain_of(SearcherId(failure.peer))
+                again = replace(request, gathering_domain=domain)
+                return _refusal_as_unknown(self._gather_without_peer(again, route, shards, inbox))
             case _:
                 return reply
-        return run_gather(request, route, shards, self.fleet, inbox)
+
+    def _gather_without_peer(
+        self, request: Request, route: Route, shards: Shards, inbox: Inbox
+    ) -> Reply:
+        """Gather a query although this gateway is no gatherer, or refuse it.
+
+        The connections to the searchers have to be opened first, so that only a few queries are
+        gathered in this way at the same time.
+        """
+        if not self.own_gatherings.acquire(blocking=False):
+            failure = NotRun(Reason.OVERLOAD, Step.FORWARD, detail="no gatherer is available")
+            return Refused(503, failure, NO_GATHERER_RETRY_AFTER)
+        try:
+            return run_gather(request, route, shards, self.fleet, inbox)
+        finally:
+            self.own_gatherings.release()
 
     def _read_peer_answer(self, answer: Answered) -> Reply:
         """Return the reply to the caller for a gatherer's answer."""
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -17,6 +17,28 @@
     window: Millis
 
 
+GATHERED_BYTES = 200_000.0
+"""The bytes that a gatherer of 90 shards sends and receives for one query."""
+
+GATHERING_CPU_S = 0.025
+"""The processor time that a gatherer of 90 shards needs for one query, in seconds."""
+
+BYTES_PER_MEGABIT = 125_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostCapacity:
+    """The processor, in cores, and the network link, in Mbit/s, of a gateway's host."""
+
+    cores: float
+    link: float
+
+    @property
+    def gathering_rate(self) -> float:
+        """Return the number of large queries a second that the host can gather."""
+        return min(self.cores / GATHERING_CPU_S, self.link * BYTES_PER_MEGABIT / GATHERED_BYTES)
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """The addresses, the failure domain and the time limits of one gateway.
@@ -26,7 +48,7 @@
     on ``peer_address``. ``seeds`` holds the peer addresses of a few gateways; some may be out of
     date. ``store_address`` is the address of the platform's store. ``grace`` is the time from the
     request to stop until the process is killed, and ``drain`` how long a leaving searcher may still
-    be sent requests.
+    be sent requests. ``capacity`` is that of the gateway's host.
     """
 
     host: HostId
@@ -40,11 +62,12 @@
     grace: Millis
     drain: Millis
     repeats: RepeatBounds
+    capacity: HostCapacity
 
     @property
     def is_seed(self) -> bool:
         """Return whether this gateway is a seed.
 
-        If there are many gateways, the seeds gather queries and relay the catalogue for the others.
+        The seeds name the gatherers and, if there are many gateways, relay the catalogue.
         """
         return self.peer_address is not None and self.peer_address in self.seeds
--- a/src/masticgate/process/gateway/_shares.py
+++ b/src/masticgate/process/gateway/_shares.py
@@ -13,8 +13,8 @@
 The rest is a margin, since the bound holds for a sliding window.
 """
 
-USED_SLACK_SHARE = 0.8
-"""The part of the allowed slack that is used; the rest is a margin."""
+USED_SLACK_SHARE = 0.65
+"""The part of the allowed slack that gatherers use; the rest is for queries gathered again."""
 
 PEER_REPEAT_SHARE = 0.1
 """The part of the allowed ratio for queries that are forwarded to a gatherer and repeated.
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -182,7 +182,9 @@
             case Repeat.HEDGE:
                 allowed = self.upstream.allow_hedge(self.service)
             case Repeat.RETRY:
-                allowed = self.upstream.allow_retry(self.service)
+                allowed = self.upstream.allow_retry(
+                    self.service, possibly_ran=self.may_have_run or self.pending_started
+                )
         if not allowed:
             self.repeat_failure = NotRun(Reason.BUDGET, Step.ROUTE, self.service)
             return False
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -12,6 +12,7 @@
 from ..._ids import (
     ConfigurationVersion,
     ConnectionNumber,
+    FailureDomainId,
     Millis,
     RequestId,
     SearcherId,
@@ -34,7 +35,8 @@
     connection. ``network_time`` is the estimated time that the request and its answer spend on the
     network between caller and gateway; the route's objective includes it. ``version`` is set if one
     gateway forwards the request to another: it is the version of the configuration by which the
-    other gateway has to serve the request.
+    other gateway has to serve the request. ``gathering_domain`` is set if a
+    query is gathered again here: it is the failure domain of its first gatherer.
     """
 
     id: RequestId
@@ -48,6 +50,7 @@
     is_first_on_connection: bool = False
     network_time: Millis = Millis(0.0)
     version: ConfigurationVersion | None = None
+    gathering_domain: FailureDomainId | None = None
 
     @property
     def path(self) -> str:
@@ -243,6 +246,9 @@
         """
         ...
 
-    def allow_retry(self, service: ServiceId) -> bool:
-        """Return whether a retry may be sent, and if so, spend a repeat of the service's budget."""
+    def allow_retry(self, service: ServiceId, *, possibly_ran: bool = True) -> bool:
+        """Return whether a retry may be sent, and if so, spend a repeat of the service's budget.
+
+        ``possibly_ran`` says whether an earlier attempt may have run.
+        """
         ...
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -16,6 +16,12 @@
 after about half the running time of a request.
 """
 
+MAX_CONNECT_TIME = Millis(25.0)
+"""A request that is not idempotent goes to another searcher if the connection takes longer.
+
+It is several round trips within a region; a host that is down does not answer at all.
+"""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that tell a caller that its request did not run.
 
@@ -54,7 +60,10 @@
         self.repeatable = route.kind is Idempotency.IDEMPOTENT
         self.deadline = request.deadline(route)
         self.attempts = Attempts(request, route, service, upstream, inbox, self.deadline)
-        self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
+        hedge_delay = upstream.hedge_delay(route)
+        if not self.repeatable:
+            hedge_delay = min(hedge_delay, MAX_CONNECT_TIME)
+        self.hedge_at: Millis | None = Millis(request.arrived_at + hedge_delay)
 
     def run(self) -> Reply:
         """Send the request, wait for an answer until the deadline, and return the reply."""
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -81,7 +81,8 @@
         for attempts in self.unanswered:
             attempts.send_first()
         while not self._is_finished():
-            self.inbox.set_batch_size(len(self.unanswered))
+            pending = sum(attempts.pending for attempts in self.unanswered)
+            self.inbox.set_batch_size(pending)
             match self.inbox.wait(self._next_wake_up()):
                 case CallerDisconnected():
                     self._cancel()
@@ -124,6 +125,8 @@
         for attempts in self.unanswered:
             if attempts.pending:
                 attempts.send_hedge()
+            elif not attempts.attempt_count:
+                attempts.send_first()
 
     def _cancel(self) -> None:
         for attempts in (*self.unanswered, *self.answered):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -13,6 +13,7 @@
 from masticgate.connection.gateway import HeaderNames
 from masticgate.process.gateway import (
     GatewaySettings,
+    HostCapacity,
     RepeatBounds,
     SearcherEntry,
     SearcherPhase,
@@ -120,6 +121,7 @@
         Millis(6_000.0),
         Millis(3_000.0),
         RepeatBounds(ratio, slack, Millis(10_000.0)),
+        HostCapacity(1.0, 1_000.0),
     )
 
 
@@ -176,11 +178,11 @@
     """An upstream client and an inbox in one, with scripted outcomes.
 
     ``plans`` maps each service to the delays in milliseconds and the outcomes of its attempts, in
-    order; a further attempt finds no searcher. An outcome is the body of an answer, such a body
-    after a :class:`SlowConnect`, an error status, or one of these strings: ``"declined"`` by the searcher, ``"lost"`` after the request
-    was sent, ``"unsent"`` because the connection was refused, and ``"silent"`` if there never is an
-    outcome. ``repeats`` is the number of hedges and retries that are still allowed. The caller
-    disconnects at ``disconnects_at``, if set.
+    order; a further attempt finds no searcher. An outcome is the body of an answer, such a body in
+    a :class:`SlowConnect`, an error status, or one of these strings: ``"declined"`` by the
+    searcher, ``"lost"`` after the request was sent, ``"unsent"`` because the connection was
+    refused, and ``"silent"`` if there never is an outcome. ``repeats`` is the number of hedges and
+    retries that are still allowed. The caller disconnects at ``disconnects_at``, if set.
     """
 
     def __init__(self, plans: dict[str, list[tuple[float, object]]], repeats: int = 100) -> None:
@@ -218,7 +220,7 @@
     def allow_hedge(self, service):
         return self._spend()
 
-    def allow_retry(self, service):
+    def allow_retry(self, service, *, possibly_ran=True):
         return self._spend()
 
     def set_batch_size(self, number):
--- /dev/null
+++ b/tests/gateway/test_gatherers.py
@@ -0,0 +1,152 @@
+"""The load pattern: queries over many shards from hundreds of gateways, gathered by a few.
+
+Each query costs its gatherer a message to every shard, some 200 kB, so that a gatherer with a
+narrow network link or far from the shards holds up all queries.
+"""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticgate import Address, Millis, SearcherId
+from masticgate._ids import FailureDomainId, HostId
+from masticgate.process.gateway._catalogue import PEER_SERVICE
+from masticgate.process.gateway._gatherers import Member, choose_gatherers, gatherer_count
+from masticgate.process.gateway._membership import heartbeat_interval
+from masticgate.process.gateway._settings import HostCapacity
+from masticgate.request.gateway import Call
+
+from .fakes import make_entry, make_fleet, make_request, make_route
+
+WIDE = HostCapacity(2.15, 100.0).gathering_rate
+NARROW = HostCapacity(0.516, 15.5).gathering_rate
+SHARD_DOMAINS = {FailureDomainId("z0"), FailureDomainId("z1")}
+
+
+def make_member(number: int, domain: int, rate: float) -> Member:
+    return Member(
+        HostId(f"g{number}"),
+        Address(f"127.1.{domain}.{number}:1"),
+        FailureDomainId(f"z{domain}"),
+        rate,
+    )
+
+
+def make_members(domains: int, wide: int, narrow: int) -> list[Member]:
+    """Return members with ``wide`` and ``narrow`` links in each domain."""
+    return [
+        make_member(number, domain, WIDE if number < wide else NARROW)
+        for domain in range(domains)
+        for number in range(wide + narrow)
+    ]
+
+
+class TestChoice:
+    def test_hundreds_of_gateways_use_those_with_wide_links_next_to_the_shards(self):
+        chosen = choose_gatherers(make_members(6, 3, 30), SHARD_DOMAINS, 120)
+        assert Counter(member.domain for member in chosen) == {"z0": 3, "z1": 3}
+        assert all(member.rate == WIDE for member in chosen)
+
+    def test_few_equal_gateways_use_those_next_to_the_shards(self):
+        chosen = choose_gatherers(make_members(3, 2, 0), SHARD_DOMAINS, 25)
+        assert {member.domain for member in chosen} == SHARD_DOMAINS
+
+    def test_wide_links_in_other_domains_replace_a_lost_domain(self):
+        left = [m for m in make_members(6, 3, 30) if m.domain not in SHARD_DOMAINS]
+        chosen = choose_gatherers(left, SHARD_DOMAINS, 120)
+        assert len(chosen) == 6 and all(member.rate == WIDE for member in chosen)
+
+    @given(st.randoms(), st.integers(0, 200))
+    def test_all_seeds_choose_alike_and_one_loss_moves_one_gatherer(self, random, lost):
+        members = make_members(6, 3, 30)
+        chosen = choose_gatherers(members, SHARD_DOMAINS, 120)
+        random.shuffle(members)
+        assert set(choose_gatherers(members, SHARD_DOMAINS, 120)) == set(chosen)
+        gone = members[lost % len(members)]
+        rest = [member for member in members if member is not gone]
+        after = choose_gatherers(rest, SHARD_DOMAINS, 120)
+        assert len(set(chosen) - set(after)) == (gone in chosen)
+
+    @pytest.mark.parametrize(
+        ("members", "connections", "count"),
+        [(1, 25, 6), (9, 26, 6), (58, 51, 6), (195, 120, 6), (300, 120, 9), (1000, 120, 31),
+         (3300, 120, 60), (9, 0, 1)],
+    )  # fmt: skip
+    def test_count_grows_with_gateways_up_to_the_connections(self, members, connections, count):
+        assert gatherer_count(members, connections) == count
+
+
+class TestHeartbeatLoad:
+    @pytest.mark.parametrize("members", [6, 58, 195, 300])
+    def test_a_seed_receives_at_most_100_heartbeats_a_second(self, members):
+        others = members - gatherer_count(members, 120)
+        interval = heartbeat_interval(members, is_gatherer=False)
+        assert others * 1_000.0 / interval <= 120.0
+
+
+class TestSpreadingQueries:
+    def make_peers(self):
+        fleet = make_fleet()
+        for number in range(6):
+            domain = f"z{number % 2 + 1}"
+            fleet.apply_listing(make_entry(f"p{number}", PEER_SERVICE, domain=domain))
+        return fleet
+
+    def choose(self, fleet, request_id: str) -> SearcherId:
+        request = make_request(request_id)
+        call = Call(request, make_route(), PEER_SERVICE, Millis(400.0), None)
+        return fleet.send(call, set()).searcher
+
+    def test_single_queries_of_many_gateways_are_spread_over_all_gatherers(self):
+        """Guard against gateways that all prefer the same gatherer, each with one query."""
+        chosen = Counter(self.choose(self.make_peers(), f"q{n}") for n in range(600))
+        assert len(chosen) == 6 and max(chosen.values()) < 150
+
+    def test_gatherer_that_just_failed_is_the_last_choice(self):
+        chosen = set()
+        for number in range(100):
+            fleet = self.make_peers()
+            fleet.replicas[SearcherId("p0")].record_failure(fleet.now())
+            chosen.add(self.choose(fleet, f"q{number}"))
+        assert len(chosen) == 5 and SearcherId("p0") not in chosen
+
+
+class TestSecondGathering:
+    """A query that is gathered again must not reach more searchers of a shard than allowed."""
+
+    def reached(self, own_domain: str, request, attempts: int = 2) -> set[SearcherId]:
+        """Return the searchers that a gateway tries one after the other."""
+        fleet = make_fleet()
+        fleet.settings = replace(fleet.settings, domain=FailureDomainId(own_domain))
+        for number in range(3):
+            fleet.apply_listing(make_entry(f"s{number}", "s1", domain=f"z{number}"))
+        fleet.shard_services = {make_entry("x", "s1").service}
+        tried: set[SearcherId] = set()
+        for _ in range(attempts):
+            route = make_route(attempts=2)
+            call = Call(request, route, make_entry("x", "s1").service, Millis(400.0), None)
+            tried.add(fleet.send(call, tried).searcher)
+        return tried
+
+    @given(st.integers(0, 2), st.integers(0, 3), st.text("abc", min_size=1))
+    def test_reaches_the_same_searchers_in_any_gateway(self, first, second, request_id):
+        request = make_request(request_id)
+        at_first = self.reached(f"z{first}", request)
+        again = replace(request, gathering_domain=FailureDomainId(f"z{first}"))
+        assert self.reached(f"z{second}", again) == at_first
+        assert SearcherId(f"s{first}") in at_first
+
+    def test_uses_other_searchers_if_none_of_these_is_usable(self):
+        fleet = make_fleet()
+        fleet.shard_services = {make_entry("x", "s1").service}
+        for number in range(3):
+            fleet.apply_listing(make_entry(f"s{number}", "s1"))
+        for replica in fleet.replicas.values():
+            if replica.entry.id != "s2":
+                for _ in range(2):
+                    replica.record_failure(fleet.now())
+        call = Call(make_request(), make_route(), make_entry("x", "s1").service, Millis(9.0), None)
+        assert fleet.send(call, set()).searcher == "s2"
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -7,7 +7,7 @@
 
 from masticgate import Address, Millis, SearcherId, ServiceId
 from masticgate.process.gateway._catalogue import PEER_SERVICE
-from masticgate.process.gateway._peers import GatherAtPeers
+from masticgate.process.gateway._peers import NAMING_DELAY, GatherAtPeers
 from masticgate.version.gateway import Shards
 
 from .fakes import make_route
@@ -36,8 +36,8 @@
 def running_pair(searchers, *, seed_version: int = 1):
     """Run an entry gateway and the seed to which it forwards its queries, and yield both.
 
-    The entry gateway tries to forward each query, even if it could gather it itself.
-    ``seed_version`` is the version of the seed's configuration; that of the entry gateway is 1.
+    The seed names itself as the only gatherer. ``seed_version`` is the version of the seed's
+    configuration; that of the entry gateway is 1.
     """
     routes = [make_route(SHARDS)]
     seed_settings = {"peer_address": SEED, "seeds": (SEED,)}
@@ -45,13 +45,11 @@
         running(routes, searchers, version=seed_version, **seed_settings) as seed,
         running(routes, searchers, seeds=(SEED,)) as entry,
     ):
-        entry.peers.update_gathering = lambda: None
-        # The seed is in ``relay_domains`` once it has replied to a heartbeat and is ready.
-        for _ in range(200):
-            if entry.peers.relay_domains:
-                break
+        seed.peers.started_at -= NAMING_DELAY
+        deadline = entry.clock.now() + 10_000.0
+        while entry.peers.gathering != GatherAtPeers():
+            assert entry.clock.now() < deadline, "the seed names no gatherer"
             entry.ended.wait(0.02)
-        entry.peers.gathering = GatherAtPeers()
         yield entry, seed
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,54 +1,119 @@
-"""Tests for the choice of gatherers and the state of the other gateways."""
+"""Tests for heartbeats, the naming of gatherers and the state of the other gateways."""
 
 import json
+from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from masticgate import Address, ManualClock, Millis
-from masticgate._ids import HostId, RequestId
+from masticgate import Address, ManualClock, Millis, ServiceId
+from masticgate._ids import FailureDomainId, HostId, RequestId
+from masticgate.process.gateway._catalogue import PEER_SERVICE
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._peers import (
     HEARTBEAT_HOST,
+    NAMING_DELAY,
     GatherAtPeers,
+    Gatherer,
     GatherHere,
     Peers,
-    choose_gathering,
+    decode_gatherers,
+    decode_heartbeat,
     peer_route,
 )
+from masticgate.process.gateway._replica import ReplicaState
 from masticgate.request.gateway import Request
-from masticgate.version.gateway import Idempotency
+from masticgate.version.gateway import Idempotency, Shards
 
-from .fakes import make_fleet, make_route, make_settings
+from .fakes import make_fleet, make_route, make_settings, make_table
 
+OWN = Address("127.0.0.9:1")
+OTHER_SEED = Address("127.0.0.8:1")
+TABLE = make_table(make_route(Shards((ServiceId("s1"),), 2, 0.5)))
 
-def make_peers(clock: ManualClock) -> Peers:
+
+def make_peers(clock: ManualClock, *, is_seed: bool = True) -> Peers:
     log = EventLog(HostId("g1"), clock)
-    fleet = make_fleet(clock)
-    return Peers(make_settings(), fleet, clock, log, lambda: None, lambda: True, lambda: True)
+    seeds = (OWN,) if is_seed else (OTHER_SEED,)
+    settings = replace(make_settings(), peer_address=OWN, seeds=seeds)
+    return Peers(settings, make_fleet(clock), clock, log, lambda: TABLE, lambda: True, lambda: True)
 
 
-def send_heartbeat(peers: Peers, host: str) -> dict:
-    target = f"/?host={host}".encode()
+def send_heartbeat(peers: Peers, host: str, *, rate: float | None = None) -> dict:
+    """Send a heartbeat of a gateway, which can gather queries if it has a ``rate``."""
+    number = int(host.removeprefix("g"))
+    own = "" if rate is None else f"&peer=127.0.1.{number}:1&domain=z1&rate={rate}&interval=500"
+    target = f"/?host={host}{own}".encode()
     request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
     return json.loads(peers.handle_heartbeat(request).body)
 
 
-class TestGathering:
-    @pytest.mark.parametrize(
-        ("members", "connections", "chosen"),
-        [
-            (1, 25, GatherHere()),
-            (6, 25, GatherHere()),
-            (10, 26, GatherHere()),
-            (13, 25, GatherAtPeers()),
-            (58, 51, GatherAtPeers()),
-        ],
-    )
-    def test_depends_on_gateways_and_connections(self, members, connections, chosen):
-        assert choose_gathering(members, connections, is_seed=False) == chosen
+def named_addresses(peers: Peers) -> set[str]:
+    return {gatherer.address for gatherer in peers.gatherers}
 
-    def test_seed_always_gathers_itself(self):
-        assert choose_gathering(58, 51, is_seed=True) == GatherHere()
+
+def gatherer_states(peers: Peers) -> dict[str, ReplicaState]:
+    known = peers.fleet.services.get(PEER_SERVICE, {})
+    return {replica.entry.address: replica.state for replica in known.values()}
+
+
+class TestNaming:
+    def test_seed_names_itself_and_gateways_that_can_gather(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        clock.advance(NAMING_DELAY)
+        send_heartbeat(peers, "g2", rate=9.0)
+        send_heartbeat(peers, "g3")
+        peers.update_gathering()
+        assert named_addresses(peers) == {OWN, "127.0.1.2:1"}
+        assert send_heartbeat(peers, "g3")["gatherers"] == [[OWN, "z1"], ["127.0.1.2:1", "z1"]]
+        assert peers.gathering == GatherHere(is_gatherer=True)
+
+    def test_seed_names_none_right_after_its_start(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        clock.advance(Millis(NAMING_DELAY - 1.0))
+        assert send_heartbeat(peers, "g2", rate=9.0)["gatherers"] == []
+        peers.update_gathering()
+        assert peers.gathering == GatherHere(is_gatherer=False)
+
+    def test_silent_gatherer_is_replaced_after_two_missed_heartbeats_and_still_counted(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        clock.advance(NAMING_DELAY)
+        send_heartbeat(peers, "g2", rate=9.0)
+        clock.advance(Millis(1_200.0))
+        peers.update_gathering()
+        assert "127.0.1.2:1" in named_addresses(peers)
+        clock.advance(Millis(200.0))
+        peers.update_gathering()
+        assert named_addresses(peers) == {OWN}
+        assert peers.members == 2
+
+    def test_gateway_forwards_to_named_gatherers(self):
+        peers = make_peers(ManualClock(), is_seed=False)
+        reply = {"members": 58, "gatherers": [["127.0.1.2:1", "z1"], ["127.0.1.3:1", "z2"]]}
+        peers._record_reply(OTHER_SEED, reply)
+        peers.update_gathering()
+        assert peers.gathering == GatherAtPeers()
+        assert set(gatherer_states(peers)) == {"127.0.1.2:1", "127.0.1.3:1"}
+        peers._record_reply(OTHER_SEED, reply | {"gatherers": [["127.0.1.3:1", "z2"]]})
+        assert gatherer_states(peers)["127.0.1.2:1"] is ReplicaState.LEAVING
+
+    def test_gatherers_stay_in_use_while_no_seed_names_any(self):
+        peers = make_peers(ManualClock(), is_seed=False)
+        peers._record_reply(OTHER_SEED, {"gatherers": [["127.0.1.2:1", "z1"]]})
+        peers.named.clear()
+        peers.update_gathering()
+        assert peers.gathering == GatherAtPeers()
+        assert gatherer_states(peers) == {"127.0.1.2:1": ReplicaState.ACTIVE}
+
+    def test_full_read_of_the_catalogue_keeps_gatherers(self):
+        """Guard against gatherers that count as unlisted, since the platform does not list them."""
+        peers = make_peers(ManualClock(), is_seed=False)
+        peers._record_reply(OTHER_SEED, {"gatherers": [["127.0.1.2:1", "z1"]]})
+        assert peers.fleet.find_unlisted(set()) == set()
 
     def test_forwarded_query_is_not_idempotent(self):
         assert peer_route(make_route()).kind is Idempotency.NON_IDEMPOTENT
@@ -56,8 +121,7 @@
 
 class TestMembers:
     def test_seed_counts_itself_and_gateways_that_send_heartbeats(self):
-        clock = ManualClock()
-        peers = make_peers(clock)
+        peers = make_peers(ManualClock())
         send_heartbeat(peers, "g2")
         assert send_heartbeat(peers, "g3")["members"] == 3
         assert send_heartbeat(peers, "g3")["members"] == 3
@@ -70,9 +134,38 @@
         assert send_heartbeat(peers, "g3")["members"] == 2
 
     def test_uses_relays_of_own_domain_first_if_there_are_many_gateways(self):
-        peers = make_peers(ManualClock())
+        peers = make_peers(ManualClock(), is_seed=False)
         peers.relay_domains = {Address("127.0.0.2:1"): "z2", Address("127.0.0.3:1"): "z1"}
         peers.members = 6
         assert peers.find_relays() == []
         peers.members = 58
         assert peers.find_relays() == ["127.0.0.3:1", "127.0.0.2:1"]
+
+
+class TestDecoding:
+    @pytest.mark.parametrize(
+        "item",
+        [["127.0.0.1:99999", "z"], ["host:1", "z"], ["127.0.0.1:\u0661", "z"], ["127.0.0.1:1"], 7],
+    )
+    def test_leaves_out_invalid_gatherers(self, item):
+        assert decode_gatherers([item, ["127.0.0.1:1", "z"]]) == frozenset(
+            {Gatherer(Address("127.0.0.1:1"), FailureDomainId("z"))}
+        )
+
+    @pytest.mark.parametrize("change", [("rate", "nan"), ("interval", "1e999"), ("peer", "h:1")])
+    def test_invalid_heartbeat_states_no_member(self, change):
+        query = {"host": ["g2"], "peer": ["127.0.0.1:1"], "domain": ["z1"], "rate": ["9"]}
+        query["interval"] = ["500"]
+        assert decode_heartbeat(query, Millis(0.0)).member is not None
+        query[change[0]] = [change[1]]
+        assert decode_heartbeat(query, Millis(0.0)).member is None
+
+    @given(st.dictionaries(st.sampled_from(["host", "peer", "domain", "rate", "interval"]),
+                           st.lists(st.text(max_size=30), max_size=2)))  # fmt: skip
+    def test_any_query_is_decoded(self, query):
+        if all(query.values()):
+            decode_heartbeat(query, Millis(0.0))
+
+    @given(st.recursive(st.none() | st.text() | st.integers(), st.lists, max_leaves=8))
+    def test_any_reply_is_decoded(self, value):
+        decode_gatherers(value)
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -548,13 +548,16 @@
         self.finished.append(call)
         return ScriptedCall(call, SearcherId(f"{call.service}-{len(attempts)}"))
 
+    def has_searcher(self, service, tried):
+        return bool(self.plans[service])
+
     def hedge_delay(self, route):
         return Millis(1_000.0)
 
     def allow_hedge(self, service):
         return False
 
-    def allow_retry(self, service):
+    def allow_retry(self, service, *, possibly_ran=True):
         return True
 
     def set_batch_size(self, number):
