Gather parts of a query in the domains of their searchers

Change: an entry splits a query into a few parts by the domains of the searchers; a gatherer in each domain sends its part to the searchers next to it, and the entry merges. Gatherers are chosen per domain. A part that was refused goes to another gatherer, a lost one is gathered again by the entry within the budget of repeats, and shards that a gatherer got no answer from are asked again if the query needs them. Connections and repeats are shared by the gatherers next to a shard.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -12,7 +12,7 @@
 from ._client import HttpResponse as HttpResponse
 from ._client import InvalidResponse as InvalidResponse
 from ._client import NoResponse as NoResponse
-from ._encoding import parse_missing_shards as parse_missing_shards
+from ._encoding import parse_missing_positions as parse_missing_positions
 from ._header_names import HeaderNames as HeaderNames
 from ._header_names import peer_header_names as peer_header_names
 from ._listener import Listener as Listener
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -12,10 +12,16 @@
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._failures import NotRun, Reason, Step
 from ..._ids import ConfigurationVersion, Millis, RequestId
-from ...request.gateway import Abandoned, Inbox, Refused, Reply, Request
+from ...request.gateway import Abandoned, Inbox, Part, Refused, Reply, Request
 from ...version.gateway import Limits
 from ._encoding import encode_peer_reply, encode_reply
-from ._header_names import CONFIGURATION_VERSION_HEADER, NETWORK_TIME_HEADER, HeaderNames
+from ._header_names import (
+    CONFIGURATION_VERSION_HEADER,
+    LEAST_ANSWERS_HEADER,
+    NETWORK_TIME_HEADER,
+    PART_HEADER,
+    HeaderNames,
+)
 from ._inbox import RequestInbox, WakeableSocket
 from ._parser import (
     Malformed,
@@ -26,6 +32,7 @@
     find_header,
     parse_number,
 )
+from ._positions import decode_positions
 
 RECEIVE_BUFFER_BYTES = 4_096
 """The size of the receive buffer of one connection; most requests fit into it."""
@@ -35,6 +42,14 @@
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+PEER_HEADERS = (
+    CONFIGURATION_VERSION_HEADER,
+    NETWORK_TIME_HEADER,
+    PART_HEADER,
+    LEAST_ANSWERS_HEADER,
+)
+"""The headers that only a gateway adds; they are not forwarded."""
+
 Handler = Callable[[Request, Inbox], Reply]
 """Serves one request and returns the reply.
 
@@ -121,12 +136,13 @@
             self._send_reply(request, close=True)
             return False
         if not self.settings.callers_are_gateways:
-            # The network time and the version count only if the caller is a gateway.
+            # The network time, the version and the part count only if the caller is a gateway.
             request = replace(
                 request,
                 is_first_on_connection=self.is_first_request,
                 network_time=Millis(0.0),
                 version=None,
+                part=None,
             )
             self.is_first_request = False
         reply = self.settings.handler(request, RequestInbox(self.wakeable_socket))
@@ -234,7 +250,7 @@
         return _refusal(400, Reason.BAD_REQUEST, "the request target must be a path")
     version = parse_number(find_header(parsed.headers, CONFIGURATION_VERSION_HEADER) or b"")
     network_time = _parse_millis(find_header(parsed.headers, NETWORK_TIME_HEADER))
-    internal = (header_names.expected_searcher, CONFIGURATION_VERSION_HEADER, NETWORK_TIME_HEADER)
+    internal = (header_names.expected_searcher, *PEER_HEADERS)
     host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
     return Request(
         RequestId((find_header(parsed.headers, header_names.request_id) or b"").decode("latin-1")),
@@ -247,9 +263,16 @@
         arrived_at,
         network_time=network_time or Millis(0.0),
         version=None if version is None else ConfigurationVersion(version),
+        part=_decode_part(parsed),
     )
 
 
+def _decode_part(parsed: ParsedRequest) -> Part | None:
+    positions = decode_positions(find_header(parsed.headers, PART_HEADER) or b"")
+    least = parse_number(find_header(parsed.headers, LEAST_ANSWERS_HEADER) or b"")
+    return Part(positions, least) if positions and least is not None else None
+
+
 def _parse_millis(value: bytes | None) -> Millis | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -21,11 +21,14 @@
 from ...request.gateway._exchange import Header
 from ._header_names import (
     CONFIGURATION_VERSION_HEADER,
-    MISSING_SHARDS_HEADER,
+    LEAST_ANSWERS_HEADER,
+    MISSING_POSITIONS_HEADER,
     NETWORK_TIME_HEADER,
+    PART_HEADER,
     HeaderNames,
 )
-from ._parser import end_to_end_headers, find_header, parse_number
+from ._parser import end_to_end_headers, find_header
+from ._positions import decode_positions, encode_positions
 
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -44,8 +47,11 @@
     """
     status_line, _, rest = encode_reply(reply, header_names, close=close).partition(b"\r\n")
     extra_headers = b"%s: %s\r\n" % (header_names.request_id, request.id.encode("latin-1"))
-    if isinstance(reply, Refused):
-        extra_headers += b"%s: 1\r\n" % header_names.not_run
+    match reply:
+        case Refused():
+            extra_headers += b"%s: 1\r\n" % header_names.not_run
+        case Merged(missing_positions=missing):
+            extra_headers += b"%s: %s\r\n" % (MISSING_POSITIONS_HEADER, encode_positions(missing))
     return b"%s\r\n%s%s" % (status_line, extra_headers, rest)
 
 
@@ -79,14 +85,14 @@
             return b""
 
 
-def parse_missing_shards(answer: Answered) -> int | None:
-    """Return how many shards are missing from the answer of a gatherer.
+def parse_missing_positions(answer: Answered) -> tuple[int, ...] | None:
+    """Return the positions of the shards that are missing from the answer of a gatherer.
 
-    A gatherer is another gateway that sends a query to all shards, which each hold a part of the
-    data, and merges their answers for this gateway. The result is ``None`` if the answer does not
-    state a number.
+    A gatherer is another gateway that sends a query to shards, which each hold a part of the data,
+    and merges their answers for this gateway. The result is ``None`` if the answer does not state
+    them.
     """
-    return parse_number(find_header(answer.headers, MISSING_SHARDS_HEADER) or b"")
+    return decode_positions(find_header(answer.headers, MISSING_POSITIONS_HEADER) or b"")
 
 
 def encode_request(
@@ -106,6 +112,9 @@
     if request.version is not None:
         lines.append(b"%s: %d\r\n" % (CONFIGURATION_VERSION_HEADER, request.version))
         lines.append(b"%s: %d\r\n" % (NETWORK_TIME_HEADER, request.network_time))
+    if request.part is not None:
+        lines.append(b"%s: %s\r\n" % (PART_HEADER, encode_positions(request.part.positions)))
+        lines.append(b"%s: %d\r\n" % (LEAST_ANSWERS_HEADER, request.part.least))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
--- a/src/masticgate/connection/gateway/_header_names.py
+++ b/src/masticgate/connection/gateway/_header_names.py
@@ -40,6 +40,15 @@
 The time is in milliseconds and covers both directions. It counts towards the latency objective.
 """
 
+PART_HEADER = b"x-gateway-shards"
+"""Between gateways: the positions of the shards to gather, as a number whose bits they set."""
+
+LEAST_ANSWERS_HEADER = b"x-gateway-least"
+"""Between gateways: the number of answers with which a part of a query is answered in time."""
+
+MISSING_POSITIONS_HEADER = b"x-gateway-missing-shards"
+"""Between gateways: the positions of the shards that are missing, encoded as the part is."""
+
 MISSING_SHARDS_HEADER = b"x-gateway-missing"
 """Between gateways: the number of shards that are missing from an answer."""
 
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,7 +4,7 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
-from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import count
 from threading import Lock
@@ -146,20 +146,18 @@
         self.drained_start_times: dict[SearcherId, int] = {}
         self.accepted_connections: dict[ServiceId, int] = {}
         self.shard_services: set[ServiceId] = set()
-        self.shares = GatewayShares(1, 1, False)
+        self.shard_domains: dict[ServiceId, frozenset[FailureDomainId]] = {}
+        self.shares = GatewayShares(1, (), settings.domain, False)
         self.peer_header_names = peer_header_names(header_names)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.hedge_delays = HedgeDelays()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
-        """Apply changed settings.
-
-        Existing budgets for repeats get the new ratio and slack, but keep their window.
-        """
+        """Apply changed settings, also to existing budgets for repeats."""
         with self.lock:
             self.settings = settings
             self.budgets.bounds = settings.repeats
-            self.budgets.apply_shares(self.shares)
+            self._apply_shares(self.shares)
 
     def now(self) -> Millis:
         """Return the present time on the gateway's monotonic clock."""
@@ -294,21 +292,16 @@
                 service.id: service.connections for service in table.services.values()
             }
             self.shard_services = table.shard_services()
-            self.budgets.shard_services = self.shard_services
-            for replica in self.replicas.values():
-                replica.max_connections = self._max_connections(replica.entry.service)
+            self._apply_shares(self.shares)
             self.hedge_delays.retain_routes({route.id for route in table.routes})
         self.warm_up()
 
     def apply_shares(self, shares: GatewayShares) -> None:
         """Adapt the connection limits and budgets to the present number of gateways."""
         with self.lock:
-            if shares == self.shares:
+            if shares == self.shares and self._find_shard_domains() == self.shard_domains:
                 return
-            self.shares = shares
-            for replica in self.replicas.values():
-                replica.max_connections = self._max_connections(replica.entry.service)
-            self.budgets.apply_shares(shares)
+            self._apply_shares(shares)
         self.warm_up()
 
     def warm_up(self) -> None:
@@ -368,20 +361,23 @@
                 and replica.entry.service != PEER_SERVICE
             }
 
-    def shard_domains(self) -> set[FailureDomainId]:
-        """Return the failure domains that have searchers of at least half of the shards."""
+    def searcher_domains(self, services: Sequence[ServiceId]) -> list[set[FailureDomainId]]:
+        """Return the failure domains with usable searchers of each service."""
+        now = self.clock.now()
         with self.lock:
-            shards_by_domain = Counter(
-                domain
-                for service in self.shard_services
-                for domain in {
+            return [
+                {
                     replica.entry.domain
                     for replica in self.services.get(service, {}).values()
-                    if replica.is_listed
+                    if replica.is_listed and replica.is_usable(now)
                 }
-            )
-            half = len(self.shard_services) / 2
-            return {domain for domain, shards in shards_by_domain.items() if shards >= half}
+                for service in services
+            ]
+
+    def domains_of_shards(self) -> set[FailureDomainId]:
+        """Return the failure domains that have listed searchers of shards."""
+        with self.lock:
+            return set[FailureDomainId]().union(*self._find_shard_domains().values())
 
     def domain_of(self, searcher: SearcherId) -> FailureDomainId | None:
         """Return the failure domain of a searcher, or ``None`` if it is not known."""
@@ -447,14 +443,17 @@
 
     def _gatherer_sort_key(
         self, replica: Replica, call: Call, now: Millis
-    ) -> tuple[bool, bool, int]:
+    ) -> tuple[bool, bool, bool, int]:
         """Return the key of a gatherer; the lowest one is chosen.
 
-        The queries of all gateways are spread evenly over the gatherers without recent failures.
+        The parts of all gateways are spread evenly over the gatherers of their domains that have
+        not just failed.
         """
         failed = replica.current_failure_rate(now) > MAX_GATHERER_FAILURE_RATE
         leaving = replica.state is ReplicaState.LEAVING
-        return leaving, failed, rendezvous_weight(call.request.id, replica.entry.id)
+        part = call.request.part
+        elsewhere = part is not None and part.domain != replica.entry.domain
+        return leaving, failed, elsewhere, rendezvous_weight(call.request.id, replica.entry.id)
 
     def _sort_key(self, replica: Replica, now: Millis) -> tuple[bool, float]:
         in_other_domain = replica.entry.domain != self.settings.domain
@@ -572,14 +571,32 @@
             next_ejection_ms=round(replica.next_ejection_time),
         )
 
+    def _apply_shares(self, shares: GatewayShares) -> None:
+        """Adapt the connection limits and budgets to ``shares``; the lock is held."""
+        self.shares = shares
+        self.shard_domains = self._find_shard_domains()
+        for replica in self.replicas.values():
+            replica.max_connections = self._max_connections(replica.entry.service)
+        self.budgets.apply_shares(shares, self.shard_domains)
+
+    def _find_shard_domains(self) -> dict[ServiceId, frozenset[FailureDomainId]]:
+        """Return the failure domains with listed searchers of each shard; the lock is held."""
+        return {
+            service: frozenset(
+                replica.entry.domain
+                for replica in self.services.get(service, {}).values()
+                if replica.is_listed
+            )
+            for service in self.shard_services
+        }
+
     def _max_connections(self, service: ServiceId) -> int:
         """Return this gateway's connection limit for each searcher of a service."""
         accepted = self.accepted_connections.get(service)
         if accepted is None:
             return DEFAULT_CONNECTIONS
-        shard = service in self.shard_services
-        share = self.shares.max_connections(accepted, shard=shard)
-        return min(share, MAX_SHARD_CONNECTIONS) if shard else share
+        share = self.shares.max_connections(accepted, self.shard_domains.get(service))
+        return min(share, MAX_SHARD_CONNECTIONS) if service in self.shard_services else share
 
     def _warm_replicas(self, service: ServiceId) -> list[Replica]:
         """Return the searchers of a shard to which this gateway keeps a connection open.
--- a/src/masticgate/process/gateway/_gatherers.py
+++ b/src/masticgate/process/gateway/_gatherers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection, Set
 from dataclasses import dataclass
+from math import ceil
 
 from ..._ids import Address, FailureDomainId, HostId
 from ._rendezvous import rendezvous_weight
@@ -13,20 +14,17 @@
 MIN_CONNECTIONS_TO_GATHER = 2
 """The connections to each searcher that a gatherer needs: one for a first attempt, one to hedge."""
 
-MIN_GATHERERS = 6
-"""The number of gatherers of a small system, so that the loss of one is a small part."""
+MIN_GATHERERS = 12
+"""The number of gatherers of a small system; up to this size, every gateway gathers."""
 
-MEMBERS_PER_GATHERER = 32
+MEMBERS_PER_GATHERER = 16
 """In a large system, one in this many gateways gathers."""
 
-REMOTE_RATE_SHARE = 0.5
-"""The rate of a gateway in a domain without shards counts for this part.
+MIN_RELATIVE_RATE = 0.4
+"""A gateway that can gather less than this part of what another in its domain can is left out."""
 
-All answers that it gathers come from other domains.
-"""
-
-MIN_LOCAL_SHARE = 0.66
-"""If this share of the gatherers is in the domains of the shards, the others are left out."""
+MIN_GATHERERS_PER_DOMAIN = 2
+"""The number of gatherers of each domain below which none is left out."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,20 +53,26 @@
 def choose_gatherers(
     members: Collection[Member], shard_domains: Set[FailureDomainId], connections: int
 ) -> tuple[Member, ...]:
-    """Return the gatherers: the members that can gather most, and nearest to the shards.
+    """Return the gatherers: in each domain with shards, the members that can gather most.
 
-    ``shard_domains`` are the failure domains in which the shards have searchers. All gateways that
-    know the same members choose the same ones, and one that leaves is replaced by one other.
+    ``shard_domains`` are the failure domains in which the shards have searchers; where no member is
+    in one of them, the other domains are used. All gateways that know the same members choose the
+    same ones, and one that leaves is replaced by at most one other.
     """
-
-    def is_local(member: Member) -> bool:
-        return not shard_domains or member.domain in shard_domains
-
-    def rank(member: Member) -> tuple[float, int, HostId]:
-        rate = member.rate if is_local(member) else member.rate * REMOTE_RATE_SHARE
-        return -rate, rendezvous_weight("", member.host), member.host
-
-    count = gatherer_count(len(members), connections)
-    chosen = sorted(members, key=rank)[:count]
-    local = [member for member in chosen if is_local(member)]
-    return tuple(local if len(local) >= MIN_LOCAL_SHARE * count else chosen)
+    domains: dict[FailureDomainId, list[Member]] = {}
+    for member in members:
+        domains.setdefault(member.domain, []).append(member)
+    local = {domain: domains[domain] for domain in domains if domain in shard_domains} or domains
+    if not local:
+        return ()
+    per_domain = ceil(gatherer_count(len(members), connections) / len(local))
+    return tuple(
+        member for group in local.values() for member in _choose_in_domain(group, per_domain)
+    )
+
+
+def _choose_in_domain(members: list[Member], count: int) -> list[Member]:
+    chosen = sorted(members, key=lambda m: (-m.rate, rendezvous_weight("", m.host), m.host))[:count]
+    least_rate = chosen[0].rate * MIN_RELATIVE_RATE
+    capable = [member for member in chosen if member.rate >= least_rate]
+    return capable if len(capable) >= MIN_GATHERERS_PER_DOMAIN else chosen
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -220,16 +220,15 @@
                 gatherers=len(gatherers),
             )
         keeps_warm = is_gatherer or (not gatherers and self._has_waited_for_gatherers())
-        self.fleet.apply_shares(
-            GatewayShares(members, len(gatherers) if is_gatherer else members, keeps_warm)
-        )
+        domains = tuple(sorted(gatherer.domain for gatherer in gatherers if is_gatherer))
+        self.fleet.apply_shares(GatewayShares(members, domains, self.settings.domain, keeps_warm))
 
     def _name_gatherers(self, table: RouteTable) -> None:
         """Choose the gatherers among the gateways that send heartbeats to this seed."""
         now = self.clock.now()
         shards = table.shard_services()
         accepted = [table.services[name].connections for name in shards if name in table.services]
-        domains = self.fleet.shard_domains()
+        domains = self.fleet.domains_of_shards()
         with self.lock:
             self.members = self.membership.count(now)
             if now - self.started_at < NAMING_DELAY or self.settings.peer_address is None:
--- a/src/masticgate/process/gateway/_repeat_budgets.py
+++ b/src/masticgate/process/gateway/_repeat_budgets.py
@@ -1,11 +1,15 @@
 """The budgets that bound this gateway's hedges and retries for each service."""
 
-from ..._ids import Millis, ServiceId
+from collections.abc import Mapping
+
+from ..._ids import FailureDomainId, Millis, ServiceId
 from ._catalogue import PEER_SERVICE
 from ._repeat_window import RepeatWindow
 from ._settings import RepeatBounds
 from ._shares import GatewayShares
 
+ShardDomains = Mapping[ServiceId, frozenset[FailureDomainId]]
+
 
 class RepeatBudgets:
     """One sliding window of requests and repeats for each service.
@@ -17,7 +21,7 @@
         self.bounds = bounds
         self.shares = shares
         self.started_at = started_at
-        self.shard_services: set[ServiceId] = set()
+        self.shard_domains: ShardDomains = {}
         self.windows: dict[ServiceId, RepeatWindow] = {}
 
     def window(self, service: ServiceId) -> RepeatWindow:
@@ -37,14 +41,19 @@
         """Spend one repeat, or return ``False`` if less than ``reserve`` would remain."""
         return self.window(service).spend(now, reserve)
 
-    def apply_shares(self, shares: GatewayShares) -> None:
-        """Adapt the windows to this gateway's present share of the repeats of all gateways."""
+    def apply_shares(self, shares: GatewayShares, shard_domains: ShardDomains) -> None:
+        """Adapt the windows to this gateway's present share of the repeats of all gateways.
+
+        ``shard_domains`` maps each shard to the failure domains that have searchers of it.
+        """
         self.shares = shares
+        self.shard_domains = shard_domains
         for service, window in self.windows.items():
             window.ratio, window.slack = self._limits_of(service)
+            window.window = self.bounds.window
 
     def _limits_of(self, service: ServiceId) -> tuple[float, float]:
         """Return the ratio and slack that bound this gateway's repeats for one service."""
         if service == PEER_SERVICE:
             return self.shares.peer_repeat_limits(self.bounds)
-        return self.shares.repeat_limits(self.bounds, shard=service in self.shard_services)
+        return self.shares.repeat_limits(self.bounds, self.shard_domains.get(service))
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -3,17 +3,17 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from threading import BoundedSemaphore
 
-from ..._failures import NotRun, Reason, Step, Unknown, describe_failure
-from ..._ids import ConfigurationVersion, Millis, RouteId, SearcherId, ServiceId
-from ...connection.gateway import parse_missing_shards
+from ..._failures import NotRun, Reason, Step, describe_failure
+from ..._ids import ConfigurationVersion, FailureDomainId, Millis, RouteId, ServiceId
+from ...connection.gateway import parse_missing_positions
 from ...request.gateway import (
     Abandoned,
-    Answered,
     Failed,
+    GatherPlan,
     Inbox,
     Merged,
+    PartSender,
     Refused,
     Relayed,
     Reply,
@@ -28,6 +28,8 @@
 from ._metrics import Metrics
 from ._network_times import NetworkTimes
 from ._peers import HEARTBEAT_HOST, GatherAtPeers, GatherHere, Peers, peer_route
+from ._permits import OwnGatherings
+from ._planner import plan_parts
 from ._relay import CATALOGUE_HOST, CatalogueLog
 
 NO_CONFIGURATION_RETRY_AFTER = Millis(300.0)
@@ -36,12 +38,6 @@
 NO_GATHERER_RETRY_AFTER = Millis(100.0)
 """The time after which a gateway may know of another gatherer, or gathers fewer queries itself."""
 
-MAX_OWN_GATHERINGS = 4
-"""The number of queries that a gateway gathers at the same time although it is no gatherer.
-
-Each needs a connection to every shard, so that many would take hundreds of tasks on every host.
-"""
-
 LOG_SAMPLE_INTERVAL = 16
 """One in this many ordinary requests is logged.
 
@@ -115,7 +111,7 @@
         self.round_robin = WeightedRoundRobin()
         self.network_times = NetworkTimes()
         self.ordinary_reply_count = 0
-        self.own_gatherings = BoundedSemaphore(MAX_OWN_GATHERINGS)
+        self.own_gatherings = OwnGatherings(metrics)
 
     def handle(self, request: Request, inbox: Inbox) -> Reply:
         """Return the reply to one request of a caller."""
@@ -150,7 +146,10 @@
         if route is None or not isinstance(route.target, Shards):
             failure = NotRun(Reason.UNKNOWN_SERVICE, Step.FORWARD, detail=f"version {version}")
             return Refused(503, failure)
-        request = replace(request, version=None)
+        part = request.part
+        if part is not None and part.positions[-1] >= len(route.target.services):
+            failure = NotRun(Reason.BAD_REQUEST, Step.FORWARD, detail="unknown shards")
+            return Refused(503, failure)
         reply = run_gather(request, route, route.target, self.fleet, inbox)
         self._record_result(request, GatewayView(table, self.view().age), route, reply)
         return reply
@@ -181,47 +180,40 @@
     def _gather(
         self, request: Request, table: RouteTable, route: Route, shards: Shards, inbox: Inbox
     ) -> Reply:
-        """Gather the query in this gateway, or forward it to a gatherer.
-
-        To gather a query is to send it to all its shards and to merge the answers. If no gatherer
-        began to gather it, it is gathered here. If the gatherer was lost while it gathered, the
-        query is gathered again here, if the budget for repeats allows it.
-        """
+        """Gather the query here or, as planned, parts of it at other gatherers."""
         match self.peers.gathering:
-            case GatherHere(is_gatherer=True):
-                return run_gather(request, route, shards, self.fleet, inbox)
+            case GatherHere(is_gatherer=is_gatherer) if not is_gatherer:
+                return self._gather_without_gatherers(request, route, shards, inbox)
             case GatherHere():
-                return self._gather_without_peer(request, route, shards, inbox)
+                own_domain: FailureDomainId | None = self.fleet.settings.domain
             case GatherAtPeers():
-                peer_request = replace(request, version=table.version)
-                reply = run_forward(
-                    peer_request, peer_route(route), PEER_SERVICE, self.fleet, inbox
-                )
-        match reply:
-            case Relayed(answer=answer):
-                return self._read_peer_answer(answer)
-            case Refused():
-                self.metrics.count("gathered_without_peer")
-                return self._gather_without_peer(request, route, shards, inbox)
-            case Failed(status=502, failure=failure) if self.fleet.allow_retry(
-                PEER_SERVICE, possibly_ran=True
-            ):
-                self.metrics.count("gathered_again")
-                domain = self.fleet.domain_of(SearcherId(failure.peer))
-                again = replace(request, gathering_domain=domain)
-                return _refusal_as_unknown(self._gather_without_peer(again, route, shards, inbox))
-            case _:
-                return reply
-
-    def _gather_without_peer(
+                own_domain = None
+        here, parts = plan_parts(
+            self.fleet.searcher_domains(shards.services),
+            self.fleet.searcher_domains((PEER_SERVICE,))[0],
+            own_domain,
+            shards.min_answers,
+            request.id,
+        )
+        sender = PartSender(
+            replace(request, version=table.version),
+            peer_route(route),
+            PEER_SERVICE,
+            self.fleet,
+            parse_missing_positions,
+        )
+        plan = GatherPlan(here, parts, sender, self.own_gatherings)
+        return run_gather(request, route, shards, self.fleet, inbox, plan)
+
+    def _gather_without_gatherers(
         self, request: Request, route: Route, shards: Shards, inbox: Inbox
     ) -> Reply:
-        """Gather a query although this gateway is no gatherer, or refuse it.
+        """Gather a query although this gateway is no gatherer and knows of none, or refuse it.
 
         The connections to the searchers have to be opened first, so that only a few queries are
         gathered in this way at the same time.
         """
-        if not self.own_gatherings.acquire(blocking=False):
+        if not self.own_gatherings.acquire():
             failure = NotRun(Reason.OVERLOAD, Step.FORWARD, detail="no gatherer is available")
             return Refused(503, failure, NO_GATHERER_RETRY_AFTER)
         try:
@@ -229,19 +221,6 @@
         finally:
             self.own_gatherings.release()
 
-    def _read_peer_answer(self, answer: Answered) -> Reply:
-        """Return the reply to the caller for a gatherer's answer."""
-        match answer.is_success, parse_missing_shards(answer):
-            case True, int(missing):
-                stamps = tuple(answer.stamp.split(", "))
-                gatherer = (f"gathered by {answer.searcher}, {answer.receive_info}",)
-                return Merged(stamps, missing, answer.body, gatherer)
-            case True, None:
-                status, detail = 502, "the number of missing shards is not stated"
-            case _:
-                status, detail = answer.status, answer.body.decode("utf-8", "replace")
-        return Failed(status, Unknown(Reason.COVERAGE, Step.FORWARD, answer.searcher, detail))
-
     def _record_result(
         self, request: Request, view: GatewayView, route: Route | Refused, reply: Reply
     ) -> None:
@@ -274,20 +253,6 @@
         )
 
 
-def _refusal_as_unknown(reply: Reply) -> Reply:
-    """Return ``reply``, with a refusal turned into a failure with an unknown outcome.
-
-    A lost gatherer may have sent the query to some shards already, so that the reply must not state
-    that the query did not run.
-    """
-    match reply:
-        case Refused(failure=failure):
-            unknown = Unknown(failure.reason, failure.step, failure.peer, failure.detail)
-            return Failed(502, unknown)
-        case _:
-            return reply
-
-
 def _is_regular(reply: Reply) -> bool:
     """Return whether all answers in the reply are regular; ``True`` if it has none."""
     match reply:
@@ -302,16 +267,17 @@
 def _describe_reply(reply: Reply) -> tuple[str, str]:
     """Return the name of the reply's outcome, and its details for the log."""
     match reply:
-        case Merged(missing=0, missing_causes=missing_causes, irregular_parts=irregular_parts):
-            return "whole", "; ".join((*missing_causes, *irregular_parts))
+        case Merged(missing=0, gatherers=gatherers, irregular_parts=irregular_parts):
+            return "whole", "; ".join((*gatherers, *irregular_parts))
         case Merged(
             missing=missing,
             stamps=stamps,
+            gatherers=gatherers,
             missing_causes=missing_causes,
             irregular_parts=irregular_parts,
         ):
             counts = f"{missing} of {missing + len(stamps)} shards missing"
-            return "partial", "; ".join((counts, *missing_causes, *irregular_parts))
+            return "partial", "; ".join((counts, *gatherers, *missing_causes, *irregular_parts))
         case Relayed(answer=answer, attempts_summary=attempts_summary) if answer.is_success:
             detail = (
                 f"answer of {answer.searcher}, {answer.receive_info}, stamp {answer.stamp}, "
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -23,6 +23,20 @@
 Header = tuple[bytes, bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Some shards of a query, which another gateway gathers.
+
+    ``positions`` are those of the shards among all shards of the route, in ascending order.
+    ``least`` is the number of answers with which the part is answered in time; with fewer, it is
+    waited for. ``domain`` is the failure domain whose gatherers are preferred.
+    """
+
+    positions: tuple[int, ...]
+    least: int
+    domain: FailureDomainId = FailureDomainId("")
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A request as a gateway received it, from a caller or from another gateway.
@@ -35,8 +49,9 @@
     connection. ``network_time`` is the estimated time that the request and its answer spend on the
     network between caller and gateway; the route's objective includes it. ``version`` is set if one
     gateway forwards the request to another: it is the version of the configuration by which the
-    other gateway has to serve the request. ``gathering_domain`` is set if a
-    query is gathered again here: it is the failure domain of its first gatherer.
+    other gateway has to serve the request. ``part`` is set if only some shards
+    are to be gathered. ``gathering_domain`` is set if shards are gathered again here: it is the
+    failure domain of their first gatherer.
     """
 
     id: RequestId
@@ -50,6 +65,7 @@
     is_first_on_connection: bool = False
     network_time: Millis = Millis(0.0)
     version: ConfigurationVersion | None = None
+    part: Part | None = None
     gathering_domain: FailureDomainId | None = None
 
     @property
@@ -235,6 +251,10 @@
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         ...
 
+    def domain_of(self, searcher: SearcherId) -> FailureDomainId | None:
+        """Return the failure domain of a searcher, or ``None`` if it is not known."""
+        ...
+
     def hedge_delay(self, route: Route) -> Millis:
         """Return how long after its arrival a request on ``route`` is hedged."""
         ...
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -1,19 +1,22 @@
 """Serves a query over many shards: sends it to every shard, hedges slow ones, merges records.
 
 The services of a query's route are the shards. A record is a fixed number of bytes, and the
-greatest records of all shards, compared byte by byte, are the answer.
+greatest records of all shards, compared byte by byte, are the answer. Another gateway may gather a
+part of the shards; it merges their records, and this gateway merges the parts.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
 from heapq import nlargest
 from itertools import islice
-from math import ceil
+from typing import Protocol
 
 from ..._failures import NotRun, Reason, Step, Unknown
-from ..._ids import Millis
+from ..._ids import FailureDomainId, Millis
 from ...version.gateway import Route, Shards
 from ._attempts import Attempts
-from ._exchange import Call, CallerDisconnected, Inbox, Request, UpstreamClient
+from ._exchange import Answered, Call, CallerDisconnected, Inbox, Part, Request, UpstreamClient
+from ._parts import PartAttempts, PartSender
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
 
 RECORD_BYTES = 16
@@ -28,6 +31,12 @@
 MIN_ANSWER_TIME = Millis(5.0)
 """Shortest wait for the answers of shards in milliseconds, whatever the objective."""
 
+PART_GRACE = Millis(15.0)
+"""How long after the time for the answer a gatherer may still send its part.
+
+It has to answer before that time, so that it is lost if it is silent for longer.
+"""
+
 MAX_LOGGED_SHARDS = 4
 """The maximum number of missing shards, and of irregular answers, described in a log line."""
 
@@ -38,39 +47,102 @@
 """
 
 
+class Permits(Protocol):
+    """Bounds the queries whose shards a gateway gathers although others should."""
+
+    def acquire(self) -> bool:
+        """Take a permit for one query, until :meth:`release`; return ``False`` if there is none."""
+        ...
+
+    def release(self) -> None:
+        """Return one permit."""
+        ...
+
+    def record_part(self, *, again: bool) -> None:
+        """Record a part that is gathered here, ``again`` if its gatherer was lost on the way."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class GatherPlan:
+    """Where the shards of a query are gathered.
+
+    ``here`` has the positions of those that this gateway sends the query to itself, and ``parts``
+    those that other gateways gather. ``sender`` forwards parts; it may be ``None`` if there are
+    none. A part that no gatherer accepts is gathered here if there is one of ``permits``.
+    """
+
+    here: tuple[int, ...]
+    parts: tuple[Part, ...] = ()
+    sender: PartSender | None = None
+    permits: Permits | None = None
+
+
 def run_gather(
-    request: Request, route: Route, shards: Shards, upstream: UpstreamClient, inbox: Inbox
+    request: Request,
+    route: Route,
+    shards: Shards,
+    upstream: UpstreamClient,
+    inbox: Inbox,
+    plan: GatherPlan | None = None,
 ) -> Reply:
-    """Send ``request`` to one searcher of each shard and merge the answers that arrive in time."""
-    return _Gather(request, route, shards, upstream, inbox).run()
+    """Gather ``request`` as planned, by default all here, and merge the answers in time.
+
+    If ``request`` asks for a part only, the other shards do not count.
+    """
+    if request.part is not None:
+        plan = GatherPlan(request.part.positions)
+    elif plan is None:
+        plan = GatherPlan(tuple(range(len(shards.services))))
+    gather = _Gather(request, route, shards, upstream, inbox, plan)
+    try:
+        return gather.run()
+    finally:
+        gather.release_permit()
 
 
 class _Gather:
     """The state of one query, which only the task of its caller's connection uses.
 
     ``answer_at`` is the time at which the query is answered without the missing shards, provided
-    that ``min_answers`` shards have answered.
+    that ``min_answers`` shards have answered. ``unanswered`` maps the position of each shard that
+    is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
+    have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
+    ``closed_attempts`` are those that are over. ``unavailable`` maps each shard that did not answer
+    to its gatherer to the failure domain of that gatherer.
     """
 
     def __init__(
-        self, request: Request, route: Route, shards: Shards, upstream: UpstreamClient, inbox: Inbox
+        self,
+        request: Request,
+        route: Route,
+        shards: Shards,
+        upstream: UpstreamClient,
+        inbox: Inbox,
+        plan: GatherPlan,
     ) -> None:
+        self.request = replace(request, part=None, version=None)
+        self.route = route
+        self.shards = shards
         self.upstream = upstream
         self.inbox = inbox
-        self.top = shards.top
+        self.plan = plan
         self.deadline = request.deadline(route)
         remaining = route.objective - request.network_time - ANSWER_MARGIN
         answer_time = Millis(max(MIN_ANSWER_TIME, remaining))
         self.answer_at = min(self.deadline, Millis(request.arrived_at + answer_time))
-        # Without the subtraction, a rounding error could require one more shard.
-        self.min_answers = max(1, ceil(shards.min_shard_ratio * len(shards.services) - 1e-9))
+        self.part_timeout_at: Millis | None = None
+        self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
+        self.min_answers = _min_answers(request, shards)
         self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
-        self.unanswered = [
-            Attempts(request, route, service, upstream, inbox, self.deadline)
-            for service in shards.services
-        ]
-        self.shard_count = len(self.unanswered)
-        self.answered: list[Attempts] = []
+        self.unanswered: dict[int, Attempts] = {}
+        self.parts: list[PartAttempts] = []
+        self.answers: list[Answered] = []
+        self.answered: set[int] = set()
+        self.closed_attempts: list[Attempts | PartAttempts] = []
+        self.unavailable: dict[int, FailureDomainId | None] = {}
+        self.gatherers: list[str] = []
+        self.has_permit = False
 
     def run(self) -> Reply:
         """Send the query to all shards, wait for their answers, and return the reply.
@@ -78,11 +150,11 @@
         The wait ends when no attempt for an unanswered shard is in flight or the deadline has
         passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered.
         """
-        for attempts in self.unanswered:
-            attempts.send_first()
-        while not self._is_finished():
-            pending = sum(attempts.pending for attempts in self.unanswered)
-            self.inbox.set_batch_size(pending)
+        if self.plan.sender is not None:
+            self._forward_parts(self.plan.sender)
+        self._send_to_shards(self.plan.here, self.request)
+        while not self._is_finished() or self._retry_unavailable():
+            self.inbox.set_batch_size(sum(attempts.pending for attempts in self._waiting()))
             match self.inbox.wait(self._next_wake_up()):
                 case CallerDisconnected():
                     self._cancel()
@@ -90,77 +162,211 @@
                 case Call() as call:
                     self._handle_call(call)
                 case None:
-                    self._send_hedges_if_due()
+                    self._handle_time()
         return self._build_reply()
 
+    def release_permit(self) -> None:
+        """Return the permit to gather parts here, if one was taken."""
+        if self.has_permit and self.plan.permits is not None:
+            self.plan.permits.release()
+            self.has_permit = False
+
+    def _forward_parts(self, sender: PartSender) -> None:
+        for part in self.plan.parts:
+            attempts = sender.prepare(part, self.inbox, self.deadline)
+            if attempts.send_first():
+                self.parts.append(attempts)
+            else:
+                self._gather_part_here(attempts)
+        if self.parts:
+            self.part_timeout_at = Millis(self.answer_at + PART_GRACE)
+
+    def _send_to_shards(self, positions: Iterable[int], request: Request) -> None:
+        for position in positions:
+            service = self.shards.services[position]
+            attempts = Attempts(
+                request, self.route, service, self.upstream, self.inbox, self.deadline
+            )
+            self.unanswered[position] = attempts
+            attempts.send_first()
+
+    def _waiting(self) -> Iterable[Attempts | PartAttempts]:
+        yield from self.unanswered.values()
+        yield from self.parts
+
     def _is_finished(self) -> bool:
         now = self.upstream.now()
-        if now >= self.deadline or not any(attempts.pending for attempts in self.unanswered):
+        if now >= self.deadline or not any(attempts.pending for attempts in self._waiting()):
             return True
         return now >= self.answer_at and len(self.answered) >= self.min_answers
 
+    def _retry_unavailable(self) -> bool:
+        """Send the query here to the shards that did not answer to their gatherers.
+
+        Do so once, and only if too few shards have answered; return whether a call is in flight.
+        """
+        unavailable, self.unavailable = self.unavailable, {}
+        if len(self.answered) >= self.min_answers or self.upstream.now() >= self.deadline:
+            self.unavailable = unavailable
+            return False
+        for position, domain in unavailable.items():
+            if self.upstream.allow_retry(self.shards.services[position], possibly_ran=True):
+                request = replace(self.request, gathering_domain=domain)
+                self._send_to_shards((position,), request)
+        return any(attempts.pending for attempts in self._waiting())
+
     def _next_wake_up(self) -> Millis:
         times = [self.deadline]
         if self.upstream.now() < self.answer_at:
             times.append(self.answer_at)
         if self.hedge_at is not None:
             times.append(self.hedge_at)
+        if self.part_timeout_at is not None:
+            times.append(self.part_timeout_at)
         return min(times)
 
     def _handle_call(self, call: Call) -> None:
-        for attempts in self.unanswered:
-            if not attempts.handle_outcome(call):
+        for attempts in self.parts:
+            if attempts.handle_outcome(call):
+                self._handle_part(attempts)
+                return
+        for position, shard in self.unanswered.items():
+            if not shard.handle_outcome(call):
                 continue
-            if attempts.answer is not None and attempts.answer.is_success:
-                self.unanswered.remove(attempts)
-                self.answered.append(attempts)
-            elif not attempts.pending:
-                attempts.retry()
+            if shard.answer is not None and shard.answer.is_success:
+                del self.unanswered[position]
+                self.answered.add(position)
+                self.closed_attempts.append(shard)
+                self.answers.append(shard.answer)
+            elif not shard.pending:
+                shard.retry()
             return
 
-    def _send_hedges_if_due(self) -> None:
-        if self.hedge_at is None or self.upstream.now() < self.hedge_at:
+    def _handle_part(self, attempts: PartAttempts) -> None:
+        """Take over the answer of a part, or gather it here if its gatherer is lost."""
+        if attempts.pending:
+            return
+        answer = attempts.merged_answer()
+        if answer is None:
+            if attempts.possibly_ran or not attempts.retry():
+                self.parts.remove(attempts)
+                self._gather_part_here(attempts)
             return
-        self.hedge_at = None
-        for attempts in self.unanswered:
-            if attempts.pending:
-                attempts.send_hedge()
-            elif not attempts.attempt_count:
-                attempts.send_first()
+        self.parts.remove(attempts)
+        self.closed_attempts.append(attempts)
+        self.answers.append(answer.answer)
+        self.answered.update(set(attempts.part.positions) - set(answer.missing))
+        self.unavailable.update(dict.fromkeys(answer.missing, attempts.first_domain))
+        self.gatherers.append(answer.describe())
+
+    def _handle_time(self) -> None:
+        now = self.upstream.now()
+        if self.hedge_at is not None and now >= self.hedge_at:
+            self.hedge_at = None
+            for shard in self.unanswered.values():
+                if shard.pending:
+                    shard.send_hedge()
+                elif not shard.attempt_count:
+                    shard.send_first()
+            for attempts in self.parts:
+                attempts.replace_unsent()
+        if self.part_timeout_at is not None and now >= self.part_timeout_at:
+            self.part_timeout_at = None
+            for attempts in list(self.parts):
+                self._give_up_part(attempts)
+
+    def _give_up_part(self, attempts: PartAttempts) -> None:
+        """Gather the shards of a silent gatherer here, if the query needs them."""
+        needed = len(self.answered) < self.min_answers
+        if needed and self.upstream.allow_retry(attempts.service, possibly_ran=True):
+            self.parts.remove(attempts)
+            attempts.cancel()
+            self._gather_part_here(attempts, allowed=True)
+
+    def _gather_part_here(self, attempts: PartAttempts, *, allowed: bool = False) -> None:
+        """Gather the shards of a part here, unless too many queries do that already.
+
+        If the part may have run, the searchers of its gatherer are used again, so that no shard is
+        run by more searchers than the route allows; this takes one of the budget for repeats,
+        unless it is ``allowed`` already.
+        """
+        self.closed_attempts.append(attempts)
+        domain: FailureDomainId | None = None
+        if attempts.may_have_run:
+            if not allowed and not self.upstream.allow_retry(attempts.service, possibly_ran=True):
+                return
+            domain = attempts.first_domain
+        if self.plan.permits is not None:
+            self.has_permit = self.has_permit or self.plan.permits.acquire()
+            if not self.has_permit:
+                return
+            self.plan.permits.record_part(again=attempts.may_have_run)
+        self.hedge_at = Millis(self.upstream.now() + self.upstream.hedge_delay(self.route))
+        request = replace(self.request, gathering_domain=domain)
+        self._send_to_shards(attempts.part.positions, request)
 
     def _cancel(self) -> None:
-        for attempts in (*self.unanswered, *self.answered):
+        for attempts in (*self._waiting(), *self.closed_attempts):
             attempts.cancel()
 
     def _build_reply(self) -> Reply:
-        answers = [attempts.answer for attempts in self.answered if attempts.answer is not None]
-        if len(answers) < self.min_answers:
+        missing = tuple(sorted(self.positions - self.answered))
+        if len(self.answered) < self.min_answers:
             self._cancel()
             return self._build_failure()
-        stamps = tuple(answer.stamp for answer in answers)
-        records = merge_records((answer.body for answer in answers), self.top)
-        missing_causes = tuple(
-            attempts.describe_missing_answer() for attempts in self.unanswered[:MAX_LOGGED_SHARDS]
+        stamps = tuple(stamp for answer in self.answers for stamp in answer.stamp.split(", "))
+        records = merge_records((answer.body for answer in self.answers), self.shards.top)
+        irregular_answers = (
+            answer for answer in self.answers if not answer.receive_info.is_regular
         )
-        irregular_answers = (answer for answer in answers if not answer.receive_info.is_regular)
         irregular_parts = tuple(
             f"{a.searcher}: {a.receive_info}" for a in islice(irregular_answers, MAX_LOGGED_SHARDS)
         )
         return Merged(
-            stamps, self.shard_count - len(answers), records, missing_causes, irregular_parts
+            stamps,
+            len(missing),
+            records,
+            missing,
+            tuple(self.gatherers),
+            self._describe_missing(missing),
+            irregular_parts,
         )
 
+    def _describe_missing(self, missing: Sequence[int]) -> tuple[str, ...]:
+        causes = [
+            self.unanswered[position].describe_missing_answer()
+            for position in missing
+            if position in self.unanswered
+        ]
+        causes += [attempts.describe_missing_answer() for attempts in self.parts]
+        causes += [
+            f"{self.shards.services[position]}: not answered to its gatherer"
+            for position in missing
+            if position in self.unavailable
+        ]
+        return tuple(causes[:MAX_LOGGED_SHARDS])
+
     def _build_failure(self) -> Reply:
-        detail = f"{len(self.answered)} of {self.shard_count} shards answered"
-        if not any(attempts.started for attempts in (*self.unanswered, *self.answered)):
-            first = self.unanswered[0].failure
-            refused = NotRun(first.reason, first.step, first.peer, detail)
-            return Refused(503, refused, RETRY_AFTER)
+        detail = f"{len(self.answered)} of {len(self.positions)} shards answered"
+        everything = (*self._waiting(), *self.closed_attempts)
+        if not any(attempts.started for attempts in everything):
+            first = next((attempts.failure for attempts in everything), None)
+            reason = Reason.OVERLOAD if first is None else first.reason
+            step = Step.FORWARD if first is None else first.step
+            peer = "" if first is None else first.peer
+            return Refused(503, NotRun(reason, step, peer, detail), RETRY_AFTER)
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
 
 
+def _min_answers(request: Request, shards: Shards) -> int:
+    """Return the number of shards that have to answer."""
+    if request.part is not None:
+        return min(len(request.part.positions), max(1, request.part.least))
+    return shards.min_answers
+
+
 def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
     """Return the greatest ``top`` records of all bodies, greatest first."""
     records = (
--- a/src/masticgate/request/gateway/_reply.py
+++ b/src/masticgate/request/gateway/_reply.py
@@ -23,16 +23,18 @@
     """The merged records of the shards that answered.
 
     ``stamps`` holds the stamps that authenticate the merged answers, and ``missing`` counts the
-    shards without an answer. ``missing_causes`` and ``irregular_parts`` are for the log.
-    ``missing_causes`` says why some of these shards are missing or, if another gateway merged the
-    answers, names that gateway. ``irregular_parts`` describes how some irregular answers were
-    received. An answer is irregular if only the end of the connection marked its end, or if other
-    answers were skipped before it.
+    shards without an answer. ``missing_positions`` holds their positions among all shards of the
+    route. The other fields are for the log: ``gatherers`` describes the parts that other gateways
+    gathered, ``missing_causes`` says why some of the shards are missing, and ``irregular_parts``
+    describes how some irregular answers were received. An answer is irregular if only the end of
+    the connection marked its end, or if other answers were skipped before it.
     """
 
     stamps: tuple[str, ...]
     missing: int
     records: bytes
+    missing_positions: tuple[int, ...] = field(default=(), compare=False)
+    gatherers: tuple[str, ...] = field(default=(), compare=False)
     missing_causes: tuple[str, ...] = field(default=(), compare=False)
     irregular_parts: tuple[str, ...] = field(default=(), compare=False)
 
--- a/src/masticgate/version/gateway/_routes.py
+++ b/src/masticgate/version/gateway/_routes.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from math import ceil
 
 from ..._ids import ConfigurationVersion, Millis, RouteId, ServiceId
 
@@ -49,6 +50,12 @@
     top: int
     min_shard_ratio: float
 
+    @property
+    def min_answers(self) -> int:
+        """The number of shards that have to answer."""
+        # Without the subtraction, a rounding error could require one more shard.
+        return max(1, ceil(self.min_shard_ratio * len(self.services) - 1e-9))
+
 
 Target = OneService | Split | Shards
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -211,6 +211,9 @@
             self.events.append((self.now() + delay, len(self.sent_calls), call))
         return sent_call
 
+    def domain_of(self, searcher):
+        return None
+
     def has_searcher(self, service, tried):
         return bool(self.plans[service])
 
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -548,6 +548,9 @@
         self.finished.append(call)
         return ScriptedCall(call, SearcherId(f"{call.service}-{len(attempts)}"))
 
+    def domain_of(self, searcher):
+        return None
+
     def has_searcher(self, service, tried):
         return bool(self.plans[service])
 
