--- /dev/null
+++ b/src/masticgate/_fields.py
@@ -0,0 +1,121 @@
+"""Typed and bounded access to the fields of decoded JSON and TOML, which others wrote."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import isfinite
+from typing import Any
+
+MAX_TEXT_CHARACTERS = 1_000
+MAX_NUMBER = 1e12
+"""The largest number that a field may hold; in milliseconds, it is about 30 years."""
+
+MAX_INTEGER = 2**53
+"""The largest integer that a field may hold, which a float represents exactly."""
+
+MAX_ERROR_CHARACTERS = 200
+"""An error message quotes at most this much of a field that is invalid."""
+
+
+class FieldError(Exception):
+    """A field is missing or has an invalid value; the message names the field."""
+
+
+def decode_json(data: bytes | str) -> Any:
+    """Return the value that ``data`` encodes.
+
+    :raises FieldError: ``data`` is not valid JSON, or nested too deeply to decode.
+    """
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise FieldError(f"not readable as JSON: {str(error)[:MAX_ERROR_CHARACTERS]}") from error
+
+
+@dataclass(frozen=True, slots=True)
+class Fields:
+    """The fields of one JSON object or TOML table; ``path`` names it in error messages."""
+
+    path: str
+    values: Mapping[str, Any]
+
+    @classmethod
+    def of(cls, path: str, value: Any) -> "Fields":
+        """Return the fields of ``value``.
+
+        :raises FieldError: ``value`` is not a table.
+        """
+        if not isinstance(value, dict):
+            raise FieldError(f"{path}: must be a table")
+        return cls(path, value)
+
+    def text(self, name: str) -> str:
+        """Return the field ``name``, which must be a printable string of bounded length."""
+        value = self.values.get(name)
+        if not is_name(value):
+            raise self.error(name, "a non-empty, printable string")
+        return str(value)
+
+    def integer(self, name: str, minimum: int = -MAX_INTEGER, maximum: int = MAX_INTEGER) -> int:
+        """Return the field ``name``, which must be an integer within the bounds."""
+        value = self.values.get(name)
+        if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
+            raise self.error(name, f"an integer from {minimum} to {maximum}")
+        return value
+
+    def number(
+        self,
+        name: str,
+        default: float | None = None,
+        minimum: float = 0.0,
+        maximum: float = MAX_NUMBER,
+    ) -> float:
+        """Return the field ``name``, or ``default`` if it is missing.
+
+        It must be a finite number within the bounds.
+        """
+        value = self.values.get(name, default)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            raise self.error(name, "a number")
+        if not minimum <= value <= maximum or not isfinite(value):
+            raise self.error(name, f"a number from {minimum:g} to {maximum:g}")
+        return float(value)
+
+    def table(self, name: str) -> "Fields":
+        """Return the field ``name``, which must be a table."""
+        return Fields.of(f"{self.path}.{name}", self.values.get(name))
+
+    def tables(self, name: str) -> "list[Fields]":
+        """Return the field ``name``, which must be a list of tables."""
+        return [Fields.of(f"{self.path}.{name}", item) for item in self.items(name)]
+
+    def items(self, name: str) -> list[Any]:
+        """Return the field ``name``, which must be a list."""
+        value = self.values.get(name)
+        if not isinstance(value, list):
+            raise self.error(name, "a list")
+        return value
+
+    def text_list(self, name: str) -> list[str]:
+        """Return the field ``name``, which must be a list of printable strings."""
+        value = self.values.get(name)
+        if not isinstance(value, list) or not all(is_name(item) for item in value):
+            raise self.error(name, "a list of non-empty, printable strings")
+        return value
+
+    def error(self, name: str, expected: str) -> FieldError:
+        """Return an error which says that the field ``name`` must be ``expected``."""
+        return FieldError(f"{self.path}.{name}: must be {expected}")
+
+
+def is_name(value: object) -> bool:
+    """Return whether ``value`` is a non-empty string of bounded length that can be printed.
+
+    Line breaks, control characters and lone surrogates cannot.
+    """
+    return isinstance(value, str) and value.isprintable() and 0 < len(value) <= MAX_TEXT_CHARACTERS
+
+
+def is_header_text(value: object) -> bool:
+    """Return whether ``value`` is a name that the value of an HTTP header can hold."""
+    return is_name(value) and str(value).isascii()
--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -16,6 +16,7 @@
 from ._header_names import HeaderNames as HeaderNames
 from ._header_names import peer_header_names as peer_header_names
 from ._listener import Listener as Listener
+from ._positions import MAX_SHARDS as MAX_SHARDS
 from ._searcher_task import Load as Load
 from ._searcher_task import ProtocolViolation as ProtocolViolation
 from ._searcher_task import SearcherTask as SearcherTask
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -274,9 +274,8 @@
 
 
 def _parse_millis(value: bytes | None) -> Millis | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return Millis(float(value))
+    number = None if value is None else parse_number(value)
+    return None if number is None else Millis(float(number))
 
 
 def _refusal(status: int, reason: Reason, detail: str) -> Refused:
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -4,12 +4,12 @@
 searcher, which is a server that runs requests of one service.
 """
 
-import json
 from dataclasses import asdict, dataclass
-from typing import Any
+from enum import Enum
+from typing import Any, TypeVar
 
+from ..._fields import FieldError, Fields, decode_json, is_header_text, is_name
 from ..._ids import (
-    Address,
     ConfigurationVersion,
     FailureDomainId,
     Millis,
@@ -18,27 +18,31 @@
     SearcherId,
     ServiceId,
 )
-from ...process.gateway._catalogue import (
-    Change,
-    PublishedConfiguration,
-    SearcherEntry,
-    SearcherListed,
-    SearcherPhase,
-    SearcherUnlisted,
-    UnreadableItem,
-)
 from ...version.gateway import (
+    MAX_COLD_TIME,
+    MAX_SLOTS,
+    Change,
     Idempotency,
     Limits,
     OneService,
+    PublishedConfiguration,
     Route,
     RouteTable,
+    SearcherEntry,
+    SearcherListed,
+    SearcherPhase,
+    SearcherUnlisted,
     ServiceEntry,
     Shards,
     Split,
     Target,
+    UnreadableItem,
     WeightedService,
 )
+from .._address import parse_address
+from ._positions import MAX_SHARDS
+
+Choice = TypeVar("Choice", bound=Enum)
 
 
 class InvalidCatalogueError(Exception):
@@ -74,13 +78,15 @@
 def decode_changes(body: bytes) -> CatalogueUpdate:
     """Return the catalogue update in the body of another gateway's response.
 
+    The fields have the same bounds as those that the platform publishes.
+
     :raises InvalidCatalogueError: the body is not in the format of this release.
     """
     try:
-        value = json.loads(body)
-        changes = tuple(_decode_change(item) for item in value["changes"])
-        return CatalogueUpdate(str(value["epoch"]), Revision(int(value["number"])), changes)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        fields = Fields.of("update", decode_json(body))
+        changes = tuple(_decode_change(item) for item in fields.tables("changes"))
+        return CatalogueUpdate(fields.text("epoch"), Revision(fields.integer("number", 0)), changes)
+    except FieldError as error:
         raise InvalidCatalogueError(str(error)) from error
 
 
@@ -109,75 +115,108 @@
             return {"shards": list(services), "top": top, "least": min_shard_ratio}
 
 
-def _decode_change(item: dict[str, Any]) -> Change:
-    match item:
-        case {"table": table}:
-            return PublishedConfiguration(_decode_table(table))
-        case {"listed": entry}:
-            return SearcherListed(_decode_entry(entry))
-        case {"unlisted": searcher}:
-            return SearcherUnlisted(SearcherId(searcher))
-        case {"unreadable": [key, detail, searcher]}:
-            return UnreadableItem(key, detail, None if searcher is None else SearcherId(searcher))
+def _decode_change(fields: Fields) -> Change:
+    match list(fields.values):
+        case ["table"]:
+            return PublishedConfiguration(_decode_table(fields.table("table")))
+        case ["listed"]:
+            return SearcherListed(_decode_entry(fields.table("listed")))
+        case ["unlisted"]:
+            return SearcherUnlisted(_decode_searcher(fields, "unlisted"))
+        case ["unreadable"]:
+            return _decode_unreadable(fields)
         case _:
-            raise ValueError("unknown kind of change")
+            raise fields.error("*", "a known kind of change")
+
+
+def _decode_unreadable(fields: Fields) -> UnreadableItem:
+    match fields.items("unreadable"):
+        case [str(key), str(detail), None]:
+            return UnreadableItem(key, detail)
+        case [str(key), str(detail), str(searcher)] if is_header_text(searcher):
+            return UnreadableItem(key, detail, SearcherId(searcher))
+        case _:
+            raise fields.error("unreadable", "a key, a detail and a searcher or null")
+
+
+def _decode_searcher(fields: Fields, name: str) -> SearcherId:
+    if not is_header_text(fields.values.get(name)):
+        raise fields.error(name, "the id of a searcher")
+    return SearcherId(fields.text(name))
 
 
-def _decode_entry(entry: dict[str, Any]) -> SearcherEntry:
+def _decode_entry(fields: Fields) -> SearcherEntry:
+    address = parse_address(fields.values.get("address"))
+    if address is None:
+        raise fields.error("address", "an IPv4 address and a port")
     return SearcherEntry(
-        id=SearcherId(entry["id"]),
-        service=ServiceId(entry["service"]),
-        address=Address(entry["address"]),
-        domain=FailureDomainId(entry["domain"]),
-        slots=int(entry["slots"]),
-        phase=SearcherPhase(entry["phase"]),
-        cold=Millis(entry["cold"]),
-        born=int(entry["born"]),
+        id=_decode_searcher(fields, "id"),
+        service=ServiceId(fields.text("service")),
+        address=address,
+        domain=FailureDomainId(fields.text("domain")),
+        slots=fields.integer("slots", 1, MAX_SLOTS),
+        phase=_decode_enum(fields, "phase", SearcherPhase),
+        cold=Millis(fields.number("cold", maximum=MAX_COLD_TIME)),
+        born=fields.integer("born", 0),
     )
 
 
-def _decode_table(table: dict[str, Any]) -> RouteTable:
-    services = {
-        ServiceId(name): ServiceEntry(ServiceId(name), int(connections))
-        for name, connections in table["services"].items()
-    }
-    limits = table["limits"]
+def _decode_enum(fields: Fields, name: str, kind: type[Choice]) -> Choice:
+    try:
+        return kind(fields.text(name))
+    except ValueError as error:
+        raise fields.error(name, f"one of {[choice.value for choice in kind]}") from error
+
+
+def _decode_table(fields: Fields) -> RouteTable:
+    connections = fields.table("services")
+    limits = fields.table("limits")
     return RouteTable(
-        ConfigurationVersion(table["version"]),
-        tuple(_decode_route(route) for route in table["routes"]),
-        services,
+        ConfigurationVersion(fields.integer("version", 0)),
+        tuple(_decode_route(route) for route in fields.tables("routes")),
+        {
+            ServiceId(name): ServiceEntry(ServiceId(name), connections.integer(name, 0))
+            for name in connections.values
+        },
         Limits(
-            int(limits["header_bytes"]),
-            int(limits["body_bytes"]),
-            Millis(limits["header_timeout"]),
-            Millis(limits["idle_timeout"]),
+            limits.integer("header_bytes", 0),
+            limits.integer("body_bytes", 0),
+            Millis(limits.number("header_timeout")),
+            Millis(limits.number("idle_timeout")),
         ),
     )
 
 
-def _decode_route(route: dict[str, Any]) -> Route:
+def _decode_route(fields: Fields) -> Route:
     return Route(
-        id=RouteId(route["id"]),
-        host=route["host"],
-        prefix=route["prefix"],
-        kind=Idempotency(route["kind"]),
-        target=_decode_target(route["target"]),
-        attempts=int(route["attempts"]),
-        timeout=Millis(route["timeout"]),
-        objective=Millis(route["objective"]),
-        rank=int(route["rank"]),
+        id=RouteId(fields.text("id")),
+        host=fields.text("host"),
+        prefix=fields.text("prefix"),
+        kind=_decode_enum(fields, "kind", Idempotency),
+        target=_decode_target(fields.table("target")),
+        attempts=fields.integer("attempts", 1),
+        timeout=Millis(fields.number("timeout")),
+        objective=Millis(fields.number("objective")),
+        rank=fields.integer("rank"),
     )
 
 
-def _decode_target(target: dict[str, Any]) -> Target:
-    match target:
-        case {"service": service}:
-            return OneService(ServiceId(service))
-        case {"split": parts}:
-            return Split(tuple(WeightedService(ServiceId(n), float(w)) for n, w in parts))
-        case {"shards": services, "top": top, "least": min_shard_ratio}:
-            return Shards(
-                tuple(ServiceId(name) for name in services), int(top), float(min_shard_ratio)
+def _decode_target(fields: Fields) -> Target:
+    if "service" in fields.values:
+        return OneService(ServiceId(fields.text("service")))
+    if "split" in fields.values:
+        return Split(tuple(_decode_weight(fields, part) for part in fields.items("split")))
+    services = tuple(ServiceId(name) for name in fields.text_list("shards"))
+    if not 0 < len(services) <= MAX_SHARDS:
+        raise fields.error("shards", f"from 1 to {MAX_SHARDS} services")
+    return Shards(services, fields.integer("top", 0), fields.number("least", maximum=1.0))
+
+
+def _decode_weight(fields: Fields, part: Any) -> WeightedService:
+    match part:
+        case [str(service), weight] if is_name(service):
+            return WeightedService(
+                ServiceId(service), Fields(fields.path, {"weight": weight}).number("weight")
             )
         case _:
-            raise ValueError("unknown kind of target")
+            raise fields.error("split", "a list of services with their weights")
--- a/src/masticgate/platform/_configuration.py
+++ b/src/masticgate/platform/_configuration.py
@@ -1,6 +1,8 @@
 """Decodes the operators' configuration, which the platform publishes."""
 
+from .._fields import Fields
 from .._ids import ConfigurationVersion, Millis, RouteId, ServiceId
+from ..connection.gateway import MAX_SHARDS
 from ..version.gateway import (
     Idempotency,
     Limits,
@@ -13,7 +15,6 @@
     Target,
     WeightedService,
 )
-from ._fields import Fields
 
 IDEMPOTENCY_KINDS = {
     "idempotent": Idempotency.IDEMPOTENT,
@@ -21,6 +22,8 @@
 }
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_OBJECTIVE_MS = 1_000.0
+MAX_ATTEMPTS = 1_000.0
+MAX_TOP = 1_000_000.0
 DEFAULT_RANK = 9
 """The rank of a route that states none; 0 is the most urgent."""
 
@@ -38,7 +41,7 @@
         for service in fields.tables("services")
     ]
     return RouteTable(
-        ConfigurationVersion(fields.integer("version")),
+        ConfigurationVersion(fields.integer("version", 0)),
         tuple(_decode_route(route) for route in fields.tables("routes")),
         {service.id: service for service in services},
         _decode_limits(fields.table("limits")),
@@ -52,7 +55,7 @@
         prefix=fields.text("prefix"),
         kind=IDEMPOTENCY_KINDS.get(fields.text("type"), Idempotency.NON_IDEMPOTENT),
         target=_decode_target(fields),
-        attempts=int(fields.number("maxAttempts", 1.0)),
+        attempts=int(fields.number("maxAttempts", 1.0, 1.0, MAX_ATTEMPTS)),
         timeout=Millis(fields.number("timeoutMs", DEFAULT_TIMEOUT_MS)),
         objective=Millis(fields.number("targetLatencyMs", DEFAULT_OBJECTIVE_MS)),
         rank=int(fields.number("priority", DEFAULT_RANK)),
@@ -62,8 +65,10 @@
 def _decode_target(fields: Fields) -> Target:
     if "fanoutServices" in fields.values:
         services = tuple(ServiceId(name) for name in fields.text_list("fanoutServices"))
-        top = int(fields.number("topK", 0.0))
-        return Shards(services, top, fields.number("minShardRatio", 0.0))
+        if not 0 < len(services) <= MAX_SHARDS:
+            raise fields.error("fanoutServices", f"from 1 to {MAX_SHARDS} services")
+        top = int(fields.number("topK", 0.0, maximum=MAX_TOP))
+        return Shards(services, top, fields.number("minShardRatio", 0.0, maximum=1.0))
     if "trafficSplit" in fields.values:
         parts = fields.tables("trafficSplit")
         return Split(
--- a/src/masticgate/platform/_items.py
+++ b/src/masticgate/platform/_items.py
@@ -1,11 +1,11 @@
 """Decodes the items in the platform's store: the configuration and the searchers' listings."""
 
-import json
 from base64 import b64decode
-from ipaddress import IPv4Address
 from typing import Any
 
+from .._fields import FieldError, Fields, decode_json, is_header_text
 from .._ids import Address, FailureDomainId, Millis, SearcherId, ServiceId
+from ..connection.gateway import parse_address
 from ..process.gateway import (
     Change,
     PublishedConfiguration,
@@ -15,8 +15,8 @@
     SearcherUnlisted,
     UnreadableItem,
 )
+from ..version.gateway import MAX_COLD_TIME, MAX_SLOTS
 from ._configuration import decode_configuration
-from ._fields import FieldError, Fields
 from ._names import CONFIGURATION_KEY, SEARCHERS_PREFIX
 
 PHASES = {"ready": SearcherPhase.READY, "draining": SearcherPhase.DRAINING}
@@ -28,8 +28,8 @@
     Return ``None`` for a key that is neither the configuration nor a listing, and for the removal
     of the configuration.
     """
-    if not isinstance(item, dict) or not isinstance(item.get("key"), str):
-        return UnreadableItem("", "an item without a key")
+    if not isinstance(item, dict) or not is_header_text(item.get("key")):
+        return UnreadableItem("", "an item without a valid key")
     key = item["key"]
     if key.startswith(SEARCHERS_PREFIX):
         return _decode_searcher(key, item)
@@ -41,7 +41,7 @@
 def _decode_published(key: str, item: dict[str, Any]) -> Change:
     try:
         return PublishedConfiguration(decode_configuration(_decode_value(item)))
-    except (FieldError, ValueError) as error:
+    except FieldError as error:
         return UnreadableItem(key, str(error))
 
 
@@ -51,43 +51,42 @@
         return SearcherUnlisted(searcher)
     try:
         return SearcherListed(_decode_entry(searcher, Fields.of("entry", _decode_value(item))))
-    except (FieldError, ValueError) as error:
+    except FieldError as error:
         return UnreadableItem(key, str(error), searcher)
 
 
 def _decode_entry(searcher: SearcherId, fields: Fields) -> SearcherEntry:
     # The version and the sequence are not used, but a listing without them is invalid.
     fields.text("version")
-    fields.integer("sequence")
+    fields.integer("sequence", 0)
     phase = PHASES.get(fields.text("state"))
     if phase is None:
         raise fields.error("state", "'ready' or 'draining'")
-    slots = fields.integer("slots")
-    if slots < 1:
-        raise fields.error("slots", "a positive number")
     return SearcherEntry(
         id=searcher,
         service=ServiceId(fields.text("service")),
         address=_decode_address(fields),
         domain=FailureDomainId(fields.text("zone")),
-        slots=slots,
+        slots=fields.integer("slots", 1, MAX_SLOTS),
         phase=phase,
-        cold=Millis(fields.number("coldRemainingMs")),
-        born=fields.integer("born") if "born" in fields.values else 0,
+        cold=Millis(fields.number("coldRemainingMs", maximum=MAX_COLD_TIME)),
+        born=fields.integer("born", 0) if "born" in fields.values else 0,
     )
 
 
 def _decode_address(fields: Fields) -> Address:
-    text = fields.text("address")
-    host, _, port = text.rpartition(":")
-    IPv4Address(host)
-    if not port.isdigit() or not 0 < int(port) < 65_536:
+    address = parse_address(fields.values.get("address"))
+    if address is None:
         raise fields.error("address", "an IPv4 address and a port")
-    return Address(text)
+    return address
 
 
 def _decode_value(item: dict[str, Any]) -> Any:
     value = item.get("value")
     if not isinstance(value, str):
         raise FieldError("item.value: must be a string")
-    return json.loads(b64decode(value, validate=True))
+    try:
+        data = b64decode(value, validate=True)
+    except ValueError as error:
+        raise FieldError(f"item.value: must be standard base64: {error}") from error
+    return decode_json(data)
--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -1,13 +1,15 @@
 """Reads the settings file that the platform writes for a gateway process."""
 
 import tomllib
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 from .._clock import MILLIS_PER_SECOND
+from .._fields import FieldError, Fields
 from .._ids import Address, FailureDomainId, HostId, Millis
+from ..connection.gateway import parse_address
 from ..process.gateway import GatewaySettings, HostCapacity, RepeatBounds
-from ._fields import FieldError, Fields
 
 DEFAULT_LINK_MBPS = 1_000.0
 
@@ -27,7 +29,7 @@
     try:
         fields = Fields.of("settings", tomllib.loads(path.read_text(encoding="utf-8")))
         return _decode_settings(fields, metrics_port)
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, FieldError) as error:
+    except (OSError, ValueError, RecursionError, FieldError) as error:
         return InvalidNodeFile(f"{path}: {error}")
 
 
@@ -40,12 +42,12 @@
     return GatewaySettings(
         host=HostId(fields.text("nodeName")),
         domain=FailureDomainId(fields.text("zone")),
-        caller_address=Address(listen.text("front")),
-        readiness_address=Address(listen.text("ready")),
+        caller_address=_decode_address(listen, "front"),
+        readiness_address=_decode_address(listen, "ready"),
         metrics_address=metrics_address,
-        peer_address=Address(listen.text("control")) if "control" in listen.values else None,
-        seeds=tuple(Address(seed) for seed in fields.text_list("seedNodes")),
-        store_address=Address(fields.table("platform").text("address")),
+        peer_address=_decode_address(listen, "control") if "control" in listen.values else None,
+        seeds=tuple(_decode_seeds(fields)),
+        store_address=_decode_address(fields.table("platform"), "address"),
         grace=Millis(bounds.number("graceS") * MILLIS_PER_SECOND),
         drain=Millis(bounds.number("drainMs")),
         repeats=RepeatBounds(
@@ -57,6 +59,21 @@
     )
 
 
+def _decode_address(fields: Fields, name: str) -> Address:
+    address = parse_address(fields.values.get(name))
+    if address is None:
+        raise fields.error(name, "an IPv4 address and a port")
+    return address
+
+
+def _decode_seeds(fields: Fields) -> Iterator[Address]:
+    for seed in fields.text_list("seedNodes"):
+        address = parse_address(seed)
+        if address is None:
+            raise fields.error("seedNodes", "a list of IPv4 addresses and ports")
+        yield address
+
+
 def _decode_capacity(limits: Fields) -> HostCapacity:
     # The platform states the share of a core and, separately, how many times as fast it runs.
     cores = limits.number("cpuShare", 1.0) * limits.number("cpuSpeedup", 1.0)
--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -1,9 +1,9 @@
 """The client of the platform's store, which holds the configuration and the listings."""
 
-import json
 from typing import Any
 
 from .._clock import Clock
+from .._fields import FieldError, Fields, decode_json, is_name
 from .._ids import Address, Millis, Revision
 from ..connection.gateway import GetTimeouts, HttpClient, InvalidResponse, NoResponse
 from ..process.gateway import (
@@ -64,12 +64,14 @@
                 return _unavailable(page)
             items = page.get("items") or []
             changes += _decode_items(items)
-            first_revision = (
-                Revision(page["currentRev"]) if first_revision is None else first_revision
-            )
+            if first_revision is None:
+                first_revision = Revision(page["currentRev"])
             if not page.get("hasMore") or not items:
                 return Contents(tuple(changes), first_revision)
-            after = items[-1]["key"]
+            last_key = _last_key(items)
+            if last_key is None or last_key == after:
+                return Unavailable("a page without a key to continue from")
+            after = last_key
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them."""
@@ -94,12 +96,20 @@
         if response.status != 200:
             return response.status
         try:
-            body = json.loads(response.body)
-        except ValueError as error:
-            return Unavailable(f"unreadable body: {error}")
-        if not isinstance(body, dict) or not isinstance(body.get("currentRev"), int):
-            return Unavailable("a body without a revision")
-        return body
+            body = Fields.of("body", decode_json(response.body))
+            body.integer("currentRev", 0)
+            for name in ("items", "events"):
+                if body.values.get(name):
+                    body.items(name)
+        except FieldError as error:
+            return Unavailable(str(error))
+        return dict(body.values)
+
+
+def _last_key(items: list[Any]) -> str | None:
+    """Return the key of the last item that has a valid one."""
+    keys = [item.get("key") for item in items if isinstance(item, dict)]
+    return next((key for key in reversed(keys) if is_name(key)), None)
 
 
 def _decode_items(items: list[Any]) -> list[Change]:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -24,8 +24,7 @@
     peer_header_names,
 )
 from ...request.gateway import Answered, BodyFraming, Call, Declined, Lost, Repeat
-from ...version.gateway import Route, RouteTable
-from ._catalogue import PEER_SERVICE, SearcherEntry, SearcherPhase
+from ...version.gateway import PEER_SERVICE, Route, RouteTable, SearcherEntry, SearcherPhase
 from ._hedge_delays import HedgeDelays
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
@@ -63,7 +62,7 @@
 STUCK_CALL_MARGIN = Millis(100.0)
 """A connection is closed once its call is past its deadline by more than this."""
 
-WARM_SEARCHERS = 2
+WARM_SEARCHERS = 1
 """The number of searchers of each shard to which a gatherer keeps a connection open."""
 
 MAX_SHARD_CONNECTIONS = 4
@@ -79,6 +78,9 @@
 RENEWAL_WINDOW = Millis(20_000.0)
 """An expired idle connection is replaced if its searcher was sent a request within this time."""
 
+SHARD_RENEWAL_WINDOW = Millis(6_000.0)
+"""The same for the searchers of shards, of which a gatherer has hundreds and uses some to hedge."""
+
 LAST_RESORT_SHARE = 0.5
 """The part of the ``drain`` setting for which a leaving searcher is used if there is no other."""
 
@@ -379,11 +381,10 @@
         with self.lock:
             return set[FailureDomainId]().union(*self._find_shard_domains().values())
 
-    def domain_of(self, searcher: SearcherId) -> FailureDomainId | None:
-        """Return the failure domain of a searcher, or ``None`` if it is not known."""
+    def searcher_count(self, service: ServiceId) -> int:
+        """Return the number of searchers of a service that are listed or about to leave."""
         with self.lock:
-            replica = self.replicas.get(searcher)
-            return None if replica is None else replica.entry.domain
+            return len(self.services.get(service, {}))
 
     def maintain(self) -> None:
         """Do the regular maintenance of searchers and connections.
@@ -407,7 +408,7 @@
         now = self.clock.now()
         service = call.service
         known = self.services.get(service, {})
-        untried = [r for r in self._allowed_replicas(call) if r.entry.id not in tried]
+        untried = [replica for replica in known.values() if replica.entry.id not in tried]
         usable = [replica for replica in untried if replica.is_usable(now)]
         if not usable and tried and call.repeat is not Repeat.HEDGE:
             usable = [replica for replica in untried if replica.state is ReplicaState.EJECTED]
@@ -420,27 +421,6 @@
             return min(free, key=lambda replica: self._gatherer_sort_key(replica, call, now))
         return min(free, key=lambda replica: self._sort_key(replica, now))
 
-    def _allowed_replicas(self, call: Call) -> list[Replica]:
-        """Return the searchers to which the request of ``call`` may be sent.
-
-        A query that is gathered a second time, after its gatherer was lost, must not reach more
-        searchers of a shard than its route allows. All gateways therefore restrict a query to the
-        same searchers of each shard: those in the domain of its first gatherer, and others by the
-        hash of the request id. The restriction is lifted if none of them is usable.
-        """
-        replicas = list(self.services.get(call.service, {}).values())
-        limit = call.route.attempts
-        listed = [replica for replica in replicas if replica.is_listed]
-        if call.service not in self.shard_services or len(listed) <= limit:
-            return replicas
-        domain = call.request.gathering_domain or self.settings.domain
-        listed.sort(
-            key=lambda r: (r.entry.domain != domain, rendezvous_weight(call.request.id, r.entry.id))
-        )
-        now = self.clock.now()
-        allowed = listed[:limit]
-        return allowed if any(replica.is_usable(now) for replica in allowed) else replicas
-
     def _gatherer_sort_key(
         self, replica: Replica, call: Call, now: Millis
     ) -> tuple[bool, bool, bool, int]:
@@ -516,10 +496,18 @@
             task.close()
 
     def _is_in_use(self, replica: Replica, now: Millis) -> bool:
-        """Return whether an expired idle connection of a searcher is worth replacing."""
-        if replica.entry.service in self.shard_services and not self.shares.keeps_warm:
+        """Return whether an expired idle connection of a searcher is worth replacing.
+
+        One to a gatherer is not: each of hundreds of gateways would keep one open to each gatherer.
+        """
+        service = replica.entry.service
+        if service == PEER_SERVICE:
             return False
-        return now - replica.last_used_at < RENEWAL_WINDOW or self._is_kept_warm(replica)
+        if service in self.shard_services:
+            window = SHARD_RENEWAL_WINDOW if self.shares.keeps_warm else Millis(0.0)
+        else:
+            window = RENEWAL_WINDOW
+        return now - replica.last_used_at < window or self._is_kept_warm(replica)
 
     def _close_stuck(self, now: Millis) -> None:
         """Close connections whose call is past its deadline; the lock is held."""
@@ -601,7 +589,7 @@
     def _warm_replicas(self, service: ServiceId) -> list[Replica]:
         """Return the searchers of a shard to which this gateway keeps a connection open.
 
-        They are one for first attempts, in this gateway's domain if there is one, and one to hedge.
+        They are the ones for first attempts, in this gateway's domain if there is one.
         """
         active = [
             replica
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -8,20 +8,20 @@
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import ConfigurationVersion, Millis, Revision, SearcherId
-from ...version.gateway import RouteTable
-from .._backoff import Backoff
-from ._catalogue import (
+from ...version.gateway import (
     CatalogueSource,
     Change,
     Changes,
     Contents,
     HistoryGone,
     PublishedConfiguration,
+    RouteTable,
     SearcherListed,
     SearcherUnlisted,
     Unavailable,
     UnreadableItem,
 )
+from .._backoff import Backoff
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
@@ -180,6 +180,7 @@
                 self._handle_unlisted(searcher, "unlisted")
             case UnreadableItem(key=key, detail=detail, searcher=searcher):
                 self.catalogue.add(change)
+                self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
                 if searcher is not None:
                     self.fleet.remove_searcher(searcher, "unreadable")
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -2,15 +2,14 @@
 
 import os
 import threading
-from threading import Event, Thread
+from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, SystemClock
 from ..._ids import Address, Millis
 from ...connection.gateway import CallerSettings, Handler, HeaderNames, Listener, peer_header_names
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, LocalPage, Reply, Request
-from ...version.gateway import Limits, RouteTable
-from ._catalogue import CatalogueSource, PlatformSource
+from ...version.gateway import CatalogueSource, Limits, PlatformSource, RouteTable
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
@@ -19,6 +18,7 @@
 from ._relay import MAX_PLATFORM_AGE, RelayedSource
 from ._service import GatewayService, GatewayView
 from ._settings import GatewaySettings
+from ._supervisor import Supervisor
 from ._task_pool import TaskPool
 
 MAX_CALLER_CONNECTIONS = 1_500
@@ -100,6 +100,7 @@
             self.follower.catalogue,
         )
         self.ended = Event()
+        self.supervisor = Supervisor(self.log, self.metrics, self.ended)
         self.was_ready = False
         self.readiness = self._listen(settings.readiness_address, header_names, self._ready_page)
         self.callers = self._listen(
@@ -123,8 +124,8 @@
         )
         tasks = [self.log.run, self.follower.run, self._run_maintenance]
         for run in (*tasks, *(listener.run for listener in self.listeners)):
-            Thread(target=run, daemon=True).start()
-        self.peers.start()
+            self.supervisor.start(run)
+        self.peers.start(self.supervisor)
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings to the fleet, and the changed grace time.
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -9,8 +9,9 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from math import isfinite
-from threading import Lock, Thread
+from threading import Lock
 from time import sleep
 from urllib.parse import parse_qs
 
@@ -18,8 +19,15 @@
 from ..._ids import Address, FailureDomainId, HostId, Millis, RouteId, SearcherId
 from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
 from ...request.gateway import LocalPage, Request
-from ...version.gateway import Idempotency, OneService, Route, RouteTable
-from ._catalogue import PEER_SERVICE, SearcherEntry, SearcherPhase
+from ...version.gateway import (
+    PEER_SERVICE,
+    Idempotency,
+    OneService,
+    Route,
+    RouteTable,
+    SearcherEntry,
+    SearcherPhase,
+)
 from ._fleet import Fleet
 from ._gatherers import Member, choose_gatherers
 from ._log import EventLog, LogEvent
@@ -32,6 +40,7 @@
 )
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from ._supervisor import Supervisor
 
 HEARTBEAT_HOST = "heartbeat.gateway"
 """The Host header by which a gateway recognizes a heartbeat."""
@@ -71,6 +80,9 @@
 The catalogue is the configuration and the listings of the searchers.
 """
 
+MAX_MEMBERS = 1_000_000
+"""A larger number of members in a reply to a heartbeat is ignored."""
+
 MAX_NAMED_GATHERERS = 1_000
 """The number of gatherers that are accepted in one reply to a heartbeat."""
 
@@ -157,11 +169,11 @@
         self.members = 1
         self.gathering: Gathering = GatherHere()
 
-    def start(self) -> None:
+    def start(self, supervisor: Supervisor) -> None:
         """Start a heartbeat task for each seed except this gateway."""
         for seed in self.settings.seeds:
             if seed != self.settings.peer_address:
-                Thread(target=self._run_heartbeats, args=(seed,), daemon=True).start()
+                supervisor.start(partial(self._run_heartbeats, seed))
 
     def handle_heartbeat(self, request: Request) -> LocalPage:
         """Record a heartbeat, and return this gateway's state, the gatherers and the members."""
@@ -329,7 +341,7 @@
                 self.relay_domains[seed] = FailureDomainId(str(reply.get("domain")))
             else:
                 self.relay_domains.pop(seed, None)
-            if isinstance(members, int) and members > 0:
+            if isinstance(members, int) and 0 < members <= MAX_MEMBERS:
                 self.members = members
             self.named[seed] = gatherers
         self._apply_gatherers()
--- a/src/masticgate/process/gateway/_permits.py
+++ b/src/masticgate/process/gateway/_permits.py
@@ -4,7 +4,7 @@
 
 from ._metrics import Metrics
 
-MAX_OWN_GATHERINGS = 4
+MAX_OWN_GATHERINGS = 3
 """The number of queries that a gateway gathers at the same time although it is no gatherer.
 
 Each needs connections to many shards, so that more would take hundreds of tasks on every host.
--- a/src/masticgate/process/gateway/_planner.py
+++ b/src/masticgate/process/gateway/_planner.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Sequence, Set
+from math import ceil
 
 from ..._ids import FailureDomainId
 from ...request.gateway import Part
@@ -16,7 +17,7 @@
     shards: Sequence[Domains],
     gatherer_domains: Domains,
     own_domain: FailureDomainId | None,
-    min_answers: int,
+    may_miss: int,
     key: str,
 ) -> tuple[tuple[int, ...], tuple[Part, ...]]:
     """Return the positions of the shards to gather here, and the parts for other gatherers.
@@ -27,7 +28,8 @@
     Of equally good domains, ``key`` determines one, so that queries are spread over them. Shards
     without a gatherer in their domains are added to the largest part, or gathered here.
 
-    Each part may miss as many shards as the whole query may; ``min_answers`` have to answer.
+    ``may_miss`` is the number of shards without which the query is still answered. Each part may
+    miss its share of them, rounded up, before its answer is waited for past the objective.
     """
     remaining = dict(enumerate(shards))
     here = [p for p, domains in remaining.items() if own_domain in domains]
@@ -45,9 +47,12 @@
         here += remaining
     else:
         max(parts, key=lambda part: len(part[1]))[1].extend(remaining)
-    may_miss = len(shards) - min_answers
     return tuple(sorted(here)), tuple(
-        Part(tuple(sorted(positions)), max(1, len(positions) - may_miss), domain)
+        Part(
+            tuple(sorted(positions)),
+            max(1, len(positions) - ceil(may_miss * len(positions) / len(shards))),
+            domain,
+        )
         for domain, positions in parts
     )
 
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -24,7 +24,7 @@
     encode_change,
 )
 from ...request.gateway import LocalPage, Request
-from ._catalogue import (
+from ...version.gateway import (
     Change,
     Changes,
     Contents,
--- a/src/masticgate/process/gateway/_repeat_budgets.py
+++ b/src/masticgate/process/gateway/_repeat_budgets.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from ..._ids import FailureDomainId, Millis, ServiceId
-from ._catalogue import PEER_SERVICE
+from ...version.gateway import PEER_SERVICE
 from ._repeat_window import RepeatWindow
 from ._settings import RepeatBounds
 from ._shares import GatewayShares
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -4,7 +4,7 @@
 
 from ..._ids import Millis
 from ...connection.gateway import SearcherTask
-from ._catalogue import SearcherEntry
+from ...version.gateway import SearcherEntry
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from threading import Lock
 
 from ..._failures import NotRun, Reason, Step, describe_failure
 from ..._ids import ConfigurationVersion, FailureDomainId, Millis, RouteId, ServiceId
@@ -21,8 +22,7 @@
     run_forward,
     run_gather,
 )
-from ...version.gateway import OneService, Route, RouteTable, Shards, Split
-from ._catalogue import PEER_SERVICE
+from ...version.gateway import PEER_SERVICE, OneService, Route, RouteTable, Shards, Split
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
@@ -57,11 +57,16 @@
     """
 
     def __init__(self) -> None:
+        self.lock = Lock()
         self.random = random.Random()
         self.credits: dict[tuple[ConfigurationVersion, RouteId], dict[ServiceId, float]] = {}
 
     def next(self, version: ConfigurationVersion, route: RouteId, split: Split) -> ServiceId:
-        """Return the service for the next request of ``route``."""
+        """Return the service for the next request of ``route``; any task may call this."""
+        with self.lock:
+            return self._next(version, route, split)
+
+    def _next(self, version: ConfigurationVersion, route: RouteId, split: Split) -> ServiceId:
         key = (version, route)
         credit = self.credits.get(key)
         if credit is None:
@@ -192,7 +197,7 @@
             self.fleet.searcher_domains(shards.services),
             self.fleet.searcher_domains((PEER_SERVICE,))[0],
             own_domain,
-            shards.min_answers,
+            len(shards.services) - shards.min_answers,
             request.id,
         )
         sender = PartSender(
--- /dev/null
+++ b/src/masticgate/process/gateway/_supervisor.py
@@ -0,0 +1,54 @@
+"""Runs the tasks that last as long as the process, and restarts one that ends by an error."""
+
+import traceback
+from collections.abc import Callable
+from os.path import basename
+from threading import Event, Thread
+
+from ..._clock import MILLIS_PER_SECOND
+from ..._ids import Millis
+from ._log import EventLog, LogEvent
+from ._metrics import Metrics
+
+RESTART_DELAY = Millis(500.0)
+"""The pause before a task that ended by an error is started again."""
+
+MAX_TRACE_FRAMES = 8
+"""The number of innermost frames that a log line names."""
+
+
+class Supervisor:
+    """Starts each task in a thread of its own; ``ended`` stops the restarts."""
+
+    def __init__(self, log: EventLog, metrics: Metrics, ended: Event) -> None:
+        self.log = log
+        self.metrics = metrics
+        self.ended = ended
+
+    def start(self, run: Callable[[], None]) -> None:
+        """Start ``run`` in a new thread."""
+        Thread(target=self._run, args=(run,), daemon=True).start()
+
+    def _run(self, run: Callable[[], None]) -> None:
+        """Call ``run`` until it returns normally."""
+        while not self.ended.is_set():
+            try:
+                run()
+                return
+            except Exception as error:
+                record_task_failure(self.log, self.metrics, run, error)
+            self.ended.wait(RESTART_DELAY / MILLIS_PER_SECOND)
+
+
+def record_task_failure(
+    log: EventLog, metrics: Metrics, run: Callable[..., None], error: Exception
+) -> None:
+    """Count and log an error that ended the task ``run``, with the innermost frames."""
+    metrics.count("tasks_failed")
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_TRACE_FRAMES:]
+    log.write(
+        LogEvent.TASK_FAILED,
+        task=getattr(getattr(run, "func", run), "__qualname__", repr(run)),
+        detail=repr(error),
+        at=" < ".join(f"{basename(frame.filename)}:{frame.lineno}" for frame in reversed(frames)),
+    )
--- a/src/masticgate/process/gateway/_task_pool.py
+++ b/src/masticgate/process/gateway/_task_pool.py
@@ -1,16 +1,15 @@
 """A bounded pool of threads for the tasks of connections, one thread for each task."""
 
-import traceback
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from enum import Enum
-from os.path import basename
 from threading import Lock
 from typing import Any
 
 from ...connection.gateway import TaskRefused
-from ._log import EventLog, LogEvent
+from ._log import EventLog
 from ._metrics import Metrics
+from ._supervisor import record_task_failure
 
 
 class TaskState(Enum):
@@ -90,22 +89,11 @@
         try:
             run(*args)
         except Exception as error:
-            self._record_failure(run, error)
+            record_task_failure(self.log, self.metrics, run, error)
         finally:
             with self.lock:
                 self.running -= 1
 
-    def _record_failure(self, run: Callable[..., None], error: Exception) -> None:
-        """Log an error that would otherwise stay unseen, since nobody reads the task's future."""
-        self.metrics.count("tasks_failed")
-        frame = traceback.extract_tb(error.__traceback__)[-1]
-        self.log.write(
-            LogEvent.TASK_FAILED,
-            task=run.__qualname__,
-            detail=repr(error),
-            at=f"{basename(frame.filename)}:{frame.lineno}",
-        )
-
     def _make_executor(self) -> ThreadPoolExecutor:
         """Return an executor with at most two threads for each of ``max_tasks`` tasks.
 
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -50,8 +50,7 @@
     network between caller and gateway; the route's objective includes it. ``version`` is set if one
     gateway forwards the request to another: it is the version of the configuration by which the
     other gateway has to serve the request. ``part`` is set if only some shards
-    are to be gathered. ``gathering_domain`` is set if shards are gathered again here: it is the
-    failure domain of their first gatherer.
+    are to be gathered.
     """
 
     id: RequestId
@@ -66,7 +65,6 @@
     network_time: Millis = Millis(0.0)
     version: ConfigurationVersion | None = None
     part: Part | None = None
-    gathering_domain: FailureDomainId | None = None
 
     @property
     def path(self) -> str:
@@ -251,8 +249,8 @@
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         ...
 
-    def domain_of(self, searcher: SearcherId) -> FailureDomainId | None:
-        """Return the failure domain of a searcher, or ``None`` if it is not known."""
+    def searcher_count(self, service: ServiceId) -> int:
+        """Return the number of known searchers of ``service``."""
         ...
 
     def hedge_delay(self, route: Route) -> Millis:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ..._failures import NotRun, Reason, Step, Unknown
-from ..._ids import FailureDomainId, Millis
+from ..._ids import Millis
 from ...version.gateway import Route, Shards
 from ._attempts import Attempts
 from ._exchange import Answered, Call, CallerDisconnected, Inbox, Part, Request, UpstreamClient
@@ -31,12 +31,6 @@
 MIN_ANSWER_TIME = Millis(5.0)
 """Shortest wait for the answers of shards in milliseconds, whatever the objective."""
 
-PART_GRACE = Millis(15.0)
-"""How long after the time for the answer a gatherer may still send its part.
-
-It has to answer before that time, so that it is lost if it is silent for longer.
-"""
-
 MAX_LOGGED_SHARDS = 4
 """The maximum number of missing shards, and of irregular answers, described in a log line."""
 
@@ -108,8 +102,8 @@
     that ``min_answers`` shards have answered. ``unanswered`` maps the position of each shard that
     is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
     have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
-    ``closed_attempts`` are those that are over. ``unavailable`` maps each shard that did not answer
-    to its gatherer to the failure domain of that gatherer.
+    ``closed_attempts`` are those that are over. ``unavailable`` holds the shards that did not
+    answer to their gatherers.
     """
 
     def __init__(
@@ -131,7 +125,6 @@
         remaining = route.objective - request.network_time - ANSWER_MARGIN
         answer_time = Millis(max(MIN_ANSWER_TIME, remaining))
         self.answer_at = min(self.deadline, Millis(request.arrived_at + answer_time))
-        self.part_timeout_at: Millis | None = None
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
         self.min_answers = _min_answers(request, shards)
         self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
@@ -140,7 +133,7 @@
         self.answers: list[Answered] = []
         self.answered: set[int] = set()
         self.closed_attempts: list[Attempts | PartAttempts] = []
-        self.unavailable: dict[int, FailureDomainId | None] = {}
+        self.unavailable: set[int] = set()
         self.gatherers: list[str] = []
         self.has_permit = False
 
@@ -152,7 +145,7 @@
         """
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
-        self._send_to_shards(self.plan.here, self.request)
+        self._send_to_shards(self.plan.here)
         while not self._is_finished() or self._retry_unavailable():
             self.inbox.set_batch_size(sum(attempts.pending for attempts in self._waiting()))
             match self.inbox.wait(self._next_wake_up()):
@@ -178,14 +171,12 @@
                 self.parts.append(attempts)
             else:
                 self._gather_part_here(attempts)
-        if self.parts:
-            self.part_timeout_at = Millis(self.answer_at + PART_GRACE)
 
-    def _send_to_shards(self, positions: Iterable[int], request: Request) -> None:
+    def _send_to_shards(self, positions: Iterable[int]) -> None:
         for position in positions:
             service = self.shards.services[position]
             attempts = Attempts(
-                request, self.route, service, self.upstream, self.inbox, self.deadline
+                self.request, self.route, service, self.upstream, self.inbox, self.deadline
             )
             self.unanswered[position] = attempts
             attempts.send_first()
@@ -205,14 +196,15 @@
 
         Do so once, and only if too few shards have answered; return whether a call is in flight.
         """
-        unavailable, self.unavailable = self.unavailable, {}
         if len(self.answered) >= self.min_answers or self.upstream.now() >= self.deadline:
-            self.unavailable = unavailable
             return False
-        for position, domain in unavailable.items():
-            if self.upstream.allow_retry(self.shards.services[position], possibly_ran=True):
-                request = replace(self.request, gathering_domain=domain)
-                self._send_to_shards((position,), request)
+        positions = [
+            position
+            for position in sorted(self.unavailable - self.unanswered.keys())
+            if self._may_ask_again(position)
+            and self.upstream.allow_retry(self.shards.services[position])
+        ]
+        self._send_to_shards(positions)
         return any(attempts.pending for attempts in self._waiting())
 
     def _next_wake_up(self) -> Millis:
@@ -221,8 +213,6 @@
             times.append(self.answer_at)
         if self.hedge_at is not None:
             times.append(self.hedge_at)
-        if self.part_timeout_at is not None:
-            times.append(self.part_timeout_at)
         return min(times)
 
     def _handle_call(self, call: Call) -> None:
@@ -256,7 +246,7 @@
         self.closed_attempts.append(attempts)
         self.answers.append(answer.answer)
         self.answered.update(set(attempts.part.positions) - set(answer.missing))
-        self.unavailable.update(dict.fromkeys(answer.missing, attempts.first_domain))
+        self.unavailable.update(answer.missing)
         self.gatherers.append(answer.describe())
 
     def _handle_time(self) -> None:
@@ -270,40 +260,31 @@
                     shard.send_first()
             for attempts in self.parts:
                 attempts.replace_unsent()
-        if self.part_timeout_at is not None and now >= self.part_timeout_at:
-            self.part_timeout_at = None
-            for attempts in list(self.parts):
-                self._give_up_part(attempts)
-
-    def _give_up_part(self, attempts: PartAttempts) -> None:
-        """Gather the shards of a silent gatherer here, if the query needs them."""
-        needed = len(self.answered) < self.min_answers
-        if needed and self.upstream.allow_retry(attempts.service, possibly_ran=True):
-            self.parts.remove(attempts)
-            attempts.cancel()
-            self._gather_part_here(attempts, allowed=True)
 
-    def _gather_part_here(self, attempts: PartAttempts, *, allowed: bool = False) -> None:
+    def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
 
-        If the part may have run, the searchers of its gatherer are used again, so that no shard is
-        run by more searchers than the route allows; this takes one of the budget for repeats,
-        unless it is ``allowed`` already.
+        If the part may have run, it takes one of the budget for repeats, and only those shards are
+        gathered again that no other searchers can serve than those allowed for the query.
         """
         self.closed_attempts.append(attempts)
-        domain: FailureDomainId | None = None
+        positions = attempts.part.positions
         if attempts.may_have_run:
-            if not allowed and not self.upstream.allow_retry(attempts.service, possibly_ran=True):
+            positions = tuple(filter(self._may_ask_again, positions))
+            if not positions or not self.upstream.allow_retry(attempts.service):
                 return
-            domain = attempts.first_domain
         if self.plan.permits is not None:
             self.has_permit = self.has_permit or self.plan.permits.acquire()
             if not self.has_permit:
                 return
             self.plan.permits.record_part(again=attempts.may_have_run)
         self.hedge_at = Millis(self.upstream.now() + self.upstream.hedge_delay(self.route))
-        request = replace(self.request, gathering_domain=domain)
-        self._send_to_shards(attempts.part.positions, request)
+        self._send_to_shards(positions)
+
+    def _may_ask_again(self, position: int) -> bool:
+        """Return whether a shard can have no more searchers than the route allows for a query."""
+        service = self.shards.services[position]
+        return self.upstream.searcher_count(service) <= self.route.attempts
 
     def _cancel(self) -> None:
         for attempts in (*self._waiting(), *self.closed_attempts):
--- a/src/masticgate/request/gateway/_parts.py
+++ b/src/masticgate/request/gateway/_parts.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from ..._failures import NotRun
-from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
+from ..._ids import Millis, ServiceId
 from ...version.gateway import Route
 from ._attempts import Attempts
 from ._exchange import Answered, Call, Inbox, Part, Request, UpstreamClient
@@ -32,16 +32,12 @@
 
 
 class PartAttempts:
-    """Sends one part to gatherers, to another one only if the part did not run.
-
-    ``first_domain`` is the failure domain of the gatherer that may have run the part.
-    """
+    """Sends one part to gatherers, to another one only if the part did not run."""
 
     def __init__(self, attempts: Attempts, part: Part, parse_missing: ParseMissing) -> None:
         self.attempts = attempts
         self.part = part
         self.parse_missing = parse_missing
-        self.first_domain: FailureDomainId | None = None
 
     @property
     def service(self) -> ServiceId:
@@ -91,10 +87,6 @@
 
     def handle_outcome(self, call: Call) -> bool:
         """Record the outcome of ``call``; return ``False`` if it is not an attempt in flight."""
-        in_flight = self.attempts.in_flight_calls.get(id(call))
-        if in_flight is None:
-            return False
-        self._record_domain(in_flight.searcher)
         return self.attempts.handle_outcome(call)
 
     def merged_answer(self) -> MergedPart | None:
@@ -115,13 +107,8 @@
 
     def cancel(self) -> None:
         """Cancel every attempt without an outcome."""
-        for in_flight in self.attempts.in_flight_calls.values():
-            self._record_domain(in_flight.searcher)
         self.attempts.cancel()
 
-    def _record_domain(self, gatherer: SearcherId) -> None:
-        self.first_domain = self.attempts.upstream.domain_of(gatherer)
-
 
 @dataclass(frozen=True, slots=True)
 class PartSender:
--- a/src/masticgate/process/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
-from ...version.gateway import RouteTable
+from ._routes import RouteTable
 
 PEER_SERVICE = ServiceId("gateways")
 """The service name of the gateways that gather queries for this one; they count as its searchers.
@@ -18,6 +18,13 @@
 """
 
 
+MAX_SLOTS = 100_000
+"""The largest number of slots that a listing may state."""
+
+MAX_COLD_TIME = Millis(3_600_000.0)
+"""The longest time for which a listing may say that its searcher is slow."""
+
+
 class SearcherPhase(Enum):
     """Whether a searcher accepts requests or drains before its stop, as its listing states."""
 
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -6,9 +6,8 @@
 from contextlib import contextmanager
 
 from masticgate import Address, Millis, SearcherId, ServiceId
-from masticgate.process.gateway._catalogue import PEER_SERVICE
 from masticgate.process.gateway._peers import NAMING_DELAY, GatherAtPeers
-from masticgate.version.gateway import Shards
+from masticgate.version.gateway import PEER_SERVICE, Shards
 
 from .fakes import make_route
 from .loopback import HangingSearcher, RawCaller, StandInSearcher, head_value, reply_to
--- a/tests/gateway/test_missing_counts.py
+++ b/tests/gateway/test_missing_counts.py
@@ -8,9 +8,8 @@
 import pytest
 
 from masticgate import ServiceId
-from masticgate.process.gateway._catalogue import PEER_SERVICE
 from masticgate.process.gateway._peers import GatherAtPeers
-from masticgate.version.gateway import Shards
+from masticgate.version.gateway import PEER_SERVICE, Shards
 
 from .fakes import make_entry, make_route
 from .loopback import RawCaller, StandInSearcher, head_value, reply_to, running_gateway
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,7 +9,6 @@
 
 from masticgate import Address, ManualClock, Millis, ServiceId
 from masticgate._ids import FailureDomainId, HostId, RequestId
-from masticgate.process.gateway._catalogue import PEER_SERVICE
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._peers import (
     HEARTBEAT_HOST,
@@ -24,7 +23,7 @@
 )
 from masticgate.process.gateway._replica import ReplicaState
 from masticgate.request.gateway import Request
-from masticgate.version.gateway import Idempotency, Shards
+from masticgate.version.gateway import PEER_SERVICE, Idempotency, Shards
 
 from .fakes import make_fleet, make_route, make_settings, make_table
 
