--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -7,6 +7,7 @@
 from ._catalogue_codec import InvalidCatalogueError as InvalidCatalogueError
 from ._catalogue_codec import decode_changes as decode_changes
 from ._catalogue_codec import encode_change as encode_change
+from ._catalogue_codec import encode_update as encode_update
 from ._client import GetTimeouts as GetTimeouts
 from ._client import HttpClient as HttpClient
 from ._client import HttpResponse as HttpResponse
@@ -16,6 +17,7 @@
 from ._header_names import HeaderNames as HeaderNames
 from ._header_names import peer_header_names as peer_header_names
 from ._listener import Listener as Listener
+from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
 from ._searcher_task import Load as Load
 from ._searcher_task import ProtocolViolation as ProtocolViolation
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -4,6 +4,8 @@
 searcher, which is a server that runs requests of one service.
 """
 
+import json
+import zlib
 from dataclasses import asdict, dataclass
 from enum import Enum
 from typing import Any, TypeVar
@@ -42,6 +44,9 @@
 from .._address import parse_address
 from ._positions import MAX_SHARDS
 
+MAX_UPDATE_BYTES = 32_000_000
+"""The maximum size of a decompressed update."""
+
 Choice = TypeVar("Choice", bound=Enum)
 
 
@@ -75,21 +80,44 @@
     changes: tuple[Change, ...]
 
 
+def encode_update(
+    epoch: str, number: int, changes: list[object], *, compressed: bool = False
+) -> bytes:
+    """Return the body of a response with ``changes``, each as :func:`encode_change` returns it."""
+    value = {"epoch": epoch, "number": number, "changes": changes}
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return zlib.compress(body) if compressed else body
+
+
 def decode_changes(body: bytes) -> CatalogueUpdate:
     """Return the catalogue update in the body of another gateway's response.
 
-    The fields have the same bounds as those that the platform publishes.
+    The body may be compressed. The fields have the same bounds as those that the platform
+    publishes.
 
     :raises InvalidCatalogueError: the body is not in the format of this release.
     """
     try:
-        fields = Fields.of("update", decode_json(body))
+        fields = Fields.of("update", decode_json(_decompress(body)))
         changes = tuple(_decode_change(item) for item in fields.tables("changes"))
         return CatalogueUpdate(fields.text("epoch"), Revision(fields.integer("number", 0)), changes)
     except FieldError as error:
         raise InvalidCatalogueError(str(error)) from error
 
 
+def _decompress(body: bytes) -> bytes:
+    if body.startswith(b"{"):
+        return body
+    decompressor = zlib.decompressobj()
+    try:
+        decoded = decompressor.decompress(body, MAX_UPDATE_BYTES)
+    except zlib.error as error:
+        raise InvalidCatalogueError(str(error)) from error
+    if not decompressor.eof:
+        raise InvalidCatalogueError("incomplete or too large")
+    return decoded
+
+
 def _encode_table(table: RouteTable) -> Any:
     return {
         "version": table.version,
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -33,6 +33,16 @@
 A shorter part of a status line at the end of a body may belong to the body.
 """
 
+HTTP_VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
+CUT_ENDINGS = tuple(version[:size] for version in HTTP_VERSIONS for size in range(1, 9))
+"""The beginnings of a status line that are too short to be recognized by themselves."""
+
+SUSPECT_ENDINGS = tuple(ending for ending in CUT_ENDINGS if len(ending) > 1)
+"""Those at the end of a body after which more bytes are waited for.
+
+One byte is too often the end of a body.
+"""
+
 EXTRA_HEAD_BYTES = 256
 """Added to twice the size of a response's headers to bound the bytes that are compared with them.
 
@@ -51,7 +61,8 @@
     """One complete response as received.
 
     ``headers_by_name`` maps each header name, in lower case, to its last value. ``repeated_names``
-    are the names of headers that occur more than once.
+    are the names of headers that occur more than once. ``may_be_cut`` says that the body ends with
+    what could be the beginning of another response; if more bytes follow at once, it is.
     """
 
     status: int
@@ -61,6 +72,7 @@
     keep_alive: bool
     framing: BodyFraming
     repeated_names: frozenset[bytes]
+    may_be_cut: bool
 
 
 class TruncatedResponseError(Exception):
@@ -220,8 +232,7 @@
         To be called when the bytes that follow it are invalid, since they may be the rest of that
         other response.
         """
-        starts = tuple(b"HTTP/1."[:size] for size in range(1, MIN_STATUS_LINE_BYTES))
-        if self.ready and self.ready[-1].body.endswith(starts):
+        if self.ready and self.ready[-1].body.endswith(CUT_ENDINGS):
             self.ready.pop()
 
     def _queue_response(self, framing: BodyFraming, *, keep_alive: bool) -> None:
@@ -236,6 +247,7 @@
                 keep_alive,
                 framing,
                 self.repeated_names,
+                body.endswith(SUSPECT_ENDINGS),
             )
             self.ready.append(response)
         self._reset()
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -30,6 +30,13 @@
 It bounds the wait for a host that does not respond.
 """
 
+SUSPECT_WAIT = Millis(5.0)
+"""How long more bytes are waited for if a body ends like the beginning of another response.
+
+A searcher that stopped within the body may have sent the response again; those bytes would complete
+the body of the first one.
+"""
+
 RECEIVE_BUFFER_BYTES = 4_096
 """The size of the receive buffer of one connection; most responses of shards fit into it."""
 
@@ -282,6 +289,8 @@
             if not self._is_response_to(call, response):
                 self._record_skipped(call, response)
                 continue
+            if response.may_be_cut and self._more_bytes_follow():
+                return False
             if not reusable or index + 1 < len(responses):
                 self.handler.record_violation(self, TrailingBytes(call.request.id))
             keep_alive = reusable and response.keep_alive and index + 1 == len(responses)
@@ -297,6 +306,13 @@
                 return False
         return True
 
+    def _more_bytes_follow(self) -> bool:
+        """Return whether more bytes arrive at once after a complete response."""
+        assert self.client.socket is not None
+        poller = select.poll()
+        poller.register(self.client.socket, select.POLLIN)
+        return bool(poller.poll(SUSPECT_WAIT))
+
     def _outcome_at_close(self) -> Outcome:
         """Return the outcome of the current call after the searcher closed the connection.
 
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -23,7 +23,15 @@
     UnrequestedBytes,
     peer_header_names,
 )
-from ...request.gateway import Answered, BodyFraming, Call, Declined, Lost, Repeat
+from ...request.gateway import (
+    Answered,
+    BodyFraming,
+    Call,
+    Declined,
+    InFlightCall,
+    Lost,
+    Repeat,
+)
 from ...version.gateway import PEER_SERVICE, Route, RouteTable, SearcherEntry, SearcherPhase
 from ._hedge_delays import HedgeDelays
 from ._log import EventLog, LogEvent
@@ -204,6 +212,14 @@
                 if replica.entry.id not in tried
             )
 
+    def record_overdue(self, call: InFlightCall) -> None:
+        """Prefer other searchers while the one of ``call`` has not answered it."""
+        with self.lock:
+            replica = self.replicas.get(call.searcher)
+            if replica is not None and not call.call.overdue and call.call.outcome is None:
+                call.call.overdue = True
+                replica.overdue += 1
+
     def hedge_delay(self, route: Route) -> Millis:
         """Return the age at which a request on ``route`` is hedged."""
         with self.lock:
@@ -245,6 +261,7 @@
         with self.lock:
             replica = self.tasks[task]
             replica.in_flight -= 1
+            replica.overdue -= call.overdue
             self._record_outcome(replica, call, now)
             if load is not None:
                 replica.other_requests = max(0, load.running + load.waiting - replica.in_flight - 1)
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -67,11 +67,10 @@
 NAMING_DELAY = Millis(1_500.0)
 """A starting seed names no gatherers before it can have heard from every gateway."""
 
-WARM_UP_DELAY = Millis(2_000.0)
+WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
 
-It waits twice as long if it is not a seed and knows of no other gateway. To warm up is to open a
-connection to each searcher of a shard before there is a request for it.
+To warm up is to open a connection to each searcher of a shard before there is a request for it.
 """
 
 MIN_MEMBERS_TO_RELAY = 13
@@ -231,7 +230,7 @@
                 members=members,
                 gatherers=len(gatherers),
             )
-        keeps_warm = is_gatherer or (not gatherers and self._has_waited_for_gatherers())
+        keeps_warm = is_gatherer or (not gatherers and self._gathers_for_lack_of_seeds())
         domains = tuple(sorted(gatherer.domain for gatherer in gatherers if is_gatherer))
         self.fleet.apply_shares(GatewayShares(members, domains, self.settings.domain, keeps_warm))
 
@@ -270,12 +269,11 @@
                     self.fleet.apply_listing(_gatherer_entry(gatherer))
             self.gatherers = named
 
-    def _has_waited_for_gatherers(self) -> bool:
-        """Return whether the names of the gatherers are no longer waited for."""
-        age = self.clock.now() - self.started_at
-        return (
-            age > WARM_UP_DELAY and (self.settings.is_seed or self.members > 1)
-        ) or age > 2 * WARM_UP_DELAY
+    def _gathers_for_lack_of_seeds(self) -> bool:
+        """Return whether no seed is there to name gatherers, in a system of a few gateways."""
+        return self.members < MIN_MEMBERS_TO_RELAY and (
+            self.clock.now() - self.started_at > WARM_UP_DELAY
+        )
 
     def _run_heartbeats(self, seed: Address) -> None:
         """Send heartbeats to one seed until the process ends.
@@ -303,6 +301,8 @@
     def _next_interval(self, misses: int) -> Millis:
         if MAX_MISSED_HEARTBEATS <= misses < MAX_MISSED_HEARTBEATS + QUICK_RETRIES:
             return HEARTBEAT_RETRY_INTERVAL
+        if not self.gatherers:
+            return HEARTBEAT_INTERVAL
         match self.gathering:
             case GatherHere(is_gatherer=is_gatherer):
                 return heartbeat_interval(self.members, is_gatherer=is_gatherer)
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -4,7 +4,6 @@
 and its latest changes, and serves them to the other gateways over HTTP.
 """
 
-import json
 import random
 from collections import deque
 from collections.abc import Callable
@@ -22,6 +21,8 @@
     InvalidCatalogueError,
     decode_changes,
     encode_change,
+    encode_update,
+    parse_number,
 )
 from ...request.gateway import LocalPage, Request
 from ...version.gateway import (
@@ -113,21 +114,23 @@
         A watch blocks until there is a change or its wait is over.
         """
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
-        after = query.get("after", [""])[0]
+        after = parse_number(query.get("after", [""])[0].encode())
         if self.age() > MAX_PLATFORM_AGE:
             return LocalPage(503, b"the platform is unavailable")
-        if not after.isdigit():
-            return self._reply_with_contents()
-        wait = query.get("wait", ["0"])[0]
-        if query.get("epoch", [""])[0] != self.epoch or not wait.isdigit():
+        compressed = query.get("compressed", ["0"])[0] == "1"
+        if after is None:
+            return self._reply_with_contents(compressed=compressed)
+        wait = parse_number(query.get("wait", ["0"])[0].encode())
+        if query.get("epoch", [""])[0] != self.epoch or wait is None:
             return LocalPage(HTTP_GONE, b"this gateway has restarted")
-        return self._reply_with_changes(int(after), min(MAX_WATCH_WAIT, Millis(float(wait))))
+        return self._reply_with_changes(after, min(MAX_WATCH_WAIT, Millis(float(wait))))
 
-    def _reply_with_contents(self) -> LocalPage:
+    def _reply_with_contents(self, *, compressed: bool) -> LocalPage:
         with self.changed:
             if "table" not in self.state:
                 return LocalPage(503, b"no configuration")
-            return self._encode(list(self.state.values()))
+            number, values = self.number, list(self.state.values())
+        return LocalPage(200, encode_update(self.epoch, number, values, compressed=compressed))
 
     def _reply_with_changes(self, after: int, wait: Millis) -> LocalPage:
         deadline = monotonic() + wait / MILLIS_PER_SECOND
@@ -138,11 +141,8 @@
                 return LocalPage(503, b"the platform is unavailable")
             if self.changes and after + 1 < self.changes[0][0]:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            return self._encode([value for number, value in self.changes if number > after])
-
-    def _encode(self, changes: list[object]) -> LocalPage:
-        body = {"epoch": self.epoch, "number": self.number, "changes": changes}
-        return LocalPage(200, json.dumps(body, separators=(",", ":")).encode())
+            values = [value for number, value in self.changes if number > after]
+            return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
 class RelayedSource:
@@ -176,7 +176,7 @@
         for address in self.relays():
             self._close_client()
             self.client = HttpClient(address, self.clock)
-            reply = self._get({}, READ_TIMEOUT)
+            reply = self._get({"compressed": 1}, READ_TIMEOUT)
             if isinstance(reply, CatalogueUpdate):
                 self.log.write(LogEvent.SOURCE, relay=address)
                 return Contents(reply.changes, reply.number)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -45,6 +45,13 @@
 A failed attempt has to be repeated, and each repeat uses a part of the budget for repeats.
 """
 
+OVERDUE_COST = 2.0
+"""The cost of a call in flight that had no answer when a hedge was due.
+
+It exceeds that of another failure domain, so that requests turn to another searcher at once and not
+only after late answers.
+"""
+
 LOAD_REPORT_TTL = Millis(300.0)
 """How long the load that a searcher reports is taken into account."""
 
@@ -72,7 +79,8 @@
     ``latency_ratio`` is its latency relative to the usual latency of the same route, and
     ``failure_rate`` is the share of its attempts that were refused or failed; both are smoothed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
-    the searcher's latest report.
+    the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
+    when a hedge was due.
     """
 
     def __init__(self, entry: SearcherEntry, max_connections: int, now: Millis) -> None:
@@ -82,6 +90,7 @@
         self.idle: list[SearcherTask] = []
         self.connection_count = 0
         self.in_flight = 0
+        self.overdue = 0
         self.last_used_at = now
         self.cold_until = Millis(now + entry.cold)
         self.latency_ratio = 1.0
@@ -128,7 +137,11 @@
             latency_ratio *= COLD_START_FACTOR
         other_requests = self.other_requests if now - self.load_reported_at < LOAD_REPORT_TTL else 0
         load_per_slot = (self.in_flight + other_requests) / self.entry.slots
-        return latency_ratio * (1.0 + load_per_slot) + FAILURE_COST * self.current_failure_rate(now)
+        return (
+            latency_ratio * (1.0 + load_per_slot)
+            + OVERDUE_COST * self.overdue
+            + FAILURE_COST * self.current_failure_rate(now)
+        )
 
     def current_failure_rate(self, now: Millis) -> float:
         """Return the failure rate, decayed by the time since its last update."""
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -96,6 +96,9 @@
         if self.hedged:
             return False
         self.hedged = True
+        for in_flight_call in self.in_flight_calls.values():
+            if in_flight_call.call.started:
+                self.upstream.record_overdue(in_flight_call)
         return self._repeat(Repeat.HEDGE)
 
     def handle_outcome(self, call: Call) -> bool:
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -179,8 +179,8 @@
     """One attempt: a request that is sent to one searcher.
 
     The task of the searcher's connection sets ``outcome``. ``deadline`` is a point on the
-    gateway's clock. ``started`` is set before the first byte is sent, and ``cancelled`` when the
-    outcome is no longer needed.
+    gateway's clock. ``started`` is set before the first byte is sent, ``cancelled`` when the
+    outcome is no longer needed, and ``overdue`` when the call had no outcome when a hedge was due.
     """
 
     request: Request
@@ -191,6 +191,7 @@
     repeat: Repeat | None = None
     started: bool = False
     cancelled: bool = False
+    overdue: bool = False
     outcome: Outcome | None = field(default=None)
 
 
@@ -253,6 +254,10 @@
         """Return the number of known searchers of ``service``."""
         ...
 
+    def record_overdue(self, call: InFlightCall) -> None:
+        """Record that a searcher has not answered when a hedge was due."""
+        ...
+
     def hedge_delay(self, route: Route) -> Millis:
         """Return how long after its arrival a request on ``route`` is hedged."""
         ...
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -211,6 +211,9 @@
             self.events.append((self.now() + delay, len(self.sent_calls), call))
         return sent_call
 
+    def record_overdue(self, call):
+        call.call.overdue = True
+
     def searcher_count(self, service):
         return 2
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,13 +1,19 @@
 """Tests for reading the platform's catalogue through other gateways, which relay it."""
 
+import zlib
 from threading import Event
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from masticgate import Address, Millis, Revision, SearcherId, ServiceId, SystemClock
 from masticgate._ids import HostId, RequestId
-from masticgate.connection.gateway import CatalogueUpdate, decode_changes
+from masticgate.connection.gateway import (
+    CatalogueUpdate,
+    InvalidCatalogueError,
+    decode_changes,
+)
 from masticgate.process.gateway import (
     Changes,
     Contents,
@@ -89,10 +95,24 @@
 
 
 class TestCodec:
+    def test_contents_are_compressed_for_gateways_that_ask_for_it(self):
+        catalogue = make_catalogue()
+        for number in range(200):
+            catalogue.add(SearcherListed(make_entry(f"s{number}")))
+        plain = request_catalogue(catalogue).body
+        compressed = request_catalogue(catalogue, "compressed=1").body
+        assert len(compressed) < len(plain) / 5
+        assert decode_changes(compressed) == decode_changes(plain)
+
+    def test_truncated_or_endless_compressed_contents_are_invalid(self):
+        compressed = request_catalogue(make_catalogue(), "compressed=1").body
+        bomb = zlib.compress(b"{" + bytes(40_000_000))
+        for body in (compressed[:-1], compressed[: len(compressed) // 2], bomb):
+            with pytest.raises(InvalidCatalogueError):
+                decode_changes(body)
+
     @given(st.binary(max_size=60))
     def test_arbitrary_bytes_raise_only_invalid_catalogue_error(self, data):
-        from masticgate.connection.gateway import InvalidCatalogueError
-
         try:
             decode_changes(data)
         except InvalidCatalogueError:
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -547,6 +547,9 @@
         self.finished.append(call)
         return ScriptedCall(call, SearcherId(f"{call.service}-{len(attempts)}"))
 
+    def record_overdue(self, call):
+        call.call.overdue = True
+
     def searcher_count(self, service):
         return 2
 
