--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -103,12 +103,15 @@
         """Open the connection if it is not open; return a failure if that is not possible."""
         if self.socket is not None:
             return None
-        self.aborted = False
         try:
             connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             connection.settimeout(max(0.001, timeout / MILLIS_PER_SECOND))
             _configure_socket(connection)
-            self.socket = connection
+            with self.lock:
+                if self.aborted:
+                    connection.close()
+                    return NoResponse(False, "connect: aborted")
+                self.socket = connection
             connection.connect(split_address(self.address))
         except OSError as error:
             self.close()
@@ -199,9 +202,10 @@
                     self.socket.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; it may be opened again, even after :meth:`abort`."""
         with self.lock:
             self.reusable = False
+            self.aborted = False
             if self.socket is not None:
                 with suppress(OSError):
                     self.socket.close()
--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -4,20 +4,20 @@
 import signal
 import sys
 from pathlib import Path
-from queue import Empty, SimpleQueue
-from typing import Any
 
 from .._clock import SystemClock
 from ..process.gateway import GatewaySettings
 from ..process.gateway._gateway import Gateway
 from ._names import HEADER_NAMES
 from ._node_file import InvalidNodeFile, read_node_file
+from ._signals import SignalQueue
 from ._store import PlatformStore
 
 NODE_FILE_VARIABLE = "MASTICGATE_NODE_FILE"
 RELOAD_INTERVAL_S = 5.0
 """The interval at which the settings file is read again, since it may change without a signal."""
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_START_FAILED = 1
 EXIT_USAGE = 2
 
@@ -33,13 +33,7 @@
     if isinstance(settings, InvalidNodeFile):
         print(f"masticgate: {settings.detail}", file=sys.stderr)
         raise SystemExit(EXIT_USAGE)
-    signals: SimpleQueue[int] = SimpleQueue()
-
-    def enqueue_signal(number: int, *_: Any) -> None:
-        signals.put(number)
-
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, enqueue_signal)
+    signals = SignalQueue((*STOP_SIGNALS, signal.SIGHUP))
     try:
         gateway = Gateway(
             settings, HEADER_NAMES, PlatformStore(settings.store_address, SystemClock())
@@ -57,19 +51,13 @@
     settings: GatewaySettings,
     path: Path,
     metrics_port: int | None,
-    signals: SimpleQueue[int],
+    signals: SignalQueue,
 ) -> None:
     """Reload changed settings on SIGHUP and regularly, until a signal to stop arrives.
 
     A settings file that is invalid or cannot be read is ignored.
     """
-    while True:
-        try:
-            received = signals.get(timeout=RELOAD_INTERVAL_S)
-        except Empty:
-            received = signal.SIGHUP
-        if received != signal.SIGHUP:
-            return
+    while not set(signals.get(RELOAD_INTERVAL_S)) & set(STOP_SIGNALS):
         changed = read_node_file(path, metrics_port)
         if isinstance(changed, GatewaySettings) and changed != settings:
             settings = changed
--- a/src/masticgate/process/_command_explain.py
+++ b/src/masticgate/process/_command_explain.py
@@ -48,7 +48,8 @@
     @property
     def tokens(self) -> set[str]:
         """The words in the values of all fields, among them names of searchers and services."""
-        return set(TOKEN.findall(" ".join(str(value) for value in self.fields.values())))
+        values = (value for value in self.fields.values() if value is not None)
+        return set(TOKEN.findall(" ".join(map(str, values))))
 
 
 def read_lines(paths: Iterable[Path]) -> Iterator[LogLine]:
@@ -58,7 +59,7 @@
             start = text.find("{")
             try:
                 fields = json.loads(text[start:]) if start >= 0 else None
-            except ValueError:
+            except (ValueError, RecursionError):
                 continue
             if isinstance(fields, dict) and {"wall_ms", "host", "event"} <= fields.keys():
                 yield LogLine(float(fields["wall_ms"]), fields["host"], fields["event"], fields)
--- a/src/masticgate/process/_tickets.py
+++ b/src/masticgate/process/_tickets.py
@@ -133,11 +133,13 @@
                 return earlier
             if record.state is TicketState.SETTLED:
                 return record.outcome
-            if len(record.requests) >= MAX_REQUESTS_PER_TICKET:
-                return NotRun(Reason.OVERLOAD, Step.TICKET, peer=self.host)
+            has_room = len(record.requests) < MAX_REQUESTS_PER_TICKET
             if record.state is TicketState.RUNNING:
-                record.requests[booking.id] = record.outcome
+                if has_room:
+                    record.requests[booking.id] = record.outcome
                 return record.outcome
+            if not has_room:
+                return NotRun(Reason.OVERLOAD, Step.TICKET, peer=self.host)
             if self.clock.now() >= record.expires_at:
                 return NotRun(Reason.TICKET_EXPIRED, Step.TICKET, peer=self.host)
             record.content = content
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -11,7 +11,7 @@
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import ConnectionNumber, FailureDomainId, Millis, SearcherId, ServiceId
+from ..._ids import ConnectionNumber, FailureDomainId, Millis, RouteId, SearcherId, ServiceId
 from ...connection.gateway import (
     HeaderNames,
     Load,
@@ -99,6 +99,11 @@
 """
 
 
+def peer_route_id(route: RouteId) -> RouteId:
+    """Return the id of the route by which parts of queries on ``route`` go to gatherers."""
+    return RouteId(f"{PEER_SERVICE}/{route}")
+
+
 @dataclass(slots=True)
 class DispatchedCall:
     """A call that was assigned to a connection and has no outcome yet."""
@@ -312,7 +317,8 @@
             }
             self.shard_services = table.shard_services()
             self._apply_shares(self.shares)
-            self.hedge_delays.retain_routes({route.id for route in table.routes})
+            routes = {route.id for route in table.routes}
+            self.hedge_delays.retain_routes(routes | {peer_route_id(route) for route in routes})
         self.warm_up()
 
     def apply_shares(self, shares: GatewayShares) -> None:
@@ -665,15 +671,14 @@
     def _update(self, replica: Replica, entry: SearcherEntry, now: Millis) -> None:
         """Apply a listing to its searcher; the lock is held.
 
-        A searcher that was leaving or gone is active again, unless the listing or the one before it
-        says that the searcher drains.
+        A searcher that was leaving or gone is active again, unless it has begun to drain since the
+        start that the listing states.
         """
-        previous_phase = replica.entry.phase
         replica.entry = entry
         if entry.phase is SearcherPhase.DRAINING:
             self._record_drained(entry)
             self._start_leaving(replica, "draining")
-        elif previous_phase is SearcherPhase.READY:
+        elif entry.born > self.drained_start_times.get(entry.id, -1):
             replica.restore()
 
     def _record_drained(self, entry: SearcherEntry) -> None:
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -162,12 +162,14 @@
         os._exit(0)
 
     def _wait_for_requests(self, deadline: Millis) -> None:
-        """Wait for the requests in progress until ``deadline``, and close idle connections."""
-        while self.clock.now() < deadline:
-            if not self.callers.count(CallerState.READING, CallerState.SERVING):
-                return
-            self._wait_until(Millis(self.clock.now() + STOP_POLL_INTERVAL_S * MILLIS_PER_SECOND))
+        """Close idle connections and wait for the others until ``deadline``.
+
+        A connection that was just accepted may have a request that its task has not read yet; it is
+        served before its task ends.
+        """
+        while self.callers.count(*CallerState) and self.clock.now() < deadline:
             self.callers.close_idle()
+            self._wait_until(Millis(self.clock.now() + STOP_POLL_INTERVAL_S * MILLIS_PER_SECOND))
 
     def _wait_until(self, deadline: Millis) -> None:
         Event().wait(max(0.0, deadline - self.clock.now()) / MILLIS_PER_SECOND)
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -16,7 +16,7 @@
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, FailureDomainId, HostId, Millis, RouteId, SearcherId
+from ..._ids import Address, FailureDomainId, HostId, Millis, SearcherId
 from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
 from ...request.gateway import LocalPage, Request
 from ...version.gateway import (
@@ -28,7 +28,7 @@
     SearcherEntry,
     SearcherPhase,
 )
-from ._fleet import Fleet
+from ._fleet import Fleet, peer_route_id
 from ._gatherers import Member, choose_gatherers
 from ._log import EventLog, LogEvent
 from ._membership import (
@@ -125,7 +125,7 @@
     """
     return replace(
         route,
-        id=RouteId(f"{PEER_SERVICE}/{route.id}"),
+        id=peer_route_id(route.id),
         kind=Idempotency.NON_IDEMPOTENT,
         target=OneService(PEER_SERVICE),
         attempts=PEER_ATTEMPTS,
--- a/src/masticgate/version/_difference.py
+++ b/src/masticgate/version/_difference.py
@@ -10,10 +10,10 @@
     """Return one line of text for each change from ``before`` to ``after``.
 
     The line of a department that starts to leave is followed by one line for each service of
-    another department that depends on it directly. Changes of ``deployment``, ``leaves_on`` and
-    ``bookings`` are not described.
+    another department that depends on it directly. Changes of ``leaves_on`` are not described.
     """
     return [
+        *_deployment_changes(before, after),
         *_department_changes(before, after),
         *_service_changes(before, after),
         *_floor_changes(before, after),
@@ -31,6 +31,11 @@
     )
 
 
+def _deployment_changes(before: Configuration, after: Configuration) -> Iterator[str]:
+    if before.deployment != after.deployment:
+        yield f"the deployment changes from {before.deployment} to {after.deployment}"
+
+
 def _department_changes(before: Configuration, after: Configuration) -> Iterator[str]:
     for department in sorted(after.leaving - before.leaving):
         yield f"department {department} leaves: it receives no new work"
@@ -60,6 +65,8 @@
     for needed in sorted(set(before.depends_on) ^ set(after.depends_on)):
         verb = "now depends" if needed in after.depends_on else "no longer depends"
         yield f"service {after.id} {verb} on {needed}"
+    if before.bookings != after.bookings:
+        yield f"service {after.id} {'now' if after.bookings else 'no longer'} accepts bookings"
     old = {searcher.id: searcher for searcher in before.searchers}
     new = {searcher.id: searcher for searcher in after.searchers}
     for name in sorted(set(old) - set(new)):
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,9 +1,14 @@
 """Tests for the choice of searchers, their connections, and the budgets for repeats."""
 
+from dataclasses import replace
+
 from masticgate import ManualClock, Millis, Reason, SearcherId, ServiceId
 from masticgate.process.gateway import SearcherPhase
+from masticgate.process.gateway._fleet import peer_route_id
 from masticgate.process.gateway._replica import ReplicaState
+from masticgate.process.gateway._shares import GatewayShares
 from masticgate.request.gateway import Call, Declined, Lost, Repeat
+from masticgate.version.gateway import Shards
 
 from .fakes import (
     answered,
@@ -247,6 +252,19 @@
         assert again.task is not first.task
         assert fleet.replicas[SearcherId("a")].in_flight == 1
 
+    def test_turns_from_searcher_that_has_not_answered_when_a_hedge_was_due(self):
+        """The load: a searcher turns slow while requests go on, and its late answers come later."""
+        fleet = make_fleet()
+        fleet.apply_listing(make_entry("near", domain="z1"))
+        fleet.apply_listing(make_entry("far", domain="z2"))
+        slow = send(fleet)
+        assert slow.searcher == "near"
+        slow.call.started = True
+        fleet.record_overdue(slow)
+        assert [send(fleet).searcher for _ in range(2)] == ["far", "far"]
+        finish(fleet, slow, answered(slow.searcher))
+        assert fleet.replicas[SearcherId("near")].overdue == 0
+
     def test_closes_connection_whose_call_is_long_overdue(self):
         clock = ManualClock()
         fleet = make_fleet(clock)
@@ -269,7 +287,34 @@
         assert replica.state is ReplicaState.ACTIVE
 
 
+class TestDrainedSearchers:
+    def test_late_listings_of_the_same_start_do_not_bring_a_drained_searcher_back(self):
+        fleet = make_fleet()
+        for phase in (SearcherPhase.READY, SearcherPhase.DRAINING, SearcherPhase.READY):
+            fleet.apply_listing(make_entry("a", phase=phase))
+        fleet.apply_listing(make_entry("a"))
+        assert fleet.replicas[SearcherId("a")].state is ReplicaState.LEAVING
+        fleet.apply_listing(make_entry("a", born=2))
+        assert fleet.replicas[SearcherId("a")].state is ReplicaState.ACTIVE
+
+
 class TestRepeatBudgets:
+    def test_budget_follows_service_that_becomes_a_shard(self):
+        fleet = make_fleet()
+        before = fleet.budgets.window(ORDERS).slack
+        fleet.apply_listing(make_entry("a"))
+        fleet.apply_table(make_table(make_route(Shards((ORDERS,), 1, 0.5))))
+        domains = (fleet.settings.domain,) * 3
+        fleet.apply_shares(GatewayShares(100, domains, fleet.settings.domain, False))
+        assert fleet.budgets.window(ORDERS).slack > before
+
+    def test_changed_window_applies_to_existing_budgets(self):
+        fleet = make_fleet()
+        fleet.budgets.window(ORDERS)
+        bounds = replace(fleet.settings.repeats, window=Millis(5_000.0))
+        fleet.apply_settings(replace(fleet.settings, repeats=bounds))
+        assert fleet.budgets.window(ORDERS).window == 5_000.0
+
     def test_repeats_stay_within_share_of_bounds_in_any_window(self):
         clock = ManualClock()
         fleet = make_fleet(clock, ratio=0.2, slack=52.0)
@@ -320,6 +365,14 @@
             pass
         assert fleet.allow_retry(ORDERS)
 
+    def test_new_configuration_keeps_latencies_of_peer_routes(self):
+        fleet = make_fleet()
+        route = make_route()
+        fleet.hedge_delays.record(peer_route_id(route.id), Millis(9.0), 1.0, first_attempt=True)
+        fleet.hedge_delays.record("gone", Millis(9.0), 1.0, first_attempt=True)
+        fleet.apply_table(make_table(route))
+        assert set(fleet.hedge_delays.windows) == {peer_route_id(route.id)}
+
     def test_hedge_delay_follows_latencies_of_route(self):
         fleet = make_fleet()
         fleet.apply_listing(make_entry("a"))
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -4,6 +4,7 @@
 """
 
 from contextlib import contextmanager
+from threading import Event
 
 from masticgate import Address, Millis, SearcherId, ServiceId
 from masticgate.process.gateway._peers import NAMING_DELAY, GatherAtPeers
@@ -117,6 +118,25 @@
                 task.close()
             assert caller.read()[0] == 502
 
+    def test_work_of_gatherer_that_is_silent_for_a_while_is_neither_given_up_nor_repeated(self):
+        """The seed stops naming the gatherer, as after missed heartbeats, while it gathers."""
+        begun, go_on = Event(), Event()
+
+        def answer(head):
+            begun.set()
+            go_on.wait(5)
+            return reply_to(head, record(3))
+
+        searchers = make_searchers() | {"s1": [StandInSearcher(answer)]}
+        with running_pair(searchers) as (entry, _):
+            caller = RawCaller(entry).get()
+            assert begun.wait(5)
+            entry.fleet.remove_searcher(SearcherId(f"{PEER_SERVICE}/{SEED}"), "not named by a seed")
+            entry.fleet.maintain()
+            go_on.set()
+            assert caller.read()[0] == 200
+        assert [len(group[0].requests) for group in searchers.values()] == [1, 1]
+
     def test_caller_disconnect_cancels_calls_of_seed(self):
         searcher = HangingSearcher()
         searchers = {"s1": [searcher], "s2": [HangingSearcher()]}
--- a/tests/process/test_explain.py
+++ b/tests/process/test_explain.py
@@ -44,5 +44,15 @@
         output = self.run(tmp_path, "q1").output
         assert "i-8" not in output and "g2" not in output and "version=9" not in output
 
+    def test_null_fields_select_no_other_lines(self, tmp_path):
+        lines = [
+            line(1_000, "g1", "searcher_leaving", searcher=None, service="s9", why="x"),
+            line(1_500, "g1", "searcher_ejected", searcher="None", service="s9"),
+            line(2_000, "g1", "request_failed", request="q1", detail=None),
+        ]
+        (tmp_path / "g1.log").write_text("\n".join(lines))
+        result = CliRunner().invoke(main, ["explain", "q1", str(tmp_path / "g1.log")])
+        assert len(result.output.splitlines()) == 1
+
     def test_exits_3_for_unknown_request(self, tmp_path):
         assert self.run(tmp_path, "q3").exit_code == 3
