--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -30,10 +30,11 @@
 MAX_PAGE_CONNECTIONS = 32
 """The maximum number of open connections to the readiness page, and to the metrics page."""
 
-PEER_TRANSIT_TIME = Millis(6.0)
+PEER_TRANSIT_TIME = Millis(9.0)
 """A query that another gateway forwards counts as received this long before it arrived.
 
-This allows for the time that the query and its reply spend between the gateways.
+This allows for the time that the query and its reply spend between the gateways, and for merging
+twice.
 """
 
 MAX_TASKS = 4_000
--- a/src/masticgate/process/gateway/_hedge_delays.py
+++ b/src/masticgate/process/gateway/_hedge_delays.py
@@ -14,6 +14,13 @@
 HEDGE_DELAY_FACTOR = 1.2
 """The hedge delay is that percentile times this factor."""
 
+MAX_MEDIAN_FACTOR = 2.5
+"""The upper bound on the hedge delay, as a multiple of the median latency.
+
+Where more than a tenth of the searchers are slow, the percentile is their latency, but the median
+is that of the others.
+"""
+
 INITIAL_DELAY_SHARE = 0.25
 """The hedge delay as a share of the route's objective while no latencies are known."""
 
@@ -34,9 +41,11 @@
         """Return the age at which a request on ``route`` is hedged."""
         window = self.windows.get(route.id)
         percentile = window.percentile(HEDGE_PERCENTILE) if window is not None else None
-        if percentile is None:
+        median = window.percentile(TYPICAL_PERCENTILE) if window is not None else None
+        if percentile is None or median is None:
             return Millis(route.objective * INITIAL_DELAY_SHARE)
-        return Millis(min(percentile * HEDGE_DELAY_FACTOR, route.objective * MAX_DELAY_SHARE))
+        delay = min(percentile * HEDGE_DELAY_FACTOR, median * MAX_MEDIAN_FACTOR)
+        return Millis(min(delay, route.objective * MAX_DELAY_SHARE))
 
     def record(self, route: RouteId, latency: Millis, now: Millis, *, first_attempt: bool) -> float:
         """Record the latency of an answer, and return its ratio to the median of its route.
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -18,6 +18,15 @@
 LATENCY_RATIO_WEIGHT = 0.15
 """The weight of the latest answer in the smoothed latency ratio."""
 
+SLOW_LATENCY_RATIO = 1.3
+"""A searcher with a higher smoothed ratio may be slow, and not only have paused once."""
+
+SLOW_RATIO_WEIGHT = 0.4
+"""The weight of a late answer of such a searcher.
+
+Two late answers in a row then outweigh that another searcher is in another failure domain.
+"""
+
 MAX_LATENCY_RATIO = 4.0
 """The bound on the latency ratio of one answer.
 
@@ -168,9 +177,9 @@
         """
         self.consecutive_failures = 0
         self._update_failure_rate(0.0, now)
-        self.latency_ratio += LATENCY_RATIO_WEIGHT * (
-            min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio
-        )
+        is_slow = ratio > self.latency_ratio > SLOW_LATENCY_RATIO
+        weight = SLOW_RATIO_WEIGHT if is_slow else LATENCY_RATIO_WEIGHT
+        self.latency_ratio += weight * (min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio)
         self.latency_ratio_updated_at = now
         if self.state is not ReplicaState.EJECTED:
             return False
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -265,6 +265,26 @@
         finish(fleet, slow, answered(slow.searcher))
         assert fleet.replicas[SearcherId("near")].overdue == 0
 
+    def test_two_late_answers_outweigh_the_own_domain_and_one_does_not(self):
+        """The load: some searchers of every domain answer late for seconds; others only pause."""
+        fleet = make_fleet()
+        fleet.apply_listing(make_entry("near", domain="z1"))
+        fleet.apply_listing(make_entry("far", domain="z2"))
+        for _ in range(40):
+            send_and_finish(fleet, lambda s: answered(s, latency=10.0))
+        send_and_finish(fleet, lambda s: answered(s, latency=200.0))
+        assert send_and_finish(fleet, lambda s: answered(s, latency=200.0)) == "near"
+        assert send_and_finish(fleet, lambda s: answered(s, latency=10.0)) == "far"
+
+    def test_hedge_delay_is_bounded_by_median_while_a_fifth_of_the_answers_is_late(self):
+        """The load: searchers of many shards turn slow at once."""
+        fleet = make_fleet()
+        fleet.apply_listing(make_entry("a"))
+        for number in range(100):
+            latency = 200.0 if number % 5 == 0 else 10.0
+            send_and_finish(fleet, lambda s, latency=latency: answered(s, latency=latency))
+        assert fleet.hedge_delay(make_route()) == 25.0
+
     def test_closes_connection_whose_call_is_long_overdue(self):
         clock = ManualClock()
         fleet = make_fleet(clock)
