--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -182,7 +182,7 @@
         """Send ``call`` to the best searcher of its service that is not in ``tried``.
 
         An ejected searcher that is not due for a probe is sent the call only if no other searcher
-        is usable, ``tried`` is not empty, and the call is not a hedge. Return why the call was not
+        is usable, and the call is a retry or the query of a shard. Return why the call was not
         sent if there is no searcher for it, all connections are busy, or no task can be started.
         """
         while True:
@@ -433,7 +433,7 @@
         known = self.services.get(service, {})
         untried = [replica for replica in known.values() if replica.entry.id not in tried]
         usable = [replica for replica in untried if replica.is_usable(now)]
-        if not usable and tried and call.repeat is not Repeat.HEDGE:
+        if not usable and self._may_use_ejected(call, tried):
             usable = [replica for replica in untried if replica.state is ReplicaState.EJECTED]
         if not usable:
             return NotRun(Reason.NO_SEARCHER, Step.ROUTE, service, f"{len(known)} searchers known")
@@ -444,6 +444,16 @@
             return min(free, key=lambda replica: self._gatherer_sort_key(replica, call, now))
         return min(free, key=lambda replica: self._sort_key(replica, now))
 
+    def _may_use_ejected(self, call: Call, tried: set[SearcherId]) -> bool:
+        """Return whether a call may go to an ejected searcher for lack of any other.
+
+        A retry may, and the query of a shard: while answers of many searchers are lost, all of a
+        shard can be ejected at once, although most of their answers arrive.
+        """
+        if call.repeat is Repeat.HEDGE:
+            return False
+        return bool(tried) or call.service in self.shard_services
+
     def _gatherer_sort_key(
         self, replica: Replica, call: Call, now: Millis
     ) -> tuple[bool, bool, bool, int]:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from masticgate import ManualClock, Millis, Reason, SearcherId, ServiceId
+from masticgate import ManualClock, Millis, NotRun, Reason, SearcherId, ServiceId
 from masticgate.process.gateway import SearcherPhase
 from masticgate.process.gateway._fleet import peer_route_id
 from masticgate.process.gateway._replica import ReplicaState
@@ -285,6 +285,19 @@
             send_and_finish(fleet, lambda s, latency=latency: answered(s, latency=latency))
         assert fleet.hedge_delay(make_route()) == 25.0
 
+    def test_query_of_shard_goes_to_ejected_searchers_if_there_are_no_others(self):
+        """The load: resets lose answers of half of the searchers, so that all of a shard eject."""
+        fleet = make_fleet()
+        fleet.apply_table(make_table(make_route(Shards((ORDERS,), 1, 0.5))))
+        for name in ("a", "b"):
+            fleet.apply_listing(make_entry(name))
+            for _ in range(2):
+                fleet.replicas[SearcherId(name)].record_failure(fleet.now())
+        first = send(fleet)
+        second = send(fleet, {first.searcher}, Repeat.RETRY)
+        assert {first.searcher, second.searcher} == {"a", "b"}
+        assert isinstance(send(fleet, {"a"}, Repeat.HEDGE), NotRun)
+
     def test_closes_connection_whose_call_is_long_overdue(self):
         clock = ManualClock()
         fleet = make_fleet(clock)
