Part the fleet by what it decides: listings, choice, connections

Listings, the choice of a searcher and the upkeep of connections are modules of their own; the fleet keeps the lock and what tasks and requests call. Nothing else changes; the tests of the fleet are the same but for one attribute that moved.

--- /dev/null
+++ b/src/masticgate/process/gateway/_listings.py
@@ -0,0 +1,158 @@
+"""The searchers that the platform lists, and the gatherers, with the state of each."""
+
+from collections.abc import Callable, Collection, Iterable
+
+from ..._clock import Clock
+from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
+from ...version.gateway import PEER_SERVICE, SearcherEntry, SearcherPhase
+from ._log import EventLog, LogEvent
+from ._replica import Replica, ReplicaState
+
+LAST_RESORT_SHARE = 0.5
+"""The part of the ``drain`` setting for which a leaving searcher is used if there is no other."""
+
+MAX_DRAINED_SEARCHERS = 2_000
+"""The number of drained searchers that are remembered.
+
+At an ordinary rate of releases, it takes days until that many searchers have drained.
+"""
+
+
+class Listings:
+    """All known searchers; the fleet's lock guards them.
+
+    ``drained_start_times`` maps each searcher that drained to its start time, so that a late
+    listing of the same start does not put it back into use. ``max_connections`` returns the
+    connection limit for each searcher of a service.
+    """
+
+    def __init__(
+        self, clock: Clock, log: EventLog, max_connections: Callable[[ServiceId], int]
+    ) -> None:
+        self.clock = clock
+        self.log = log
+        self.max_connections = max_connections
+        self.services: dict[ServiceId, dict[SearcherId, Replica]] = {}
+        self.replicas: dict[SearcherId, Replica] = {}
+        self.drained_start_times: dict[SearcherId, int] = {}
+
+    def of_service(self, service: ServiceId) -> Collection[Replica]:
+        """Return the searchers of a service."""
+        return self.services.get(service, {}).values()
+
+    def apply(self, entry: SearcherEntry, drain: Millis) -> None:
+        """Apply the present listing of a searcher, unless it is outdated.
+
+        ``drain`` is how long a leaving searcher may still be sent requests.
+        """
+        known = self.replicas.get(entry.id)
+        if self._is_outdated(known, entry):
+            self.log.write(
+                LogEvent.SEARCHER_IGNORED,
+                searcher=entry.id,
+                born=entry.born,
+                phase=entry.phase.value,
+            )
+            return
+        if known is None or self._is_replacement(known.entry, entry):
+            if known is not None:
+                self.remove(known)
+            known = self._add(entry)
+        self._update(known, entry, drain)
+
+    def start_leaving(self, replica: Replica, why: str, usable_time: Millis) -> None:
+        """Use a searcher for ``usable_time`` if there is no other, and then no longer."""
+        if replica.state in (ReplicaState.LEAVING, ReplicaState.GONE):
+            return
+        replica.start_leaving(Millis(self.clock.now() + usable_time))
+        self.log.write(
+            LogEvent.SEARCHER_LEAVING,
+            searcher=replica.entry.id,
+            service=replica.entry.service,
+            why=why,
+        )
+
+    def remove(self, replica: Replica) -> None:
+        """Remove a searcher and close its idle connections."""
+        for task in replica.idle:
+            task.close()
+        replica.idle.clear()
+        replica.state = ReplicaState.GONE
+        if self.replicas.get(replica.entry.id) is replica:
+            del self.replicas[replica.entry.id]
+        self.services.get(replica.entry.service, {}).pop(replica.entry.id, None)
+
+    def remove_gone(self, now: Millis) -> None:
+        """Remove the searchers that have left and have no call in flight."""
+        for replica in list(self.replicas.values()):
+            if replica.state is ReplicaState.LEAVING and now >= replica.usable_until:
+                replica.state = ReplicaState.GONE
+            if replica.state is ReplicaState.GONE and replica.in_flight == 0:
+                self.remove(replica)
+
+    def find_unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
+        """Return the searchers in use that are not in ``listed``, without gatherers."""
+        return {
+            searcher
+            for searcher, replica in self.replicas.items()
+            if searcher not in listed
+            and replica.state is not ReplicaState.GONE
+            and replica.entry.service != PEER_SERVICE
+        }
+
+    def domains(self, services: Iterable[ServiceId]) -> dict[ServiceId, frozenset[FailureDomainId]]:
+        """Return the failure domains with listed searchers of each service."""
+        return {
+            service: frozenset(
+                replica.entry.domain for replica in self.of_service(service) if replica.is_listed
+            )
+            for service in services
+        }
+
+    def _is_outdated(self, known: Replica | None, entry: SearcherEntry) -> bool:
+        """Return whether a listing is older than what is known of its searcher.
+
+        The listing of a known searcher is outdated if it belongs to an earlier start. That of an
+        unknown searcher is outdated if it says that the searcher drains, or if the searcher has
+        already drained since that start or a later one.
+        """
+        if known is not None:
+            return entry.born < known.entry.born
+        has_drained = entry.born <= self.drained_start_times.get(entry.id, -1)
+        return has_drained or entry.phase is SearcherPhase.DRAINING
+
+    def _is_replacement(self, known: SearcherEntry, entry: SearcherEntry) -> bool:
+        """Return whether a listing has another start, address or service than the known one."""
+        known_start = (known.born, known.address, known.service)
+        return known_start != (entry.born, entry.address, entry.service)
+
+    def _add(self, entry: SearcherEntry) -> Replica:
+        replica = Replica(entry, self.max_connections(entry.service), self.clock.now())
+        self.replicas[entry.id] = replica
+        self.services.setdefault(entry.service, {})[entry.id] = replica
+        self.log.write(
+            LogEvent.SEARCHER_LISTED,
+            searcher=entry.id,
+            service=entry.service,
+            address=entry.address,
+            born=entry.born,
+        )
+        return replica
+
+    def _update(self, replica: Replica, entry: SearcherEntry, drain: Millis) -> None:
+        """Apply a listing to its searcher.
+
+        A searcher that was leaving or gone is active again, unless it has begun to drain since the
+        start that the listing states.
+        """
+        replica.entry = entry
+        if entry.phase is SearcherPhase.DRAINING:
+            self._record_drained(entry)
+            self.start_leaving(replica, "draining", Millis(drain * LAST_RESORT_SHARE))
+        elif entry.born > self.drained_start_times.get(entry.id, -1):
+            replica.restore()
+
+    def _record_drained(self, entry: SearcherEntry) -> None:
+        self.drained_start_times[entry.id] = entry.born
+        while len(self.drained_start_times) > MAX_DRAINED_SEARCHERS:
+            del self.drained_start_times[next(iter(self.drained_start_times))]
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -240,7 +240,7 @@
         clock.advance(Millis(200.0))
         fleet.maintain()
         assert first.task.client.aborted
-        assert fleet.starter.started == 2
+        assert fleet.connections.starter.started == 2
 
     def test_replaces_connection_that_closes_when_call_is_assigned(self):
         fleet = make_fleet()
