State the route of a query with its parts, so that gatherers need no common version

Cause: gatherers are no longer the relays, and follow a new configuration up to a second later than some entries; they refused the parts of a version that they did not have yet, and each refusal cost a way between gateways. Change: a part carries its shards and the limits of its route. The kept earlier configurations and their lookup are gone. The test of a seed with another version now demands that it gathers the entry's shards and no others, which is stricter than that it gathers nothing.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -11,13 +11,11 @@
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import ConfigurationVersion, Millis, RequestId
-from ...request.gateway import Abandoned, Inbox, Part, Refused, Reply, Request
+from ..._ids import Millis, RequestId
+from ...request.gateway import Abandoned, Inbox, Refused, Reply, Request
 from ...version.gateway import Limits
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
-    CONFIGURATION_VERSION_HEADER,
-    LEAST_ANSWERS_HEADER,
     NETWORK_TIME_HEADER,
     PART_HEADER,
     HeaderNames,
@@ -32,7 +30,7 @@
     find_header,
     parse_number,
 )
-from ._positions import decode_positions
+from ._part_codec import decode_part
 
 RECEIVE_BUFFER_BYTES = 4_096
 """The size of the receive buffer of one connection; most requests fit into it."""
@@ -42,12 +40,7 @@
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-PEER_HEADERS = (
-    CONFIGURATION_VERSION_HEADER,
-    NETWORK_TIME_HEADER,
-    PART_HEADER,
-    LEAST_ANSWERS_HEADER,
-)
+PEER_HEADERS = (NETWORK_TIME_HEADER, PART_HEADER)
 """The headers that only a gateway adds; they are not forwarded."""
 
 Handler = Callable[[Request, Inbox], Reply]
@@ -136,12 +129,11 @@
             self._send_reply(request, close=True)
             return False
         if not self.settings.callers_are_gateways:
-            # The network time, the version and the part count only if the caller is a gateway.
+            # The network time and the part count only if the caller is a gateway.
             request = replace(
                 request,
                 is_first_on_connection=self.is_first_request,
                 network_time=Millis(0.0),
-                version=None,
                 part=None,
             )
             self.is_first_request = False
@@ -248,7 +240,6 @@
         return _refusal(400, Reason.BAD_REQUEST, "exactly one Host header is required")
     if not parsed.target.startswith(b"/"):
         return _refusal(400, Reason.BAD_REQUEST, "the request target must be a path")
-    version = parse_number(find_header(parsed.headers, CONFIGURATION_VERSION_HEADER) or b"")
     network_time = _parse_millis(find_header(parsed.headers, NETWORK_TIME_HEADER))
     internal = (header_names.expected_searcher, *PEER_HEADERS)
     host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
@@ -262,17 +253,10 @@
         _parse_millis(find_header(parsed.headers, header_names.caller_timeout)),
         arrived_at,
         network_time=network_time or Millis(0.0),
-        version=None if version is None else ConfigurationVersion(version),
-        part=_decode_part(parsed),
+        part=decode_part(find_header(parsed.headers, PART_HEADER) or b""),
     )
 
 
-def _decode_part(parsed: ParsedRequest) -> Part | None:
-    positions = decode_positions(find_header(parsed.headers, PART_HEADER) or b"")
-    least = parse_number(find_header(parsed.headers, LEAST_ANSWERS_HEADER) or b"")
-    return Part(positions, least) if positions and least is not None else None
-
-
 def _parse_millis(value: bytes | None) -> Millis | None:
     number = None if value is None else parse_number(value)
     return None if number is None else Millis(float(number))
--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -20,14 +20,13 @@
 )
 from ...request.gateway._exchange import Header
 from ._header_names import (
-    CONFIGURATION_VERSION_HEADER,
-    LEAST_ANSWERS_HEADER,
     MISSING_POSITIONS_HEADER,
     NETWORK_TIME_HEADER,
     PART_HEADER,
     HeaderNames,
 )
 from ._parser import end_to_end_headers, find_header
+from ._part_codec import encode_part
 from ._positions import decode_positions, encode_positions
 
 STATUS_LINES = {
@@ -109,12 +108,9 @@
             lines.append(b"%s: %s\r\n" % (name, value))
     lines.append(b"%s: %d\r\n" % (header_names.caller_timeout, max(1, int(remaining))))
     lines.append(b"%s: %s\r\n" % (header_names.expected_searcher, searcher.encode("latin-1")))
-    if request.version is not None:
-        lines.append(b"%s: %d\r\n" % (CONFIGURATION_VERSION_HEADER, request.version))
-        lines.append(b"%s: %d\r\n" % (NETWORK_TIME_HEADER, request.network_time))
     if request.part is not None:
-        lines.append(b"%s: %s\r\n" % (PART_HEADER, encode_positions(request.part.positions)))
-        lines.append(b"%s: %d\r\n" % (LEAST_ANSWERS_HEADER, request.part.least))
+        lines.append(b"%s: %d\r\n" % (NETWORK_TIME_HEADER, request.network_time))
+        lines.append(b"%s: %s\r\n" % (PART_HEADER, encode_part(request.part)))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
--- a/src/masticgate/connection/gateway/_header_names.py
+++ b/src/masticgate/connection/gateway/_header_names.py
@@ -31,23 +31,17 @@
     missing_shards: bytes
 
 
-CONFIGURATION_VERSION_HEADER = b"x-gateway-version"
-"""Between gateways: the version of the configuration by which a query is served."""
-
 NETWORK_TIME_HEADER = b"x-gateway-network-ms"
 """Between gateways: the estimated network time between the caller and the first gateway.
 
 The time is in milliseconds and covers both directions. It counts towards the latency objective.
 """
 
-PART_HEADER = b"x-gateway-shards"
-"""Between gateways: the positions of the shards to gather, as a number whose bits they set."""
-
-LEAST_ANSWERS_HEADER = b"x-gateway-least"
-"""Between gateways: the number of answers with which a part of a query is answered in time."""
+PART_HEADER = b"x-gateway-part"
+"""Between gateways: the part of a query to gather, with its route."""
 
 MISSING_POSITIONS_HEADER = b"x-gateway-missing-shards"
-"""Between gateways: the positions of the shards that are missing, encoded as the part is."""
+"""Between gateways: the positions of the shards that are missing, as a number with those bits."""
 
 MISSING_SHARDS_HEADER = b"x-gateway-missing"
 """Between gateways: the number of shards that are missing from an answer."""
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -7,7 +7,7 @@
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import ConfigurationVersion, Millis, Revision, SearcherId
+from ..._ids import Millis, Revision, SearcherId
 from ...version.gateway import (
     CatalogueSource,
     Change,
@@ -39,13 +39,6 @@
 It is far below the 3 s within which a change has to be in force.
 """
 
-MAX_RECENT_TABLES = 4
-"""The number of configuration versions that are kept.
-
-Another gateway may be a few versions behind for a moment; a query that it forwards is served by the
-version that it names.
-"""
-
 INITIAL_RETRY_DELAY = Millis(100.0)
 MAX_RETRY_DELAY = Millis(1_000.0)
 MAX_RETRY_DELAY_UNREADY = Millis(300.0)
@@ -82,7 +75,6 @@
         self.backoff = Backoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY)
         self.table: RouteTable | None = None
         self.catalogue = CatalogueLog(self.age)
-        self.recent_tables: tuple[RouteTable, ...] = ()
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
@@ -104,10 +96,6 @@
         """Stop the task after its present call to the source."""
         self.stopping.set()
 
-    def find_table(self, version: ConfigurationVersion) -> RouteTable | None:
-        """Return the configuration of that version, or ``None`` if it is not kept."""
-        return next((table for table in self.recent_tables if table.version == version), None)
-
     def age(self) -> Millis:
         """Return the time since the last successful read or watch, or since the start."""
         return Millis(self.clock.now() - self.last_contact_at)
@@ -194,7 +182,6 @@
                 )
             return
         self.catalogue.add(PublishedConfiguration(table))
-        self.recent_tables = (table, *self.recent_tables)[:MAX_RECENT_TABLES]
         self.table = table
         self.fleet.apply_table(table)
         self.log.write(
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -97,7 +97,6 @@
             self.log,
             self.metrics,
             self.peers,
-            self.follower.find_table,
             self.follower.catalogue,
         )
         self.ended = Event()
--- a/src/masticgate/process/gateway/_planner.py
+++ b/src/masticgate/process/gateway/_planner.py
@@ -8,12 +8,14 @@
 
 from ..._ids import FailureDomainId
 from ...request.gateway import Part
+from ...version.gateway import Route
 from ._rendezvous import rendezvous_weight
 
 Domains = Set[FailureDomainId]
 
 
 def plan_parts(
+    route: Route,
     shards: Sequence[Domains],
     gatherer_domains: Domains,
     own_domain: FailureDomainId | None,
@@ -22,11 +24,12 @@
 ) -> tuple[tuple[int, ...], tuple[Part, ...]]:
     """Return the positions of the shards to gather here, and the parts for other gatherers.
 
-    ``shards`` has the failure domains in which each shard has a searcher. ``own_domain`` is that of
-    this gateway if it is a gatherer itself; it then gathers the shards with a searcher in its own
-    domain. The other shards go to as few domains of ``gatherer_domains`` as a greedy choice finds.
-    Of equally good domains, ``key`` determines one, so that queries are spread over them. Shards
-    without a gatherer in their domains are added to the largest part, or gathered here.
+    ``shards`` has, for each shard of ``route``, the failure domains in which it has a searcher.
+    ``own_domain`` is that of this gateway if it is a gatherer itself; it then gathers the shards
+    with a searcher in its own domain. The other shards go to as few domains of
+    ``gatherer_domains`` as a greedy choice finds. Of equally good domains, ``key`` determines one,
+    so that queries are spread over them. Shards without a gatherer in their domains are added to
+    the largest part, or gathered here.
 
     ``may_miss`` is the number of shards without which the query is still answered. Each part may
     miss its share of them, rounded up, before its answer is waited for past the objective.
@@ -51,6 +54,7 @@
         Part(
             tuple(sorted(positions)),
             max(1, len(positions) - ceil(may_miss * len(positions) / len(shards))),
+            route,
             domain,
         )
         for domain, positions in parts
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -103,14 +103,12 @@
         log: EventLog,
         metrics: Metrics,
         peers: Peers,
-        find_table: Callable[[ConfigurationVersion], RouteTable | None],
         catalogue: CatalogueLog,
     ) -> None:
         self.fleet = fleet
         self.view = view
         self.log = log
         self.metrics = metrics
-        self.find_table = find_table
         self.peers = peers
         self.catalogue = catalogue
         self.round_robin = WeightedRoundRobin()
@@ -135,28 +133,18 @@
     def handle_peer(self, request: Request, inbox: Inbox) -> Reply:
         """Return the reply to a request of another gateway.
 
-        The request is a heartbeat, a read or watch of the catalogue, or a query to gather by the
-        configuration version that it names.
+        The request is a heartbeat, a read or watch of the catalogue, or a part of a query to
+        gather by the route that it states.
         """
         if request.host == HEARTBEAT_HOST:
             return self.peers.handle_heartbeat(request)
         if request.host == CATALOGUE_HOST:
             return self.catalogue.handle_request(request)
-        version = request.version
-        table = None if version is None else self.find_table(version)
-        if table is None or not self.peers.is_ready():
-            failure = NotRun(Reason.NO_CONFIGURATION, Step.FORWARD, detail=f"version {version}")
-            return Refused(503, failure)
-        route = table.find_route(request.host, request.path)
-        if route is None or not isinstance(route.target, Shards):
-            failure = NotRun(Reason.UNKNOWN_SERVICE, Step.FORWARD, detail=f"version {version}")
-            return Refused(503, failure)
         part = request.part
-        if part is not None and part.positions[-1] >= len(route.target.services):
-            failure = NotRun(Reason.BAD_REQUEST, Step.FORWARD, detail="unknown shards")
-            return Refused(503, failure)
-        reply = run_gather(request, route, route.target, self.fleet, inbox)
-        self._record_result(request, GatewayView(table, self.view().age), route, reply)
+        if part is None or not isinstance(part.route.target, Shards) or not self.peers.is_ready():
+            return Refused(503, NotRun(Reason.NO_CONFIGURATION, Step.FORWARD, detail="not ready"))
+        reply = run_gather(request, part.route, part.route.target, self.fleet, inbox)
+        self._record_result(request, self.view(), part.route, reply)
         return reply
 
     def _find_route(self, request: Request, table: RouteTable | None) -> Route | Refused:
@@ -175,16 +163,14 @@
     def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
         match route.target:
             case Shards() as shards:
-                return self._gather(request, table, route, shards, inbox)
+                return self._gather(request, route, shards, inbox)
             case Split() as split:
                 service = self.round_robin.next(table.version, route.id, split)
                 return run_forward(request, route, service, self.fleet, inbox)
             case OneService(service=service):
                 return run_forward(request, route, service, self.fleet, inbox)
 
-    def _gather(
-        self, request: Request, table: RouteTable, route: Route, shards: Shards, inbox: Inbox
-    ) -> Reply:
+    def _gather(self, request: Request, route: Route, shards: Shards, inbox: Inbox) -> Reply:
         """Gather the query here or, as planned, parts of it at other gatherers."""
         match self.peers.gathering:
             case GatherHere(is_gatherer=is_gatherer) if not is_gatherer:
@@ -194,6 +180,7 @@
             case GatherAtPeers():
                 own_domain = None
         here, parts = plan_parts(
+            route,
             self.fleet.searcher_domains(shards.services),
             self.fleet.searcher_domains((PEER_SERVICE,))[0],
             own_domain,
@@ -201,7 +188,7 @@
             request.id,
         )
         sender = PartSender(
-            replace(request, version=table.version),
+            request,
             peer_route(route),
             PEER_SERVICE,
             self.fleet,
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -10,7 +10,6 @@
 
 from ..._failures import NotRun, Reason
 from ..._ids import (
-    ConfigurationVersion,
     ConnectionNumber,
     FailureDomainId,
     Millis,
@@ -27,13 +26,16 @@
 class Part:
     """Some shards of a query, which another gateway gathers.
 
-    ``positions`` are those of the shards among all shards of the route, in ascending order.
-    ``least`` is the number of answers with which the part is answered in time; with fewer, it is
-    waited for. ``domain`` is the failure domain whose gatherers are preferred.
+    ``positions`` are those of the shards among all shards of ``route``, in ascending order. It is
+    the route of the query, by which the other gateway serves the part whatever configuration it has
+    itself. ``least`` is the number of answers with which the part is
+    answered in time; with fewer, it is waited for. ``domain`` is the failure domain whose gatherers
+    are preferred.
     """
 
     positions: tuple[int, ...]
     least: int
+    route: Route
     domain: FailureDomainId = FailureDomainId("")
 
 
@@ -47,10 +49,8 @@
     ``caller_timeout`` is how long the caller waits for its answer, counted from ``arrived_at``, in
     milliseconds. ``is_first_on_connection`` says whether this is the first request on its
     connection. ``network_time`` is the estimated time that the request and its answer spend on the
-    network between caller and gateway; the route's objective includes it. ``version`` is set if one
-    gateway forwards the request to another: it is the version of the configuration by which the
-    other gateway has to serve the request. ``part`` is set if only some shards
-    are to be gathered.
+    network between caller and gateway; the route's objective includes it. ``part`` is set if one
+    gateway forwards the request to another, which gathers some of the shards.
     """
 
     id: RequestId
@@ -63,7 +63,6 @@
     arrived_at: Millis
     is_first_on_connection: bool = False
     network_time: Millis = Millis(0.0)
-    version: ConfigurationVersion | None = None
     part: Part | None = None
 
     @property
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -115,7 +115,7 @@
         inbox: Inbox,
         plan: GatherPlan,
     ) -> None:
-        self.request = replace(request, part=None, version=None)
+        self.request = replace(request, part=None)
         self.route = route
         self.shards = shards
         self.upstream = upstream
--- a/src/masticgate/request/gateway/_parts.py
+++ b/src/masticgate/request/gateway/_parts.py
@@ -114,8 +114,8 @@
 class PartSender:
     """Sends parts to the gatherers, which count as the searchers of one service.
 
-    ``request`` is the query with its version, as the gatherers get it, and ``route`` is the route
-    to them. The part's attempts have the deadline of the query.
+    ``request`` is the query and ``route`` the route to the gatherers. The part's attempts have the
+    deadline of the query.
     """
 
     request: Request
--- a/tests/gateway/test_gatherers.py
+++ b/tests/gateway/test_gatherers.py
@@ -96,7 +96,10 @@
         names = [FailureDomainId(f"z{number}") for number in range(domains)]
         shards = [{names[n % domains], names[(n + 1) % domains]} for n in range(90)]
         usable = {names[number] for number in gatherers}
-        return plan_parts(shards, usable, None if own is None else names[own], 4, key), shards
+        return (
+            plan_parts(make_route(), shards, usable, None if own is None else names[own], 4, key),
+            shards,
+        )
 
     @given(st.integers(2, 8), st.sets(st.integers(0, 7)), st.none() | st.integers(0, 7), st.text())
     def test_each_shard_is_gathered_once_and_in_one_of_its_domains_if_possible(
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -33,16 +33,18 @@
 
 
 @contextmanager
-def running_pair(searchers, *, seed_version: int = 1):
+def running_pair(searchers, *, seed_version: int = 1, seed_target: Shards = SHARDS):
     """Run an entry gateway and the seed to which it forwards its queries, and yield both.
 
-    The seed names itself as the only gatherer. ``seed_version`` is the version of the seed's
-    configuration; that of the entry gateway is 1.
+    The seed names itself as the only gatherer. ``seed_version`` and ``seed_target`` are the version
+    of the seed's configuration and the shards in it; the entry gateway has version 1 and SHARDS.
     """
     routes = [make_route(SHARDS)]
     seed_settings = {"peer_address": SEED, "seeds": (SEED,)}
     with (
-        running(routes, searchers, version=seed_version, **seed_settings) as seed,
+        running(
+            [make_route(seed_target)], searchers, version=seed_version, **seed_settings
+        ) as seed,
         running(routes, searchers, seeds=(SEED,)) as entry,
     ):
         seed.peers.started_at -= NAMING_DELAY
@@ -89,10 +91,15 @@
             assert RawCaller(entry).get().read()[0] == 200
             assert entry.metrics.counters["gathered_without_peer"] == 1
 
-    def test_seed_with_other_version_does_not_gather(self):
-        with running_pair(make_searchers(), seed_version=7) as (entry, seed):
-            assert RawCaller(entry).get().read()[0] == 200
-            assert request_count(seed) == 0
+    def test_seed_with_other_configuration_gathers_shards_of_the_query(self):
+        """The seed knows other shards of the route, and must not answer for these."""
+        other = Shards((ServiceId("s3"), ServiceId("s4"), ServiceId("s5")), 1, 1.0)
+        searchers = make_searchers()
+        with running_pair(searchers, seed_target=other, seed_version=7) as (entry, seed):
+            status, head, body = RawCaller(entry).get().read()
+            assert (status, body) == (200, record(3) + record(2))
+            assert head_value(head, b"x-stamps") == b"s, s"
+            assert request_count(seed) == 1
 
     def test_gathers_query_again_within_budget_if_seed_is_lost(self):
         searchers = {"s1": [HangingSearcher()], "s2": [HangingSearcher()]}
--- a/tests/gateway/test_irregular_responses.py
+++ b/tests/gateway/test_irregular_responses.py
@@ -120,7 +120,7 @@
         fleet.apply_listing(make_entry("s1"))
         fleet.log.queue.clear()
         replica = fleet.replicas[SearcherId("s1")]
-        task = fleet._open_connection(replica)
+        task = fleet.connections.open(replica)
         fleet.record_violation(task, SkippedResponse("q1", "q2"))
         line = json.loads(fleet.log.queue[-1])
         assert line["event"] == "answer_skipped"
