--- a/src/masticgate/process/gateway/_permits.py
+++ b/src/masticgate/process/gateway/_permits.py
@@ -28,4 +28,7 @@
 
     def record_part(self, *, again: bool) -> None:
         """Count a part that is gathered here, ``again`` if its gatherer was lost on the way."""
-        self.metrics.count("gathered_again" if again else "gathered_without_peer")
+        if again:
+            self.metrics.count("gathered_again")
+        else:
+            self.metrics.count("gathered_without_peer")
