--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -93,9 +93,9 @@
 class Fleet:
     """All searchers that the platform lists, and the gatherers; one lock guards their state.
 
-    A gatherer is a gateway that sends queries over many shards to the searchers for this gateway,
-    which treats it as a searcher. The fleet chooses a searcher for each call, and opens, reuses and
-    closes the connections. The tasks of the connections call the ``handle_`` methods and
+    A gatherer is a gateway that sends parts of queries to the searchers of some shards for this
+    gateway, which treats it as a searcher. The fleet chooses a searcher for each call, and opens,
+    reuses and closes the connections. The tasks of the connections call the ``handle_`` methods and
     :meth:`record_violation`.
 
     ``accepted_connections`` maps each service to the number of connections that one of its
--- a/src/masticgate/process/gateway/_gatherers.py
+++ b/src/masticgate/process/gateway/_gatherers.py
@@ -1,7 +1,8 @@
-"""The choice of the gateways that gather queries for all, from the members of the system.
+"""The choice of the gateways that gather parts of queries for all, from the running ones.
 
-To gather a query is to send it to one searcher of each of its shards and to merge the answers. A
-gatherer keeps connections to the searchers of all shards, so that a few gateways gather for all.
+To gather a part of a query is to send it to one searcher of each of some shards and to merge the
+answers. A gatherer does that for the shards with searchers in its own failure domain, to which it
+keeps connections.
 """
 
 from collections.abc import Collection, Set
@@ -12,7 +13,10 @@
 from ._rendezvous import rendezvous_weight
 
 MIN_CONNECTIONS_TO_GATHER = 2
-"""The connections to each searcher that a gatherer needs: one for a first attempt, one to hedge."""
+"""The connections to each searcher that a gatherer needs: one for a first attempt, one to hedge.
+
+They bound the number of gatherers.
+"""
 
 MIN_GATHERERS = 12
 """The number of gatherers of a small system; up to this size, every gateway gathers."""
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -1,9 +1,8 @@
 """The state of the other gateways: heartbeats, the gatherers, and the relays of the catalogue.
 
-To gather a query is to send it to one searcher of each of its shards and to merge the answers. Each
-gateway sends heartbeats to the seeds, which are the few gateways that its settings name. The seeds
-name the gatherers, the gateways that gather the queries of all; every other gateway forwards its
-queries to one of them.
+To gather a part of a query is to send it to one searcher of each of some shards and to merge the
+answers. Each gateway sends heartbeats to the seeds, which are the few gateways that its settings
+name. The seeds name the gatherers, to which all gateways forward parts of their queries.
 """
 
 import json
@@ -86,17 +85,18 @@
 """The number of gatherers that are accepted in one reply to a heartbeat."""
 
 PEER_SLOTS = 64
-"""The number of queries that a gatherer is assumed to run at the same time."""
+"""The number of parts that a gatherer is assumed to run at the same time."""
 
 PEER_ATTEMPTS = 3
-"""The number of gatherers to which one query may be sent."""
+"""The number of gatherers to which one part may be sent."""
 
 
 @dataclass(frozen=True, slots=True)
 class GatherHere:
-    """This gateway gathers queries over many shards itself.
+    """This gateway gathers shards of its queries itself.
 
-    ``is_gatherer`` says whether it was chosen for that; otherwise it knows of no gatherer.
+    ``is_gatherer`` says whether it was chosen for that, and then it gathers those in its domain;
+    otherwise it knows of no gatherer, and gathers all.
     """
 
     is_gatherer: bool = False
@@ -104,7 +104,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GatherAtPeers:
-    """This gateway forwards each query over many shards to a gatherer."""
+    """This gateway forwards all parts of its queries to gatherers."""
 
 
 Gathering = GatherHere | GatherAtPeers
@@ -112,16 +112,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Gatherer:
-    """A gateway that gathers queries for others, as a seed names it."""
+    """A gateway that gathers parts of queries for others, as a seed names it."""
 
     address: Address
     domain: FailureDomainId
 
 
 def peer_route(route: Route) -> Route:
-    """Return the route by which a query of ``route`` is forwarded to a gatherer.
+    """Return the route by which parts of queries on ``route`` are forwarded to gatherers.
 
-    It is not idempotent, so that the query is forwarded again only if it did not run.
+    It is not idempotent, so that a part is forwarded again only if it did not run.
     """
     return replace(
         route,
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -165,6 +165,7 @@
             self.has_permit = False
 
     def _forward_parts(self, sender: PartSender) -> None:
+        """Send the parts to gatherers; gather here those that none can accept."""
         for part in self.plan.parts:
             attempts = sender.prepare(part, self.inbox, self.deadline)
             if attempts.send_first():
@@ -173,6 +174,7 @@
                 self._gather_part_here(attempts)
 
     def _send_to_shards(self, positions: Iterable[int]) -> None:
+        """Send the query to one searcher of each shard."""
         for position in positions:
             service = self.shards.services[position]
             attempts = Attempts(
@@ -182,6 +184,7 @@
             attempts.send_first()
 
     def _waiting(self) -> Iterable[Attempts | PartAttempts]:
+        """Return the attempts for the shards and parts without an answer."""
         yield from self.unanswered.values()
         yield from self.parts
 
@@ -250,6 +253,7 @@
         self.gatherers.append(answer.describe())
 
     def _handle_time(self) -> None:
+        """Hedge slow shards, and replace parts whose connections are still opening, once due."""
         now = self.upstream.now()
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -12,9 +12,9 @@
 from ._routes import RouteTable
 
 PEER_SERVICE = ServiceId("gateways")
-"""The service name of the gateways that gather queries for this one; they count as its searchers.
+"""The service name of the gateways that gather parts of queries; they count as its searchers.
 
-To gather a query is to send it to one searcher of each shard and to merge the answers.
+To gather a part is to send it to one searcher of each of some shards and to merge the answers.
 """
 
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -156,6 +156,15 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class PartAnswer:
+    """An outcome of a script: a gatherer's answer, which lacks the shards at ``missing``."""
+
+    stamps: tuple[str, ...]
+    body: bytes
+    missing: tuple[int, ...] = ()
+
+
 class ScriptedCall:
     """A call in flight whose outcome the script determines; it records whether it is cancelled."""
 
@@ -190,6 +199,7 @@
         self.plans = {service: list(plan) for service, plan in plans.items()}
         self.repeats = repeats
         self.hedge = Millis(20.0)
+        self.searchers_per_service = 2
         self.events: list[tuple[float, int, Call]] = []
         self.sent_calls: list[ScriptedCall] = []
         self.disconnects_at: float | None = None
@@ -215,7 +225,7 @@
         call.call.overdue = True
 
     def searcher_count(self, service):
-        return 2
+        return self.searchers_per_service
 
     def has_searcher(self, service, tried):
         return bool(self.plans[service])
@@ -253,6 +263,10 @@
 
     def _outcome(self, searcher, outcome):
         match outcome:
+            case PartAnswer(stamps=stamps, body=body, missing=missing):
+                headers = ((b"missing", bytes(missing)),)
+                latency = Millis(10.0)
+                return Answered(searcher, 200, headers, body, ", ".join(stamps), latency)
             case bytes() | SlowConnect():
                 body = outcome.body if isinstance(outcome, SlowConnect) else outcome
                 return answered(searcher, body)
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -2,15 +2,26 @@
 
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from masticgate import Millis, ServiceId
-from masticgate.request.gateway import Abandoned, Failed, Merged, Refused, run_gather
+from masticgate.process.gateway._peers import peer_route
+from masticgate.request.gateway import (
+    Abandoned,
+    Failed,
+    GatherPlan,
+    Merged,
+    Part,
+    PartSender,
+    Refused,
+    run_gather,
+)
 from masticgate.request.gateway._gather import merge_records
 from masticgate.version.gateway import Shards
 
-from .fakes import ScriptedUpstream, SlowConnect, make_request, make_route
+from .fakes import PartAnswer, ScriptedUpstream, SlowConnect, make_request, make_route
 
 
 def record(number: int) -> bytes:
@@ -136,6 +147,123 @@
             assert len(reply.stamps) >= max(1, len(plans) / 2)
 
 
+PEERS = ServiceId("peers")
+
+
+class Permits:
+    """A number of permits to gather parts here; records for which parts one was used."""
+
+    def __init__(self, number: int = 1) -> None:
+        self.number = number
+        self.parts: list[str] = []
+
+    def acquire(self):
+        self.number -= 1
+        return self.number >= 0
+
+    def release(self):
+        self.number += 1
+
+    def record_part(self, *, again):
+        self.parts.append("again" if again else "without peer")
+
+
+def gather_parts(script: ScriptedUpstream, permits: Permits, min_shard_ratio: float = 1.0):
+    """Gather a query over shards a to d: a here, and b, c and d as one part."""
+    target = Shards(tuple(ServiceId(name) for name in "abcd"), 4, min_shard_ratio)
+    route = make_route(target)
+    least = 3 - (4 - target.min_answers)
+    sender = PartSender(
+        make_request(),
+        peer_route(route),
+        PEERS,
+        script,
+        lambda answer: tuple(dict(answer.headers)[b"missing"]),
+    )
+    plan = GatherPlan((0,), (Part((1, 2, 3), least, route),), sender, permits)
+    return run_gather(make_request(), route, target, script, script, plan)
+
+
+def shard_plans(**plans):
+    own = {"a": [(5, record(1))], "b": [(5, record(2))], "c": [(5, record(3))]}
+    return own | {"d": [(5, record(4))]} | plans
+
+
+class TestParts:
+    def test_merges_own_shards_and_part(self):
+        answer = PartAnswer(("s-b", "s-c", "s-d"), record(9) + record(8))
+        reply = gather_parts(ScriptedUpstream(shard_plans(peers=[(20, answer)])), Permits())
+        assert reply == Merged(("s-a-0", "s-b", "s-c", "s-d"), 0, record(9) + record(8) + record(1))
+        assert reply.gatherers == ("3 of 3 shards by peers-0 in 10 ms",)
+
+    def test_part_that_was_refused_goes_to_another_gatherer_without_budget(self):
+        answer = PartAnswer(("s-b", "s-c", "s-d"), record(9))
+        plans = shard_plans(peers=[(2, "declined"), (2, "unsent"), (20, answer)])
+        reply = gather_parts(ScriptedUpstream(plans, repeats=1), Permits())
+        assert isinstance(reply, Merged) and reply.missing == 0
+
+    def test_part_that_no_gatherer_accepts_is_gathered_here(self):
+        permits = Permits()
+        script = ScriptedUpstream(shard_plans(peers=[(2, "declined")]))
+        reply = gather_parts(script, permits)
+        assert isinstance(reply, Merged) and len(reply.stamps) == 4
+        assert (permits.parts, permits.number) == (["without peer"], 1)
+
+    def test_query_is_refused_as_not_run_if_nothing_may_be_gathered_here(self):
+        """The load: all gatherers refuse, and other queries of this gateway have the permits."""
+        script = ScriptedUpstream(shard_plans(a=[], peers=[(2, "declined")]))
+        reply = gather_parts(script, Permits(0))
+        assert isinstance(reply, Refused)
+        assert [sent.call.service for sent in script.sent_calls] == ["peers"]
+
+    def test_lost_part_is_gathered_again_within_the_budget(self):
+        permits = Permits()
+        script = ScriptedUpstream(shard_plans(peers=[(2, "lost")]), repeats=1)
+        assert isinstance(gather_parts(script, permits), Merged)
+        assert permits.parts == ["again"]
+        script = ScriptedUpstream(shard_plans(peers=[(2, "lost")]), repeats=0)
+        assert isinstance(gather_parts(script, Permits()), Failed)
+
+    def test_lost_part_is_not_gathered_again_if_other_searchers_could_run_it(self):
+        """Its gatherer may have sent it to as many searchers of a shard as the route allows."""
+        script = ScriptedUpstream(shard_plans(peers=[(2, "lost")]))
+        script.searchers_per_service = 3
+        reply = gather_parts(script, Permits())
+        assert isinstance(reply, Failed) and reply.status == 502
+        assert {sent.call.service for sent in script.sent_calls} == {"a", "peers"}
+
+    def test_shards_without_answer_at_gatherer_are_asked_once_more_if_needed(self):
+        answer = PartAnswer(("s-b", "s-d"), record(9), missing=(2,))
+        script = ScriptedUpstream(shard_plans(peers=[(20, answer)]))
+        reply = gather_parts(script, Permits())
+        assert isinstance(reply, Merged)
+        assert reply.stamps == ("s-a-0", "s-b", "s-d", "s-c-0")
+        script = ScriptedUpstream(shard_plans(peers=[(20, answer)]))
+        reply = gather_parts(script, Permits(), min_shard_ratio=0.75)
+        assert isinstance(reply, Merged) and reply.missing_positions == (2,)
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            PartAnswer(("s-b", "s-c"), b""),
+            PartAnswer(("s-b", "s-c", "s-d"), b"", missing=(2,)),
+            PartAnswer(("s-b", "s-c"), b"", missing=(0,)),
+            PartAnswer(("s-b", "s-c"), b"", missing=(9,)),
+        ],
+    )
+    def test_part_whose_stamps_and_missing_shards_do_not_add_up_is_not_merged(self, answer):
+        script = ScriptedUpstream(shard_plans(peers=[(20, answer)]), repeats=0)
+        reply = gather_parts(script, Permits(), min_shard_ratio=0.25)
+        assert reply == Merged(("s-a-0",), 3, record(1))
+
+    def test_caller_disconnect_cancels_part(self):
+        script = ScriptedUpstream(shard_plans(peers=[(50, b"late")]))
+        script.disconnects_at = 10.0
+        assert isinstance(gather_parts(script, Permits()), Abandoned)
+        cancelled = {s.call.service for s in script.sent_calls if s.cancel_requested}
+        assert cancelled == {"peers"}
+
+
 class TestMergeRecords:
     def test_keeps_equal_records(self):
         assert merge_records([record(5), record(5) + record(1)], 2) == record(5) * 2
