Do not count a withdrawn attempt towards the limit of its route

Cause: an attempt that is replaced while it connects was never sent, but the next failure then found the limit reached, and the request was refused although a searcher was up. Result: two tests failed before and pass now.

--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -194,11 +194,15 @@
         return self._send(kind)
 
     def _withdraw(self) -> bool:
-        """Withdraw the attempts in flight; return ``False`` if sending one of them has begun."""
+        """Withdraw the attempts in flight; return ``False`` if sending one of them has begun.
+
+        A withdrawn attempt does not count towards the route's limit, since no searcher receives it.
+        """
         for key, in_flight_call in list(self.in_flight_calls.items()):
             if not in_flight_call.withdraw():
                 return False
             del self.in_flight_calls[key]
+            self.attempt_count -= 1
         return True
 
     def _send(self, repeat: Repeat | None) -> bool:
