--- a/tests/gateway/test_forward.py
+++ b/tests/gateway/test_forward.py
@@ -72,7 +72,6 @@
         assert script.now() == 25.0
         assert script.sent_calls[0].cancel_requested
 
-
     def test_withdrawn_attempt_does_not_count_towards_limit_of_route(self, kind):
         """Guard against a refusal after one attempt, while a searcher that was slow is up."""
         plan = [(300, SlowConnect(b"slow")), (2, "unsent"), (5, b"third")]
