--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -9,8 +9,10 @@
 """The interval between the heartbeats of a gatherer, and of every gateway while there are few."""
 
 HEARTBEAT_MILLIS_PER_MEMBER = 10.0
-"""The interval of the other gateways grows with their number, so that a seed receives at most 100
-of their heartbeats in a second, up to 500 gateways."""
+"""The interval of the other gateways grows with their number.
+
+A seed receives at most 100 of their heartbeats in a second, up to 500 gateways.
+"""
 
 MAX_HEARTBEAT_INTERVAL = Millis(5_000.0)
 
