--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -212,6 +212,12 @@
         self.cuts_watches_after_s: float | None = None
         super().__init__()
 
+    def reopen(self) -> "Store":
+        """Return a server of the same items and history at another address."""
+        store = Store(self.record)
+        store.items, store.history, store.revision = self.items, self.history, self.revision
+        return store
+
     def put(self, key: str, value: object) -> None:
         """Write an item; the return of this call is the confirmation."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
