--- a/review/1/case.py
+++ b/review/1/case.py
@@ -86,6 +86,7 @@
 
 
 def run(case: Case) -> list[str]:
+    """Play the case; return how the rule was broken."""
     lost: dict[str, tuple[str, ...]] = {}
     first_runs: dict[tuple[str, str], float] = {}
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -35,6 +35,7 @@
 
 
 def run(case: Case) -> list[str]:
+    """Play the case; return how the rule was broken."""
     services = dict.fromkeys([*SHARDS, "work-orders"], 25)
     for shard in SHARDS:
         for zone in SHARD_ZONES:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,6 +29,7 @@
 
 
 def run(case: Case) -> list[str]:
+    """Play the case; return how the rule was broken."""
     for number in range(3):
         for zone in case.zones:
             case.add_searcher(f"i-{number}-{zone}", "work-orders", zone)
@@ -60,10 +61,11 @@
         client.join()
     runs = case.record.of("run", searcher=leaving.id)
     after = [event["t"] - confirmed_at for event in runs if event["t"] > confirmed_at]
-    print(f"{len(after)} runs at {leaving.id} after its entry was removed, the last {max(after, default=0.0):.2f} s after")
+    last = max(after, default=0.0)
+    print(f"{len(after)} runs at {leaving.id} after the removal, the last {last:.2f} s after it")
     return [
-        f"DRAIN: {event['request']} reached {leaving.id} {event['t'] - confirmed_at:.2f} s after the"
-        " store confirmed that it is gone"
+        f"DRAIN: {event['request']} reached {leaving.id} {event['t'] - confirmed_at:.2f} s after"
+        " the store confirmed that it is gone"
         for event in runs
         if event["t"] > confirmed_at + DRAIN_S
     ]
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -30,6 +30,7 @@
 
 
 def run(case: Case) -> list[str]:
+    """Play the case; return how the rule was broken."""
     zone = case.zones[0]
     for number in range(len(ENDS_S)):
         searcher = case.add_searcher(f"i-{number}", "work-orders", zone)
@@ -60,7 +61,8 @@
         answered = case.record.of("answered", request=request, status=200)
         cut = case.record.of("no_answer", request=request)
         for event in [*answered, *cut]:
-            print(f"run to end {end:.2f} s after the SIGTERM: {event['event']} {event['t'] - stopped_at:.2f} s after it")
+            at = event["t"] - stopped_at
+            print(f"run to end {end:.2f} s after the SIGTERM: {event['event']} {at:.2f} s after it")
         if cut and cut[0]["t"] - stopped_at < LAST_SIXTH_S:
             problems.append(
                 f"LOST: {request} had been passed on; its connection ended without an answer"
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -13,6 +13,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import tomllib
@@ -78,14 +79,17 @@
 
     @property
     def status(self) -> int:
+        """The status of a response."""
         return int(self.first.split(" ")[1])
 
     @property
     def method(self) -> str:
+        """The method of a request."""
         return self.first.split(" ")[0]
 
     @property
     def target(self) -> str:
+        """The target of a request: its path and query."""
         return self.first.split(" ")[1]
 
 
@@ -125,12 +129,14 @@
 
 
 def encode_response(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """Return the bytes of a response that states its length."""
     lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
     lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 def listen(ip: str = "127.0.0.1") -> socket.socket:
+    """Return a socket that listens on a free port."""
     return socket.create_server((ip, 0), backlog=128)
 
 
@@ -143,12 +149,14 @@
         self.events: list[dict] = []
 
     def add(self, event: str, **fields: object) -> float:
+        """Record an event now, and return its time."""
         now = time.monotonic() - self.started_at
         with self.lock:
             self.events.append({"t": round(now, 4), "event": event} | fields)
         return now
 
     def of(self, event: str, **wanted: object) -> list[dict]:
+        """Return the events of one kind whose fields have the ``wanted`` values."""
         with self.lock:
             return [
                 e
@@ -157,6 +165,7 @@
             ]
 
     def write(self, path: Path) -> None:
+        """Write one line of JSON for each event."""
         with self.lock:
             lines = [json.dumps(event) for event in sorted(self.events, key=lambda e: e["t"])]
         path.write_text("\n".join(lines) + "\n")
@@ -167,7 +176,8 @@
 
     def __init__(self, ip: str = "127.0.0.1") -> None:
         self.listener = listen(ip)
-        self.address = "%s:%d" % self.listener.getsockname()
+        ip, port = self.listener.getsockname()
+        self.address = f"{ip}:{port}"
         self.open: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -187,6 +197,7 @@
         self.open.discard(connection)
 
     def serve(self, connection: socket.socket) -> None:
+        """Serve one connection until its end."""
         raise NotImplementedError
 
     def stop(self) -> None:
@@ -237,6 +248,7 @@
         self.record.add("store_put", key=key, revision=self.revision, value=value)
 
     def remove(self, key: str) -> None:
+        """Remove an item; the return of this call is the confirmation."""
         with self.changed:
             self.revision += 1
             self.items.pop(key, None)
@@ -319,6 +331,7 @@
         super().__init__()
 
     def entry(self, state: str = "ready") -> dict:
+        """Return the next version of the searcher's entry in the store."""
         self.sequence += 1
         return {
             "service": self.service,
@@ -333,6 +346,7 @@
         }
 
     def list(self, state: str = "ready") -> None:
+        """Write the searcher's entry to the store."""
         self.case.store.put(f"servers/{self.id}", self.entry(state))
 
     def serve(self, connection: socket.socket) -> None:
@@ -404,6 +418,7 @@
         return encode_response(200, headers, self.body_for(request))
 
     def body_for(self, request: str) -> bytes:
+        """Return the body of the answer to a request."""
         return records_of(self.service, request)
 
 
@@ -431,6 +446,7 @@
         self.connection: socket.socket | None = None
 
     def connect(self) -> None:
+        """Open a new connection."""
         ip, _, port = self.address.rpartition(":")
         self.connection = socket.create_connection((ip, int(port)), timeout=1)
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -483,6 +499,7 @@
         return message
 
     def close(self) -> None:
+        """Close the connection; the next request opens another one."""
         if self.connection is not None:
             self.connection.close()
         self.connection = None
@@ -501,18 +518,20 @@
     bounds: dict[str, float] = field(default_factory=lambda: dict(BOUNDS))
 
     def address(self, name: str) -> str:
+        """Return the address "front", "ready" or "control"."""
         return f"{self.ip}:{self.ports[name]}"
 
     @property
     def settings_path(self) -> Path:
+        """The path of the settings file."""
         return self.case.folder / f"gateway-{self.number}.toml"
 
     def write_settings(self) -> None:
+        """Write the settings file as DEPLOY.md shows it."""
         seeds = ", ".join(f'"{g.address("control")}"' for g in self.case.gateways[:3])
         zones = "\n".join(f'{zone} = "kerala"' for zone in self.case.zones)
         bounds = "\n".join(f"{name} = {value}" for name, value in self.bounds.items())
-        self.settings_path.write_text(
-            f"""nodeName = "front-{self.zone}-{self.number}"
+        self.settings_path.write_text(f"""nodeName = "front-{self.zone}-{self.number}"
 role = "gateway"
 machineClass = "front"
 serves = ["front","control"]
@@ -554,10 +573,10 @@
 historyS = 20
 valueBytes = 1048576
 ttlMinMs = 1000
-"""
-        )
+""")
 
     def start(self) -> None:
+        """Start the process with the command of the deploy file."""
         self.write_settings()
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
@@ -571,11 +590,13 @@
         self.case.record.add("gateway_started", gateway=self.number, pid=self.process.pid)
 
     def signal(self, number: int) -> None:
+        """Send a signal to the process."""
         assert self.process is not None
         self.case.record.add("signal", gateway=self.number, signal=signal.Signals(number).name)
         self.process.send_signal(number)
 
     def is_ready(self) -> bool:
+        """Return whether the readiness check is answered 200."""
         try:
             with socket.create_connection((self.ip, self.ports["ready"]), timeout=1) as connection:
                 connection.sendall(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n")
@@ -585,6 +606,7 @@
             return False
 
     def kill(self) -> None:
+        """Kill the process, if it runs, and wait for its end."""
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
@@ -600,21 +622,20 @@
         self.store = Store(self.record)
         self.searchers: list[Searcher] = []
         self.gateways: list[GatewayProcess] = []
-        temporary = subprocess.run(
-            ["mktemp", "-d"], capture_output=True, text=True, check=True
-        ).stdout.strip()
-        self.folder = Path(temporary)
+        self.folder = Path(tempfile.mkdtemp())
         self.version = 3
 
     def add_searcher(
         self, searcher_id: str, service: str, zone: str, work_s: float = 0.005
     ) -> Searcher:
+        """Start a searcher and list it as ready."""
         searcher = Searcher(self, searcher_id, service, zone, work_s)
         self.searchers.append(searcher)
         searcher.list()
         return searcher
 
     def add_gateway(self, zone: str) -> GatewayProcess:
+        """Add a machine, on a loopback address of its own."""
         number = len(self.gateways) + 1
         pid = os.getpid()
         ip = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{number}"
@@ -664,9 +685,11 @@
         time.sleep(settle_s)
 
     def client(self, gateway: GatewayProcess) -> Client:
+        """Return a client of one gateway."""
         return Client(self, gateway.address("front"))
 
     def close(self) -> None:
+        """End all processes and servers, and write the record."""
         for gateway in self.gateways:
             gateway.kill()
         for server in [*self.searchers, self.store]:
