Ask a shard that is missing from its gatherer's answer only once

Cause: an entry gateway asks the shards itself that their gatherers got no answer from. Such a shard stayed in `unavailable` after it had been asked; once it had answered it was no longer in `unanswered` either, so that the next round, made for the sake of another shard, asked it again and merged both answers.

Change: a shard that is sent the query leaves `unavailable`.

--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -103,7 +103,7 @@
     is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
     have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
     ``closed_attempts`` are those that are over. ``unavailable`` holds the shards that did not
-    answer to their gatherers.
+    answer to their gatherers and have not been sent the query here.
     """
 
     def __init__(
@@ -197,16 +197,19 @@
     def _retry_unavailable(self) -> bool:
         """Send the query here to the shards that did not answer to their gatherers.
 
-        Do so once, and only if too few shards have answered; return whether a call is in flight.
+        Do so only if too few shards have answered. A shard that is sent the query is no longer
+        ``unavailable``, so that it is asked once and its answer merged once. Return whether a call
+        is in flight.
         """
         if len(self.answered) >= self.min_answers or self.upstream.now() >= self.deadline:
             return False
         positions = [
             position
-            for position in sorted(self.unavailable - self.unanswered.keys())
+            for position in sorted(self.unavailable)
             if self._may_ask_again(position)
             and self.upstream.allow_retry(self.shards.services[position])
         ]
+        self.unavailable.difference_update(positions)
         self._send_to_shards(positions)
         return any(attempts.pending for attempts in self._waiting())
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -189,6 +189,22 @@
     return own | {"d": [(5, record(4))]} | plans
 
 
+@st.composite
+def scripts_with_lost_shards(draw):
+    """Return a script whose gatherer lacks some shards, and whose attempts and budgets vary."""
+    outcomes = st.sampled_from([record(5), record(5), record(5), "lost"])
+    attempts = st.lists(st.tuples(st.sampled_from([2, 30]), outcomes), min_size=3, max_size=5)
+    missing = draw(st.sets(st.sampled_from([1, 2, 3]), min_size=2))
+    stamps = tuple(f"s-{'abcd'[position]}" for position in (1, 2, 3) if position not in missing)
+    part = PartAnswer(stamps, record(9), missing=tuple(sorted(missing)))
+    plans = {"a": [(5, record(1))]} | {name: draw(attempts) for name in "bcd"}
+    script = ScriptedUpstream(plans | {"peers": [(5, part)]})
+    allowed = draw(st.lists(st.booleans(), min_size=8, max_size=8))
+    script.allow_retry = lambda service, possibly_ran=True: bool(allowed) and allowed.pop(0)
+    script.hedge = Millis(200.0)
+    return script
+
+
 class TestParts:
     def test_merges_own_shards_and_part(self):
         answer = PartAnswer(("s-b", "s-c", "s-d"), record(9) + record(8))
@@ -242,6 +258,31 @@
         reply = gather_parts(script, Permits(), min_shard_ratio=0.75)
         assert isinstance(reply, Merged) and reply.missing_positions == (2,)
 
+    def test_shard_that_was_asked_here_is_not_asked_again_for_the_sake_of_another(self):
+        """Guard against an answer with the records of one shard several times.
+
+        The budget of the other shard allows its repeat only after the first shard has answered.
+        """
+        answer = PartAnswer(("s-b",), record(9), missing=(2, 3))
+        plans = shard_plans(peers=[(20, answer)], c=[(5, record(3)), (5, record(3))])
+        script = ScriptedUpstream(plans)
+        script.hedge = Millis(200.0)
+        allowed = {"c": [True, True], "d": [False, True]}
+        script.allow_retry = lambda service, possibly_ran=True: allowed[service].pop(0)
+        reply = gather_parts(script, Permits())
+        assert isinstance(reply, Merged)
+        assert (reply.stamps, reply.missing) == (("s-a-0", "s-b", "s-c-0", "s-d-0"), 0)
+        assert reply.records == record(9) + record(4) + record(3) + record(1)
+
+    @given(scripts_with_lost_shards())
+    def test_names_each_shard_at_most_once(self, script):
+        """Guard against an answer whose stamps and missing shards are not those of one query."""
+        reply = gather_parts(script, Permits())
+        if isinstance(reply, Merged):
+            shards = [stamp.split("-")[1] for stamp in reply.stamps]
+            assert len(set(shards)) == len(shards)
+            assert len(shards) + reply.missing == 4
+
     @pytest.mark.parametrize(
         "answer",
         [
