Do not take a watch that the platform cuts for an outage

Cause: each cut began an outage, and for 2.3 s after an outage a removed listing is held, as it may have expired meanwhile. The next cut began the wait anew.

Change: a watch whose connection the platform ends is checked by one that waits 50 ms; only if that is not answered is the platform unavailable. Each hold has an end of its own, which an outage extends by its own length. New counter watches_cut.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -40,11 +40,13 @@
 class NoResponse:
     """The connection failed or the time ran out before the response was complete.
 
-    ``sent`` says whether a part of the request may have been sent.
+    ``sent`` says whether a part of the request may have been sent, and ``closed_by_server``
+    whether the server closed or reset the connection instead of answering.
     """
 
     sent: bool
     detail: str
+    closed_by_server: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,11 +223,13 @@
             self.socket.settimeout(self._seconds_until(deadline))
             count = self.socket.recv_into(buffer)
         except OSError as error:
-            return NoResponse(True, f"receive: {error}")
+            was_reset = isinstance(error, ConnectionResetError)
+            return NoResponse(True, f"receive: {error}", closed_by_server=was_reset)
         if not count:
             if self.closed_normally():
                 parser.feed_eof()
-            return NoResponse(True, "closed before the end of the response")
+            detail = "closed before the end of the response"
+            return NoResponse(True, detail, closed_by_server=True)
         problem = parser.feed(buffer[:count])
         return InvalidResponse(problem.detail) if isinstance(problem, Malformed) else None
 
--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -92,7 +92,8 @@
         response = self.client.get(self.address, path, query, timeouts)
         if isinstance(response, NoResponse | InvalidResponse):
             self.client.close()
-            return Unavailable(response.detail)
+            closed = isinstance(response, NoResponse) and response.closed_by_server
+            return Unavailable(response.detail, closed_by_source=closed)
         if response.status != 200:
             return response.status
         try:
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -48,6 +48,9 @@
 has to notice soon that the platform is available again.
 """
 
+CHECK_WAIT = Millis(50.0)
+"""How long a watch waits that checks whether the source is available after it cut a watch."""
+
 RELIST_TIMEOUT = Millis(2_300.0)
 """How long a removed listing may take to return after the platform became available again.
 
@@ -59,9 +62,10 @@
 class Follower:
     """Keeps the configuration and the fleet up to date; :meth:`run` is its task.
 
-    While the platform is unavailable, the last known state stays in force. ``held_searchers`` are
-    the searchers whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
-    became available again; they stay in use until that time has passed.
+    While the platform is unavailable, the last known state stays in force. ``held_searchers`` maps
+    each searcher whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
+    became available again to the time until which it stays in use. Further times in which the
+    platform is unavailable extend it.
     """
 
     def __init__(
@@ -79,7 +83,7 @@
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
         self.recovered_at: Millis | None = None
-        self.held_searchers: set[SearcherId] = set()
+        self.held_searchers: dict[SearcherId, Millis] = {}
 
     def run(self) -> None:
         """Read the whole catalogue, then apply changes, until :meth:`stop` is called."""
@@ -101,8 +105,19 @@
         return Millis(self.clock.now() - self.last_contact_at)
 
     def _follow(self, after: Revision) -> None:
+        """Apply changes after a revision until the whole catalogue has to be read again.
+
+        A source may cut a watch that waits, and is unavailable only if it also cuts the short one
+        that follows.
+        """
+        watch_was_cut = False
         while not self.stopping.is_set():
-            match self.source.watch(after, self._watch_wait()):
+            wait = CHECK_WAIT if watch_was_cut else self._watch_wait()
+            match self.source.watch(after, wait):
+                case Unavailable(closed_by_source=True) if not watch_was_cut:
+                    watch_was_cut = True
+                    self.metrics.count("watches_cut")
+                    continue
                 case Changes(changes=changes, revision=revision):
                     self._record_contact()
                     after = max(after, revision)
@@ -116,23 +131,24 @@
                     return
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
+            watch_was_cut = False
 
     def _watch_wait(self) -> Millis:
-        if self.recovered_at is None:
+        if not self.held_searchers:
             return WATCH_TIMEOUT
-        remaining = self.recovered_at + RELIST_TIMEOUT - self.clock.now()
-        return Millis(min(WATCH_TIMEOUT, max(50.0, remaining)))
+        remaining = min(self.held_searchers.values()) - self.clock.now()
+        return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, remaining)))
 
     def _record_contact(self) -> None:
         self.last_contact_at = self.clock.now()
         self.backoff.reset()
         if self.unavailable_since is not None:
-            self.log.write(
-                LogEvent.PLATFORM_BACK,
-                after_ms=round(self.last_contact_at - self.unavailable_since),
-            )
+            outage = Millis(self.last_contact_at - self.unavailable_since)
+            self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(outage))
             self.unavailable_since = None
             self.recovered_at = self.last_contact_at
+            for searcher in self.held_searchers:
+                self.held_searchers[searcher] = Millis(self.held_searchers[searcher] + outage)
 
     def _handle_unavailable(self, detail: str) -> None:
         self.metrics.count("platform_failures")
@@ -162,7 +178,7 @@
                 self._apply_table(table)
             case SearcherListed(entry=entry):
                 self.catalogue.add(change)
-                self.held_searchers.discard(entry.id)
+                self.held_searchers.pop(entry.id, None)
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
                 self._handle_unlisted(searcher, "unlisted")
@@ -198,26 +214,22 @@
         If the platform has just become available again, the listing may only have expired while it
         was unavailable. The searcher is then kept until ``RELIST_TIMEOUT`` has passed.
         """
-        if self._was_recently_unavailable():
-            self.held_searchers.add(searcher)
-            self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
-        else:
-            self.catalogue.add(SearcherUnlisted(searcher))
-            self.fleet.remove_searcher(searcher, why)
-
-    def _was_recently_unavailable(self) -> bool:
-        """Return whether the platform is unavailable, or was less than ``RELIST_TIMEOUT`` ago."""
-        if self.unavailable_since is not None:
-            return True
-        if self.recovered_at is None:
-            return False
-        return self.clock.now() - self.recovered_at < RELIST_TIMEOUT
+        if searcher in self.held_searchers:
+            return
+        if self.recovered_at is not None:
+            held_until = Millis(self.recovered_at + RELIST_TIMEOUT)
+            if self.clock.now() < held_until:
+                self.held_searchers[searcher] = held_until
+                self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
+                return
+        self.catalogue.add(SearcherUnlisted(searcher))
+        self.fleet.remove_searcher(searcher, why)
 
     def _remove_held(self) -> None:
-        if self._was_recently_unavailable():
-            return
-        self.recovered_at = None
-        for searcher in self.held_searchers:
+        """Remove the held searchers whose listing has not returned in time."""
+        now = self.clock.now()
+        overdue = [searcher for searcher, until in self.held_searchers.items() if now >= until]
+        for searcher in overdue:
+            del self.held_searchers[searcher]
             self.catalogue.add(SearcherUnlisted(searcher))
             self.fleet.remove_searcher(searcher, "not back in the list", Millis(0.0))
-        self.held_searchers.clear()
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -113,9 +113,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """The source gave no usable response; ``detail`` says why."""
+    """The source gave no usable response; ``detail`` says why.
+
+    ``closed_by_source`` is set if it closed the connection instead of answering. A watch that waits
+    may be cut in that way while the source serves other calls.
+    """
 
     detail: str
+    closed_by_source: bool = False
 
 
 class CatalogueSource(Protocol):
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -160,6 +160,17 @@
         )
         assert not is_used(fleet, "a")
 
+    def test_hold_of_searcher_ends_although_platform_is_lost_again_and_again(self):
+        """Guard against a searcher in use for as long as calls to the platform fail by turns."""
+        lost_again = [(1_000, Unavailable("down")), (10, changes(5))] * 4
+        _, fleet, _ = follow(
+            (0, contents(SearcherListed(make_entry("a")))),
+            (5_000, Unavailable("down")),
+            (10, changes(5, SearcherUnlisted(SearcherId("a")))),
+            *lost_again,
+        )
+        assert not is_used(fleet, "a")
+
     def test_relays_removal_of_listing_only_when_searcher_is_removed(self):
         listing_removed = (10, changes(5, SearcherUnlisted(SearcherId("a"))))
         follower, _, _ = follow(
