Wait for requests in progress beyond the start of the last sixth of the grace

Only work that runs in the last sixth, from 5.0 s on, may be cut.

Cause: a stopping gateway waited until 0.8 of the grace time only. Change: 0.92. The rest is for the last log lines.

--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -55,8 +55,12 @@
 It is long enough for two failed readiness checks, after which no more callers connect.
 """
 
-FINISH_GRACE_SHARE = 0.8
-"""The share of the grace time after which a gateway no longer waits for requests in progress."""
+FINISH_GRACE_SHARE = 0.92
+"""The share of the grace time after which a gateway no longer waits for requests in progress.
+
+A searcher may be at work until the last sixth of the grace time; its answer has to be passed on.
+The rest is for the last log lines.
+"""
 
 STOP_POLL_INTERVAL_S = 0.05
 """The interval at which a stopping gateway checks for requests in progress."""
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -246,11 +246,18 @@
     def send(self, data: bytes) -> None:
         self.socket.sendall(data)
 
-    def get(self, path: str = "/a/x", request_id: str = "q1", extra: bytes = b"") -> "RawCaller":
-        """Send a GET request with a caller timeout of 400 ms; ``extra`` is further header lines."""
+    def get(
+        self,
+        path: str = "/a/x",
+        request_id: str = "q1",
+        extra: bytes = b"",
+        *,
+        caller_timeout: int = 400,
+    ) -> "RawCaller":
+        """Send a GET request; ``extra`` is further header lines."""
         self.send(
-            b"GET %s HTTP/1.1\r\nHost: host.example\r\nX-Id: %s\r\nX-Caller-Timeout: 400\r\n%s\r\n"
-            % (path.encode(), request_id.encode(), extra)
+            b"GET %s HTTP/1.1\r\nHost: host.example\r\nX-Id: %s\r\nX-Caller-Timeout: %d\r\n%s\r\n"
+            % (path.encode(), request_id.encode(), caller_timeout, extra)
         )
         return self
 
