Reserve the names by which gateways call each other

Cause: the gatherers are kept among the searchers under a fixed service name that can be published, too. Their ids and the ids of the routes to them began with the same name.

Change: the name begins with a character that no published name can have.

--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -11,10 +11,13 @@
 from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
 from ._routes import RouteTable
 
-PEER_SERVICE = ServiceId("gateways")
+PEER_SERVICE = ServiceId("\N{NO-BREAK SPACE}gateways")
 """The service name of the gateways that gather parts of queries; they count as its searchers.
 
 To gather a part is to send it to one searcher of each of some shards and to merge the answers.
+
+The names of gatherers, and of the routes to them, begin with this name. No published name does: its
+first character may stand in a header, but not in a name (:func:`is_name`).
 """
 
 
