Queue signals before the program loads its modules

A gateway that got SIGHUP in the first 150 ms after its start ended by the signal (FAULT).

Cause: the handlers were set after all modules were loaded and the settings read.

Change: `python -m masticgate.platform` sets them first; the package's own public names are loaded on first use, so that little is loaded before.

--- a/src/masticgate/_lazy.py
+++ b/src/masticgate/_lazy.py
@@ -5,10 +5,9 @@
 """
 
 from importlib import import_module
-from typing import Any
 
 
-def load_public(package: str, name: str) -> Any:
+def load_public(package: str, name: str) -> object:
     """Return the public name ``name`` of ``package``.
 
     :raises AttributeError: the package has no such name.
--- a/src/masticgate/platform/__main__.py
+++ b/src/masticgate/platform/__main__.py
@@ -1,5 +1,11 @@
 """The entry point of ``python -m masticgate.platform``, which runs a gateway on the platform."""
 
-from ._serve import main
+from ._signals import SignalQueue
 
-main()
+# The other modules take most of the start to load. A signal that arrives meanwhile would end the
+# process, so that it is queued from here on.
+signals = SignalQueue()
+
+from ._serve import main  # noqa: E402
+
+main(signals)
--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -1,7 +1,6 @@
 """The gateway program that the platform starts on each host."""
 
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -17,12 +16,11 @@
 RELOAD_INTERVAL_S = 5.0
 """The interval at which the settings file is read again, since it may change without a signal."""
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_START_FAILED = 1
 EXIT_USAGE = 2
 
 
-def main() -> None:
+def main(signals: SignalQueue) -> None:
     """Run a gateway until SIGTERM or SIGINT.
 
     The optional command line argument is the port for metrics.
@@ -33,7 +31,6 @@
     if isinstance(settings, InvalidNodeFile):
         print(f"masticgate: {settings.detail}", file=sys.stderr)
         raise SystemExit(EXIT_USAGE)
-    signals = SignalQueue((*STOP_SIGNALS, signal.SIGHUP))
     try:
         gateway = Gateway(
             settings, HEADER_NAMES, PlatformStore(settings.store_address, SystemClock())
@@ -57,7 +54,7 @@
 
     A settings file that is invalid or cannot be read is ignored.
     """
-    while not set(signals.get(RELOAD_INTERVAL_S)) & set(STOP_SIGNALS):
+    while not signals.wait_for_stop(RELOAD_INTERVAL_S):
         changed = read_node_file(path, metrics_port)
         if isinstance(changed, GatewaySettings) and changed != settings:
             settings = changed
--- /dev/null
+++ b/tests/platform/program.py
@@ -0,0 +1,136 @@
+"""The real gateway program, in a process of its own, with a store that the test serves."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import closing, suppress
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from threading import Event
+from time import monotonic
+
+from tests.gateway.loopback import StandInSearcher
+
+from .test_items import CONFIG
+from .test_store import http, stored
+
+SOURCE = Path(__file__).resolve().parents[2] / "src"
+START_TIMEOUT_S = 30.0
+PORTS = ("front", "ready", "control")
+
+SETTINGS = """
+nodeName = "front-1"
+ip = "127.0.0.1"
+zone = "z1"
+seedNodes = []
+[bindAddresses]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[bounds]
+drainMs = 3000
+graceS = {grace}
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 52
+[platform]
+address = "{store}"
+"""
+
+
+def free_port() -> int:
+    """Return a port on which nothing listens."""
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return int(probe.getsockname()[1])
+
+
+def answer_as_store(head: bytes) -> bytes:
+    """Answer as a store that holds one configuration and no searchers."""
+    if b"kv-watch" in head.split(b" ")[1]:
+        Event().wait(0.2)
+        return http(200, {"events": [], "currentRev": 7})
+    return http(200, {"items": [stored("op/config", CONFIG)], "currentRev": 7})
+
+
+class GatewayProgram:
+    """One gateway program, its settings file and its store.
+
+    ``ports`` maps ``front``, ``ready`` and ``control`` to the ports that the settings name.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.store = StandInSearcher(answer_as_store)
+        self.path = folder / "local.toml"
+        self.output = folder / "output.txt"
+        self.ports = {name: free_port() for name in PORTS}
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def settings(self, grace: float = 1.0) -> str:
+        """Return the text of a valid settings file."""
+        return SETTINGS.format(**self.ports, grace=grace, store=self.store.address)
+
+    def write_settings(self, grace: float = 1.0) -> None:
+        """Write a valid settings file."""
+        self.path.write_text(self.settings(grace))
+
+    def start(self, *options: str, arguments: tuple[str, ...] = (), **popen) -> None:
+        """Start the program; ``options`` are for the interpreter, ``popen`` for the process."""
+        environment = os.environ | {
+            "MASTICGATE_NODE_FILE": str(self.path),
+            "PYTHONPATH": os.pathsep.join([str(SOURCE), *sys.path]),
+        }
+        command = [sys.executable, "-S", *options, "-m", "masticgate.platform", *arguments]
+        with self.output.open("ab") as output:
+            streams = {"stdout": output, "stderr": subprocess.STDOUT} | popen
+            self.process = subprocess.Popen(command, env=environment, **streams)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def is_ready(self) -> bool:
+        """Return whether the readiness check succeeds."""
+        connection = HTTPConnection("127.0.0.1", self.ports["ready"], timeout=1)
+        with suppress(OSError, HTTPException), closing(connection):
+            connection.request("GET", "/v1/ready")
+            return connection.getresponse().status == 200
+        return False
+
+    def wait_until_ready(self) -> None:
+        """Wait until the readiness check succeeds.
+
+        :raises AssertionError: the process ended, or takes too long.
+        """
+        assert self.process is not None
+        deadline = monotonic() + START_TIMEOUT_S
+        while not self.is_ready():
+            status = self.process.poll()
+            assert status is None, f"ended with {status}: {self.output.read_text()}"
+            assert monotonic() < deadline, f"not ready: {self.output.read_text()}"
+            Event().wait(0.02)
+
+    def wait_for_event(self, event: str) -> dict:
+        """Return the first line of the log for ``event``, once it is written."""
+        deadline = monotonic() + START_TIMEOUT_S
+        while monotonic() < deadline:
+            for line in self.output.read_text().splitlines():
+                if line.startswith("{") and json.loads(line)["event"] == event:
+                    return dict(json.loads(line))
+            Event().wait(0.02)
+        raise AssertionError(f"no line {event}: {self.output.read_text()}")
+
+    def wait_for_end(self, timeout_s: float = 10.0) -> int:
+        """Return the exit status of the process once it has ended."""
+        assert self.process is not None
+        return self.process.wait(timeout_s)
+
+    def close(self) -> None:
+        """End the process and the store."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.store.listener.close()
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -7,11 +7,10 @@
 from time import monotonic
 
 CHILD = """
-import signal, sys
 from masticgate.platform._signals import SignalQueue
-queue = SignalQueue((signal.SIGTERM, signal.SIGHUP))
+queue = SignalQueue()
 print("ready", flush=True)
-while signal.SIGTERM not in queue.get(5.0):
+while not queue.wait_for_stop(5.0):
     pass
 """
 MAX_NOTICE_S = 1.0
