Wait for the settings file at the start

A gateway ended at once with status 2 if its settings file was missing, empty or half written at that moment (FAULT). The platform rewrites the file at each start.

Change: the program waits up to 10 s for a valid file and takes a signal to stop meanwhile. An unusable file at a reload is logged and counted.

--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from .._clock import SystemClock
+from .._clock import MILLIS_PER_SECOND, SystemClock
 from ..process.gateway import GatewaySettings
 from ..process.gateway._gateway import Gateway
 from ._names import HEADER_NAMES
@@ -16,6 +16,11 @@
 RELOAD_INTERVAL_S = 5.0
 """The interval at which the settings file is read again, since it may change without a signal."""
 
+SETTINGS_WAIT_S = 10.0
+"""How long a starting process waits for a valid settings file, which may just be rewritten."""
+
+SETTINGS_POLL_INTERVAL_S = 0.1
+
 EXIT_START_FAILED = 1
 EXIT_USAGE = 2
 
@@ -27,22 +32,41 @@
     """
     metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else None
     path = Path(os.environ.get(NODE_FILE_VARIABLE, "/etc/masticgate/local.toml"))
-    settings = read_node_file(path, metrics_port)
+    settings = _wait_for_settings(path, metrics_port, signals)
+    if signals.stop_requested:
+        return
     if isinstance(settings, InvalidNodeFile):
-        print(f"masticgate: {settings.detail}", file=sys.stderr)
+        _print_error(f"no valid settings for {SETTINGS_WAIT_S:g} s: {settings.detail}")
         raise SystemExit(EXIT_USAGE)
     try:
         gateway = Gateway(
             settings, HEADER_NAMES, PlatformStore(settings.store_address, SystemClock())
         )
     except OSError as error:
-        print(f"masticgate: cannot listen: {error}", file=sys.stderr)
+        _print_error(f"cannot listen: {error}")
         raise SystemExit(EXIT_START_FAILED) from error
     gateway.start()
     _run(gateway, settings, path, metrics_port, signals)
     gateway.stop()
 
 
+def _wait_for_settings(
+    path: Path, metrics_port: int | None, signals: SignalQueue
+) -> GatewaySettings | InvalidNodeFile:
+    """Return the settings once they are valid, or why they are not after ``SETTINGS_WAIT_S``.
+
+    The wait also ends when a signal to stop arrives.
+    """
+    clock = SystemClock()
+    deadline = clock.now() + SETTINGS_WAIT_S * MILLIS_PER_SECOND
+    while True:
+        settings = read_node_file(path, metrics_port)
+        if isinstance(settings, GatewaySettings) or clock.now() >= deadline:
+            return settings
+        if signals.wait_for_stop(SETTINGS_POLL_INTERVAL_S):
+            return settings
+
+
 def _run(
     gateway: Gateway,
     settings: GatewaySettings,
@@ -52,10 +76,16 @@
 ) -> None:
     """Reload changed settings on SIGHUP and regularly, until a signal to stop arrives.
 
-    A settings file that is invalid or cannot be read is ignored.
+    Settings that are invalid or cannot be read are not applied.
     """
     while not signals.wait_for_stop(RELOAD_INTERVAL_S):
-        changed = read_node_file(path, metrics_port)
-        if isinstance(changed, GatewaySettings) and changed != settings:
-            settings = changed
-            gateway.reload(settings)
+        match read_node_file(path, metrics_port):
+            case InvalidNodeFile(detail=detail):
+                gateway.record_unusable_settings(detail)
+            case changed if changed != settings:
+                settings = changed
+                gateway.reload(settings)
+
+
+def _print_error(text: str) -> None:
+    print(f"masticgate: {text}", file=sys.stderr)
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -141,6 +141,12 @@
         self.fleet.apply_settings(settings)
         self.log.write(LogEvent.RELOADED, grace_ms=settings.grace, drain_ms=settings.drain)
 
+    def record_unusable_settings(self, detail: str) -> None:
+        """Count and log changed settings that cannot be used; the present ones stay in force."""
+        self.metrics.count("settings_unusable")
+        self.log.write(LogEvent.SETTINGS_UNUSABLE, detail=detail)
+        self.log.wake()
+
     def stop(self) -> None:
         """Finish the callers' requests in progress, then exit the process within the grace time.
 
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -35,6 +35,7 @@
     STOPPING = "stopping"
     STOPPED = "stopped"
     RELOADED = "reloaded"
+    SETTINGS_UNUSABLE = "settings_unusable"
     PAUSED = "paused"
     READY = "ready"
     CONFIGURATION = "configuration"
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -18,7 +18,7 @@
 from .test_store import http, stored
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 20.0
 PORTS = ("front", "ready", "control")
 
 SETTINGS = """
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -2,6 +2,7 @@
 
 import signal
 import subprocess
+from threading import Event
 
 import pytest
 
@@ -50,3 +51,41 @@
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             program.signal(number)
         assert program.wait_for_end() == 0
+
+
+class TestSettingsAtStart:
+    @pytest.mark.parametrize("begin", ["missing", "empty", "half"])
+    def test_waits_for_file_that_is_still_written(self, program, begin):
+        """Guard against an end at once if the settings are rewritten at that moment (FAULT)."""
+        text = program.settings()
+        if begin != "missing":
+            program.path.write_text("" if begin == "empty" else text[: len(text) // 2])
+        program.start()
+        Event().wait(1.0)
+        program.write_settings()
+        program.wait_until_ready()
+
+    def test_invalid_file_ends_process_with_its_reason_after_a_while(self, program):
+        program.path.write_text("nodeName = 7")
+        program.start()
+        assert program.wait_for_end(30) == 2
+        last_line = program.output.read_text().splitlines()[-1]
+        assert "settings" in last_line and str(program.path) in last_line
+
+    def test_stop_ends_process_that_waits_for_file(self, program):
+        program.start()
+        Event().wait(0.5)
+        program.signal(signal.SIGTERM)
+        assert program.wait_for_end() == 0
+
+    @pytest.mark.parametrize("text", ["", "nodeName = 7", None])
+    def test_unusable_file_at_reload_changes_nothing(self, program, text):
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        program.path.unlink()
+        if text is not None:
+            program.path.write_text(text)
+        program.signal(signal.SIGHUP)
+        program.wait_for_event("settings_unusable")
+        assert program.is_ready()
