Wait for a port that is taken instead of ending

A gateway ended at once with status 1 if another connection had one of its ports at that moment (FAULT).

Change: each listener tries again until it listens. The gateway is not ready before those for callers, readiness checks and other gateways do; the one for metrics holds up nothing. The log and a gauge name the port.

Evidence: the five new tests, which start the real program and hold a port as an outgoing connection, failed before ("cannot listen: [Errno 98]") and pass with the change.

--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -3,44 +3,60 @@
 import socket
 from contextlib import suppress
 from threading import Lock
+from time import sleep
 
 from ..._ids import Address, Millis
 from .._address import accept_connections, listen_on
 from ._caller import CallerConnection, CallerSettings, CallerState
 from ._task_starter import TaskStarter
 
+LISTEN_RETRY_DELAY_S = 0.1
+"""The pause after a failed attempt to listen; the address may be taken for some seconds."""
+
 
 class Listener:
     """One listening socket and the open connections that it accepted.
 
-    When there are more than ``max_connections``, the connection that has been idle, or reading a
+    ``failure`` says why the socket does not listen, or is empty if it does. When there are more than ``max_connections``, the connection that has been idle, or reading a
     request, for the longest time is closed.
     """
 
     def __init__(
         self, address: Address, settings: CallerSettings, tasks: TaskStarter, max_connections: int
     ) -> None:
+        self.address = address
         self.settings = settings
         self.tasks = tasks
         self.max_connections = max_connections
         self.lock = Lock()
         self.connections: set[CallerConnection] = set()
-        self.socket = listen_on(address)
+        self.socket: socket.socket | None = None
+        self.failure = ""
         self.stopped = False
         self.rejected = 0
+        self._listen()
 
     def run(self) -> None:
-        """Accept connections until :meth:`stop` is called."""
-        accepted = accept_connections(lambda: self.socket.accept(), lambda: self.stopped)
+        """Accept connections until :meth:`stop` is called.
+
+        If the address cannot be listened on yet, try again until it can.
+        """
+        while not self._listen():
+            if self.stopped:
+                return
+            sleep(LISTEN_RETRY_DELAY_S)
+        accepted = accept_connections(self._accept, lambda: self.stopped)
         for connection, _ in accepted:
             self._add_connection(connection)
 
     def stop(self) -> None:
         """Accept no more connections; those that are open are kept."""
-        self.stopped = True
-        with suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
+        with self.lock:
+            self.stopped = True
+        if self.socket is not None:
+            with suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
+            self.socket.close()
 
     def count(self, *states: CallerState) -> int:
         """Return the number of connections that are in one of ``states``."""
@@ -54,6 +70,24 @@
         for caller in idle:
             caller.stop_reading()
 
+    def _listen(self) -> bool:
+        """Listen on the address; return ``False`` if that fails or :meth:`stop` was called."""
+        with self.lock:
+            if self.stopped:
+                return False
+            if self.socket is None:
+                try:
+                    self.socket = listen_on(self.address)
+                except OSError as error:
+                    self.failure = str(error)
+                    return False
+                self.failure = ""
+            return True
+
+    def _accept(self) -> tuple[socket.socket, object]:
+        assert self.socket is not None
+        return self.socket.accept()
+
     def _add_connection(self, connection: socket.socket) -> None:
         try:
             caller = CallerConnection(connection, self.settings)
--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -21,7 +21,6 @@
 
 SETTINGS_POLL_INTERVAL_S = 0.1
 
-EXIT_START_FAILED = 1
 EXIT_USAGE = 2
 
 
@@ -38,13 +37,8 @@
     if isinstance(settings, InvalidNodeFile):
         _print_error(f"no valid settings for {SETTINGS_WAIT_S:g} s: {settings.detail}")
         raise SystemExit(EXIT_USAGE)
-    try:
-        gateway = Gateway(
-            settings, HEADER_NAMES, PlatformStore(settings.store_address, SystemClock())
-        )
-    except OSError as error:
-        _print_error(f"cannot listen: {error}")
-        raise SystemExit(EXIT_START_FAILED) from error
+    store = PlatformStore(settings.store_address, SystemClock())
+    gateway = Gateway(settings, HEADER_NAMES, store)
     gateway.start()
     _run(gateway, settings, path, metrics_port, signals)
     gateway.stop()
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -70,7 +70,9 @@
     """One gateway process.
 
     A gateway accepts requests from callers and sends them to searchers, according to the
-    configuration that the platform publishes.
+    configuration that the platform publishes. It is not ready before all of
+    ``required_listeners`` listen. ``listen_failures`` has the failures of listeners that were
+    logged.
     """
 
     def __init__(
@@ -116,10 +118,12 @@
         self.listeners = [self.readiness, self.callers]
         if settings.peer_address is not None:
             self.listeners.append(self._listen_to_peers(settings.peer_address, header_names))
+        self.required_listeners = tuple(self.listeners)
         if settings.metrics_address is not None:
             self.listeners.append(
                 self._listen(settings.metrics_address, header_names, self._metrics_page)
             )
+        self.listen_failures: dict[Address, str] = {}
 
     def start(self) -> None:
         """Start the tasks that run until the process ends."""
@@ -226,7 +230,9 @@
         return GatewayView(self.follower.table, self.follower.age())
 
     def _is_ready(self) -> bool:
-        return self.follower.table is not None and not self.stopping.is_set()
+        """Return whether this gateway accepts the requests of callers and other gateways."""
+        listening = not any(listener.failure for listener in self.required_listeners)
+        return self.follower.table is not None and listening and not self.stopping.is_set()
 
     def _ready_page(self, request: Request, inbox: Inbox) -> Reply:
         return LocalPage(200, b"ready\n") if self._is_ready() else LocalPage(503, b"not ready\n")
@@ -234,12 +240,28 @@
     def _metrics_page(self, request: Request, inbox: Inbox) -> Reply:
         return LocalPage(200, self.metrics.render())
 
+    def _log_listen_failures(self) -> None:
+        """Log each listener that cannot listen, and when it does at last."""
+        for listener in self.listeners:
+            known = self.listen_failures.get(listener.address, "")
+            if listener.failure == known:
+                continue
+            if listener.failure:
+                self.listen_failures[listener.address] = listener.failure
+                self.log.write(
+                    LogEvent.LISTEN_FAILED, address=listener.address, detail=listener.failure
+                )
+            else:
+                del self.listen_failures[listener.address]
+                self.log.write(LogEvent.LISTENING, address=listener.address)
+
     def _run_maintenance(self) -> None:
         """Do the regular maintenance until the process ends.
 
         Choose whether this gateway or a peer gathers queries (sends each to all its shards and
         merges the answers). Remove searchers that left, close expired connections, open those that
-        are needed, update the gauges, and log a change of readiness or a pause of the process.
+        are needed, update the gauges, and log a change of readiness, a listener that cannot listen
+        or a pause of the process.
         """
         last_run_at = self.clock.now()
         while not self.ended.wait(MAINTENANCE_INTERVAL / MILLIS_PER_SECOND):
@@ -249,11 +271,13 @@
             last_run_at = now
             self.peers.update_gathering()
             self.fleet.maintain()
+            self._log_listen_failures()
             if self._is_ready() != self.was_ready:
                 self.was_ready = self._is_ready()
                 self.log.write(LogEvent.READY, ready=self.was_ready)
             self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
             self.metrics.set_gauge("callers", self.callers.count(*CallerState))
             self.metrics.set_gauge("callers_turned_away", self.callers.rejected)
+            self.metrics.set_gauge("listeners_failed", len(self.listen_failures))
             self.metrics.set_gauge("tasks", threading.active_count())
             self.log.wake()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -36,6 +36,8 @@
     STOPPED = "stopped"
     RELOADED = "reloaded"
     SETTINGS_UNUSABLE = "settings_unusable"
+    LISTEN_FAILED = "listen_failed"
+    LISTENING = "listening"
     PAUSED = "paused"
     READY = "ready"
     CONFIGURATION = "configuration"
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -120,6 +120,8 @@
             for line in self.output.read_text().splitlines():
                 if line.startswith("{") and json.loads(line)["event"] == event:
                     return dict(json.loads(line))
+            if self.process is None or self.process.poll() is not None:
+                break
             Event().wait(0.02)
         raise AssertionError(f"no line {event}: {self.output.read_text()}")
 
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -1,12 +1,14 @@
 """Tests of what starts and ends the real gateway program."""
 
 import signal
+import socket
 import subprocess
+from contextlib import contextmanager
 from threading import Event
 
 import pytest
 
-from .program import GatewayProgram
+from .program import PORTS, GatewayProgram, free_port
 
 
 @pytest.fixture
@@ -89,3 +91,47 @@
         program.signal(signal.SIGHUP)
         program.wait_for_event("settings_unusable")
         assert program.is_ready()
+
+
+@contextmanager
+def held_port(port: int):
+    """Hold a port as the local port of an outgoing connection."""
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as client:
+        client.bind(("127.0.0.1", port))
+        client.connect(server.getsockname())
+        yield
+
+
+class TestTakenPorts:
+    @pytest.mark.parametrize("name", PORTS)
+    def test_waits_for_port_that_is_taken_for_a_while(self, program, name):
+        """Guard against an end at once if another connection has the port (FAULT)."""
+        program.write_settings()
+        with held_port(program.ports[name]):
+            program.start()
+            assert program.wait_for_event("listen_failed")["address"].endswith(
+                f":{program.ports[name]}"
+            )
+            assert not program.is_ready()
+            assert program.process.poll() is None
+        program.wait_until_ready()
+        program.wait_for_event("listening")
+
+    def test_port_that_stays_taken_leaves_process_unready_until_it_is_stopped(self, program):
+        program.write_settings()
+        with held_port(program.ports["front"]):
+            program.start()
+            program.wait_for_event("listen_failed")
+            program.wait_for_event("configuration")
+            Event().wait(1.0)
+            assert not program.is_ready()
+            program.signal(signal.SIGTERM)
+            assert program.wait_for_end() == 0
+
+    def test_taken_port_of_metrics_does_not_keep_gateway_from_serving(self, program):
+        program.write_settings()
+        port = free_port()
+        with held_port(port):
+            program.start(arguments=(str(port),))
+            program.wait_until_ready()
+            assert program.wait_for_event("listen_failed")["address"].endswith(f":{port}")
