--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -17,8 +17,9 @@
 class Listener:
     """One listening socket and the open connections that it accepted.
 
-    ``failure`` says why the socket does not listen, or is empty if it does. When there are more than ``max_connections``, the connection that has been idle, or reading a
-    request, for the longest time is closed.
+    ``failure`` says why the socket does not listen, or is empty if it does. When there are more
+    than ``max_connections``, the connection that has been idle, or reading a request, for the
+    longest time is closed.
     """
 
     def __init__(
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -1,5 +1,6 @@
 """Tests of what starts and ends the real gateway program."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -135,3 +136,31 @@
             program.start(arguments=(str(port),))
             program.wait_until_ready()
             assert program.wait_for_event("listen_failed")["address"].endswith(f":{port}")
+
+
+class TestOutput:
+    @pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+    def test_closed_stream_does_not_become_a_connection(self, program, closed):
+        """Guard against log lines that are written to the connection of a caller."""
+        program.write_settings()
+        program.start(preexec_fn=lambda: [os.close(descriptor) for descriptor in closed])
+        program.wait_until_ready()
+        for descriptor in closed:
+            target = os.readlink(f"/proc/{program.process.pid}/fd/{descriptor}")
+            assert target == "/dev/null"
+
+    def test_full_pipe_delays_neither_requests_nor_stop(self, program):
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        try:
+            while True:
+                os.write(writer, bytes(65_536))
+        except BlockingIOError:
+            os.set_blocking(writer, True)
+        program.write_settings()
+        program.start(stdout=writer)
+        program.wait_until_ready()
+        program.signal(signal.SIGTERM)
+        assert program.wait_for_end() == 0
+        os.close(reader)
+        os.close(writer)
