Install the libraries anew on another architecture or Python

Cause: the stamps named neither architecture nor Python. Change: they name the interpreter's SOABI, and a folder with another stamp is emptied first.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-READY := $(VENV)/.ready
+SOABI := $(shell $(PYTHON) -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+# The stamp names the Python and the architecture that the installed packages are for.
+READY := $(VENV)/.ready-$(SOABI)
 
 .PHONY: test lint demo bench model soak slopes
 test: $(READY)
@@ -30,7 +32,7 @@
 	$(BIN)/python -m bench.process.slopes
 
 $(READY): requirements.lock pyproject.toml
-	$(PYTHON) -m venv $(VENV)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(READY)
