Wait for a thread at the start instead of ending

A gateway ended by an error if the system refused a thread while it started the tasks of its process (FAULT).

Change: the start waits until the thread can be started, and logs it.

--- a/src/masticgate/process/gateway/_supervisor.py
+++ b/src/masticgate/process/gateway/_supervisor.py
@@ -26,8 +26,14 @@
         self.ended = ended
 
     def start(self, run: Callable[[], None]) -> None:
-        """Start ``run`` in a new thread."""
-        Thread(target=self._run, args=(run,), daemon=True).start()
+        """Start ``run`` in a new thread; if none can be started, wait until one can."""
+        while not self.ended.is_set():
+            try:
+                Thread(target=self._run, args=(run,), daemon=True).start()
+                return
+            except RuntimeError as error:
+                self.log.write(LogEvent.TASK_REFUSED, task=describe_task(run), detail=str(error))
+                self.ended.wait(RESTART_DELAY / MILLIS_PER_SECOND)
 
     def _run(self, run: Callable[[], None]) -> None:
         """Call ``run`` until it returns normally."""
@@ -40,6 +46,11 @@
             self.ended.wait(RESTART_DELAY / MILLIS_PER_SECOND)
 
 
+def describe_task(run: Callable[..., None]) -> str:
+    """Return the name of the function that a task runs."""
+    return str(getattr(getattr(run, "func", run), "__qualname__", repr(run)))
+
+
 def record_task_failure(
     log: EventLog, metrics: Metrics, run: Callable[..., None], error: Exception
 ) -> None:
@@ -48,7 +59,7 @@
     frames = traceback.extract_tb(error.__traceback__)[-MAX_TRACE_FRAMES:]
     log.write(
         LogEvent.TASK_FAILED,
-        task=getattr(getattr(run, "func", run), "__qualname__", repr(run)),
+        task=describe_task(run),
         detail=repr(error),
         at=" < ".join(f"{basename(frame.filename)}:{frame.lineno}" for frame in reversed(frames)),
     )
