Bound the bytes of all unfinished answers of a process together

A searcher that sends without end on each request made its callers' gateway hold up to 8 MB for each of them (report of other operators: processes that end for want of memory).

Cause: each answer was bounded, but not all together. Change: beyond 16,384 bytes, an unfinished answer takes its bytes from a budget of 24 MB; one that finds it empty is given up like one at its own bound. New log line and counter answer_oversized.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -20,6 +20,7 @@
 from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
 from ._searcher_task import Load as Load
+from ._searcher_task import OversizedResponse as OversizedResponse
 from ._searcher_task import ProtocolViolation as ProtocolViolation
 from ._searcher_task import SearcherTask as SearcherTask
 from ._searcher_task import SearcherTaskHandler as SearcherTaskHandler
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -56,6 +56,11 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Oversized(Malformed):
+    """The received bytes exceed a limit of the message or of the process."""
+
+
 def find_header(headers: list[Header] | tuple[Header, ...], name: bytes) -> bytes | None:
     """Return the value of the first header called ``name``, which is given in lower case.
 
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -6,11 +6,12 @@
 
 import re
 from dataclasses import dataclass
+from typing import Protocol
 
 import httptools
 
 from ...request.gateway._exchange import BodyFraming, Header
-from ._parser import Malformed
+from ._parser import Malformed, Oversized
 
 MAX_HEAD_BYTES = 65_536
 """The maximum number of bytes of all response heads received for one request.
@@ -21,6 +22,9 @@
 MAX_BODY_BYTES = 8_000_000
 """The maximum number of bytes of all response bodies received for one request."""
 
+ORDINARY_BYTES = 16_384
+"""The received bytes of one answer that the budget of the process does not count."""
+
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 """The beginning of a response; within a head it shows that an earlier response is incomplete."""
 
@@ -75,6 +79,18 @@
     may_be_cut: bool
 
 
+class ReceiveBudget(Protocol):
+    """Bounds the bytes of unfinished answers on all connections of a process."""
+
+    def take(self, count: int) -> bool:
+        """Take ``count`` bytes until :meth:`release`, or return ``False``."""
+        ...
+
+    def release(self, count: int) -> None:
+        """Return ``count`` bytes."""
+        ...
+
+
 class TruncatedResponseError(Exception):
     """A response begins within another one that is incomplete."""
 
@@ -83,10 +99,14 @@
     """Collects complete responses in ``ready`` from the bytes that one server sends.
 
     The bytes received between two accepted responses are bounded. Responses that are not accepted,
-    such as interim and late ones, count together with the one that is awaited.
+    such as interim and late ones, count together with the one that is awaited. Those beyond
+    ``ORDINARY_BYTES`` also count towards ``budget``, if there is one, until
+    :meth:`reset_byte_counts` is called.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ReceiveBudget | None = None) -> None:
+        self.budget = budget
+        self.budgeted_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
         self.ready: list[ParsedResponse] = []
         self.received_bytes = 0
@@ -96,6 +116,8 @@
     def feed(self, data: bytes | memoryview) -> Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
         self.received_bytes += len(data)
+        if not self._take_from_budget():
+            return Oversized("too many bytes of unfinished answers on all connections")
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -104,18 +126,24 @@
             self._drop_truncated()
             return Malformed(str(error.__context__ or error))
         if self.body_size > MAX_BODY_BYTES:
-            return Malformed("the body is too large")
+            return Oversized("the body is too large")
         if (
             self.received_bytes - self.body_size
             > MAX_HEAD_BYTES + self.body_size * MAX_CHUNK_OVERHEAD
         ):
-            return Malformed("too many bytes of heads and framing")
+            return Oversized("too many bytes of heads and framing")
         return None
 
     def reset_byte_counts(self) -> None:
-        """Count the received bytes from zero again, after a response was accepted."""
+        """Count the received bytes from zero again.
+
+        To be called after a response was accepted, and when the connection ends.
+        """
         self.received_bytes = 0
         self.body_size = 0
+        if self.budget is not None and self.budgeted_bytes:
+            self.budget.release(self.budgeted_bytes)
+            self.budgeted_bytes = 0
 
     def feed_eof(self) -> None:
         """Complete a response that states no length, which ends with its connection.
@@ -131,6 +159,16 @@
         ):
             self._queue_response(BodyFraming.CLOSE, keep_alive=False)
 
+    def _take_from_budget(self) -> bool:
+        """Take the bytes beyond ``ORDINARY_BYTES`` from the budget; return ``False`` on failure."""
+        count = self.received_bytes - ORDINARY_BYTES - self.budgeted_bytes
+        if self.budget is None or count <= 0:
+            return True
+        if not self.budget.take(count):
+            return False
+        self.budgeted_bytes += count
+        return True
+
     def _reset(self) -> None:
         self.in_message = False
         self.in_body = False
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -21,8 +21,8 @@
 from ._client import HttpClient, parse_keep_alive_timeout
 from ._encoding import encode_request
 from ._header_names import HeaderNames
-from ._parser import parse_number
-from ._response_parser import ParsedResponse, ResponseParser
+from ._parser import Oversized, parse_number
+from ._response_parser import ParsedResponse, ReceiveBudget, ResponseParser
 
 CONNECT_TIMEOUT = Millis(300.0)
 """The time limit for opening a connection, many times the round trip within a region.
@@ -79,7 +79,18 @@
     request: RequestId
 
 
-ProtocolViolation = SkippedResponse | UnrequestedBytes | TrailingBytes
+@dataclass(frozen=True, slots=True)
+class OversizedResponse:
+    """A response exceeds a limit before its end; the connection is closed.
+
+    ``count`` is the number of received bytes, and ``detail`` names the limit.
+    """
+
+    count: int
+    detail: str
+
+
+ProtocolViolation = SkippedResponse | UnrequestedBytes | TrailingBytes | OversizedResponse
 
 
 class SearcherTaskHandler(Protocol):
@@ -111,7 +122,8 @@
     """One connection to one searcher, which carries one call at a time.
 
     ``initial_call`` is the call that the connection is opened for, if any. ``number`` identifies
-    the connection in log lines. ``skipped`` counts the responses that were skipped since the
+    the connection in log lines. ``budget`` bounds the bytes of unfinished answers on all
+    connections together. ``skipped`` counts the responses that were skipped since the
     last answered call. ``started_at`` is when the latest call began; ``initial_call`` begins with
     the opening of the connection. The handler sets ``idle_since``; it reads ``idle_since`` and
     ``keep_alive_timeout`` only while the connection is idle.
@@ -126,6 +138,7 @@
         clock: Clock,
         initial_call: Call | None = None,
         number: ConnectionNumber = ConnectionNumber(0),
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self.number = number
         self.skipped = 0
@@ -142,7 +155,7 @@
         self.send_lock = Lock()
         self.idle_since = self.started_at
         self.keep_alive_timeout: Millis | None = None
-        self.parser = ResponseParser()
+        self.parser = ResponseParser(budget)
 
     def run(self) -> None:
         """Open the connection and read responses until it ends or an error occurs."""
@@ -269,6 +282,10 @@
                 self.handler.record_violation(self, UnrequestedBytes(count))
                 return Lost(self.searcher, True, "bytes that belong to no request")
             problem = self.parser.feed(buffer[:count])
+            if isinstance(problem, Oversized):
+                self.handler.record_violation(
+                    self, OversizedResponse(self.parser.received_bytes, problem.detail)
+                )
             reusable = problem is None and not self.parser.in_message
             if not self._handle_responses(reusable=reusable):
                 return Lost(self.searcher, True, f"bad response: {problem}")
@@ -359,6 +376,7 @@
         if self.current_call is not None:
             self._complete_call(self.current_call, outcome, None, reusable=False)
         self.client.close()
+        self.parser.reset_byte_counts()
         self.handler.handle_close(self, connected=connected)
 
     def _decode_outcome(self, response: ParsedResponse) -> Outcome:
--- a/src/masticgate/process/gateway/_connections.py
+++ b/src/masticgate/process/gateway/_connections.py
@@ -15,6 +15,7 @@
 from ...request.gateway import Call
 from ...version.gateway import PEER_SERVICE
 from ._log import EventLog, LogEvent
+from ._receive_budget import ReceiveBudget
 from ._replica import Replica, ReplicaState
 
 DEFAULT_IDLE_TIMEOUT = Millis(4_000.0)
@@ -55,6 +56,7 @@
         self.log = log
         self.tasks: dict[SearcherTask, Replica] = {}
         self.numbers = count(1)
+        self.receive_budget = ReceiveBudget()
 
     def open(self, replica: Replica, initial_call: Call | None = None) -> SearcherTask | None:
         """Start the task of a new connection; return ``None`` if no task can be started."""
@@ -64,7 +66,14 @@
         )
         number = ConnectionNumber(next(self.numbers))
         task = SearcherTask(
-            entry.id, entry.address, self.handler, header_names, self.clock, initial_call, number
+            entry.id,
+            entry.address,
+            self.handler,
+            header_names,
+            self.clock,
+            initial_call,
+            number,
+            self.receive_budget,
         )
         replica.connection_count += 1
         self.tasks[task] = replica
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -14,6 +14,7 @@
 from ...connection.gateway import (
     HeaderNames,
     Load,
+    OversizedResponse,
     ProtocolViolation,
     SearcherTask,
     SkippedResponse,
@@ -272,6 +273,10 @@
                 self.metrics.count("bytes_unrequested")
                 event = LogEvent.BYTES_UNREQUESTED
                 fields |= {"bytes": number}
+            case OversizedResponse(count=number, detail=detail):
+                self.metrics.count("answer_oversized")
+                event = LogEvent.ANSWER_OVERSIZED
+                fields |= {"bytes": number, "detail": detail}
             case TrailingBytes(request=request):
                 self.metrics.count("bytes_trailing")
                 event = LogEvent.BYTES_TRAILING
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -59,6 +59,7 @@
     TASK_REFUSED = "task_refused"
     TASK_FAILED = "task_failed"
     ANSWER_SKIPPED = "answer_skipped"
+    ANSWER_OVERSIZED = "answer_oversized"
     BYTES_UNREQUESTED = "bytes_unrequested"
     BYTES_TRAILING = "bytes_trailing"
     REQUEST = "request"
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import replace
 from itertools import chain, cycle
 from time import monotonic
@@ -26,6 +26,7 @@
 from masticgate.connection.gateway._parser import Malformed
 from masticgate.connection.gateway._response_parser import ResponseParser
 from masticgate.request.gateway import Call, Lost
+from masticgate.version.gateway import OneService
 
 from .endless_responses import (
     CHUNKED_HEAD,
@@ -39,7 +40,7 @@
     EndlessServer,
 )
 from .fakes import HEADER_NAMES, make_request, make_route
-from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
+from .loopback import RawCaller, StandInSearcher, head_value, reply_to, running_gateway
 
 MAX_HEAD_BYTES = 65_536
 """The most bytes of all response heads received for one request."""
@@ -50,6 +51,11 @@
 MAX_CHUNKED_BYTES = MAX_BODY_BYTES * 3 // 2
 """The most bytes of bodies in chunks, with the framing of the chunks."""
 
+MAX_PENDING_BYTES = 24_000_000
+"""The most bytes of unfinished answers on all connections, beyond ``ORDINARY_BYTES`` of each."""
+
+ORDINARY_BYTES = 16_384
+
 RECEIVE_BYTES = 4_096
 """The most bytes that a connection receives at once."""
 
@@ -282,3 +288,59 @@
             response = client.get("platform", "/", {}, GetTimeouts(LONG_TIMEOUT, LONG_TIMEOUT))
             assert isinstance(response, HttpResponse)
             assert client.socket is None
+
+
+class StallingServer(StandInSearcher):
+    """A server that sends ``count`` bytes of a response without an end, and then waits."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.stopped = threading.Event()
+        super().__init__(lambda head: None)
+
+    def _serve(self, connection):
+        with connection, suppress(OSError):
+            head = self._read(connection)
+            start = b"HTTP/1.1 200 OK\r\nx-id: %s\r\nx-stamp: s\r\n\r\n"
+            connection.sendall(start % head_value(head, b"x-id") + bytes(self.count))
+            self.stopped.wait(MAX_WAIT_S)
+
+
+class TestManyEndlessResponses:
+    def test_process_bounds_their_bytes_together_and_serves_other_requests(self):
+        """Guard against a process that runs out of memory by many answers within their limits."""
+        stalling = [StallingServer(3_000_000) for _ in range(10)]
+        slow = replace(make_route(), timeout=Millis(8_000.0), objective=Millis(5_000.0))
+        other = make_route(OneService(ServiceId("others")), prefix="/b/")
+        searchers = {"orders": stalling, "others": [StandInSearcher(reply_to)]}
+        with running_gateway([slow, other], searchers) as gateway:
+            callers = [
+                RawCaller(gateway).get(request_id=f"q{number}", caller_timeout=8_000)
+                for number in range(20)
+            ]
+            deadline, most = monotonic() + 2.0, 0
+            while monotonic() < deadline:
+                tasks = list(gateway.fleet.tasks)
+                most = max(most, sum(task.parser.received_bytes for task in tasks))
+                assert RawCaller(gateway).get("/b/x").read()[0] == 200
+            for server in stalling:
+                server.stopped.set()
+            for caller in callers:
+                assert caller.read()[0] in (200, 502, 503, 504)
+            assert most <= MAX_PENDING_BYTES + 20 * ORDINARY_BYTES + 20 * RECEIVE_BYTES
+            wait_until(lambda: not gateway.fleet.connections.receive_budget.used)
+            assert gateway.metrics.counters["answer_oversized"] > 0
+
+    def test_bytes_of_finished_answers_no_longer_count(self):
+        large = StandInSearcher(lambda head: reply_to(head, bytes(1_000_000)))
+        with running_gateway([make_route()], {"orders": [large]}) as gateway:
+            for number in range(30):
+                assert RawCaller(gateway).get(request_id=f"q{number}").read()[0] == 200
+            assert gateway.fleet.connections.receive_budget.used == 0
+
+
+def wait_until(condition) -> None:
+    deadline = monotonic() + MAX_WAIT_S
+    while not condition() and monotonic() < deadline:
+        threading.Event().wait(0.02)
+    assert condition()
