Refuse requests that a stopping gateway cannot finish, answer the rest

Cause: a stopping gateway took each request that it read, and ended with those in progress unanswered.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -14,7 +14,7 @@
 
 from ..._clock import Clock
 from ..._ids import Millis
-from ...request.gateway import Answered, Call, CallerDisconnected
+from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
 
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -36,6 +36,7 @@
         self.waiting = False
         self.closed = False
         self.reading_stopped = False
+        self.ending = False
         self.poller = select.poll()
         self.poller.register(self.wake_reader, select.POLLIN)
 
@@ -52,6 +53,11 @@
             with suppress(BlockingIOError):
                 os.write(self.wake_writer, b"\0")
 
+    def end_wait(self) -> None:
+        """End the wait of the task, and each later one; any task may call this."""
+        self.ending = True
+        self.wake()
+
     def poll(self, deadline: Millis) -> bool:
         """Wait until woken or until ``deadline``; return whether the caller closed its connection.
 
@@ -127,16 +133,20 @@
         """Wake the task only once ``number`` calls have finished, or one without success."""
         self.batch_size = number
 
-    def wait(self, deadline: Millis) -> Call | CallerDisconnected | None:
+    def wait(self, deadline: Millis) -> Call | CallerDisconnected | GatewayStopping | None:
         """Return the next finished call, or ``None`` if there is none at ``deadline``.
 
-        If the caller closes its connection first, the result is ``CallerDisconnected``.
+        If the caller closes its connection first, the result is ``CallerDisconnected``, and after
+        :meth:`WakeableSocket.end_wait` it is ``GatewayStopping``.
         """
         while True:
             self.wakeable_socket.waiting = True
             if self.finished:
                 self.wakeable_socket.waiting = False
                 return self.finished.popleft()
+            if self.wakeable_socket.ending:
+                self.wakeable_socket.waiting = False
+                return GatewayStopping()
             if self.wakeable_socket.clock.now() >= deadline:
                 self.wakeable_socket.waiting = False
                 return None
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -71,6 +71,13 @@
         for caller in idle:
             caller.stop_reading()
 
+    def end_requests(self) -> None:
+        """Make the requests in progress be answered without further waiting."""
+        with self.lock:
+            serving = list(self.connections)
+        for caller in serving:
+            caller.wakeable_socket.end_wait()
+
     def _listen(self) -> bool:
         """Listen on the address; return ``False`` if that fails or :meth:`stop` was called."""
         with self.lock:
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -59,6 +59,11 @@
 """The share of the grace time after which a gateway no longer waits for requests in progress.
 
 A searcher may be at work until the last sixth of the grace time; its answer has to be passed on.
+"""
+
+REPLY_GRACE_SHARE = 0.96
+"""The share of the grace time until which the last replies are sent.
+
 The rest is for the last log lines.
 """
 
@@ -88,6 +93,7 @@
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
         self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
+        self.finish_at: Millis | None = None
         self.peers = Peers(
             settings,
             self.fleet,
@@ -155,17 +161,22 @@
         """Finish the callers' requests in progress, then exit the process within the grace time.
 
         New connections are accepted for a part of that time, although the readiness page already
-        reports that the gateway is not ready. It does not wait for queries of other gateways.
+        reports that the gateway is not ready. Requests that cannot be finished are refused at once;
+        those without an answer at ``finish_at`` are answered that their outcome is unknown. It does
+        not wait for queries of other gateways.
         """
         started_at = self.clock.now()
-        self.stopping.set()
         grace = self.settings.grace
+        self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
+        self.stopping.set()
         self.log.write(LogEvent.STOPPING, serving=self.callers.count(CallerState.SERVING))
         self.log.wake()
         self._wait_until(Millis(started_at + grace * ACCEPT_GRACE_SHARE))
         self.callers.stop()
         self.callers.close_idle()
-        self._wait_for_requests(Millis(started_at + grace * FINISH_GRACE_SHARE))
+        self._wait_for_requests(self.finish_at)
+        self.callers.end_requests()
+        self._wait_for_requests(Millis(started_at + grace * REPLY_GRACE_SHARE))
         unfinished = self.callers.count(CallerState.SERVING)
         self.log.write(
             LogEvent.STOPPED, cut=unfinished, took_ms=round(self.clock.now() - started_at)
@@ -227,7 +238,7 @@
         return table.limits if table is not None else Limits()
 
     def _view(self) -> GatewayView:
-        return GatewayView(self.follower.table, self.follower.age())
+        return GatewayView(self.follower.table, self.follower.age(), self.finish_at)
 
     def _is_ready(self) -> bool:
         """Return whether this gateway accepts the requests of callers and other gateways."""
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -22,7 +22,15 @@
     run_forward,
     run_gather,
 )
-from ...version.gateway import PEER_SERVICE, OneService, Route, RouteTable, Shards, Split
+from ...version.gateway import (
+    PEER_SERVICE,
+    Idempotency,
+    OneService,
+    Route,
+    RouteTable,
+    Shards,
+    Split,
+)
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
@@ -38,6 +46,9 @@
 NO_GATHERER_RETRY_AFTER = Millis(100.0)
 """The time after which a gateway may know of another gatherer, or gathers fewer queries itself."""
 
+STOPPING_RETRY_AFTER = Millis(50.0)
+"""The time after which a caller refused by a stopping gateway should try another one."""
+
 LOG_SAMPLE_INTERVAL = 16
 """One in this many ordinary requests is logged.
 
@@ -87,10 +98,12 @@
     """The state by which a request is served.
 
     ``age`` is the time since the last successful read or watch of the platform's catalogue.
+    ``finish_at`` is the time at which a stopping gateway ends the requests in progress.
     """
 
     table: RouteTable | None
     age: Millis
+    finish_at: Millis | None = None
 
 
 class GatewayService:
@@ -120,6 +133,8 @@
         """Return the reply to one request of a caller."""
         view = self.view()
         route = self._find_route(request, view.table)
+        if isinstance(route, Route) and not self._can_finish(request, route, view.finish_at):
+            route = Refused(503, NotRun(Reason.SHUTTING_DOWN, Step.ADMISSION), STOPPING_RETRY_AFTER)
         if isinstance(route, Refused):
             reply: Reply = route
         else:
@@ -160,6 +175,20 @@
             return Refused(404, failure)
         return route
 
+    def _can_finish(self, request: Request, route: Route, finish_at: Millis | None) -> bool:
+        """Return whether a request can be finished before a stopping gateway ends.
+
+        One that is not idempotent must not be interrupted, so that all its time counts; for another
+        one, the objective does.
+        """
+        if finish_at is None:
+            return True
+        match route.kind:
+            case Idempotency.NON_IDEMPOTENT:
+                return request.deadline(route) <= finish_at
+            case Idempotency.IDEMPOTENT:
+                return request.arrived_at + route.objective <= finish_at
+
     def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
         match route.target:
             case Shards() as shards:
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -6,6 +6,7 @@
 from ._exchange import Call as Call
 from ._exchange import CallerDisconnected as CallerDisconnected
 from ._exchange import Declined as Declined
+from ._exchange import GatewayStopping as GatewayStopping
 from ._exchange import Inbox as Inbox
 from ._exchange import InFlightCall as InFlightCall
 from ._exchange import Lost as Lost
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -163,6 +163,11 @@
     """The caller closed its connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayStopping:
+    """The gateway is about to end; the request has to be answered without further waiting."""
+
+
 class Repeat(Enum):
     """Why a request is sent to a service again.
 
@@ -197,7 +202,7 @@
 class Inbox(Protocol):
     """Queue on which the task of one request waits for outcomes of its calls.
 
-    The wait also ends if the caller closes its connection.
+    The wait also ends if the caller closes its connection, or when the gateway is about to end.
     """
 
     def put(self, call: Call) -> None:
@@ -211,7 +216,7 @@
         """
         ...
 
-    def wait(self, deadline: Millis) -> Call | CallerDisconnected | None:
+    def wait(self, deadline: Millis) -> Call | CallerDisconnected | GatewayStopping | None:
         """Return the next finished call, or ``None`` if none has finished at ``deadline``."""
         ...
 
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -6,7 +6,7 @@
 from ..._ids import Millis, ServiceId
 from ...version.gateway import Idempotency, Route
 from ._attempts import Attempts
-from ._exchange import Call, CallerDisconnected, Inbox, Request, UpstreamClient
+from ._exchange import Call, CallerDisconnected, GatewayStopping, Inbox, Request, UpstreamClient
 from ._reply import Abandoned, Failed, Refused, Relayed, Reply
 
 RETRY_AFTER = Millis(50.0)
@@ -74,6 +74,8 @@
                 case CallerDisconnected():
                     self.attempts.cancel()
                     return Abandoned()
+                case GatewayStopping():
+                    self.deadline = self.upstream.now()
                 case Call() as call:
                     self._handle_call(call)
                 case None:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -15,7 +15,16 @@
 from ..._ids import Millis
 from ...version.gateway import Route, Shards
 from ._attempts import Attempts
-from ._exchange import Answered, Call, CallerDisconnected, Inbox, Part, Request, UpstreamClient
+from ._exchange import (
+    Answered,
+    Call,
+    CallerDisconnected,
+    GatewayStopping,
+    Inbox,
+    Part,
+    Request,
+    UpstreamClient,
+)
 from ._parts import PartAttempts, PartSender
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
 
@@ -152,6 +161,8 @@
                 case CallerDisconnected():
                     self._cancel()
                     return Abandoned()
+                case GatewayStopping():
+                    self.deadline = self.upstream.now()
                 case Call() as call:
                     self._handle_call(call)
                 case None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Guard against a planned stop under load that cuts off requests which were just accepted."""
 
+from contextlib import contextmanager
 from dataclasses import replace
 from threading import Event, Thread
 
@@ -10,7 +11,14 @@
 from masticgate.version.gateway import Idempotency
 
 from .fakes import make_route
-from .loopback import RawCaller, StandInSearcher, head_value, reply_to, running_gateway
+from .loopback import (
+    HangingSearcher,
+    RawCaller,
+    StandInSearcher,
+    head_value,
+    reply_to,
+    running_gateway,
+)
 
 CALLERS = 24
 
@@ -92,6 +100,49 @@
             assert gateway.callers.count(*_gateway.CallerState) == 0
             assert caller.read()[0] == 200
 
+    @pytest.mark.parametrize("kind", list(Idempotency))
+    def test_request_without_answer_at_end_of_grace_is_answered_as_unknown(self, exited, kind):
+        """Guard against a connection that ends without an answer at the end of the grace."""
+        searcher = HangingSearcher()
+        with running_gateway([slow_route(kind)], {"orders": [searcher]}, grace=GRACE) as gateway:
+            caller = RawCaller(gateway).get(caller_timeout=8_000)
+            assert searcher.request_received.wait(5)
+            gateway.stop()
+            assert caller.read()[0] == 504
+            assert searcher.connection_closed.wait(5)
+
+
+class TestLateRequests:
+    """Requests that arrive while the gateway stops, on connections that were open before."""
+
+    @contextmanager
+    def stopping_gateway(self, route, answer=reply_to):
+        searchers = {"orders": [StandInSearcher(answer)]}
+        with running_gateway([route], searchers, grace=GRACE) as gateway:
+            stop = Thread(target=gateway.stop)
+            caller = RawCaller(gateway)
+            stop.start()
+            while not gateway.stopping.is_set():
+                Event().wait(0.005)
+            yield caller, searchers["orders"][0]
+            stop.join()
+
+    def test_request_that_cannot_end_in_time_is_refused_at_once(self, exited):
+        """Guard against a request that is passed on and then cut at the end of the grace."""
+        with self.stopping_gateway(slow_route()) as (caller, searcher):
+            status, head, _ = caller.get(caller_timeout=8_000).read()
+            assert status == 503
+            assert 0.0 < float(head_value(head, b"retry-after")) < 0.5
+        assert searcher.requests == []
+
+    def test_request_that_can_end_in_time_is_served(self, exited):
+        with self.stopping_gateway(slow_route()) as (caller, _):
+            assert caller.get(caller_timeout=500).read()[0] == 200
+
+    def test_request_that_may_be_repeated_is_served_if_its_objective_allows(self, exited):
+        with self.stopping_gateway(slow_route(Idempotency.IDEMPOTENT)) as (caller, _):
+            assert caller.get(caller_timeout=8_000).read()[0] == 200
+
 
 class TestPlannedStop:
     @pytest.mark.parametrize("keeps_connections", [False, True])
