Keep to what a searcher's answers say: that it leaves, or wants a pause

Change: any answer, one to another request included, may say so. A searcher that leaves falls under the rule of a draining entry, and only a later start of it is used again; its idle connections are closed, and gatherers pass it on to the entry. A pause holds for all kinds of requests and is no failure. What no searcher may be sent is refused at once, with the shortest pause, spread by up to a fifth, as Retry-After.

--- a/model/specifications.py
+++ b/model/specifications.py
@@ -1,6 +1,6 @@
 """The list of all specifications of the core protocol."""
 
-from model.process import handover
+from model.process import abstention, handover
 from model.request import answer, booking
 from model.version import adoption, drain
 
@@ -10,4 +10,5 @@
     handover.SPECIFICATION,
     adoption.SPECIFICATION,
     drain.SPECIFICATION,
+    abstention.SPECIFICATION,
 )
--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -19,6 +19,10 @@
 from ._listener import Listener as Listener
 from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
+from ._searcher_notices import Leaving as Leaving
+from ._searcher_notices import OthersLeaving as OthersLeaving
+from ._searcher_notices import PauseRequested as PauseRequested
+from ._searcher_notices import SearcherNotice as SearcherNotice
 from ._searcher_task import Load as Load
 from ._searcher_task import OversizedResponse as OversizedResponse
 from ._searcher_task import ProtocolViolation as ProtocolViolation
--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -20,6 +20,7 @@
 )
 from ...request.gateway._exchange import Header
 from ._header_names import (
+    LEAVING_SEARCHERS_HEADER,
     MISSING_POSITIONS_HEADER,
     NETWORK_TIME_HEADER,
     PART_HEADER,
@@ -28,6 +29,7 @@
 from ._parser import end_to_end_headers, find_header
 from ._part_codec import encode_part
 from ._positions import decode_positions, encode_positions
+from ._searcher_notices import encode_leaving_searchers
 
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -49,8 +51,11 @@
     match reply:
         case Refused():
             extra_headers += b"%s: 1\r\n" % header_names.not_run
-        case Merged(missing_positions=missing):
+        case Merged(missing_positions=missing, leaving=leaving):
             extra_headers += b"%s: %s\r\n" % (MISSING_POSITIONS_HEADER, encode_positions(missing))
+            if leaving:
+                names = encode_leaving_searchers(leaving)
+                extra_headers += b"%s: %s\r\n" % (LEAVING_SEARCHERS_HEADER, names)
     return b"%s\r\n%s%s" % (status_line, extra_headers, rest)
 
 
--- a/src/masticgate/connection/gateway/_header_names.py
+++ b/src/masticgate/connection/gateway/_header_names.py
@@ -16,9 +16,13 @@
     ``expected_searcher`` names the header with the id of the searcher that the request is meant
     for. ``load`` names the header with three numbers: the requests that the searcher is running,
     those that are waiting, and its slots, which is how many it can run at the same time.
-    ``not_run`` names the header that marks a request as not run. ``included_stamps`` and
-    ``missing_shards`` name the headers of a merged answer with the stamps of its parts and the
-    number of shards that are missing from it.
+    ``not_run`` names the header that marks a request as not run. ``leaving`` names the header by
+    which a searcher says that it leaves, and ``pause`` the one by which it asks for a pause.
+
+    ``included_stamps`` and ``missing_shards`` name the headers of a merged answer with the stamps
+    of its parts and the number of shards that are missing from it. ``leaving_searchers`` names the
+    header by which a gatherer passes on which searchers leave. An empty name stands for a header
+    that is never sent.
     """
 
     request_id: bytes
@@ -29,6 +33,9 @@
     not_run: bytes
     included_stamps: bytes
     missing_shards: bytes
+    leaving: bytes
+    pause: bytes
+    leaving_searchers: bytes = b""
 
 
 NETWORK_TIME_HEADER = b"x-gateway-network-ms"
@@ -43,6 +50,9 @@
 MISSING_POSITIONS_HEADER = b"x-gateway-missing-shards"
 """Between gateways: the positions of the shards that are missing, as a number with those bits."""
 
+LEAVING_SEARCHERS_HEADER = b"x-gateway-leaving"
+"""Between gateways: the searchers that have said that they leave."""
+
 MISSING_SHARDS_HEADER = b"x-gateway-missing"
 """Between gateways: the number of shards that are missing from an answer."""
 
@@ -61,4 +71,7 @@
         not_run=b"x-gateway-not-run",
         included_stamps=b"x-gateway-stamps",
         missing_shards=MISSING_SHARDS_HEADER,
+        leaving=b"",
+        pause=b"",
+        leaving_searchers=LEAVING_SEARCHERS_HEADER,
     )
--- /dev/null
+++ b/src/masticgate/connection/gateway/_searcher_notices.py
@@ -0,0 +1,92 @@
+"""What a searcher's answer says about the searcher itself, apart from the request.
+
+A searcher may say that it leaves, or that it wants no requests for some time. A gatherer, a gateway
+that sends queries to searchers for another one, passes on which of them have said that they leave.
+"""
+
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from itertools import islice
+from urllib.parse import quote, unquote
+
+from ..._clock import MILLIS_PER_SECOND
+from ..._fields import is_header_text
+from ..._ids import Millis, SearcherId
+from ._header_names import HeaderNames
+
+UNAVAILABLE = 503
+"""The status of an answer whose ``Retry-After`` header asks for a pause."""
+
+SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+"""Matches the seconds of a ``Retry-After`` header."""
+
+MAX_PAUSE = Millis(3_600_000.0)
+"""The longest pause; a searcher that asks for a longer one gets this."""
+
+MAX_LEAVING_SEARCHERS = 32
+"""The number of searchers that one reply of a gatherer may say to leave."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The searcher says that it leaves; it is to be sent no more requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class PauseRequested:
+    """The searcher wants no requests from this gateway for ``duration`` milliseconds."""
+
+    duration: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class OthersLeaving:
+    """A gatherer passes on that ``searchers`` have said that they leave."""
+
+    searchers: tuple[SearcherId, ...]
+
+
+SearcherNotice = Leaving | PauseRequested | OthersLeaving
+
+
+def decode_notices(
+    status: int, headers_by_name: Mapping[bytes, bytes], names: HeaderNames
+) -> list[SearcherNotice]:
+    """Return what an answer says about its searcher."""
+    notices: list[SearcherNotice] = []
+    if headers_by_name.get(names.leaving, b"").strip() == b"1":
+        notices.append(Leaving())
+    pause = decode_pause(headers_by_name.get(names.pause, b""))
+    if status == UNAVAILABLE and pause is not None:
+        notices.append(PauseRequested(pause))
+    searchers = decode_leaving_searchers(headers_by_name.get(names.leaving_searchers, b""))
+    if searchers:
+        notices.append(OthersLeaving(searchers))
+    return notices
+
+
+def decode_pause(value: bytes) -> Millis | None:
+    """Return the pause that the value of a ``Retry-After`` header asks for, in milliseconds.
+
+    It is a number of seconds, which may have a fraction; a pause is at most ``MAX_PAUSE`` long. The
+    result is ``None`` for anything else, such as a date, since the time of day may be wrong.
+    """
+    text = value.strip()
+    if not SECONDS.fullmatch(text):
+        return None
+    return Millis(min(MAX_PAUSE, float(text) * MILLIS_PER_SECOND))
+
+
+def encode_leaving_searchers(searchers: Iterable[SearcherId]) -> bytes:
+    """Return the value of the header by which a gatherer passes on which searchers leave."""
+    passed_on = islice(searchers, MAX_LEAVING_SEARCHERS)
+    return ",".join(quote(searcher, safe="") for searcher in passed_on).encode()
+
+
+def decode_leaving_searchers(value: bytes) -> tuple[SearcherId, ...]:
+    """Return the searchers that the header of a gatherer names; invalid ids are left out."""
+    if not value:
+        return ()
+    ids = [unquote(part) for part in value.decode("latin-1").split(",")[:MAX_LEAVING_SEARCHERS]]
+    return tuple(SearcherId(searcher) for searcher in ids if is_header_text(searcher))
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -23,6 +23,7 @@
 from ._header_names import HeaderNames
 from ._parser import Oversized, parse_number
 from ._response_parser import ParsedResponse, ReceiveBudget, ResponseParser
+from ._searcher_notices import Leaving, SearcherNotice, decode_notices
 
 CONNECT_TIMEOUT = Millis(300.0)
 """The time limit for opening a connection, many times the round trip within a region.
@@ -113,6 +114,10 @@
         """Handle the end of the task; ``connected`` says whether its connection was opened."""
         ...
 
+    def handle_notice(self, task: "SearcherTask", notice: SearcherNotice) -> None:
+        """Handle what an answer says about its searcher, before the outcome of a call."""
+        ...
+
     def record_violation(self, task: "SearcherTask", violation: ProtocolViolation) -> None:
         """Record that bytes arrived that do not belong to the response to a call."""
         ...
@@ -300,6 +305,7 @@
         """
         responses, self.parser.ready = self.parser.ready, []
         for index, response in enumerate(responses):
+            notices = self._handle_notices(response)
             call = self.current_call
             if call is None:
                 continue
@@ -315,7 +321,7 @@
             self.keep_alive_timeout = parse_keep_alive_timeout(response.headers_by_name)
             self._complete_call(
                 call,
-                self._decode_outcome(response),
+                self._decode_outcome(response, notices),
                 self._decode_load(response),
                 reusable=keep_alive,
             )
@@ -339,10 +345,18 @@
             self.parser.feed_eof()
         call = self.current_call
         for response in self.parser.ready:
+            notices = self._handle_notices(response)
             if call is not None and self._is_response_to(call, response):
-                return self._decode_outcome(response)
+                return self._decode_outcome(response, notices)
         return Lost(self.searcher, True, "closed before the end of the response")
 
+    def _handle_notices(self, response: ParsedResponse) -> list[SearcherNotice]:
+        """Report what a response says about the searcher, whichever request it is for."""
+        notices = decode_notices(response.status, response.headers_by_name, self.header_names)
+        for notice in notices:
+            self.handler.handle_notice(self, notice)
+        return notices
+
     def _record_skipped(self, call: Call, response: ParsedResponse) -> None:
         self.skipped += 1
         response_id = response.headers_by_name.get(self.header_names.request_id, b"").decode(
@@ -379,7 +393,7 @@
         self.parser.reset_byte_counts()
         self.handler.handle_close(self, connected=connected)
 
-    def _decode_outcome(self, response: ParsedResponse) -> Outcome:
+    def _decode_outcome(self, response: ParsedResponse, notices: list[SearcherNotice]) -> Outcome:
         if response.status == 421:
             return Declined(self.searcher, Reason.NO_SEARCHER)
         if self.header_names.not_run in response.headers_by_name:
@@ -390,7 +404,14 @@
         receive_info = ReceiveInfo(self.number, response.framing, self.skipped)
         self.skipped = 0
         return Answered(
-            self.searcher, response.status, headers, response.body, stamp, latency, receive_info
+            self.searcher,
+            response.status,
+            headers,
+            response.body,
+            stamp,
+            latency,
+            receive_info,
+            Leaving() in notices,
         )
 
     def _decode_load(self, response: ParsedResponse) -> Load | None:
--- a/src/masticgate/platform/_names.py
+++ b/src/masticgate/platform/_names.py
@@ -14,6 +14,8 @@
     not_run=b"x-masticgate-not-executed",
     included_stamps=b"X-Masticgate-Part-Stamps",
     missing_shards=b"X-Masticgate-Missing-Parts",
+    leaving=b"server-leaving",
+    pause=b"retry-after",
 )
 
 CONFIGURATION_KEY = "op/config"
--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -36,9 +36,13 @@
     untried = [replica for replica in known if replica.entry.id not in tried]
     usable = [replica for replica in untried if replica.is_usable(now)]
     if not usable and _may_use_ejected(call, tried, is_shard=is_shard):
-        usable = [replica for replica in untried if replica.state is ReplicaState.EJECTED]
+        usable = [
+            replica
+            for replica in untried
+            if replica.state is ReplicaState.EJECTED and not replica.is_paused(now)
+        ]
     if not usable:
-        detail = f"{len(known)} searchers known"
+        detail = _describe_known(known, now)
         return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service, detail)
     free = [replica for replica in usable if replica.has_capacity()]
     if not free:
@@ -48,6 +52,16 @@
     return min(free, key=lambda replica: _searcher_sort_key(replica, own_domain, now))
 
 
+def _describe_known(known: Collection[Replica], now: Millis) -> str:
+    """Return how many searchers are known, and how many of them leave or pause."""
+    leaving = sum(not replica.is_listed for replica in known)
+    paused = sum(replica.is_paused(now) for replica in known)
+    counts = [f"{len(known)} searchers known"]
+    counts += [f"{leaving} leave"] if leaving else []
+    counts += [f"{paused} paused"] if paused else []
+    return ", ".join(counts)
+
+
 def _may_use_ejected(call: Call, tried: Set[SearcherId], *, is_shard: bool) -> bool:
     """Return whether a call may go to an ejected searcher for lack of any other.
 
--- a/src/masticgate/process/gateway/_connections.py
+++ b/src/masticgate/process/gateway/_connections.py
@@ -107,8 +107,8 @@
             )
             if now - task.idle_since < idle_timeout - IDLE_TIMEOUT_MARGIN:
                 continue
-            is_active = replica.state is ReplicaState.ACTIVE and replica.connection_count <= 2
-            if is_active and is_in_use(replica, now):
+            is_active = replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
+            if is_active and replica.connection_count <= 2 and is_in_use(replica, now):
                 self.open(replica)
             replica.idle.remove(task)
             task.close()
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,7 +4,8 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
-from collections.abc import Sequence
+import random
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from threading import Lock
 
@@ -13,9 +14,13 @@
 from ..._ids import FailureDomainId, Millis, RouteId, SearcherId, ServiceId
 from ...connection.gateway import (
     HeaderNames,
+    Leaving,
     Load,
+    OthersLeaving,
     OversizedResponse,
+    PauseRequested,
     ProtocolViolation,
+    SearcherNotice,
     SearcherTask,
     SkippedResponse,
     TaskStarter,
@@ -46,6 +51,12 @@
 RETRY_RESERVE = 1.0
 """The number of repeats in each budget that hedges may not spend, so that retries can."""
 
+NO_SEARCHER_WAIT = Millis(300.0)
+"""The time after which a service whose searchers all leave may have another one."""
+
+MAX_RETURN_SPREAD = 1.2
+"""Refused callers are told to return after up to this many times the shortest wait."""
+
 DEFAULT_CONNECTIONS = 8
 """The connection limit for a searcher whose service the configuration does not name."""
 
@@ -101,7 +112,8 @@
 
     ``accepted_connections`` maps each service to the number of connections that one of its
     searchers accepts from all gateways together. ``services`` and ``replicas`` are those of
-    ``listings``, and ``tasks`` those of ``connections``.
+    ``listings``, and ``tasks`` those of ``connections``. ``unserved`` holds the
+    shards that had no searcher to send to when it was last updated.
     """
 
     def __init__(
@@ -129,6 +141,8 @@
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.hedge_delays = HedgeDelays()
+        self.unserved: set[ServiceId] = set()
+        self.random = random.Random()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, also to existing budgets for repeats."""
@@ -187,6 +201,39 @@
                 if replica.entry.id not in tried
             )
 
+    def unservable(self, services: Sequence[ServiceId]) -> list[ServiceId]:
+        """Return those of ``services`` that have no searcher to send to.
+
+        All of their searchers leave or want a pause, or there is none.
+        """
+        if not self.unserved:
+            return []
+        now = self.clock.now()
+        with self.lock:
+            return [s for s in services if s in self.unserved and self._abstain(s, now)]
+
+    def retry_after(self, service: ServiceId) -> Millis | None:
+        """Return when a searcher of ``service`` may accept a request again, in milliseconds.
+
+        The result is ``None`` unless all of them leave or want a pause, or there is none. It is
+        spread, so that refused callers do not return together.
+        """
+        now = self.clock.now()
+        with self.lock:
+            if not self._abstain(service, now):
+                return None
+            pauses = [
+                replica.paused_until - now
+                for replica in self.listings.of_service(service)
+                if replica.is_listed
+            ]
+        wait = min(pauses, default=NO_SEARCHER_WAIT)
+        return Millis(wait * self.random.uniform(1.0, MAX_RETURN_SPREAD))
+
+    def _abstain(self, service: ServiceId, now: Millis) -> bool:
+        """Return whether no searcher of a service may be sent a request; the lock is held."""
+        return all(replica.abstains(now) for replica in self.listings.of_service(service))
+
     def record_overdue(self, call: InFlightCall) -> None:
         """Prefer other searchers while the one of ``call`` has not answered it."""
         with self.lock:
@@ -261,6 +308,32 @@
             if replica.record_failure(self.clock.now()):
                 self._log_ejection(replica, "", "connect")
 
+    def handle_notice(self, task: SearcherTask, notice: SearcherNotice) -> None:
+        """Stop using a searcher that leaves or wants a pause, as its answer says."""
+        with self.lock:
+            replica = self.tasks[task]
+            match notice:
+                case Leaving():
+                    self._record_departure(replica, "its answer says so")
+                case PauseRequested(duration=duration):
+                    self.metrics.count("pauses_requested")
+                    self.listings.pause(replica, duration)
+                    self._update_unserved([replica.entry.service])
+                case OthersLeaving(searchers=searchers):
+                    for searcher in searchers:
+                        known = self.replicas.get(searcher)
+                        if known is not None:
+                            self._record_departure(known, f"{replica.entry.id} says so")
+
+    def _record_departure(self, replica: Replica, why: str) -> None:
+        self.listings.record_departure(replica, why, self.settings.drain)
+        self._update_unserved([replica.entry.service])
+
+    def _update_unserved(self, services: Iterable[ServiceId]) -> None:
+        """Add those of ``services`` to ``unserved`` that have no searcher to send to."""
+        now = self.clock.now()
+        self.unserved.update(service for service in services if self._abstain(service, now))
+
     def record_violation(self, task: SearcherTask, violation: ProtocolViolation) -> None:
         """Log and count bytes that do not belong to the response to a call."""
         fields: dict[str, object] = {"searcher": task.searcher, "connection": task.number}
@@ -382,6 +455,9 @@
             for replica in self.replicas.values():
                 self.connections.expire_idle(replica, now, self._is_in_use)
             self.connections.close_stuck(now)
+            self.unserved.clear()
+            if self.shares.keeps_warm:
+                self._update_unserved(self.shard_services)
         self.warm_up()
 
     def _is_in_use(self, replica: Replica, now: Millis) -> bool:
@@ -418,6 +494,8 @@
             case Declined(reason=Reason.NO_SEARCHER):
                 why = "another searcher has its address"
                 self.listings.start_leaving(replica, why, Millis(0.0))
+            case Answered(status=503) | Declined() if replica.is_paused(now):
+                return
             case Declined():
                 replica.raise_failure_rate(now)
             case Lost() if call.cancelled:
@@ -463,10 +541,11 @@
 
         They are the ones for first attempts, in this gateway's domain if there is one.
         """
+        now = self.clock.now()
         active = [
             replica
             for replica in self.listings.of_service(service)
-            if replica.state is ReplicaState.ACTIVE
+            if replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
         ]
         own_domain = self.settings.domain
         active.sort(
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -1,6 +1,7 @@
 """The searchers that the platform lists, and the gatherers, with the state of each."""
 
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
 
 from ..._clock import Clock
 from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
@@ -18,12 +19,21 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """A pause until the time ``until``, which the searcher's start at ``born`` has asked for."""
+
+    born: int
+    until: Millis
+
+
 class Listings:
     """All known searchers; the fleet's lock guards them.
 
     ``drained_start_times`` maps each searcher that drained to its start time, so that a late
     listing of the same start does not put it back into use. ``max_connections`` returns the
-    connection limit for each searcher of a service.
+    connection limit for each searcher of a service. ``pauses`` outlast the listings of their
+    searchers, which may be replaced.
     """
 
     def __init__(
@@ -35,6 +45,7 @@
         self.services: dict[ServiceId, dict[SearcherId, Replica]] = {}
         self.replicas: dict[SearcherId, Replica] = {}
         self.drained_start_times: dict[SearcherId, int] = {}
+        self.pauses: dict[SearcherId, Pause] = {}
 
     def of_service(self, service: ServiceId) -> Collection[Replica]:
         """Return the searchers of a service."""
@@ -60,11 +71,35 @@
             known = self._add(entry)
         self._update(known, entry, drain)
 
+    def record_departure(self, replica: Replica, why: str, drain: Millis) -> None:
+        """Stop using a searcher that has said that it leaves; its listing may not say so.
+
+        Only a later start of it is used again.
+        """
+        self._record_drained(replica.entry)
+        self.start_leaving(replica, why, Millis(drain * LAST_RESORT_SHARE))
+
+    def pause(self, replica: Replica, duration: Millis) -> None:
+        """Send no requests to a searcher for ``duration`` from now on, as it has asked."""
+        now = self.clock.now()
+        replica.pause(Millis(now + duration))
+        self.pauses = {id: pause for id, pause in self.pauses.items() if now < pause.until}
+        self.pauses[replica.entry.id] = Pause(replica.entry.born, replica.paused_until)
+        self.log.write(
+            LogEvent.SEARCHER_PAUSED,
+            searcher=replica.entry.id,
+            service=replica.entry.service,
+            for_ms=round(duration),
+        )
+
     def start_leaving(self, replica: Replica, why: str, usable_time: Millis) -> None:
         """Use a searcher for ``usable_time`` if there is no other, and then no longer."""
         if replica.state in (ReplicaState.LEAVING, ReplicaState.GONE):
             return
         replica.start_leaving(Millis(self.clock.now() + usable_time))
+        for task in replica.idle:
+            task.close()
+        replica.idle.clear()
         self.log.write(
             LogEvent.SEARCHER_LEAVING,
             searcher=replica.entry.id,
@@ -128,6 +163,9 @@
 
     def _add(self, entry: SearcherEntry) -> Replica:
         replica = Replica(entry, self.max_connections(entry.service), self.clock.now())
+        pause = self.pauses.get(entry.id)
+        if pause is not None and pause.born == entry.born:
+            replica.pause(pause.until)
         self.replicas[entry.id] = replica
         self.services.setdefault(entry.service, {})[entry.id] = replica
         self.log.write(
@@ -147,12 +185,12 @@
         """
         replica.entry = entry
         if entry.phase is SearcherPhase.DRAINING:
-            self._record_drained(entry)
-            self.start_leaving(replica, "draining", Millis(drain * LAST_RESORT_SHARE))
+            self.record_departure(replica, "draining", drain)
         elif entry.born > self.drained_start_times.get(entry.id, -1):
             replica.restore()
 
     def _record_drained(self, entry: SearcherEntry) -> None:
-        self.drained_start_times[entry.id] = entry.born
+        known = self.drained_start_times.pop(entry.id, entry.born)
+        self.drained_start_times[entry.id] = max(known, entry.born)
         while len(self.drained_start_times) > MAX_DRAINED_SEARCHERS:
             del self.drained_start_times[next(iter(self.drained_start_times))]
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -50,6 +50,7 @@
     SEARCHER_IGNORED = "searcher_ignored"
     SEARCHER_LEAVING = "searcher_leaving"
     SEARCHER_HELD = "searcher_held"
+    SEARCHER_PAUSED = "searcher_paused"
     SEARCHER_EJECTED = "searcher_ejected"
     SEARCHER_BACK = "searcher_back"
     SOURCE = "source"
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -89,7 +89,7 @@
     ``failure_rate`` is the share of its attempts that were refused or failed; both are smoothed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
-    when a hedge was due.
+    when a hedge was due. Until ``paused_until``, the searcher wants no requests.
     """
 
     def __init__(self, entry: SearcherEntry, max_connections: int, now: Millis) -> None:
@@ -112,9 +112,12 @@
         self.next_ejection_time = INITIAL_EJECTION_TIME
         self.ejected_until = Millis(0.0)
         self.usable_until = Millis(0.0)
+        self.paused_until = Millis(0.0)
 
     def is_usable(self, now: Millis) -> bool:
         """Return whether the searcher may be sent a request now."""
+        if self.is_paused(now):
+            return False
         match self.state:
             case ReplicaState.ACTIVE:
                 return True
@@ -125,6 +128,17 @@
             case ReplicaState.GONE:
                 return False
 
+    def is_paused(self, now: Millis) -> bool:
+        """Return whether the searcher has asked for a pause that is not over."""
+        return now < self.paused_until
+
+    def abstains(self, now: Millis) -> bool:
+        """Return whether the searcher cannot be sent a request because it leaves or pauses.
+
+        An ejected searcher does not abstain, since a request may be tried there.
+        """
+        return self.is_paused(now) or (not self.is_listed and not self.is_usable(now))
+
     @property
     def is_listed(self) -> bool:
         """Whether the searcher is listed and not about to leave, as all gateways see it."""
@@ -200,6 +214,10 @@
         self.next_ejection_time = min(MAX_EJECTION_TIME, Millis(self.next_ejection_time * 2))
         return True
 
+    def pause(self, until: Millis) -> None:
+        """Send no requests before ``until``, or before the end of a longer pause."""
+        self.paused_until = max(self.paused_until, until)
+
     def start_leaving(self, usable_until: Millis) -> None:
         """Prefer any other searcher from now on, and send nothing after ``usable_until``."""
         if self.state not in (ReplicaState.LEAVING, ReplicaState.GONE):
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -4,6 +4,7 @@
 sends calls over the gateway's connections to searchers.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -121,7 +122,8 @@
     """A complete answer of a searcher, which may report an error of the searcher.
 
     ``stamp`` authenticates the answer; it is empty if the searcher sent none. ``latency`` includes
-    the time to open the connection if it was opened for this request.
+    the time to open the connection if it was opened for this request. ``is_leaving`` says whether
+    the searcher said that it leaves.
     """
 
     searcher: SearcherId
@@ -131,6 +133,7 @@
     stamp: str
     latency: Millis
     receive_info: ReceiveInfo = REGULAR_RECEIVE_INFO
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -254,6 +257,21 @@
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         ...
 
+    def unservable(self, services: Sequence[ServiceId]) -> list[ServiceId]:
+        """Return those of ``services`` that have no searcher to send to.
+
+        All of their searchers leave or want a pause, or there is none.
+        """
+        ...
+
+    def retry_after(self, service: ServiceId) -> Millis | None:
+        """Return when a searcher of ``service`` may accept a request again, in milliseconds.
+
+        The result is ``None`` unless all of them leave or want a pause, or there is none. It
+        varies, so that refused callers do not return together.
+        """
+        ...
+
     def searcher_count(self, service: ServiceId) -> int:
         """Return the number of known searchers of ``service``."""
         ...
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -109,7 +109,8 @@
         if not attempts.may_have_run:
             if self.upstream.now() >= self.deadline:
                 failure = replace(failure, reason=Reason.DEADLINE, step=Step.QUEUE)
-            return Refused(503, failure, RETRY_AFTER)
+            retry_after = self.upstream.retry_after(self.attempts.service) or RETRY_AFTER
+            return Refused(503, failure, retry_after)
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.UPSTREAM, failure.peer))
         return Failed(502, Unknown(failure.reason, failure.step, failure.peer, failure.detail))
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ..._failures import NotRun, Reason, Step, Unknown
-from ..._ids import Millis
+from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route, Shards
 from ._attempts import Attempts
 from ._exchange import (
@@ -145,6 +145,7 @@
         self.unavailable: set[int] = set()
         self.gatherers: list[str] = []
         self.has_permit = False
+        self.leaving: list[SearcherId] = []
 
     def run(self) -> Reply:
         """Send the query to all shards, wait for their answers, and return the reply.
@@ -152,6 +153,9 @@
         The wait ends when no attempt for an unanswered shard is in flight or the deadline has
         passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered.
         """
+        refusal = self._refuse_unservable()
+        if refusal is not None:
+            return refusal
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
@@ -169,6 +173,25 @@
                     self._handle_time()
         return self._build_reply()
 
+    def _refuse_unservable(self) -> Reply | None:
+        """Refuse the query at once if too many shards to gather here have no searcher for it."""
+        services = [self.shards.services[position] for position in self.plan.here]
+        unservable = self.upstream.unservable(services)
+        if not unservable or len(self.positions) - len(unservable) >= self.min_answers:
+            return None
+        detail = f"{len(unservable)} shards without a searcher that accepts queries"
+        failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, unservable[0], detail)
+        return Refused(503, failure, self._retry_after(unservable, len(self.positions)))
+
+    def _retry_after(self, missing: Sequence[ServiceId], reachable: int) -> Millis:
+        """Return when enough of the ``missing`` shards may have a searcher again.
+
+        ``reachable`` counts all shards of the query, the missing ones included.
+        """
+        waits = sorted(self.upstream.retry_after(service) or RETRY_AFTER for service in missing)
+        needed = self.min_answers - (reachable - len(missing))
+        return waits[min(len(waits), max(1, needed)) - 1]
+
     def release_permit(self) -> None:
         """Return the permit to gather parts here, if one was taken."""
         if self.has_permit and self.plan.permits is not None:
@@ -237,6 +260,9 @@
             if attempts.handle_outcome(call):
                 self._handle_part(attempts)
                 return
+        match call.outcome:
+            case Answered(searcher=searcher, is_leaving=True):
+                self.leaving.append(searcher)
         for position, shard in self.unanswered.items():
             if not shard.handle_outcome(call):
                 continue
@@ -329,8 +355,13 @@
             tuple(self.gatherers),
             self._describe_missing(missing),
             irregular_parts,
+            tuple(self.leaving),
         )
 
+    def _missing_retry_after(self) -> Millis:
+        missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
+        return self._retry_after(missing, len(self.positions)) if missing else RETRY_AFTER
+
     def _describe_missing(self, missing: Sequence[int]) -> tuple[str, ...]:
         causes = [
             self.unanswered[position].describe_missing_answer()
@@ -353,7 +384,7 @@
             reason = Reason.OVERLOAD if first is None else first.reason
             step = Step.FORWARD if first is None else first.step
             peer = "" if first is None else first.peer
-            return Refused(503, NotRun(reason, step, peer, detail), RETRY_AFTER)
+            return Refused(503, NotRun(reason, step, peer, detail), self._missing_retry_after())
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
--- a/src/masticgate/request/gateway/_reply.py
+++ b/src/masticgate/request/gateway/_reply.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..._failures import NotRun, Unknown
-from ..._ids import Millis
+from ..._ids import Millis, SearcherId
 from ._exchange import Answered
 
 
@@ -24,7 +24,10 @@
 
     ``stamps`` holds the stamps that authenticate the merged answers, and ``missing`` counts the
     shards without an answer. ``missing_positions`` holds their positions among all shards of the
-    route. The other fields are for the log: ``gatherers`` describes the parts that other gateways
+    route. ``leaving`` are searchers whose answers said that they leave, for a gateway that has its
+    queries gathered.
+
+    The other fields are for the log: ``gatherers`` describes the parts that other gateways
     gathered, ``missing_causes`` says why some of the shards are missing, and ``irregular_parts``
     describes how some irregular answers were received. An answer is irregular if only the end of
     the connection marked its end, or if other answers were skipped before it.
@@ -37,6 +40,7 @@
     gatherers: tuple[str, ...] = field(default=(), compare=False)
     missing_causes: tuple[str, ...] = field(default=(), compare=False)
     irregular_parts: tuple[str, ...] = field(default=(), compare=False)
+    leaving: tuple[SearcherId, ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -43,6 +43,8 @@
     not_run=b"x-not-run",
     included_stamps=b"X-Stamps",
     missing_shards=b"X-Missing",
+    leaving=b"x-leaving",
+    pause=b"retry-after",
 )
 
 
@@ -227,6 +229,12 @@
     def searcher_count(self, service):
         return self.searchers_per_service
 
+    def unservable(self, services):
+        return []
+
+    def retry_after(self, service):
+        return None
+
     def has_searcher(self, service, tried):
         return bool(self.plans[service])
 
--- a/tests/gateway/test_buffers.py
+++ b/tests/gateway/test_buffers.py
@@ -61,6 +61,9 @@
     def handle_close(self, task, *, connected):
         pass
 
+    def handle_notice(self, task, notice):
+        pass
+
     def record_violation(self, task, violation):
         pass
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -159,6 +159,9 @@
     def handle_close(self, task, *, connected):
         self.closed.set()
 
+    def handle_notice(self, task, notice):
+        pass
+
     def record_violation(self, task, violation):
         pass
 
--- a/tests/gateway/test_irregular_responses.py
+++ b/tests/gateway/test_irregular_responses.py
@@ -38,6 +38,9 @@
         self.outcomes.append(call.outcome)
         super().handle_outcome(task, call, load, reusable=reusable)
 
+    def handle_notice(self, task, notice):
+        pass
+
     def record_violation(self, task, violation):
         self.violations.append(violation)
 
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -216,6 +216,9 @@
     def handle_close(self, task, *, connected):
         pass
 
+    def handle_notice(self, task, notice):
+        pass
+
     def record_violation(self, task, violation):
         pass
 
@@ -559,6 +562,12 @@
     def hedge_delay(self, route):
         return Millis(1_000.0)
 
+    def unservable(self, services):
+        return []
+
+    def retry_after(self, service):
+        return None
+
     def allow_hedge(self, service):
         return False
 
