Apply a changed store address and changed seeds at a reload

Cause: a reload reached the fleet only. Change: the store's client and the heartbeats take their new addresses without a restart. The log and a gauge name the settings that wait for one: the host's name and the addresses that it listens on.

The three new tests with the real program failed before and pass with the change.

--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -29,13 +29,23 @@
 
 
 class PlatformStore:
-    """Reads and watches the store over one connection; only one task uses it."""
+    """Reads and watches the store over one connection; only one task uses it.
+
+    :meth:`change_address` may be called by any task.
+    """
 
     def __init__(self, address: Address, clock: Clock) -> None:
         self.address = address
         self.clock = clock
         self.client = HttpClient(address, clock)
 
+    def change_address(self, address: Address) -> None:
+        """Read from another address from the next call on.
+
+        The next watch reports that the history is gone, so that everything is read again there.
+        """
+        self.address = address
+
     def read_table(self) -> PublishedConfiguration | Unavailable:
         """Return the configuration without the listings."""
         item = self._get("/v1/kv-key", {"key": CONFIGURATION_KEY}, READ_TIMEOUT)
@@ -75,6 +85,8 @@
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them."""
+        if self.client.address != self.address:
+            return HistoryGone()
         query = {"prefix": ALL_KEYS_PREFIX, "after": after, "waitMs": int(wait)}
         page = self._get("/v1/kv-watch", query, Millis(wait + WATCH_MARGIN))
         if page == HISTORY_GONE:
@@ -88,8 +100,12 @@
         self, path: str, query: dict[str, Any], timeout: Millis
     ) -> dict[str, Any] | int | Unavailable:
         """Return the decoded body, the status if it is not 200, or why there is no usable body."""
+        address = self.address
+        if self.client.address != address:
+            self.client.close()
+            self.client = HttpClient(address, self.clock)
         timeouts = GetTimeouts(CONNECT_TIMEOUT, timeout)
-        response = self.client.get(self.address, path, query, timeouts)
+        response = self.client.get(address, path, query, timeouts)
         if isinstance(response, NoResponse | InvalidResponse):
             self.client.close()
             closed = isinstance(response, NoResponse) and response.closed_by_server
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -90,6 +90,7 @@
         self.metrics = Metrics()
         self.pool = TaskPool(MAX_TASKS, self.log, self.metrics)
         self.fleet = Fleet(settings, header_names, self.clock, self.pool, self.log, self.metrics)
+        self.platform = source
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
         self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
@@ -141,15 +142,28 @@
             self.supervisor.start(run)
         self.peers.start(self.supervisor)
 
-    def reload(self, settings: GatewaySettings) -> None:
-        """Apply changed settings to the fleet, and the changed grace time.
+    def reload(self, changed: GatewaySettings) -> None:
+        """Apply changed settings, but for those that stay as they were at the start.
 
-        The addresses, the host id and the settings of :class:`Peers` stay as they were at the
-        start.
+        The log and a gauge name the changes that wait for a restart.
         """
+        waiting = self.settings.find_fixed_changes(changed)
+        settings = self.settings.apply(changed)
+        if settings.store_address != self.settings.store_address:
+            self.platform.change_address(settings.store_address)
         self.settings = settings
         self.fleet.apply_settings(settings)
-        self.log.write(LogEvent.RELOADED, grace_ms=settings.grace, drain_ms=settings.drain)
+        self.peers.apply_settings(settings, self.supervisor)
+        self.metrics.set_gauge("settings_waiting", len(waiting))
+        self.log.write(
+            LogEvent.RELOADED,
+            grace_ms=settings.grace,
+            drain_ms=settings.drain,
+            store=settings.store_address,
+            seeds=settings.seeds,
+            waits_for_restart=waiting,
+        )
+        self.log.wake()
 
     def record_unusable_settings(self, detail: str) -> None:
         """Count and log changed settings that cannot be used; the present ones stay in force."""
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -140,7 +140,8 @@
     each seed that responds to the gatherers that it names, ``digests`` to the digest of their
     names, and ``gatherers`` holds all of them; the last ones stay in use while no seed names any.
     ``relay_domains`` maps each seed that relays the platform's catalogue to its failure domain.
-    ``members`` is the number of running gateways.
+    ``members`` is the number of running gateways, and ``heard_seeds`` are the seeds to which
+    heartbeats are sent.
     """
 
     def __init__(
@@ -170,11 +171,24 @@
         self.relay_domains: dict[Address, FailureDomainId] = {}
         self.members = 1
         self.gathering: Gathering = GatherHere()
+        self.heard_seeds: set[Address] = set()
 
     def start(self, supervisor: Supervisor) -> None:
         """Start a heartbeat task for each seed except this gateway."""
-        for seed in self.settings.seeds:
-            if seed != self.settings.peer_address:
+        self.apply_settings(self.settings, supervisor)
+
+    def apply_settings(self, settings: GatewaySettings, supervisor: Supervisor) -> None:
+        """Apply changed settings: start a heartbeat task for each seed that has none.
+
+        The task of a seed that is no longer one ends by itself.
+        """
+        self.settings = settings
+        for seed in settings.seeds:
+            with self.lock:
+                is_new = seed != settings.peer_address and seed not in self.heard_seeds
+                if is_new:
+                    self.heard_seeds.add(seed)
+            if is_new:
                 supervisor.start(partial(self._run_heartbeats, seed))
 
     def handle_heartbeat(self, request: Request) -> LocalPage:
@@ -282,14 +296,14 @@
         )
 
     def _run_heartbeats(self, seed: Address) -> None:
-        """Send heartbeats to one seed until the process ends.
+        """Send heartbeats to one seed until the process ends, or it is no seed any more.
 
         The seed names gatherers, and may relay the catalogue, while it replies that it is ready.
         """
         client = HttpClient(seed, self.clock)
         misses = MAX_MISSED_HEARTBEATS
         wait = FIRST_HEARTBEAT_DELAY
-        while True:
+        while self._is_seed(seed):
             sleep(wait / MILLIS_PER_SECOND)
             wait = self._next_interval(misses)
             reply = self._exchange_heartbeat(seed, client, wait)
@@ -301,9 +315,22 @@
             if reply is not None or misses >= MAX_MISSED_HEARTBEATS:
                 misses = max(misses, MAX_MISSED_HEARTBEATS)
                 with self.lock:
-                    self.relay_domains.pop(seed, None)
-                    self.named.pop(seed, None)
-                    self.digests.pop(seed, None)
+                    self._forget_seed(seed)
+        client.close()
+
+    def _is_seed(self, seed: Address) -> bool:
+        """Return whether the settings name a seed; if they do not, forget it."""
+        with self.lock:
+            if seed in self.settings.seeds:
+                return True
+            self.heard_seeds.discard(seed)
+            self._forget_seed(seed)
+            return False
+
+    def _forget_seed(self, seed: Address) -> None:
+        self.relay_domains.pop(seed, None)
+        self.named.pop(seed, None)
+        self.digests.pop(seed, None)
 
     def _next_interval(self, misses: int) -> Millis:
         if MAX_MISSED_HEARTBEATS <= misses < MAX_MISSED_HEARTBEATS + QUICK_RETRIES:
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -1,6 +1,6 @@
 """The settings of a gateway process, independent of the file that holds them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..._ids import Address, FailureDomainId, HostId, Millis
 
@@ -39,6 +39,16 @@
         return min(self.cores / GATHERING_CPU_S, self.link * BYTES_PER_MEGABIT / GATHERED_BYTES)
 
 
+FIXED_SETTINGS = (
+    "host",
+    "caller_address",
+    "readiness_address",
+    "metrics_address",
+    "peer_address",
+)
+"""The settings of which a change waits for the next start of the process."""
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """The addresses, the failure domain and the time limits of one gateway.
@@ -64,6 +74,14 @@
     repeats: RepeatBounds
     capacity: HostCapacity
 
+    def find_fixed_changes(self, changed: "GatewaySettings") -> list[str]:
+        """Return the names of ``FIXED_SETTINGS`` that differ in ``changed``."""
+        return [name for name in FIXED_SETTINGS if getattr(self, name) != getattr(changed, name)]
+
+    def apply(self, changed: "GatewaySettings") -> "GatewaySettings":
+        """Return ``changed`` with the present values of ``FIXED_SETTINGS``."""
+        return replace(changed, **{name: getattr(self, name) for name in FIXED_SETTINGS})
+
     @property
     def is_seed(self) -> bool:
         """Return whether this gateway is a seed.
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -147,3 +147,7 @@
     def read_table(self) -> PublishedConfiguration | Unavailable:
         """Return the configuration without the listings."""
         ...
+
+    def change_address(self, address: Address) -> None:
+        """Read from another address from the next call on; any task may call this."""
+        ...
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -47,12 +47,13 @@
         return int(probe.getsockname()[1])
 
 
-def answer_as_store(head: bytes) -> bytes:
-    """Answer as a store that holds one configuration and no searchers."""
+def answer_as_store(head: bytes, version: int = 7) -> bytes:
+    """Answer as a store that holds one configuration, with ``version``, and no searchers."""
     if b"kv-watch" in head.split(b" ")[1]:
         Event().wait(0.2)
         return http(200, {"events": [], "currentRev": 7})
-    return http(200, {"items": [stored("op/config", CONFIG)], "currentRev": 7})
+    published = stored("op/config", CONFIG | {"version": version})
+    return http(200, {"items": [published], "currentRev": 7})
 
 
 class GatewayProgram:
@@ -113,13 +114,15 @@
             assert monotonic() < deadline, f"not ready: {self.output.read_text()}"
             Event().wait(0.02)
 
-    def wait_for_event(self, event: str) -> dict:
-        """Return the first line of the log for ``event``, once it is written."""
+    def wait_for_event(self, event: str, **fields: object) -> dict:
+        """Return the first line of the log for ``event`` with these fields, once it is written."""
+        wanted = {"event": event, **fields}
         deadline = monotonic() + START_TIMEOUT_S
         while monotonic() < deadline:
             for line in self.output.read_text().splitlines():
-                if line.startswith("{") and json.loads(line)["event"] == event:
-                    return dict(json.loads(line))
+                values = json.loads(line) if line.startswith("{") else {}
+                if all(values.get(name) == value for name, value in wanted.items()):
+                    return dict(values)
             if self.process is None or self.process.poll() is not None:
                 break
             Event().wait(0.02)
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -5,11 +5,15 @@
 import socket
 import subprocess
 from contextlib import contextmanager
+from functools import partial
 from threading import Event
 
 import pytest
 
-from .program import PORTS, GatewayProgram, free_port
+from tests.gateway.loopback import StandInSearcher
+
+from .program import PORTS, GatewayProgram, answer_as_store, free_port
+from .test_store import http
 
 
 @pytest.fixture
@@ -164,3 +168,50 @@
         assert program.wait_for_end() == 0
         os.close(reader)
         os.close(writer)
+
+
+class TestReload:
+    def test_changed_address_of_store_is_used(self, program):
+        """Guard against a gateway that says "reloaded" and goes on reading the old store."""
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        newer = StandInSearcher(partial(answer_as_store, version=9))
+        try:
+            program.store, old = newer, program.store
+            program.write_settings()
+            program.signal(signal.SIGHUP)
+            program.wait_for_event("configuration", version=9)
+            count = len(old.requests)
+            Event().wait(1.0)
+            assert len(old.requests) <= count + 1
+        finally:
+            old.listener.close()
+
+    def test_changed_seeds_are_used(self, program):
+        """Guard against heartbeats that go on to the seeds of the start only."""
+        heard = Event()
+
+        def answer_as_seed(head):
+            heard.set()
+            return http(200, {"ready": False})
+
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        seed = StandInSearcher(answer_as_seed)
+        program.path.write_text(program.settings().replace("[]", f'["{seed.address}"]', 1))
+        program.signal(signal.SIGHUP)
+        assert heard.wait(10)
+        seed.listener.close()
+
+    def test_names_settings_that_wait_for_restart(self, program):
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        old_port, program.ports["front"] = program.ports["front"], free_port()
+        program.write_settings()
+        program.signal(signal.SIGHUP)
+        assert program.wait_for_event("reloaded")["waits_for_restart"] == ["caller_address"]
+        with socket.create_connection(("127.0.0.1", old_port), timeout=1):
+            pass
