Play the new rules and the ways to end a process in the soak

New faults of the soak: searchers that say that they leave in answers alone, pauses, responses without end, cut watches, SIGHUP in series from the first moment of a start, taken ports, a store that moves beside a half written file, SIGTERM and SIGHUP by turns. New checks: DRAIN and BUDGET by the searchers' own records, processes that end by themselves.

Found by it: a holder of a port that closes normally keeps it taken for a minute, and a SIGTERM in the first milliseconds ends a process by the signal; both are of the soak and mended there.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -16,6 +16,7 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
@@ -37,6 +38,9 @@
 SETTLE_S = 4.0
 """How long a gateway may take to recover from a fault."""
 
+MAX_REQUEST_S = 1.0
+"""The longest time of a request, from its caller to its searcher."""
+
 MAX_ATTEMPTS = 2
 """The maximum number of searchers to which one request is sent, for each shard."""
 
@@ -46,6 +50,13 @@
 BASE_FAULT_RATE = 0.05
 """The share of responses for which a ``ResponseFault`` is drawn, even without injected faults."""
 
+PAUSE_MARGIN_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+"""A gateway may send this many requests to a searcher between the margin and a pause's end."""
+
+ENDLESS_S = 3.0
+"""How long a searcher sends a response that never ends, unless its connection is closed."""
+
 IDLE_WAIT_S = 0.01
 """How long a searcher waits, after a response, for its connection to be idle at the gateway."""
 
@@ -168,6 +179,12 @@
     ``extra_delay_s`` is the delay of each run in addition to 2 ms. ``runs`` lists each request that
     was run, by its id and the time, and ``lost_requests`` the ids of requests whose response was
     lost. ``drain_started_at`` is when the searcher was listed as draining, if it was.
+
+    ``says_leaving`` makes it say in all answers that it leaves; ``left_at`` maps each gateway to
+    the time of the first such answer. It asks each gateway of ``pause_for`` for one pause of
+    ``pause_s``; ``pauses`` has each gateway with the times between which its pause lasts.
+    ``is_endless`` makes half of its responses endless. ``arrivals`` has the gateway and the time of
+    each request.
     """
 
     def __init__(self, searcher_id: str, service: str, rng: random.Random) -> None:
@@ -179,6 +196,13 @@
         self.runs: list[tuple[str, float]] = []
         self.lost_requests: list[str] = []
         self.drain_started_at: float | None = None
+        self.says_leaving = False
+        self.left_at: dict[int, float] = {}
+        self.pause_for: set[int] = set()
+        self.pause_s = 0.0
+        self.pauses: list[tuple[int, float, float]] = []
+        self.is_endless = False
+        self.arrivals: list[tuple[int, float]] = []
         super().__init__(lambda head: None)
         self.proxy = Proxy(self.address)
 
@@ -187,6 +211,10 @@
         with connection, suppress(OSError):
             while head := self._read(connection):
                 planned = self.handle_request(head)
+                if self.is_endless and self.rng.random() < 0.5:
+                    self.record_lost(request_id(head))
+                    self.send_endlessly(connection, head)
+                    return
                 connection.sendall(late_bytes + planned.data)
                 # A late response without a length extends to the end of the connection, so that
                 # it includes the response to this request.
@@ -215,6 +243,11 @@
         request = request_id(head)
         if head_value(head, b"x-masticgate-expected-instance").decode() != self.searcher_id:
             return self.plan_response(self.make_response(request, 421, b"", b""))
+        gateway = entry_gateway(request)
+        self.arrivals.append((gateway, time.monotonic()))
+        if gateway in self.pause_for:
+            self.pause_for.discard(gateway)
+            return self.ask_for_pause(request, gateway)
         if self.rng.random() < self.fault_rate / 2:
             refusal = self.make_response(request, 503, b"x-masticgate-not-executed: 1\r\n", b"")
             return self.plan_response(refusal)
@@ -228,8 +261,25 @@
         if self.rng.random() < BASE_LOSS_RATE + self.fault_rate / 4:
             self.record_lost(request)
             return PlannedResponse(b"", end=ConnectionEnd.CLOSED_NORMALLY)
+        if self.says_leaving:
+            self.left_at.setdefault(gateway, time.monotonic())
         return self.plan_response(response, request)
 
+    def ask_for_pause(self, request: str, gateway: int) -> PlannedResponse:
+        """Refuse a request and ask its gateway for a pause."""
+        now = time.monotonic()
+        self.pauses.append((gateway, now, now + self.pause_s))
+        extra = b"x-masticgate-not-executed: 1\r\nRetry-After: %.3f\r\n" % self.pause_s
+        return PlannedResponse(self.make_response(request, 503, extra, b""))
+
+    def send_endlessly(self, connection: socket.socket, head: bytes) -> None:
+        """Send a response that never ends, until the connection is closed."""
+        start = self.make_response(request_id(head), 200, b"x-masticgate-server-stamp: s\r\n", b"")
+        connection.sendall(without_length(start))
+        deadline = time.monotonic() + ENDLESS_S
+        while time.monotonic() < deadline:
+            connection.sendall(bytes(16_384))
+
     def plan_response(self, response: bytes, request: str = "") -> PlannedResponse:
         """Plan to send a response once, or at random with a fault.
 
@@ -258,6 +308,8 @@
                 return PlannedResponse(response)
 
     def make_response(self, request: str, status: int, extra: bytes, body: bytes) -> bytes:
+        if self.says_leaving:
+            extra += b"Server-Leaving: 1\r\n"
         return b"HTTP/1.1 %d X\r\nx-masticgate-request-id: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
             status,
             request.encode(),
@@ -271,6 +323,11 @@
     return head_value(head, b"x-masticgate-request-id").decode()
 
 
+def entry_gateway(request: str) -> int:
+    """Return the index of the gateway to which the caller of a request sends it."""
+    return int(request.split("-")[1]) % GATEWAYS
+
+
 def has_length(response: bytes) -> bool:
     return b"Content-Length" in response
 
@@ -301,6 +358,7 @@
         self.history: list[dict] = []
         self.revision = 1
         self.oldest_revision = 1
+        self.cuts_watches_after_s: float | None = None
         self.server = StandInSearcher(self.respond)
         self.proxy = Proxy(self.server.address)
 
@@ -327,8 +385,12 @@
                 self.items[key] = item
             self.changed.notify_all()
 
-    def respond(self, head: bytes) -> bytes:
-        """Return the response to a read of a key, a read of all items, or a watch for changes."""
+    def respond(self, head: bytes) -> bytes | None:
+        """Return the response to a read of a key, a read of all items, or a watch for changes.
+
+        Return ``None`` for a watch that waits for longer than ``cuts_watches_after_s``, if that is
+        set; its connection is then closed.
+        """
         url = urlsplit(head.split(b" ")[1].decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         with self.changed:
@@ -342,7 +404,12 @@
             after = int(query["after"])
             if after < self.oldest_revision:
                 return self._make_response(410, {})
-            self.changed.wait_for(lambda: self.revision > after, int(query["waitMs"]) / 1000)
+            wait_s, cut_after_s = int(query["waitMs"]) / 1000, self.cuts_watches_after_s
+            is_cut = cut_after_s is not None and cut_after_s < wait_s
+            timeout_s = cut_after_s if is_cut else wait_s
+            changed = self.changed.wait_for(lambda: self.revision > after, timeout_s)
+            if is_cut and not changed:
+                return None
             events = [item for item in self.history if item["revision"] > after]
             return self._make_response(200, {"events": events, "currentRev": self.revision})
 
@@ -374,7 +441,9 @@
 class GatewayProcess:
     """A real gateway in a process of its own.
 
-    ``disturbed_at`` is when it was last started, or may have been affected by an injected fault.
+    ``disturbed_at`` is when it was last started, or may have been affected by an injected fault,
+    and ``excused_at`` when its process was last started, stopped or paused. ``own_ends`` has the
+    status of each process that ended without being told to, or with a failure.
     """
 
     def __init__(self, number: int, folder: Path, store: Store) -> None:
@@ -385,6 +454,9 @@
         self.store_proxy = Proxy(store.proxy.address)
         self.path.write_text(self.settings())
         self.disturbed_at = 0.0
+        self.excused_at = 0.0
+        self.told_to_end = False
+        self.own_ends: list[int] = []
         self.lock = threading.Lock()
         self.process: subprocess.Popen | None = None
 
@@ -412,37 +484,70 @@
                 stderr=log,
                 env=environment,
             )
-        self.disturbed_at = time.monotonic()
+        self.told_to_end = False
+        self.disturbed_at = self.excused_at = time.monotonic()
 
     def signal(self, number: int) -> None:
+        """Send a signal; SIGHUP is held back until the interpreter has begun to run the program."""
+        deadline = time.monotonic() + SETTLE_S
+        while number == signal.SIGHUP and not self.queues_signals():
+            if time.monotonic() > deadline:
+                return
+            time.sleep(0.001)
         self.disturbed_at = time.monotonic()
+        self.told_to_end = self.told_to_end or number in (signal.SIGTERM, signal.SIGKILL)
+        if number != signal.SIGHUP:
+            self.excused_at = self.disturbed_at
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     def restart(self, number: int) -> None:
         """End the process with a signal, or kill it after the grace period, and start a new one."""
         with self.lock:
-            assert self.process is not None
-            self.signal(number)
-            try:
-                self.process.wait(GRACE_S)
-            except subprocess.TimeoutExpired:
-                self.process.kill()
-                self.process.wait()
+            self.end(number)
             self.start()
 
+    def end(self, number: int) -> None:
+        """End the process with a signal, or kill it after the grace period."""
+        assert self.process is not None
+        self.record_own_end()
+        self.signal(number)
+        try:
+            status = self.process.wait(GRACE_S)
+            if number == signal.SIGTERM and status > 0:
+                self.own_ends.append(status)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+    def record_own_end(self) -> None:
+        """Record the status of the process if it has ended without being told to."""
+        status = None if self.process is None else self.process.poll()
+        if status is not None and not self.told_to_end:
+            self.own_ends.append(status)
+
+    def queues_signals(self) -> bool:
+        """Return whether the process catches SIGHUP, as it does soon after its start."""
+        assert self.process is not None
+        with suppress(OSError, StopIteration):
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            caught = next(line for line in status.splitlines() if line.startswith("SigCgt"))
+            return bool(int(caught.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+        return False
+
 
 @dataclass
 class Soak:
     """One soak run of three gateways.
 
     ``seed`` seeds the random numbers. Threads share some of the generators, so runs with the same
-    seed may differ. ``replies`` holds all replies that callers received, and ``problems`` describes
-    each violation.
+    seed may differ. ``faults`` are the kinds of faults that it injects. ``replies`` holds all
+    replies that callers received, and ``problems`` describes each violation.
     """
 
     seed: int
     folder: Path
+    faults: Sequence[Callable[["Soak"], None]] = ()
     replies: list[CallerReply] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
 
@@ -480,10 +585,15 @@
         finally:
             self.stopping.set()
             for gateway in self.gateways:
+                gateway.record_own_end()
                 if gateway.process is not None:
                     gateway.process.kill()
                     gateway.process.wait()
         self.check_replies()
+        self.check_words()
+        for gateway in self.gateways:
+            if gateway.own_ends:
+                self.problems.append(f"gateway {gateway.number} ended with {gateway.own_ends}")
 
     def add_searcher(self, service: str, searcher_id: str) -> None:
         """Start a searcher and list it as ready."""
@@ -585,7 +695,7 @@
         deadline = time.monotonic() + seconds
         faults = []
         while time.monotonic() < deadline:
-            fault = threading.Thread(target=self.rng.choice(FAULTS), args=(self,))
+            fault = threading.Thread(target=self.rng.choice(self.faults or FAULTS), args=(self,))
             fault.start()
             faults.append(fault)
             time.sleep(self.rng.uniform(0.2, 1.2))
@@ -656,6 +766,30 @@
                     f"booking {request} was run more than once, at {runs[request]}"
                 )
 
+    def check_words(self) -> None:
+        """Check that gateways keep to what searchers of bookings say: that they leave, or pause.
+
+        Their requests come from the gateway that their callers asked, unlike queries, which may
+        come from another.
+        """
+        for searcher in (s for s in self.searchers if s.service == "orders"):
+            for number, left_at in searcher.left_at.items():
+                times = [at for gateway, at in searcher.arrivals if gateway == number]
+                late = [at for at in times if at > left_at + DRAIN_S + MAX_REQUEST_S]
+                if late and self.gateways[number].excused_at < left_at:
+                    self.problems.append(
+                        f"{searcher.searcher_id} got {len(late)} requests of gateway {number + 1}"
+                        f" up to {max(late) - left_at:.1f} s after it said that it leaves"
+                    )
+            for number, begin, end in searcher.pauses:
+                times = [at for gateway, at in searcher.arrivals if gateway == number]
+                early = [at for at in times if begin + PAUSE_MARGIN_S < at < end]
+                if len(early) > MAX_REQUESTS_IN_PAUSE and self.gateways[number].excused_at < begin:
+                    self.problems.append(
+                        f"{searcher.searcher_id} got {len(early)} requests of gateway {number + 1}"
+                        f" in a pause of {end - begin:.1f} s"
+                    )
+
     def check_reply(self, reply: CallerReply, runs: list[str]) -> None:
         """Check one reply; ``runs`` lists the ids of the searchers that ran its request."""
         if reply.status in (408, 421, 429, 503) and reply.path == "/book/x" and runs:
@@ -796,3 +930,99 @@
     change_configuration,
 ]
 """The kinds of faults that a run injects; one that is listed twice is chosen twice as often."""
+
+
+def leave_by_word(soak: Soak) -> None:
+    """Replace a searcher that says that it leaves in its answers alone; its listing stays."""
+    old = choose_searcher(soak)
+    soak.add_searcher(old.service, f"{old.service}-{len(soak.searchers)}")
+    old.says_leaving = True
+    time.sleep(DRAIN_S + soak.rng.uniform(1.0, 3.0))
+    old.drain_started_at = time.monotonic()
+    soak.store.remove(f"servers/{old.searcher_id}")
+
+
+def ask_for_pauses(soak: Soak) -> None:
+    """Make a searcher ask each gateway for one pause."""
+    searcher = choose_searcher(soak)
+    searcher.pause_s = soak.rng.choice([0.8, 1.5, 2.5])
+    searcher.pause_for = set(range(GATEWAYS))
+    time.sleep(MAX_FAULT_S)
+    searcher.pause_for = set()
+
+
+def respond_endlessly(soak: Soak) -> None:
+    """Make a searcher send responses that never end for a while."""
+    searcher = choose_searcher(soak)
+    searcher.is_endless = True
+    time.sleep(soak.rng.uniform(0.5, MAX_FAULT_S))
+    searcher.is_endless = False
+
+
+def cut_watches(soak: Soak) -> None:
+    """Make the store cut each watch that waits, for a while."""
+    soak.store.cuts_watches_after_s = soak.rng.choice([0.1, 0.5, 1.0])
+    time.sleep(soak.rng.uniform(1.0, 2 * MAX_FAULT_S))
+    soak.store.cuts_watches_after_s = None
+
+
+def reload_during_start(soak: Soak) -> None:
+    """Kill a gateway, and send it SIGHUP in series from the first moment of its next start."""
+    gateway = soak.rng.choice(soak.gateways)
+    gateway.restart(signal.SIGKILL)
+    for _ in range(10):
+        gateway.signal(signal.SIGHUP)
+        time.sleep(soak.rng.uniform(0.0, 0.1))
+
+
+def take_port(soak: Soak) -> None:
+    """Kill a gateway, and start it while an outgoing connection has one of its ports."""
+    gateway = soak.rng.choice(soak.gateways)
+    with gateway.lock, socket.socket() as holder:
+        gateway.end(signal.SIGKILL)
+        # A normal close would leave the port taken for another minute.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        with suppress(OSError):
+            holder.bind((gateway.ip, soak.rng.choice([8104, 8106, 8108])))
+            holder.connect(soak.store.server.listener.getsockname())
+        gateway.start()
+        time.sleep(soak.rng.uniform(0.5, 2.0))
+
+
+def move_store(soak: Soak) -> None:
+    """Give a gateway another address of the store, and perhaps a half written file before."""
+    gateway = soak.rng.choice(soak.gateways)
+    gateway.store_proxy = Proxy(soak.store.proxy.address)
+    text = gateway.settings()
+    if soak.rng.random() < 0.5:
+        gateway.path.write_text(text[: len(text) // 2])
+        gateway.signal(signal.SIGHUP)
+        time.sleep(soak.rng.uniform(0.0, 0.5))
+    gateway.path.write_text(text)
+    gateway.signal(signal.SIGHUP)
+
+
+def stop_twice(soak: Soak) -> None:
+    """Send a gateway SIGTERM and SIGHUP by turns, and start it again."""
+    gateway = soak.rng.choice(soak.gateways)
+    with gateway.lock:
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            gateway.signal(number)
+        gateway.end(signal.SIGTERM)
+        gateway.start()
+
+
+ALL_FAULTS = [
+    *FAULTS,
+    leave_by_word,
+    leave_by_word,
+    ask_for_pauses,
+    ask_for_pauses,
+    respond_endlessly,
+    cut_watches,
+    reload_during_start,
+    take_port,
+    move_store,
+    stop_twice,
+]
+"""The faults of a long run. Those of ``FAULTS`` alone are for the seeds that failed with them."""
