Count the last resort of a searcher from its first removal

Cause, by the logs of one gateway: it read the removal from the platform, then switched to a relay that still held the entry and listed it again; as the relay gave it up, the searcher became a last resort a second time.

Change: a removal within 10 s after an earlier one of the same start does not lengthen the time.

Evidence: the first of the new tests failed before the change and passes with it.

--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -12,6 +12,9 @@
 LAST_RESORT_SHARE = 0.5
 """The part of the ``drain`` setting for which a leaving searcher is used if there is no other."""
 
+DEPARTURE_TTL = Millis(10_000.0)
+"""How long a departure is remembered; another gateway may list its searcher for some seconds."""
+
 MAX_DRAINED_SEARCHERS = 2_000
 """The number of drained searchers that are remembered.
 
@@ -20,8 +23,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Pause:
-    """A pause until the time ``until``, which the searcher's start at ``born`` has asked for."""
+class Period:
+    """What holds until the time ``until`` for a searcher's start at the time ``born``."""
 
     born: int
     until: Millis
@@ -32,8 +35,9 @@
 
     ``drained_start_times`` maps each searcher that drained to its start time, so that a late
     listing of the same start does not put it back into use. ``max_connections`` returns the
-    connection limit for each searcher of a service. ``pauses`` outlast the listings of their
-    searchers, which may be replaced.
+    connection limit for each searcher of a service. ``pauses`` and ``departures``, the ends of
+    the times in which leaving searchers are a last resort, outlast the listings of their searchers,
+    which may be replaced.
     """
 
     def __init__(
@@ -45,7 +49,8 @@
         self.services: dict[ServiceId, dict[SearcherId, Replica]] = {}
         self.replicas: dict[SearcherId, Replica] = {}
         self.drained_start_times: dict[SearcherId, int] = {}
-        self.pauses: dict[SearcherId, Pause] = {}
+        self.pauses: dict[SearcherId, Period] = {}
+        self.departures: dict[SearcherId, Period] = {}
 
     def of_service(self, service: ServiceId) -> Collection[Replica]:
         """Return the searchers of a service."""
@@ -84,7 +89,7 @@
         now = self.clock.now()
         replica.pause(Millis(now + duration))
         self.pauses = {id: pause for id, pause in self.pauses.items() if now < pause.until}
-        self.pauses[replica.entry.id] = Pause(replica.entry.born, replica.paused_until)
+        self.pauses[replica.entry.id] = Period(replica.entry.born, replica.paused_until)
         self.log.write(
             LogEvent.SEARCHER_PAUSED,
             searcher=replica.entry.id,
@@ -93,10 +98,24 @@
         )
 
     def start_leaving(self, replica: Replica, why: str, usable_time: Millis) -> None:
-        """Use a searcher for ``usable_time`` if there is no other, and then no longer."""
+        """Use a searcher for ``usable_time`` if there is no other, and then no longer.
+
+        If the same start has left shortly before, and a late listing made it active again, the time
+        counts from then.
+        """
         if replica.state in (ReplicaState.LEAVING, ReplicaState.GONE):
             return
-        replica.start_leaving(Millis(self.clock.now() + usable_time))
+        now = self.clock.now()
+        usable_until = Millis(now + usable_time)
+        earlier = self.departures.get(replica.entry.id)
+        if (
+            earlier is not None
+            and earlier.born == replica.entry.born
+            and now < earlier.until + DEPARTURE_TTL
+        ):
+            usable_until = min(usable_until, earlier.until)
+        self.departures[replica.entry.id] = Period(replica.entry.born, usable_until)
+        replica.start_leaving(usable_until)
         for task in replica.idle:
             task.close()
         replica.idle.clear()
@@ -118,7 +137,12 @@
         self.services.get(replica.entry.service, {}).pop(replica.entry.id, None)
 
     def remove_gone(self, now: Millis) -> None:
-        """Remove the searchers that have left and have no call in flight."""
+        """Remove the searchers that have left and have no call in flight, and old departures."""
+        self.departures = {
+            searcher: departure
+            for searcher, departure in self.departures.items()
+            if now < departure.until + DEPARTURE_TTL
+        }
         for replica in list(self.replicas.values()):
             if replica.state is ReplicaState.LEAVING and now >= replica.usable_until:
                 replica.state = ReplicaState.GONE
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -320,6 +320,35 @@
         assert replica.state is ReplicaState.ACTIVE
 
 
+class TestUnlistedSearchers:
+    def test_late_listing_of_another_gateway_does_not_lengthen_its_last_resort(self):
+        """Guard against requests to a searcher that left, over the drain time after that (DRAIN).
+
+        A gateway that reads from another one, which still holds the searcher, lists it again.
+        """
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.apply_listing(make_entry("a"))
+        fleet.remove_searcher(SearcherId("a"), "unlisted")
+        clock.advance(Millis(1_600.0))
+        fleet.maintain()
+        fleet.apply_listing(make_entry("a"))
+        clock.advance(Millis(400.0))
+        fleet.remove_searcher(SearcherId("a"), "unlisted")
+        assert isinstance(send(fleet), NotRun)
+
+    def test_searcher_that_returned_for_long_is_a_last_resort_again(self):
+        clock = ManualClock()
+        fleet = make_fleet(clock)
+        fleet.apply_listing(make_entry("a"))
+        fleet.remove_searcher(SearcherId("a"), "unlisted")
+        fleet.apply_listing(make_entry("a"))
+        clock.advance(Millis(20_000.0))
+        fleet.remove_searcher(SearcherId("b"), "unlisted")
+        fleet.remove_searcher(SearcherId("a"), "unlisted")
+        assert send(fleet).searcher == "a"
+
+
 class TestDrainedSearchers:
     def test_late_listings_of_the_same_start_do_not_bring_a_drained_searcher_back(self):
         fleet = make_fleet()
