--- a/tests/gateway/test_reserved_names.py
+++ b/tests/gateway/test_reserved_names.py
@@ -1,8 +1,5 @@
 """Tests for published names that are like those by which gateways call each other."""
 
-import base64
-import json
-
 import pytest
 
 from masticgate import Address, FailureDomainId, ServiceId
@@ -13,6 +10,7 @@
 from masticgate.process.gateway._peers import Gatherer, _gatherer_entry
 from masticgate.version.gateway import PEER_SERVICE, OneService
 from tests.platform.test_items import CONFIG, ENTRY
+from tests.platform.test_store import stored
 
 from .fakes import make_entry, make_fleet, make_route
 from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
@@ -22,10 +20,6 @@
 """A service that is named like the gatherers."""
 
 
-def published(key: str, value: object) -> dict:
-    return {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()}
-
-
 class TestServiceNamedLikeGatherers:
     def test_its_searchers_get_no_parts_of_queries(self):
         """Guard against queries that run at searchers of a service called "gateways"."""
@@ -62,17 +56,17 @@
     def test_entry_cannot_have_reserved_name(self, field):
         """The names by which gateways call each other are none that can be published."""
         entry = ENTRY | {field: str(PEER_SERVICE)}
-        assert isinstance(decode_item(published("servers/a", entry)), UnreadableItem)
-        assert isinstance(decode_item(published("servers/a", ENTRY)), SearcherListed)
+        assert isinstance(decode_item(stored("servers/a", entry)), UnreadableItem)
+        assert isinstance(decode_item(stored("servers/a", ENTRY)), SearcherListed)
 
     def test_searcher_cannot_have_reserved_id(self):
         own_id = _gatherer_entry(Gatherer(Address("127.0.0.1:9"), FailureDomainId("z1"))).id
-        item = decode_item(published(f"servers/{own_id}", ENTRY))
+        item = decode_item(stored(f"servers/{own_id}", ENTRY))
         assert isinstance(item, UnreadableItem) and item.searcher is None
 
     def test_route_and_its_service_cannot_have_reserved_name(self):
-        assert isinstance(decode_item(published("op/config", CONFIG)), PublishedConfiguration)
+        assert isinstance(decode_item(stored("op/config", CONFIG)), PublishedConfiguration)
         for field in ("name", "service"):
             route = CONFIG["routes"][1] | {field: f"{PEER_SERVICE}/r"}
-            item = decode_item(published("op/config", CONFIG | {"routes": [route]}))
+            item = decode_item(stored("op/config", CONFIG | {"routes": [route]}))
             assert isinstance(item, UnreadableItem)
