Read the limits of memory and descriptors from the settings

The platform states memoryMb and maxFds, and kills a process that exceeds the first. Nothing read them, so that no bound could follow the machine. HostCapacity holds both; a release that does not know a limit takes the smallest machine's.

--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -10,8 +10,10 @@
 from .._ids import Address, FailureDomainId, HostId, Millis
 from ..connection.gateway import parse_address
 from ..process.gateway import GatewaySettings, HostCapacity, RepeatBounds
+from ..process.gateway._settings import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES
 
 DEFAULT_LINK_MBPS = 1_000.0
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,4 +79,11 @@
 def _decode_capacity(limits: Fields) -> HostCapacity:
     # The platform states the share of a core and, separately, how many times as fast it runs.
     cores = limits.number("cpuShare", 1.0) * limits.number("cpuSpeedup", 1.0)
-    return HostCapacity(cores, limits.number("linkMbps", DEFAULT_LINK_MBPS))
+    # Of the two readings of a megabyte, the smaller one keeps the process below its limit.
+    memory_mb = limits.number("memoryMb", DEFAULT_MEMORY_BYTES / BYTES_PER_MEGABYTE)
+    return HostCapacity(
+        cores,
+        limits.number("linkMbps", DEFAULT_LINK_MBPS),
+        round(memory_mb * BYTES_PER_MEGABYTE),
+        round(limits.number("maxFds", DEFAULT_DESCRIPTORS)),
+    )
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -26,12 +26,23 @@
 BYTES_PER_MEGABIT = 125_000.0
 
 
+DEFAULT_MEMORY_BYTES = 200_000_000
+DEFAULT_DESCRIPTORS = 4_096
+
+
 @dataclass(frozen=True, slots=True)
 class HostCapacity:
-    """The processor, in cores, and the network link, in Mbit/s, of a gateway's host."""
+    """The processor, in cores, and the network link, in Mbit/s, of a gateway's host.
+
+    ``memory`` is the number of bytes beyond which the process is killed, which includes the bytes
+    that its connections have received and it has not yet read. ``descriptors`` is the number of
+    descriptors that it may have open.
+    """
 
     cores: float
     link: float
+    memory: int = DEFAULT_MEMORY_BYTES
+    descriptors: int = DEFAULT_DESCRIPTORS
 
     @property
     def gathering_rate(self) -> float:
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -38,6 +38,13 @@
         assert (settings.grace, settings.drain) == (6000.0, 3000.0)
         assert (settings.repeats.ratio, settings.repeats.slack) == (0.2, 52.0)
 
+    def test_reads_limits_of_memory_and_descriptors(self, tmp_path):
+        """Guard against bounds that are the same on machines of 200 MB and of 552 MB."""
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT + "[limits]\nmemoryMb = 552\nmaxFds = 8192\n")
+        capacity = read_node_file(path, None).capacity
+        assert (capacity.memory, capacity.descriptors) == (552_000_000, 8_192)
+
     @pytest.mark.parametrize("missing", ["nodeName", "zone", "graceS", "address", "front"])
     def test_error_names_missing_field(self, tmp_path, missing):
         path = tmp_path / "local.toml"
