Leave a line, or the stacks, of an error that ends the process or a thread

What operators saw: nothing. An error in native code or a signal of that kind (SIGSEGV, SIGBUS, SIGFPE, SIGABRT, SIGILL) ended a gateway without a word, an error of the main thread left a traceback on standard error without host or time, and a thread that ended by something else than an Exception left the process running without its task.

Cause: faulthandler was not enabled, and the interpreter's hooks for uncaught errors were its own.

Until there is a log, an error that ends the process is one line on standard error, "masticgate: the process ends by an error: ..."; the wait for settings says so at once, too. From the start of the gateway on, the hooks write process_failed (flushed before the process ends, within 500 ms if nobody reads the output), thread_failed and error_ignored, and count errors_uncaught.

What is left: on CPython 3.11.6, a stack overflow of a thread other than the main one leaves no stacks, since it has no alternate signal stack (tried outside the repository, one run: status 139, no output).

--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -7,6 +7,7 @@
 from .._clock import MILLIS_PER_SECOND, SystemClock
 from ..process.gateway import GatewaySettings
 from ..process.gateway._gateway import Gateway
+from ._early_errors import print_error
 from ._names import HEADER_NAMES
 from ._node_file import InvalidNodeFile, read_node_file
 from ._signals import SignalQueue
@@ -35,7 +36,9 @@
     if signals.stop_requested:
         return
     if isinstance(settings, InvalidNodeFile):
-        _print_error(f"no valid settings for {SETTINGS_WAIT_S:g} s: {settings.detail}")
+        print_error(
+            f"the process ends: no valid settings for {SETTINGS_WAIT_S:g} s: {settings.detail}"
+        )
         raise SystemExit(EXIT_USAGE)
     store = PlatformStore(settings.store_address, SystemClock())
     gateway = Gateway(settings, HEADER_NAMES, store)
@@ -53,10 +56,14 @@
     """
     clock = SystemClock()
     deadline = clock.now() + SETTINGS_WAIT_S * MILLIS_PER_SECOND
+    has_reported = False
     while True:
         settings = read_node_file(path, metrics_port)
         if isinstance(settings, GatewaySettings) or clock.now() >= deadline:
             return settings
+        if not has_reported:
+            print_error(f"waits {SETTINGS_WAIT_S:g} s for valid settings: {settings.detail}")
+            has_reported = True
         if signals.wait_for_stop(SETTINGS_POLL_INTERVAL_S):
             return settings
 
@@ -79,7 +86,3 @@
             case changed if changed != settings:
                 settings = changed
                 gateway.reload(settings)
-
-
-def _print_error(text: str) -> None:
-    print(f"masticgate: {text}", file=sys.stderr)
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -20,6 +20,7 @@
 from ._settings import GatewaySettings
 from ._supervisor import Supervisor
 from ._task_pool import TaskPool
+from ._uncaught import UncaughtErrors
 
 MAX_CALLER_CONNECTIONS = 1_500
 """The maximum number of open connections from callers, and likewise from other gateways.
@@ -134,6 +135,7 @@
 
     def start(self) -> None:
         """Start the tasks that run until the process ends."""
+        UncaughtErrors(self.log, self.metrics).install()
         self.log.write(
             LogEvent.STARTED, domain=self.settings.domain, callers=self.settings.caller_address
         )
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -10,10 +10,10 @@
 import select
 from collections import Counter, deque
 from enum import Enum
-from threading import Condition
+from threading import Condition, Lock
 from typing import Any
 
-from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._clock import MILLIS_PER_SECOND, Clock, remaining_seconds
 from ..._ids import HostId, Millis
 
 STANDARD_OUTPUT = 1
@@ -24,6 +24,9 @@
 BATCH_INTERVAL_S = 0.2
 """How long the writing task waits for more lines before it writes a batch."""
 
+MAX_CHUNK_BYTES = 4_096
+"""A pipe that can be written to accepts this many bytes at once."""
+
 RATE_WINDOW = Millis(MILLIS_PER_SECOND)
 """The window in which the lines for each event are counted."""
 
@@ -59,6 +62,9 @@
     GATHERER_LOST = "gatherer_lost"
     TASK_REFUSED = "task_refused"
     TASK_FAILED = "task_failed"
+    THREAD_FAILED = "thread_failed"
+    PROCESS_FAILED = "process_failed"
+    ERROR_IGNORED = "error_ignored"
     ANSWER_SKIPPED = "answer_skipped"
     ANSWER_OVERSIZED = "answer_oversized"
     BYTES_UNREQUESTED = "bytes_unrequested"
@@ -79,6 +85,7 @@
         self.clock = clock
         self.descriptor = descriptor
         self.ready = Condition()
+        self.output_lock = Lock()
         self.queue: deque[str] = deque()
         self.window_started_at = clock.now()
         self.line_counts: Counter[LogEvent] = Counter()
@@ -106,10 +113,9 @@
             with self.ready:
                 if not self.stopping:
                     self.ready.wait(BATCH_INTERVAL_S if self.queue else None)
-                lines = list(self.queue)
-                self.queue.clear()
                 ended = self.stopping
-            self._write_lines(lines)
+            with self.output_lock:
+                self._write_lines(self._take_lines())
             if ended:
                 return
 
@@ -124,6 +130,29 @@
             self.stopping = True
             self.ready.notify()
 
+    def flush(self, timeout: Millis) -> None:
+        """Write the queued lines in the calling task, as far as possible within ``timeout``.
+
+        For a process that is about to end; what the output does not accept in that time is lost.
+        """
+        deadline = Millis(self.clock.now() + timeout)
+        if not self.output_lock.acquire(timeout=remaining_seconds(deadline, self.clock)):
+            return
+        try:
+            data = "".join(f"{line}\n" for line in self._take_lines()).encode()
+            while data and self._wait_writable(deadline):
+                data = data[os.write(self.descriptor, data[:MAX_CHUNK_BYTES]) :]
+        except OSError:
+            return
+        finally:
+            self.output_lock.release()
+
+    def _take_lines(self) -> list[str]:
+        with self.ready:
+            lines = list(self.queue)
+            self.queue.clear()
+        return lines
+
     def _format_line(self, event: LogEvent, fields: dict[str, Any]) -> str:
         head = {"wall_ms": round(self.clock.wall()), "host": self.host, "event": event.value}
         return json.dumps(head | fields, separators=(",", ":"), default=str)
@@ -149,7 +178,9 @@
             except OSError:
                 return
 
-    def _wait_writable(self) -> None:
+    def _wait_writable(self, deadline: Millis | None = None) -> bool:
+        """Wait until the output accepts bytes; return ``False`` at ``deadline``."""
         poller = select.poll()
         poller.register(self.descriptor, select.POLLOUT)
-        poller.poll()
+        timeout_ms = None if deadline is None else max(0.0, deadline - self.clock.now())
+        return bool(poller.poll(timeout_ms))
--- a/src/masticgate/process/gateway/_supervisor.py
+++ b/src/masticgate/process/gateway/_supervisor.py
@@ -1,21 +1,17 @@
 """Runs the tasks that last as long as the process, and restarts one that ends by an error."""
 
-import traceback
 from collections.abc import Callable
-from os.path import basename
 from threading import Event, Thread
 
 from ..._clock import MILLIS_PER_SECOND
 from ..._ids import Millis
+from ..._traces import name_frames
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 
 RESTART_DELAY = Millis(500.0)
 """The pause before a task that ended by an error is started again."""
 
-MAX_TRACE_FRAMES = 8
-"""The number of innermost frames that a log line names."""
-
 
 class Supervisor:
     """Starts each task in a thread of its own; ``ended`` stops the restarts."""
@@ -56,10 +52,9 @@
 ) -> None:
     """Count and log an error that ended the task ``run``, with the innermost frames."""
     metrics.count("tasks_failed")
-    frames = traceback.extract_tb(error.__traceback__)[-MAX_TRACE_FRAMES:]
     log.write(
         LogEvent.TASK_FAILED,
         task=describe_task(run),
         detail=repr(error),
-        at=" < ".join(f"{basename(frame.filename)}:{frame.lineno}" for frame in reversed(frames)),
+        at=name_frames(error.__traceback__),
     )
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -21,6 +21,8 @@
 START_TIMEOUT_S = 20.0
 PORTS = ("front", "ready", "control")
 
+RUN_PROGRAM = "import runpy; runpy.run_module('masticgate.platform', run_name='__main__')"
+
 SETTINGS = """
 nodeName = "front-1"
 ip = "127.0.0.1"
@@ -77,13 +79,25 @@
         """Write a valid settings file."""
         self.path.write_text(self.settings(grace))
 
-    def start(self, *options: str, arguments: tuple[str, ...] = (), **popen) -> None:
-        """Start the program; ``options`` are for the interpreter, ``popen`` for the process."""
+    def start(
+        self,
+        *options: str,
+        arguments: tuple[str, ...] = (),
+        prelude: str = "",
+        source: Path = SOURCE,
+        **popen,
+    ) -> None:
+        """Start the program; ``options`` are for the interpreter, ``popen`` for the process.
+
+        ``prelude`` is Python code that the interpreter runs before the program, which is loaded
+        from ``source``.
+        """
         environment = os.environ | {
             "MASTICGATE_NODE_FILE": str(self.path),
-            "PYTHONPATH": os.pathsep.join([str(SOURCE), *sys.path]),
+            "PYTHONPATH": os.pathsep.join([str(source), *sys.path]),
         }
-        command = [sys.executable, "-S", *options, "-m", "masticgate.platform", *arguments]
+        run = ("-c", f"{prelude}\n{RUN_PROGRAM}") if prelude else ("-m", "masticgate.platform")
+        command = [sys.executable, "-S", *options, *run, *arguments]
         with self.output.open("ab") as output:
             streams = {"stdout": output, "stderr": subprocess.STDOUT} | popen
             self.process = subprocess.Popen(command, env=environment, **streams)
