Show memory, descriptors and threads beside their limits

What operators saw: nothing. A process that was killed at its memory limit, or ran out of descriptors or threads, showed none of them before its end, in log or metrics, and nobody read memoryMb and maxFds to compare.

Cause: the only figure of the process was the gauge of its threads.

Change: the maintenance round reads /proc/self/status and the size of /proc/self/fd. Lines started, stopping and stopped, and gauges, show resident memory now and at its peak, descriptors, threads, and the address space where it is limited, each beside its limit. limit_near says once that one of them is at 80 % or more of its limit, with callers' connections by what they do, busy connections of gateways and tasks; limit_cleared that it is below 75 % again. What /proc does not tell is left out. The peak is VmHWM: ru_maxrss, the fallback, takes over the peak of the parent. Gauges are written with ten digits, so that bytes are exact enough.

--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._peers import Peers
+from ._process_watch import ProcessWatch
 from ._relay import MAX_PLATFORM_AGE, RelayedSource
 from ._service import GatewayService, GatewayView
 from ._settings import GatewaySettings
@@ -89,6 +90,7 @@
         self.clock = SystemClock()
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
+        self.process = ProcessWatch(settings.capacity, self.log, self.metrics, self._count_work)
         self.pool = TaskPool(MAX_TASKS, self.log, self.metrics)
         self.fleet = Fleet(settings, header_names, self.clock, self.pool, self.log, self.metrics)
         self.platform = source
@@ -137,7 +139,10 @@
         """Start the tasks that run until the process ends."""
         UncaughtErrors(self.log, self.metrics).install()
         self.log.write(
-            LogEvent.STARTED, domain=self.settings.domain, callers=self.settings.caller_address
+            LogEvent.STARTED,
+            domain=self.settings.domain,
+            callers=self.settings.caller_address,
+            **self._read_process(),
         )
         tasks = [self.log.run, self.follower.run, self._run_maintenance]
         for run in (*tasks, *(listener.run for listener in self.listeners)):
@@ -185,7 +190,8 @@
         grace = self.settings.grace
         self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
         self.stopping.set()
-        self.log.write(LogEvent.STOPPING, serving=self.callers.count(CallerState.SERVING))
+        serving = self.callers.count(CallerState.SERVING)
+        self.log.write(LogEvent.STOPPING, serving=serving, **self._read_process())
         self.log.wake()
         self._wait_until(Millis(started_at + grace * ACCEPT_GRACE_SHARE))
         self.callers.stop()
@@ -194,9 +200,8 @@
         self.callers.end_requests()
         self._wait_for_requests(Millis(started_at + grace * REPLY_GRACE_SHARE))
         unfinished = self.callers.count(CallerState.SERVING)
-        self.log.write(
-            LogEvent.STOPPED, cut=unfinished, took_ms=round(self.clock.now() - started_at)
-        )
+        took_ms = round(self.clock.now() - started_at)
+        self.log.write(LogEvent.STOPPED, cut=unfinished, took_ms=took_ms, **self._read_process())
         self.log.stop()
         # The log task needs a moment to write the last lines.
         self._wait_until(Millis(self.clock.now() + 100.0))
@@ -267,6 +272,19 @@
     def _metrics_page(self, request: Request, inbox: Inbox) -> Reply:
         return LocalPage(200, self.metrics.render())
 
+    def _read_process(self) -> dict[str, int]:
+        return self.process.read_numbers(self.settings.capacity)
+
+    def _count_work(self) -> dict[str, int]:
+        """Return the numbers of connections by what they do, and of their tasks, for log lines."""
+        callers = {f"callers_{state.value}": self.callers.count(state) for state in CallerState}
+        gateways = sum(
+            listener.count(CallerState.READING, CallerState.SERVING)
+            for listener in self.listeners
+            if listener.settings.callers_are_gateways
+        )
+        return callers | {"gateways_busy": gateways, "tasks": self.pool.running}
+
     def _log_listen_failures(self) -> None:
         """Log each listener that cannot listen, and when it does at last."""
         for listener in self.listeners:
@@ -296,6 +314,7 @@
             if now - last_run_at > PAUSE_THRESHOLD:
                 self.log.write(LogEvent.PAUSED, for_ms=round(now - last_run_at))
             last_run_at = now
+            self.process.update(self.settings.capacity)
             self.peers.update_gathering()
             self.fleet.maintain()
             self._log_listen_failures()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -42,6 +42,8 @@
     LISTEN_FAILED = "listen_failed"
     LISTENING = "listening"
     PAUSED = "paused"
+    LIMIT_NEAR = "limit_near"
+    LIMIT_CLEARED = "limit_cleared"
     READY = "ready"
     CONFIGURATION = "configuration"
     CONFIGURATION_IGNORED = "configuration_ignored"
--- a/src/masticgate/process/gateway/_metrics.py
+++ b/src/masticgate/process/gateway/_metrics.py
@@ -56,7 +56,7 @@
         """Return all metrics in the Prometheus text format."""
         with self.lock:
             lines = [f"{PREFIX}_{name}_total {value}" for name, value in self.counters.items()]
-            lines += [f"{PREFIX}_{name} {value:g}" for name, value in self.gauges.items()]
+            lines += [f"{PREFIX}_{name} {value:.10g}" for name, value in self.gauges.items()]
             for (kind, outcome), histogram in self.histograms.items():
                 lines += _render_histogram(f'kind="{kind}",outcome="{outcome}"', histogram)
         return ("\n".join(sorted(lines)) + "\n").encode()
