Read the platform again while its configuration is unreadable or its revision falls

A watch brings an item only when it changes, so that a configuration that was damaged once was never read again.

Change: while there is no configuration, or the latest one could not be decoded, everything is read again after 0.3 s to 3 s, with a back-off. A revision below the one that was watched from is taken as lost history. A read that no successful watch follows is repeated with the same back-off: before, a source that always answers 410 was read in a tight loop. platform_reread says why.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -51,6 +51,13 @@
 CHECK_WAIT = Millis(50.0)
 """How long a watch waits that checks whether the source is available after it cut a watch."""
 
+INITIAL_REREAD_DELAY = Millis(300.0)
+MAX_REREAD_DELAY = Millis(3_000.0)
+"""The longest time between two reads of everything while there is no readable configuration.
+
+It is also the longest between two reads after neither of which a watch succeeded.
+"""
+
 RELIST_TIMEOUT = Millis(2_300.0)
 """How long a removed listing may take to return after the platform became available again.
 
@@ -65,7 +72,8 @@
     While the platform is unavailable, the last known state stays in force. ``held_searchers`` maps
     each searcher whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
     became available again to the time until which it stays in use. Further times in which the
-    platform is unavailable extend it.
+    platform is unavailable extend it. ``configuration_unreadable`` says that the latest published
+    configuration could not be decoded.
     """
 
     def __init__(
@@ -77,7 +85,9 @@
         self.log = log
         self.metrics = metrics
         self.backoff = Backoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY)
+        self.reread_backoff = Backoff(INITIAL_REREAD_DELAY, MAX_REREAD_DELAY)
         self.table: RouteTable | None = None
+        self.configuration_unreadable = False
         self.catalogue = CatalogueLog(self.age)
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
@@ -107,37 +117,61 @@
     def _follow(self, after: Revision) -> None:
         """Apply changes after a revision until the whole catalogue has to be read again.
 
-        A source may cut a watch that waits, and is unavailable only if it also cuts the short one
-        that follows.
+        That is the case if the source says so, if its revision is lower than ``after``, and while
+        there is no readable configuration. A source may cut a watch that waits, and is unavailable
+        only if it also cuts the short one that follows.
         """
+        reread_at = Millis(self.clock.now() + self.reread_backoff.next_delay())
         watch_was_cut = False
         while not self.stopping.is_set():
-            wait = CHECK_WAIT if watch_was_cut else self._watch_wait()
+            wait = CHECK_WAIT if watch_was_cut else self._watch_wait(reread_at)
             match self.source.watch(after, wait):
                 case Unavailable(closed_by_source=True) if not watch_was_cut:
                     watch_was_cut = True
                     self.metrics.count("watches_cut")
                     continue
-                case Changes(changes=changes, revision=revision):
+                case Changes(changes=changes, revision=revision) if revision >= after:
                     self._record_contact()
-                    after = max(after, revision)
+                    after = revision
                     for change in changes:
                         self._apply(change)
                     self._remove_held()
+                    if not self._lacks_configuration():
+                        self.reread_backoff.reset()
+                        reread_at = self.clock.now()
+                    elif self.clock.now() >= reread_at:
+                        self._prepare_reread(after, "no readable configuration", reread_at)
+                        return
                     if changes:
                         self.stopping.wait(BATCH_INTERVAL / MILLIS_PER_SECOND)
+                case Changes(revision=revision):
+                    self._prepare_reread(after, f"revision {revision} is lower", reread_at)
+                    return
                 case HistoryGone():
-                    self.log.write(LogEvent.PLATFORM_REREAD, revision=after)
+                    self._prepare_reread(after, "history gone", reread_at)
                     return
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
             watch_was_cut = False
 
-    def _watch_wait(self) -> Millis:
-        if not self.held_searchers:
-            return WATCH_TIMEOUT
-        remaining = min(self.held_searchers.values()) - self.clock.now()
-        return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, remaining)))
+    def _prepare_reread(self, revision: Revision, why: str, reread_at: Millis) -> None:
+        """Log that everything is read again, and wait until ``reread_at``."""
+        self.log.write(LogEvent.PLATFORM_REREAD, revision=revision, why=why)
+        self.stopping.wait(max(0.0, reread_at - self.clock.now()) / MILLIS_PER_SECOND)
+
+    def _lacks_configuration(self) -> bool:
+        """Return whether there is no configuration, or the latest one could not be decoded.
+
+        No change of the catalogue may follow by which it would be seen again.
+        """
+        return self.table is None or self.configuration_unreadable
+
+    def _watch_wait(self, reread_at: Millis) -> Millis:
+        """Return how long the next watch may wait before something else is due."""
+        due = [self.clock.now() + WATCH_TIMEOUT, *self.held_searchers.values()]
+        if self._lacks_configuration():
+            due.append(reread_at)
+        return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, min(due) - self.clock.now())))
 
     def _record_contact(self) -> None:
         self.last_contact_at = self.clock.now()
@@ -175,6 +209,7 @@
     def _apply(self, change: Change) -> None:
         match change:
             case PublishedConfiguration(table=table):
+                self.configuration_unreadable = False
                 self._apply_table(table)
             case SearcherListed(entry=entry):
                 self.catalogue.add(change)
@@ -188,6 +223,8 @@
                 self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
                 if searcher is not None:
                     self.fleet.remove_searcher(searcher, "unreadable")
+                elif key:
+                    self.configuration_unreadable = True
 
     def _apply_table(self, table: RouteTable) -> None:
         current = self.table
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -33,6 +33,7 @@
         self.answers = list(answers)
         self.follower: Follower | None = None
         self.requests: list[str] = []
+        self.requested_at: list[Millis] = []
 
     def read(self):
         return self._next("read")
@@ -42,6 +43,7 @@
 
     def _next(self, request):
         self.requests.append(request)
+        self.requested_at.append(self.clock.now())
         if not self.answers:
             self.follower.stop()
             return Unavailable("the script ended")
@@ -56,13 +58,16 @@
     fleet = make_fleet(clock)
     source = ScriptedSource(clock, *answers)
     follower = Follower(source, fleet, clock, EventLog(HostId("g"), clock), Metrics())
-    follower.stopping.wait = lambda timeout=None: False
+    follower.stopping.wait = lambda timeout_s: clock.advance(Millis(timeout_s * 1_000))
     source.follower = follower
     follower.run()
     return follower, fleet, source
 
 
 def contents(*changes, revision: int = 1):
+    """Return a catalogue with ``changes`` and, unless they have one, a configuration."""
+    if not any(isinstance(change, PublishedConfiguration) for change in changes):
+        changes = (PublishedConfiguration(make_table(ROUTE, version=1)), *changes)
     return Contents(changes, Revision(revision))
 
 
@@ -113,6 +118,75 @@
         assert source.requests[1:] == ["watch 4", "watch 4", "watch 4"]
 
 
+class TestReadingAgain:
+    def test_reads_again_until_configuration_is_readable(self):
+        """Guard against a gateway that is never ready since the first read was damaged."""
+        table = make_table(ROUTE, version=7)
+        damaged = Contents((UnreadableItem("op/config", "not readable as JSON"),), Revision(1))
+        follower, _, _ = follow(
+            (0, damaged),
+            (1_800, changes(1)),
+            (0, contents(PublishedConfiguration(table))),
+        )
+        assert follower.table is table
+
+    def test_reads_again_until_changed_configuration_is_readable(self):
+        """Guard against a version that is never applied since its event was damaged."""
+        one, two = make_table(ROUTE, version=1), make_table(ROUTE, version=7)
+        follower, _, source = follow(
+            (0, contents(PublishedConfiguration(one))),
+            (1_800, changes(1)),
+            (10, changes(2, UnreadableItem("op/config", "not readable as JSON"))),
+            (0, contents(PublishedConfiguration(two), revision=2)),
+        )
+        assert follower.table is two
+        assert source.requests == ["read", "watch 1", "watch 1", "read", "watch 2"]
+
+    def test_reads_again_if_there_is_no_configuration(self):
+        table = make_table(ROUTE, version=7)
+        follower, _, _ = follow(
+            (0, Contents((), Revision(1))),
+            (1_800, changes(1)),
+            (0, contents(PublishedConfiguration(table))),
+        )
+        assert follower.table is table
+
+    def test_unreadable_configuration_is_read_again_rarely(self):
+        damaged = Contents((UnreadableItem("op/config", "not readable as JSON"),), Revision(1))
+        _, _, source = follow(*[(0, damaged), (1_800, changes(1)), (1_800, changes(1))] * 20)
+        reads = [
+            at
+            for at, request in zip(source.requested_at, source.requests, strict=True)
+            if request == "read"
+        ]
+        assert len(reads) > 10
+        assert reads[-1] - reads[-2] >= 1_500
+
+    def test_reads_again_if_revision_is_lower_than_before(self):
+        """Guard against a gateway that sees no change since one revision was far too high."""
+        one, two = make_table(ROUTE, version=1), make_table(ROUTE, version=7)
+        follower, _, source = follow(
+            (0, contents(PublishedConfiguration(one), revision=4)),
+            (1_800, changes(9_007_199_254_740_992)),
+            (1_800, changes(5)),
+            (0, contents(PublishedConfiguration(two), revision=5)),
+        )
+        assert follower.table is two
+        assert source.requests[-1] == "watch 5"
+
+
+class TestPauses:
+    def test_source_without_history_is_read_a_few_times_a_second(self):
+        _, _, source = follow(*[(1, contents()), (1, HistoryGone())] * 20)
+        assert source.requested_at[-1] - source.requested_at[0] > 20 * 1_000
+
+    def test_lost_history_is_read_again_at_once_after_a_watch(self):
+        _, _, source = follow(
+            (0, contents()), (1_800, changes(1)), (0, HistoryGone()), (0, contents())
+        )
+        assert source.requested_at[3] == 1_800
+
+
 class TestSearchers:
     def test_stops_using_searcher_whose_listing_is_removed(self):
         _, fleet, _ = follow(
