Pause after a watch that the platform answers at once without changes

Seen (by tests on the old code): a source whose watches return at once with no changes, or are cut at once again and again, was asked without a pause; 50 answers took 50 ms of the tests' clock, 50 cut watches only their checks. On a real host that keeps the processor busy and floods the store, which prices each call.

Cause: only a watch that brought changes was followed by a pause.

Change: so is one that took less than half of its wait.

Tests: test_source_that_answers_at_once_is_asked_a_few_times_a_second and test_source_that_cuts_every_watch_is_asked_a_few_times_a_second failed before.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -39,6 +39,12 @@
 It is far below the 3 s within which a change has to be in force.
 """
 
+EARLY_SHARE = 0.5
+"""A watch without changes that took a smaller share of its wait is followed by the same pause.
+
+Otherwise a source that answers at once again and again would keep the processor busy.
+"""
+
 INITIAL_RETRY_DELAY = Millis(100.0)
 MAX_RETRY_DELAY = Millis(1_000.0)
 MAX_RETRY_DELAY_UNREADY = Millis(300.0)
@@ -122,10 +128,12 @@
         only if it also cuts the short one that follows.
         """
         reread_at = Millis(self.clock.now() + self.reread_backoff.next_delay())
+        began, wait = self.clock.now(), WATCH_TIMEOUT
         watch_was_cut = False
         while not self.stopping.is_set():
-            wait = CHECK_WAIT if watch_was_cut else self._watch_wait(reread_at)
-            match self.source.watch(after, wait):
+            if not watch_was_cut:
+                began, wait = self.clock.now(), self._watch_wait(reread_at)
+            match self.source.watch(after, CHECK_WAIT if watch_was_cut else wait):
                 case Unavailable(closed_by_source=True) if not watch_was_cut:
                     watch_was_cut = True
                     self.metrics.count("watches_cut")
@@ -142,7 +150,7 @@
                     elif self.clock.now() >= reread_at:
                         self._prepare_reread(after, "no readable configuration", reread_at)
                         return
-                    if changes:
+                    if changes or self.clock.now() - began < wait * EARLY_SHARE:
                         self.stopping.wait(BATCH_INTERVAL / MILLIS_PER_SECOND)
                 case Changes(revision=revision):
                     self._prepare_reread(after, f"revision {revision} is lower", reread_at)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -176,10 +176,24 @@
 
 
 class TestPauses:
+    def test_source_that_answers_at_once_is_asked_a_few_times_a_second(self):
+        """Guard against a loop that keeps the processor busy with empty answers."""
+        _, _, source = follow((0, contents()), *[(1, changes(1))] * 50)
+        assert source.requested_at[-1] - source.requested_at[1] > 50 * 300
+
+    def test_source_that_cuts_every_watch_is_asked_a_few_times_a_second(self):
+        cut = (0, Unavailable("closed", closed_by_source=True))
+        _, _, source = follow((0, contents()), *[cut, (50, changes(1))] * 25)
+        assert source.requested_at[-1] - source.requested_at[1] > 25 * 300
+
     def test_source_without_history_is_read_a_few_times_a_second(self):
         _, _, source = follow(*[(1, contents()), (1, HistoryGone())] * 20)
         assert source.requested_at[-1] - source.requested_at[0] > 20 * 1_000
 
+    def test_watch_that_waited_is_followed_at_once(self):
+        _, _, source = follow((0, contents()), *[(1_800, changes(1))] * 10)
+        assert source.requested_at[-1] - source.requested_at[1] == 10 * 1_800
+
     def test_lost_history_is_read_again_at_once_after_a_watch(self):
         _, _, source = follow(
             (0, contents()), (1_800, changes(1)), (0, HistoryGone()), (0, contents())
