Bound the levels and the number of values of JSON before it is decoded

Seen: with a recursion limit of 100,000, which stands for later releases of Python, a thread with the stack of a gateway's tasks (256 KiB) that decodes JSON nested 2,000 deep ends the process by SIGSEGV (arrays and objects; 1,500 deep is decoded). Python 3.11 refuses at its own limit of 1,000 levels; 3.12 and later bound the recursion of C code by other, larger limits. None of these was run here. One entry of another writer would suffice. Besides, a body of 8 MB, the bound on a response, may hold 2.7 million empty arrays.

Cause: the bound on the levels was the interpreter's, and there was none on the number of values.

Change: decode_json refuses more than 64 levels and more than 500,000 values, by the brackets and commas outside of strings, before the decoder runs and without recursion. Bytes are decoded as UTF-8 only, so that the check and the decoder see the same text. The reply to a heartbeat is decoded by it too; it was the last use of json.loads on bytes from outside in the gateway.

--- a/src/masticgate/_fields.py
+++ b/src/masticgate/_fields.py
@@ -6,6 +6,8 @@
 from math import isfinite
 from typing import Any
 
+from ._nesting import count_values, find_structure, is_nested_deeper
+
 MAX_TEXT_CHARACTERS = 1_000
 MAX_NUMBER = 1e12
 """The largest number that a field may hold; in milliseconds, it is about 30 years."""
@@ -13,6 +15,18 @@
 MAX_INTEGER = 2**53
 """The largest integer that a field may hold, which a float represents exactly."""
 
+MAX_LEVELS = 64
+"""The largest number of arrays and objects within one another in decoded JSON."""
+
+MAX_VALUES = 500_000
+"""The largest number of values in decoded JSON, which take up to about 100 bytes each.
+
+It is more than twice that in a relayed catalogue of 22,000 searchers.
+"""
+
+SHORT_BYTES = 4_096
+"""A value of at most this size is checked by its number of brackets alone if they are few."""
+
 MAX_ERROR_CHARACTERS = 200
 """An error message quotes at most this much of a field that is invalid."""
 
@@ -21,17 +35,33 @@
     """A field is missing or has an invalid value; the message names the field."""
 
 
-def decode_json(data: bytes | str) -> Any:
-    """Return the value that ``data`` encodes.
+def decode_json(data: bytes) -> Any:
+    """Return the value that ``data`` encodes in UTF-8.
 
-    :raises FieldError: ``data`` is not valid JSON, or nested too deeply to decode.
+    :raises FieldError: ``data`` is not valid JSON, is nested deeper than ``MAX_LEVELS`` or has more
+        than ``MAX_VALUES`` values.
     """
+    _check_structure(data)
     try:
-        return json.loads(data)
+        return json.loads(data.decode())
     except (ValueError, RecursionError) as error:
         raise FieldError(f"not readable as JSON: {str(error)[:MAX_ERROR_CHARACTERS]}") from error
 
 
+def _check_structure(data: bytes) -> None:
+    """Check the levels and the number of values before they are decoded.
+
+    :raises FieldError: there are too many.
+    """
+    if len(data) <= SHORT_BYTES and data.count(b"[") + data.count(b"{") <= MAX_LEVELS:
+        return
+    structure = find_structure(data)
+    if count_values(structure) > MAX_VALUES:
+        raise FieldError(f"not readable as JSON: more than {MAX_VALUES} values")
+    if is_nested_deeper(structure, MAX_LEVELS):
+        raise FieldError(f"not readable as JSON: more than {MAX_LEVELS} levels, or not balanced")
+
+
 @dataclass(frozen=True, slots=True)
 class Fields:
     """The fields of one JSON object or TOML table; ``path`` names it in error messages."""
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -16,6 +16,7 @@
 from zlib import crc32
 
 from ..._clock import MILLIS_PER_SECOND, Clock
+from ..._fields import FieldError, decode_json
 from ..._ids import Address, FailureDomainId, HostId, Millis, SearcherId
 from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
 from ...request.gateway import LocalPage, Request
@@ -362,8 +363,8 @@
             client.close()
             return None
         try:
-            reply = json.loads(response.body)
-        except (ValueError, RecursionError):
+            reply = decode_json(response.body)
+        except FieldError:
             return None
         return reply if isinstance(reply, dict) else None
 
