Keep only the latest configuration among the changes that a gateway relays

Seen: memory that grows with each configuration. A script that hands 2,000 versions of one configuration of 33 kB (20 routes of 71 shards, 355 services) to the log of changes: 76 MB more after 500 versions, 153 MB after 1,000, 307 MB after 2,000, in one process. Every gateway keeps this log, whether it relays or not.

Cause: the log holds the last 2,000 changes, whole configurations included.

Change: a configuration that a later one has replaced is dropped from the log; its number stays. A gateway that is behind gets the latest one, which is the only one that it would apply.

--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -82,7 +82,9 @@
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch.
+    start. ``age`` returns the time since the last successful read or watch. ``changes`` holds
+    ``None`` in the place of a configuration that a later one has replaced, and ``table_number`` is
+    the number of the latest one.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -90,6 +92,7 @@
         self.changed = Condition()
         self.epoch = f"{random.getrandbits(48):x}"
         self.number = 0
+        self.table_number = 0
         self.state: dict[str, object] = {}
         self.changes: deque[tuple[int, object]] = deque(maxlen=MAX_CHANGES)
 
@@ -100,6 +103,8 @@
             match change:
                 case PublishedConfiguration():
                     self.state["table"] = value
+                    self._drop_replaced_table()
+                    self.table_number = self.number + 1
                 case SearcherListed(entry=entry):
                     self.state[f"searcher {entry.id}"] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
@@ -108,6 +113,15 @@
             self.changes.append((self.number, value))
             self.changed.notify_all()
 
+    def _drop_replaced_table(self) -> None:
+        """Drop the previous configuration from the changes; the lock is held.
+
+        Configurations may be large, and a gateway that is behind needs only the latest one.
+        """
+        index = self.table_number - self.changes[0][0] if self.changes else -1
+        if index >= 0:
+            self.changes[index] = (self.table_number, None)
+
     def handle_request(self, request: Request) -> LocalPage:
         """Return the reply to a read or a watch.
 
@@ -141,7 +155,9 @@
                 return LocalPage(503, b"the platform is unavailable")
             if self.changes and after + 1 < self.changes[0][0]:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            values = [value for number, value in self.changes if number > after]
+            values = [
+                value for number, value in self.changes if number > after and value is not None
+            ]
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,5 +1,6 @@
 """Tests for reading the platform's catalogue through other gateways, which relay it."""
 
+import tracemalloc
 import zlib
 from threading import Event
 
@@ -82,6 +83,48 @@
             catalogue.epoch, 3, ()
         )
 
+    def test_keeps_only_latest_of_many_configurations(self):
+        """Guard against memory that grows with each configuration until the process is killed."""
+        catalogue = make_catalogue()
+        routes = [make_route(prefix=f"/{number}/") for number in range(50)]
+        tracemalloc.start()
+        for version in range(8, 308):
+            catalogue.add(PublishedConfiguration(make_table(*routes, version=version)))
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert held < 1_000_000
+        assert (catalogue.number, len(catalogue.changes)) == (301, 301)
+
+    def test_watch_returns_latest_configuration_and_all_other_changes(self):
+        catalogue = make_catalogue()
+        one, two, three = (make_table(SHARDS, version=version) for version in (8, 9, 10))
+        listed = SearcherListed(make_entry("a")), SearcherListed(make_entry("b"))
+        for change in (
+            PublishedConfiguration(one),
+            listed[0],
+            PublishedConfiguration(two),
+            listed[1],
+        ):
+            catalogue.add(change)
+        update = decode_changes(watch_catalogue(catalogue, 1).body)
+        assert update.changes == (listed[0], PublishedConfiguration(two), listed[1])
+        catalogue.add(PublishedConfiguration(three))
+        assert decode_changes(watch_catalogue(catalogue, 5).body).changes == (
+            PublishedConfiguration(three),
+        )
+
+    def test_configuration_after_more_changes_than_are_kept(self):
+        catalogue = make_catalogue()
+        for number in range(2_100):
+            catalogue.add(SearcherUnlisted(SearcherId(str(number))))
+        table = make_table(SHARDS, version=9)
+        catalogue.add(PublishedConfiguration(table))
+        update = decode_changes(watch_catalogue(catalogue, 2_100).body)
+        assert update.changes == (
+            SearcherUnlisted(SearcherId("2099")),
+            PublishedConfiguration(table),
+        )
+
     def test_rejects_watch_after_restart_or_lost_changes(self):
         catalogue = make_catalogue()
         assert request_catalogue(catalogue, "after=1&epoch=other&wait=0").status == 410
