Do not relay listings again that a new read shows unchanged

Seen (by test): a gateway that reads everything again, since the history is gone or the configuration cannot be read, adds every listing to its log of changes. With more than 2,000 searchers each such read pushes all changes out, and every gateway that watches this one reads everything again as well.

Change: a listing equal to the one in the relayed state is no change.

--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -12,7 +12,7 @@
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision
+from ..._ids import Address, Millis, Revision, SearcherId
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -97,18 +97,24 @@
         self.changes: deque[tuple[int, object]] = deque(maxlen=MAX_CHANGES)
 
     def add(self, change: Change) -> None:
-        """Apply one published change, and wake the watches that wait for it."""
+        """Apply one published change, and wake the watches that wait for it.
+
+        A listing that is as it was is no change. A read of everything would otherwise push the
+        other changes out, and all other gateways would have to read everything as well.
+        """
         value = encode_change(change)
         with self.changed:
             match change:
+                case SearcherListed(entry=entry) if self.state.get(_state_key(entry.id)) == value:
+                    return
                 case PublishedConfiguration():
                     self.state["table"] = value
                     self._drop_replaced_table()
                     self.table_number = self.number + 1
                 case SearcherListed(entry=entry):
-                    self.state[f"searcher {entry.id}"] = value
+                    self.state[_state_key(entry.id)] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
-                    self.state.pop(f"searcher {searcher}", None)
+                    self.state.pop(_state_key(searcher), None)
             self.number += 1
             self.changes.append((self.number, value))
             self.changed.notify_all()
@@ -161,6 +167,10 @@
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
+def _state_key(searcher: SearcherId | None) -> str:
+    return f"searcher {searcher}"
+
+
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
