Bound the pages of the platform's listings and the number that is read

Seen (by tests on the old code): a store whose pages never end, or repeat two pages by turns, is read for ever; the follower's task never returns, the gateway is not ready, and all that was decoded is kept.

Cause: only a page that ended with the same key as the one before ended the read.

After 50,000 listings the rest is left out and reported as unreadable: a flood of listings must not hide the configuration, whose key comes first. The target is 22,000.

--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -13,7 +13,9 @@
     HistoryGone,
     PublishedConfiguration,
     Unavailable,
+    UnreadableItem,
 )
+from ..version.gateway import MAX_SEARCHERS
 from ._items import decode_item
 from ._names import ALL_KEYS_PREFIX, CONFIGURATION_KEY
 
@@ -23,6 +25,9 @@
 WATCH_MARGIN = Millis(700.0)
 """The timeout of a watch is its wait plus this margin."""
 
+MAX_PAGES = 1_000
+"""The largest number of pages that are read; one has up to about 500 items."""
+
 CONNECT_TIMEOUT = Millis(500.0)
 HISTORY_GONE = 410
 """The status of the response to a watch if changes after its revision are no longer available."""
@@ -63,11 +68,13 @@
 
         The pages are not a consistent snapshot, since the store may change between two of them. The
         returned revision is that of the first page, so that a watch from it misses no change.
+        Pages that do not advance, or do not end within ``MAX_PAGES``, are not usable.
         """
         changes: list[Change] = []
         first_revision: Revision | None = None
+        last_keys: set[str] = set()
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             query = {"prefix": ALL_KEYS_PREFIX} | ({"after": after} if after else {})
             page = self._get("/v1/kv-range", query, READ_TIMEOUT)
             if isinstance(page, int | Unavailable):
@@ -79,9 +86,14 @@
             if not page.get("hasMore") or not items:
                 return Contents(tuple(changes), first_revision)
             last_key = _last_key(items)
-            if last_key is None or last_key == after:
+            if last_key is None or last_key in last_keys:
                 return Unavailable("a page without a key to continue from")
+            if len(changes) > MAX_SEARCHERS:
+                changes.append(UnreadableItem("", f"items after {last_key}: too many"))
+                return Contents(tuple(changes), first_revision)
+            last_keys.add(last_key)
             after = last_key
+        return Unavailable(f"more than {MAX_PAGES} pages")
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them."""
--- a/src/masticgate/version/gateway/__init__.py
+++ b/src/masticgate/version/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The configuration that the platform publishes for gateways: routes, services and limits."""
 
 from ._catalogue import MAX_COLD_TIME as MAX_COLD_TIME
+from ._catalogue import MAX_SEARCHERS as MAX_SEARCHERS
 from ._catalogue import MAX_SLOTS as MAX_SLOTS
 from ._catalogue import PEER_SERVICE as PEER_SERVICE
 from ._catalogue import CatalogueSource as CatalogueSource
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -24,6 +24,9 @@
 MAX_SLOTS = 100_000
 """The largest number of slots that a listing may state."""
 
+MAX_SEARCHERS = 50_000
+"""The largest number of searchers that a gateway knows; the target is 22,000."""
+
 MAX_COLD_TIME = Millis(3_600_000.0)
 """The longest time for which a listing may say that its searcher is slow."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from masticgate import Millis, Revision, SystemClock
+from masticgate.platform import _store
 from masticgate.platform._store import PlatformStore
 from masticgate.process.gateway import (
     Changes,
@@ -12,6 +13,7 @@
     HistoryGone,
     PublishedConfiguration,
     Unavailable,
+    UnreadableItem,
 )
 from tests.gateway.loopback import StandInSearcher
 
@@ -51,6 +53,48 @@
         assert (len(contents.changes), contents.revision) == (3, 7)
         assert query_of(server.requests[1])["after"] == "servers/a"
 
+    def test_pages_without_end_are_unavailable(self, monkeypatch):
+        """Guard against a read that lasts for ever and keeps everything it has read."""
+        monkeypatch.setattr(_store, "MAX_PAGES", 20)
+
+        def answer(head):
+            key = f"other/{len(server.requests):06d}"
+            page = {"items": [stored(key, {})], "hasMore": True, "currentRev": 7}
+            return http(200, page)
+
+        server, store = make_store(answer)
+        assert store.read() == Unavailable("more than 20 pages")
+        assert len(server.requests) == 20
+
+    def test_pages_that_repeat_are_unavailable(self):
+        keys = ["servers/a", "servers/b"]
+
+        def answer(head):
+            page = [stored(keys[len(server.requests) % 2], ENTRY)]
+            return http(200, {"items": page, "hasMore": True, "currentRev": 7})
+
+        server, store = make_store(answer)
+        assert isinstance(store.read(), Unavailable)
+        assert len(server.requests) <= 3
+
+    def test_listings_without_end_are_read_up_to_a_number(self, monkeypatch):
+        """The configuration comes first, so that a flood of listings does not hide it."""
+        monkeypatch.setattr(_store, "MAX_SEARCHERS", 100)
+
+        def answer(head):
+            start = len(server.requests) * 40
+            page = [stored(f"servers/{start + n:06d}", ENTRY) for n in range(40)]
+            if "after" not in query_of(head):
+                page.insert(0, stored("op/config", CONFIG))
+            return http(200, {"items": page, "hasMore": True, "currentRev": 7})
+
+        server, store = make_store(answer)
+        contents = store.read()
+        assert isinstance(contents, Contents)
+        assert isinstance(contents.changes[0], PublishedConfiguration)
+        assert contents.changes[-1] == UnreadableItem("", "items after servers/000159: too many")
+        assert len(contents.changes) == 122
+
     def test_error_status_closed_connection_and_invalid_body_are_unavailable(self):
         assert isinstance(make_store(lambda head: http(503, {}))[1].read(), Unavailable)
         assert isinstance(make_store(lambda head: None)[1].read(), Unavailable)
