Bound the number of searchers that a gateway knows

Seen (by test): every listing with a new id adds a searcher; 20,000 of them took 1.4 kB each, of whatever service. Nothing bounded them, so that a writer that lists more and more ids would make each gateway exceed its memory.

Change: a listing beyond 50,000 known searchers is not applied and not relayed, and is counted and logged as unreadable. Known searchers are still updated.

Test: test_listings_without_end_are_applied_up_to_a_number failed before (301 searchers instead of 100).

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -35,7 +35,7 @@
     InFlightCall,
     Lost,
 )
-from ...version.gateway import PEER_SERVICE, Route, RouteTable, SearcherEntry
+from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
 from ._choice import choose_replica
 from ._connections import Connections
 from ._hedge_delays import HedgeDelays
@@ -390,6 +390,14 @@
                     if replica.connection_count == 0:
                         self.connections.open(replica)
 
+    def has_room(self, searcher: SearcherId) -> bool:
+        """Return whether a listing of ``searcher`` can be applied.
+
+        That is the case if the searcher is known, or the number of searchers is below its bound.
+        """
+        with self.lock:
+            return searcher in self.replicas or len(self.replicas) < MAX_SEARCHERS
+
     def apply_listing(self, entry: SearcherEntry) -> None:
         """Apply the present listing of a searcher, unless it is outdated."""
         with self.lock:
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -219,6 +219,9 @@
             case PublishedConfiguration(table=table):
                 self.configuration_unreadable = False
                 self._apply_table(table)
+            case SearcherListed(entry=entry) if not self.fleet.has_room(entry.id):
+                self.metrics.count("unreadable_items")
+                self.log.write(LogEvent.UNREADABLE, key=entry.id, detail="too many searchers")
             case SearcherListed(entry=entry):
                 self.catalogue.add(change)
                 self.held_searchers.pop(entry.id, None)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -11,6 +11,7 @@
     SearcherUnlisted,
     Unavailable,
     UnreadableItem,
+    _fleet,
 )
 from masticgate.process.gateway._follower import Follower
 from masticgate.process.gateway._log import EventLog
@@ -285,6 +286,21 @@
         )
         assert "searcher a" not in follower.catalogue.state
 
+    def test_listings_without_end_are_applied_up_to_a_number(self, monkeypatch):
+        """Guard against listings of another writer that take all memory."""
+        monkeypatch.setattr(_fleet, "MAX_SEARCHERS", 100)
+        flood = [SearcherListed(make_entry(f"flood-{number}")) for number in range(300)]
+        follower, fleet, _ = follow(
+            (0, contents(SearcherListed(make_entry("a")))),
+            (1, changes(2, *flood)),
+            (1, changes(3, SearcherUnlisted(SearcherId("flood-0")))),
+            (1, changes(4, SearcherListed(make_entry("a")))),
+        )
+        assert is_used(fleet, "a")
+        assert len(fleet.replicas) == 100
+        assert len(follower.catalogue.state) <= 101
+        assert follower.metrics.counters["unreadable_items"] == 201
+
     def test_unreadable_listing_removes_only_its_searcher(self):
         _, fleet, _ = follow(
             (0, contents(SearcherListed(make_entry("a")), SearcherListed(make_entry("b")))),
