--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -12,7 +12,7 @@
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision
+from ..._ids import Address, Millis, Revision, SearcherId
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -82,7 +82,9 @@
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch.
+    start. ``age`` returns the time since the last successful read or watch. ``changes`` holds
+    ``None`` in the place of a configuration that a later one has replaced, and ``table_number`` is
+    the number of the latest one.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -90,24 +92,42 @@
         self.changed = Condition()
         self.epoch = f"{random.getrandbits(48):x}"
         self.number = 0
+        self.table_number = 0
         self.state: dict[str, object] = {}
         self.changes: deque[tuple[int, object]] = deque(maxlen=MAX_CHANGES)
 
     def add(self, change: Change) -> None:
-        """Apply one published change, and wake the watches that wait for it."""
+        """Apply one published change, and wake the watches that wait for it.
+
+        A listing that is as it was is no change. A read of everything would otherwise push the
+        other changes out, and all other gateways would have to read everything as well.
+        """
         value = encode_change(change)
         with self.changed:
             match change:
+                case SearcherListed(entry=entry) if self.state.get(_state_key(entry.id)) == value:
+                    return
                 case PublishedConfiguration():
                     self.state["table"] = value
+                    self._drop_replaced_table()
+                    self.table_number = self.number + 1
                 case SearcherListed(entry=entry):
-                    self.state[f"searcher {entry.id}"] = value
+                    self.state[_state_key(entry.id)] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
-                    self.state.pop(f"searcher {searcher}", None)
+                    self.state.pop(_state_key(searcher), None)
             self.number += 1
             self.changes.append((self.number, value))
             self.changed.notify_all()
 
+    def _drop_replaced_table(self) -> None:
+        """Drop the previous configuration from the changes; the lock is held.
+
+        Configurations may be large, and a gateway that is behind needs only the latest one.
+        """
+        index = self.table_number - self.changes[0][0] if self.changes else -1
+        if index >= 0:
+            self.changes[index] = (self.table_number, None)
+
     def handle_request(self, request: Request) -> LocalPage:
         """Return the reply to a read or a watch.
 
@@ -141,10 +161,16 @@
                 return LocalPage(503, b"the platform is unavailable")
             if self.changes and after + 1 < self.changes[0][0]:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            values = [value for number, value in self.changes if number > after]
+            values = [
+                value for number, value in self.changes if number > after and value is not None
+            ]
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
+def _state_key(searcher: SearcherId | None) -> str:
+    return f"searcher {searcher}"
+
+
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
