Bound the names that heartbeats and their replies state

Seen (by tests on the old code): a seed keeps the heartbeat of every host name that is sent, of any length up to the limit of a request's head, for 5 s or longer; names one gatherer for each domain that heartbeats state; and a gateway repeats a seed's digest in each heartbeat however long it is, until the seed refuses them.

Change: a seed keeps 10,000 heartbeats (the target is 3,300 gateways) of hosts with valid names and logs heartbeat_ignored for the others; it names at most 1,000 gatherers, as many as a reply may have; names and digests in replies have the bound of all other names.

Tests: the six of TestEndlessNames failed before.

--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -57,6 +57,7 @@
     GATHERING = "gathering"
     GATHERER_FOUND = "gatherer_found"
     GATHERER_LOST = "gatherer_lost"
+    HEARTBEAT_IGNORED = "heartbeat_ignored"
     TASK_REFUSED = "task_refused"
     TASK_FAILED = "task_failed"
     ANSWER_SKIPPED = "answer_skipped"
--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -22,6 +22,9 @@
 MIN_MEMBER_TTL = Millis(5_000.0)
 """A gateway counts as running for at least this long after its last heartbeat."""
 
+MAX_HEARTBEATS = 10_000
+"""The number of gateways whose heartbeats a seed keeps; the target is 3,300."""
+
 
 def heartbeat_interval(members: int, *, is_gatherer: bool) -> Millis:
     """Return the interval between the heartbeats of one of ``members`` gateways."""
@@ -54,9 +57,12 @@
     def __init__(self) -> None:
         self.heartbeats: dict[HostId, Heartbeat] = {}
 
-    def record(self, host: HostId, heartbeat: Heartbeat) -> None:
-        """Record a heartbeat."""
+    def record(self, host: HostId, heartbeat: Heartbeat) -> bool:
+        """Record a heartbeat; return ``False`` if it is that of one gateway too many."""
+        if host not in self.heartbeats and len(self.heartbeats) >= MAX_HEARTBEATS:
+            return False
         self.heartbeats[host] = heartbeat
+        return True
 
     def count(self, now: Millis) -> int:
         """Return the number of running gateways, this one included, and drop the others."""
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._fields import FieldError, decode_json
+from ..._fields import FieldError, decode_json, is_name
 from ..._ids import Address, FailureDomainId, HostId, Millis, SearcherId
 from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
 from ...request.gateway import LocalPage, Request
@@ -84,7 +84,10 @@
 """A larger number of members in a reply to a heartbeat is ignored."""
 
 MAX_NAMED_GATHERERS = 1_000
-"""The number of gatherers that are accepted in one reply to a heartbeat."""
+"""The number of gatherers that a seed names, and that are accepted in one reply to a heartbeat."""
+
+MAX_LOGGED_CHARACTERS = 100
+"""A log line quotes at most this much of a name that is invalid."""
 
 PEER_SLOTS = 64
 """The number of parts that a gatherer is assumed to run at the same time."""
@@ -201,9 +204,11 @@
         heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
         with self.lock:
-            self.membership.record(host, heartbeat)
+            recorded = is_name(host) and self.membership.record(host, heartbeat)
             members = self.membership.count(heartbeat.received_at)
             named = self.named.get(self.settings.peer_address or Address(""), frozenset())
+        if not recorded:
+            self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
         gatherers = sorted([gatherer.address, gatherer.domain] for gatherer in named)
         digest = digest_gatherers(gatherers)
         reply: dict[str, object] = {
@@ -269,6 +274,7 @@
             if self.is_ready():
                 members.append(self._own_member(self.settings.peer_address))
             chosen = choose_gatherers(members, domains, min(accepted, default=0))
+            chosen = chosen[:MAX_NAMED_GATHERERS]
             self.named[self.settings.peer_address] = frozenset(
                 Gatherer(member.address, member.domain) for member in chosen
             )
@@ -373,17 +379,17 @@
         return Member(settings.host, address, settings.domain, settings.capacity.gathering_rate)
 
     def _record_reply(self, seed: Address, reply: dict[str, object]) -> None:
-        members = reply.get("members")
+        members, domain, digest = (reply.get(name) for name in ("members", "domain", "digest"))
         with self.lock:
-            if reply.get("relays") is True:
-                self.relay_domains[seed] = FailureDomainId(str(reply.get("domain")))
+            if reply.get("relays") is True and is_name(domain):
+                self.relay_domains[seed] = FailureDomainId(str(domain))
             else:
                 self.relay_domains.pop(seed, None)
             if isinstance(members, int) and 0 < members <= MAX_MEMBERS:
                 self.members = members
             if "gatherers" in reply:
                 self.named[seed] = decode_gatherers(reply["gatherers"])
-                self.digests[seed] = str(reply.get("digest"))
+                self.digests[seed] = str(digest) if is_name(digest) else ""
         self._apply_gatherers()
 
 
@@ -398,6 +404,8 @@
         return unknown
     if address is None or not (0.0 < interval <= MAX_HEARTBEAT_INTERVAL and isfinite(rate)):
         return unknown
+    if not (is_name(host) and is_name(domain)):
+        return unknown
     return Heartbeat(Member(host, address, domain, rate), interval, now)
 
 
@@ -406,7 +414,7 @@
     gatherers = set()
     for item in value[:MAX_NAMED_GATHERERS] if isinstance(value, list) else ():
         match item:
-            case [text, str(domain)] if (address := parse_address(text)) is not None:
+            case [text, str(domain)] if (address := parse_address(text)) and is_name(domain):
                 gatherers.add(Gatherer(address, FailureDomainId(domain)))
     return frozenset(gatherers)
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,9 +9,12 @@
 
 from masticgate import Address, ManualClock, Millis, ServiceId
 from masticgate._ids import FailureDomainId, HostId, RequestId
+from masticgate.process.gateway._gatherers import Member
 from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._membership import MAX_HEARTBEATS, Heartbeat
 from masticgate.process.gateway._peers import (
     HEARTBEAT_HOST,
+    MAX_NAMED_GATHERERS,
     NAMING_DELAY,
     GatherAtPeers,
     Gatherer,
@@ -166,6 +169,48 @@
         assert peers.find_relays() == ["127.0.0.3:1", "127.0.0.2:1"]
 
 
+class TestEndlessNames:
+    """Guard against senders that state ever new or very long names and so take all memory."""
+
+    def test_seed_keeps_a_bounded_number_of_heartbeats(self):
+        peers = make_peers(ManualClock())
+        for number in range(MAX_HEARTBEATS + 100):
+            send_heartbeat(peers, f"g{number}")
+        assert len(peers.membership.heartbeats) == MAX_HEARTBEATS
+        assert any("heartbeat_ignored" in line for line in peers.log.queue)
+        assert send_heartbeat(peers, "g7")["members"] == MAX_HEARTBEATS + 1
+
+    @pytest.mark.parametrize("host", ["", "x" * 12_000, "a%0Ab"])
+    def test_heartbeat_without_valid_host_is_answered_and_not_kept(self, host):
+        peers = make_peers(ManualClock())
+        target = f"/?host={host}&peer=127.0.0.1:1&domain=z&rate=1&interval=500".encode()
+        request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
+        assert json.loads(peers.handle_heartbeat(request).body)["members"] == 1
+        assert not peers.membership.heartbeats
+
+    def test_seed_names_a_bounded_number_of_gatherers(self):
+        """Guard against one gatherer for each domain that a heartbeat states."""
+        clock = ManualClock()
+        peers = make_peers(clock)
+        clock.advance(NAMING_DELAY)
+        for number in range(1_200):
+            member = Member(HostId(f"h{number}"), Address(f"127.0.1.1:{number + 1}"),
+                            FailureDomainId(f"z{number}"), 1.0)  # fmt: skip
+            peers.membership.record(member.host, Heartbeat(member, Millis(500.0), clock.now()))
+        peers.update_gathering()
+        assert len(peers.gatherers) == MAX_NAMED_GATHERERS
+
+    def test_long_names_of_a_seed_are_not_kept(self):
+        """Guard against heartbeats that a seed refuses, since they repeat its long digest."""
+        peers = make_peers(ManualClock(), is_seed=False)
+        long = "x" * 100_000
+        named = [["127.0.1.2:1", long], ["127.0.1.3:1", "z1"]]
+        reply = {"members": 58, "relays": True, "domain": long, "gatherers": named, "digest": long}
+        peers._record_reply(OTHER_SEED, reply)
+        assert named_addresses(peers) == {"127.0.1.3:1"}
+        assert peers.digests == {OTHER_SEED: ""} and not peers.relay_domains
+
+
 class TestDecoding:
     @pytest.mark.parametrize(
         "item",
