--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -16,7 +16,53 @@
 MAX_NOTICE_S = 1.0
 
 
+BUSY_CHILD = """
+import signal, time
+from masticgate.platform._signals import SignalQueue
+queue = SignalQueue()
+print("ready", flush=True)
+time.sleep(3.0)
+reads = 0
+while not queue.wait_for_stop(1.0):
+    reads += 1
+print(reads, flush=True)
+"""
+"""Reads its signals only after 3 s, as a process does whose main thread is held up."""
+
+
 class TestSignalQueue:
+    def test_notices_stop_behind_more_reloads_than_the_pipe_holds(self):
+        """Guard against a SIGTERM that is lost in a storm of SIGHUP, and so ends in a kill."""
+        child = subprocess.Popen([sys.executable, "-c", BUSY_CHILD], stdout=subprocess.PIPE)
+        try:
+            assert child.stdout.readline() == b"ready\n"
+            end_of_storm = monotonic() + 2.5
+            while monotonic() < end_of_storm:
+                os.kill(child.pid, signal.SIGHUP)
+            os.kill(child.pid, signal.SIGTERM)
+            assert child.wait(6.0) == 0
+            assert int(child.stdout.read()) < 20
+        finally:
+            child.kill()
+            child.stdout.close()
+
+    def test_takes_reloads_in_quick_succession_together(self):
+        """Guard against a storm of SIGHUP that keeps the processor busy with reloads."""
+        child = subprocess.Popen(
+            [sys.executable, "-c", BUSY_CHILD.replace("3.0", "0.0")], stdout=subprocess.PIPE
+        )
+        try:
+            assert child.stdout.readline() == b"ready\n"
+            end_of_storm = monotonic() + 2.0
+            while monotonic() < end_of_storm:
+                os.kill(child.pid, signal.SIGHUP)
+            os.kill(child.pid, signal.SIGTERM)
+            assert child.wait(4.0) == 0
+            assert int(child.stdout.read()) <= 42
+        finally:
+            child.kill()
+            child.stdout.close()
+
     def test_notices_stop_at_once_right_after_reload(self):
         """Guard against a SIGTERM that is noticed only 5 s after a SIGHUP, past the grace time."""
         for _ in range(20):
