Do not end by signals that ask for no end, and stop in order on SIGQUIT

Seen: a ready gateway that gets SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO or SIGPWR ends by it at once, with no line; so it does on SIGQUIT, with all requests in progress cut. Tools that ask a program to rotate its logs or to print its state send SIGUSR1, SIGUSR2 or SIGQUIT. The platform sends SIGTERM, SIGHUP and SIGKILL only, so that this is not what the users saw unless something else on their machines sends signals.

SIGPIPE and SIGXFSZ are named too, which the interpreter ignores by itself. Signals of native errors and those of limits that the system enforces stay.

--- a/src/masticgate/platform/_signals.py
+++ b/src/masticgate/platform/_signals.py
@@ -8,8 +8,20 @@
 import signal
 import time
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 QUEUED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+IGNORED_SIGNALS = (
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+    signal.SIGIO,
+    signal.SIGPWR,
+    signal.SIGPIPE,
+    signal.SIGXFSZ,
+)
+"""Signals that ask for no end, but end a process that does not handle them."""
 
 PIPE_BYTES = 65_536
 """The most signals that are read from the pipe at a time, which is all that it holds."""
@@ -36,6 +48,8 @@
         self.reload_requested = False
         for number in QUEUED_SIGNALS:
             signal.signal(number, self._handle)
+        for number in IGNORED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
     def wait_for_stop(self, timeout_s: float) -> bool:
         """Wait for the next signal; return whether a signal to stop has arrived so far.
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -15,6 +15,22 @@
 from .program import PORTS, GatewayProgram, answer_as_store, free_port
 from .test_store import http
 
+HARMLESS_SIGNALS = (
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+    signal.SIGIO,
+    signal.SIGPWR,
+    signal.SIGPIPE,
+    signal.SIGXFSZ,
+    signal.SIGCONT,
+    signal.SIGCHLD,
+    signal.SIGURG,
+    signal.SIGWINCH,
+)
+
 
 @pytest.fixture
 def program(tmp_path):
@@ -59,6 +75,51 @@
             program.signal(number)
         assert program.wait_for_end() == 0
 
+    def test_signals_that_ask_for_no_end_do_not_end_process(self, program):
+        """Guard against an end by a signal of an operator's tools (FAULT)."""
+        program.write_settings()
+        program.start("-X", "importtime", stderr=subprocess.PIPE)
+        wait_for_first_import(program.process)
+        for number in HARMLESS_SIGNALS:
+            program.signal(number)
+        program.process.stderr.close()
+        program.wait_until_ready()
+        for number in HARMLESS_SIGNALS:
+            program.signal(number)
+        Event().wait(0.3)
+        assert program.is_ready()
+
+    def test_quit_ends_process_like_any_signal_to_stop(self, program):
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        program.signal(signal.SIGQUIT)
+        assert program.wait_for_end() == 0
+        program.wait_for_event("stopped")
+
+    def test_process_that_is_frozen_in_a_stop_ends_with_success(self, program):
+        program.write_settings(grace=2.0)
+        program.start()
+        program.wait_until_ready()
+        program.signal(signal.SIGTERM)
+        Event().wait(0.3)
+        program.signal(signal.SIGSTOP)
+        Event().wait(3.0)
+        program.signal(signal.SIGTERM)
+        program.signal(signal.SIGCONT)
+        assert program.wait_for_end(2.0) == 0
+
+    def test_stop_that_arrives_in_a_freeze_is_noticed_after_it(self, program):
+        program.write_settings()
+        program.start()
+        program.wait_until_ready()
+        program.signal(signal.SIGSTOP)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP):
+            program.signal(number)
+        Event().wait(1.0)
+        program.signal(signal.SIGCONT)
+        assert program.wait_for_end(4.0) == 0
+
 
 class TestSettingsAtStart:
     @pytest.mark.parametrize("begin", ["missing", "empty", "half"])
