--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -62,6 +62,7 @@
     GATHERING = "gathering"
     GATHERER_FOUND = "gatherer_found"
     GATHERER_LOST = "gatherer_lost"
+    HEARTBEAT_IGNORED = "heartbeat_ignored"
     TASK_REFUSED = "task_refused"
     TASK_FAILED = "task_failed"
     THREAD_FAILED = "thread_failed"
