--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -1,6 +1,7 @@
 """Tests of the commands that install the program, with an installer that the test replaces."""
 
 import os
+import re
 import shutil
 import signal
 import subprocess
@@ -23,6 +24,9 @@
 
 LIBRARIES = ("httptools", "sortedcontainers")
 
+PACKAGES = {"python3": "python3", "pip": "python3-pip"}
+"""The Debian package of each program and each module of Python that the build calls."""
+
 FAKE_PIP = """
 import os, shutil, sys, time
 from pathlib import Path
@@ -67,7 +71,7 @@
         """Start the build of the deploy file, as the leader of a group of processes."""
         environment = os.environ | {"CALLS": str(self.calls), "PYTHONPATH": str(self.root / "fake")}
         environment["PATH"] = f"{self.root / 'bin'}:{environment['PATH']}"
-        command = ["sh", "-c", self.deploy["build"]]
+        command = ["/bin/sh", "-c", self.deploy["build"]]
         return subprocess.Popen(
             command, cwd=self.root, env=environment | variables, start_new_session=True
         )
@@ -200,6 +204,16 @@
         assert project.deps.resolve() != first
 
 
+class TestPackages:
+    def test_build_calls_only_what_packages_name(self, project):
+        """Guard against a build that fails on a machine with nothing but the named packages."""
+        assert project.start_build(PATH=str(project.root / "bin")).wait(60) == 0
+        programs = {path.name for path in (project.root / "bin").iterdir()}
+        modules = re.findall(r'"-m", "(\w+)"', (ROOT / "deploy/build.py").read_text())
+        assert modules == ["pip"]
+        assert set(project.deploy["packages"]) == {PACKAGES[name] for name in (*programs, *modules)}
+
+
 class TestInstallation:
     def test_build_of_unchanged_sources_changes_nothing(self, project):
         """Guard against an installation that changes under a process which uses it (FAULT)."""
