Unblock the signals that the program handles

Seen: a gateway that was started by a process which blocks signals never noticed SIGTERM, SIGINT or SIGHUP. The mask is inherited, over exec too, so that such a process can only be killed.

Change: once its handlers are set, the program unblocks these signals. One that came before is delivered then, so that it is not lost. Dispositions that are inherited as ignored were overridden before and are now held by a test too.

--- a/src/masticgate/platform/_signals.py
+++ b/src/masticgate/platform/_signals.py
@@ -27,6 +27,8 @@
         self.stop_requested = False
         for number in QUEUED_SIGNALS:
             signal.signal(number, _ignore)
+        # The process that starts this one may block signals, and the mask is inherited.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, QUEUED_SIGNALS)
 
     def wait_for_stop(self, timeout_s: float) -> bool:
         """Wait for the next signal; return whether a signal to stop has arrived so far.
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from masticgate.platform._signals import QUEUED_SIGNALS, STOP_SIGNALS
 from tests.gateway.loopback import StandInSearcher
 
 from .program import PORTS, GatewayProgram, answer_as_store, free_port
@@ -60,6 +61,36 @@
         assert program.wait_for_end() == 0
 
 
+def block_all_signals():
+    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+
+
+def ignore_queued_signals():
+    for number in QUEUED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
+class TestInheritedSignals:
+    @pytest.mark.parametrize("number", STOP_SIGNALS)
+    @pytest.mark.parametrize("inherited", [block_all_signals, ignore_queued_signals])
+    def test_signals_are_noticed(self, program, inherited, number):
+        """Guard against a stop that a process never notices, since its parent blocks signals."""
+        program.write_settings()
+        program.start(preexec_fn=inherited)
+        program.wait_until_ready()
+        program.path.write_text("")
+        program.signal(signal.SIGHUP)
+        program.wait_for_event("settings_unusable")
+        program.signal(number)
+        assert program.wait_for_end() == 0
+
+    @pytest.mark.parametrize("number", STOP_SIGNALS)
+    def test_blocked_signal_that_comes_first_is_noticed(self, program, number):
+        program.start(preexec_fn=block_all_signals)
+        program.signal(number)
+        assert program.wait_for_end(5) == 0
+
+
 class TestSettingsAtStart:
     @pytest.mark.parametrize("begin", ["missing", "empty", "half"])
     def test_waits_for_file_that_is_still_written(self, program, begin):
