--- a/src/masticgate/platform/_signals.py
+++ b/src/masticgate/platform/_signals.py
@@ -50,6 +50,8 @@
             signal.signal(number, self._handle)
         for number in IGNORED_SIGNALS:
             signal.signal(number, signal.SIG_IGN)
+        # The process that starts this one may block signals, and the mask is inherited.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, QUEUED_SIGNALS)
 
     def wait_for_stop(self, timeout_s: float) -> bool:
         """Wait for the next signal; return whether a signal to stop has arrived so far.
