Wake a caller's task by an event, one descriptor less a connection

Each connection of a caller used three descriptors: its socket and both ends of a pipe.

An event of the system (os.eventfd) needs one descriptor in the place of two. The test of late wakes opens events in the place of pipes, so that each reused descriptor can be written and read; before, half of them could only be read.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -20,25 +20,23 @@
 
 
 class WakeableSocket:
-    """The connection of one caller and a pipe that wakes the task that polls both.
+    """The connection of one caller and an event that wakes the task that polls both.
 
-    A call may finish after the connection and the pipe were closed. The number of the pipe's
+    A call may finish after the connection and the event were closed. The number of the event's
     descriptor may then belong to another file; the lock keeps :meth:`wake` from writing to that.
     """
 
     def __init__(self, connection: socket.socket, clock: Clock) -> None:
         self.connection = connection
         self.clock = clock
-        self.wake_reader, self.wake_writer = os.pipe()
-        os.set_blocking(self.wake_reader, False)
-        os.set_blocking(self.wake_writer, False)
+        self.event = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self.lock = Lock()
         self.waiting = False
         self.closed = False
         self.reading_stopped = False
         self.ending = False
         self.poller = select.poll()
-        self.poller.register(self.wake_reader, select.POLLIN)
+        self.poller.register(self.event, select.POLLIN)
 
     def watch_for_close(self) -> None:
         """Include the caller's connection in the next polls, to detect that it is closed."""
@@ -51,7 +49,7 @@
                 return
             self.waiting = False
             with suppress(BlockingIOError):
-                os.write(self.wake_writer, b"\0")
+                os.eventfd_write(self.event, 1)
 
     def end_wait(self) -> None:
         """End the wait of the task, and each later one; any task may call this."""
@@ -65,19 +63,18 @@
         """
         remaining = max(0, ceil(deadline - self.clock.now()))
         for descriptor, events in self.poller.poll(remaining):
-            if descriptor == self.wake_reader:
-                with suppress(OSError):
-                    os.read(self.wake_reader, 64)
+            if descriptor == self.event:
+                with suppress(BlockingIOError):
+                    os.eventfd_read(self.event)
             elif self._is_closed_by_caller(events):
                 return True
         return False
 
     def close(self) -> None:
-        """Close the connection and the pipe."""
+        """Close the connection and the event."""
         with self.lock:
             self.closed = True
-            os.close(self.wake_reader)
-            os.close(self.wake_writer)
+            os.close(self.event)
             with suppress(OSError):
                 self.connection.close()
 
--- a/tests/gateway/test_connection_races.py
+++ b/tests/gateway/test_connection_races.py
@@ -22,6 +22,9 @@
 ORDERS = ServiceId("orders")
 CLOCK = ManualClock()
 
+EVENT_BYTES = 8
+"""The size of the value that is read from an event."""
+
 
 def make_call(request=None) -> Call:
     return Call(request or make_request(), make_route(), ORDERS, Millis(400.0), UnreadInbox())
@@ -29,18 +32,18 @@
 
 @pytest.fixture
 def reuse_descriptors():
-    """Return a function that opens pipes until all descriptors up to a number are in use.
+    """Return a function that opens events until all descriptors up to a number are in use.
 
-    It returns the reading ends of the pipes.
+    It returns their descriptors; what is written to one of them can be read from it.
     """
     opened: list[int] = []
 
-    def open_pipes(number: int) -> list[int]:
+    def open_events(number: int) -> list[int]:
         while not opened or max(opened) < number:
-            opened.extend(os.pipe())
-        return opened[::2]
+            opened.append(os.eventfd(0))
+        return opened
 
-    yield open_pipes
+    yield open_events
     for descriptor in opened:
         os.close(descriptor)
 
@@ -51,7 +54,7 @@
     readable = []
     for descriptor in descriptors:
         try:
-            readable += [descriptor] if os.read(descriptor, 1) else []
+            readable += [descriptor] if os.read(descriptor, EVENT_BYTES) else []
         except BlockingIOError:
             continue
     return readable
@@ -64,7 +67,7 @@
         inbox = RequestInbox(wakeable_socket)
         far.close()
         assert inbox.wait(Millis(CLOCK.now() + 1_000.0)) == CallerDisconnected()
-        number = wakeable_socket.wake_writer
+        number = wakeable_socket.event
         wakeable_socket.close()
         descriptors = reuse_descriptors(number)
         inbox.put(make_call())
