--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -1,6 +1,8 @@
 """The sockets and the HTTP codec of a gateway, which live as long as one connection."""
 
 from .._address import parse_address as parse_address
+from ._caller import CALLER_CONNECTION_BYTES as CALLER_CONNECTION_BYTES
+from ._caller import CALLER_SOCKET_BYTES as CALLER_SOCKET_BYTES
 from ._caller import CallerSettings as CallerSettings
 from ._caller import Handler as Handler
 from ._catalogue_codec import CatalogueUpdate as CatalogueUpdate
@@ -16,6 +18,9 @@
 from ._encoding import parse_missing_positions as parse_missing_positions
 from ._header_names import HeaderNames as HeaderNames
 from ._header_names import peer_header_names as peer_header_names
+from ._holding import UNLIMITED_MEMORY as UNLIMITED_MEMORY
+from ._holding import MemoryBudget as MemoryBudget
+from ._holding import Use as Use
 from ._listener import Listener as Listener
 from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
@@ -23,6 +28,8 @@
 from ._searcher_notices import OthersLeaving as OthersLeaving
 from ._searcher_notices import PauseRequested as PauseRequested
 from ._searcher_notices import SearcherNotice as SearcherNotice
+from ._searcher_task import SEARCHER_CONNECTION_BYTES as SEARCHER_CONNECTION_BYTES
+from ._searcher_task import SEARCHER_SOCKET_BYTES as SEARCHER_SOCKET_BYTES
 from ._searcher_task import Load as Load
 from ._searcher_task import OversizedResponse as OversizedResponse
 from ._searcher_task import ProtocolViolation as ProtocolViolation
--- /dev/null
+++ b/src/masticgate/connection/gateway/_buffers.py
@@ -0,0 +1,29 @@
+"""Bounds on the kernel's buffers of a socket, which are a part of the memory of a connection."""
+
+import socket
+from contextlib import suppress
+
+UNREAD_BYTES = 32_768
+"""The most bytes that a socket keeps until the process reads them."""
+
+MAX_UNSENT_BYTES = 131_072
+"""The most bytes that a socket keeps until its peer accepts them.
+
+They hold what is on its way at 100 Mbit/s with a round trip of 6 ms.
+"""
+
+KERNEL_FACTOR = 2
+"""The kernel doubles the size of a send buffer that it is told, for its own structures."""
+
+
+def bound_buffers(connection: socket.socket) -> None:
+    """Bound the buffers of a socket, or of the connections that a listening socket accepts.
+
+    Without a bound, the buffers of one connection grow to several megabytes if its peer does not
+    read, or is not read. To be called before the connection opens, since its window is then agreed.
+    """
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES)
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_UNSENT_BYTES // KERNEL_FACTOR
+        )
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -4,6 +4,7 @@
 request to the handler and sends the reply before it serves the next one.
 """
 
+import random
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -12,17 +13,21 @@
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._failures import NotRun, Reason, Step
 from ..._ids import Millis, RequestId
-from ...request.gateway import Abandoned, Inbox, Refused, Reply, Request
+from ...request.gateway import Abandoned, Inbox, LocalPage, Refused, Reply, Request
+from ...request.gateway._exchange import Header
 from ...version.gateway import Limits
+from ._buffers import UNREAD_BYTES
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
     NETWORK_TIME_HEADER,
     PART_HEADER,
     HeaderNames,
 )
-from ._inbox import RequestInbox, WakeableSocket
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
+from ._inbox import ORDINARY_ANSWER_BYTES, RequestInbox, WakeableSocket
 from ._parser import (
     Malformed,
+    NoMemory,
     ParsedRequest,
     RequestParser,
     TooLarge,
@@ -38,6 +43,27 @@
 WRITE_TIMEOUT = Millis(5_000.0)
 """A connection is closed if the caller does not accept the whole reply within this time."""
 
+ORDINARY_REQUEST_BYTES = 8_192
+"""The bytes of the requests of one connection that are part of the memory of the connection."""
+
+CALLER_CONNECTION_BYTES = 24_000 + ORDINARY_REQUEST_BYTES + ORDINARY_ANSWER_BYTES
+"""The memory of one connection, with its task and the ordinary part of a request and a reply."""
+
+CALLER_SOCKET_BYTES = UNREAD_BYTES
+
+NO_MEMORY_RETRY_AFTER = Millis(250.0)
+"""The time after which other requests have usually ended, and their memory is free again."""
+
+MAX_RETURN_SPREAD = 1.5
+"""Refused callers are told to return after up to this many times that, not all together."""
+
+LINGER_TIME = Millis(2_000.0)
+MAX_LINGER_BYTES = 2_000_000
+"""After a refusal, the rest of a request is read and dropped for this long, up to this size.
+
+Closing a connection with unread bytes resets it, and the caller may then lose the reply.
+"""
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 PEER_HEADERS = (NETWORK_TIME_HEADER, PART_HEADER)
@@ -58,7 +84,8 @@
     ``limits`` returns the size limits and timeouts in force. If ``is_closing`` returns ``True``,
     each reply announces the end of its connection. ``callers_are_gateways`` is set if the callers
     are other gateways. A request counts as received ``transit_time`` before it arrived, to allow
-    for the time that the request and its reply spend between two gateways.
+    for the time that the request and its reply spend between two gateways. The bytes that the
+    connections hold are taken from ``memory``.
     """
 
     handler: Handler
@@ -68,6 +95,7 @@
     is_closing: Callable[[], bool]
     callers_are_gateways: bool = False
     transit_time: Millis = Millis(0.0)
+    memory: MemoryBudget = UNLIMITED_MEMORY
 
 
 class CallerState(Enum):
@@ -94,21 +122,41 @@
         self.is_first_request = True
         self.state_changed_at = settings.clock.now()
         limits = settings.limits()
-        self.parser = RequestParser(limits.header_bytes, limits.body_bytes)
-        self.parse_error: TooLarge | Malformed | None = None
+        self.memory = settings.memory
+        holding = Holding(self.memory, Use.REQUESTS, ORDINARY_REQUEST_BYTES)
+        self.parser = RequestParser(limits.header_bytes, limits.body_bytes, holding)
+        self.parse_error: TooLarge | NoMemory | Malformed | None = None
         self.buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.wakeable_socket = WakeableSocket(connection, settings.clock)
+        self.memory.add(Use.CALLERS, CALLER_CONNECTION_BYTES)
+        self.memory.add(Use.SOCKETS, CALLER_SOCKET_BYTES)
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
             while (parsed := self._read_request()) is not None:
                 self._set_state(CallerState.SERVING)
+                cost = parsed.cost
                 if not self._serve(parsed):
                     break
+                # Otherwise the body would be kept until the next request.
+                del parsed
+                self.parser.holding.shrink(cost)
                 self._set_state(CallerState.IDLE)
         finally:
-            self.wakeable_socket.close()
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection and return its memory; to be called once."""
+        self.wakeable_socket.close()
+        self.parser.discard()
+        self.memory.release(Use.CALLERS, CALLER_CONNECTION_BYTES)
+        self.memory.release(Use.SOCKETS, CALLER_SOCKET_BYTES)
+
+    @property
+    def is_ending(self) -> bool:
+        """Return whether the connection ends once its present request is served."""
+        return self.wakeable_socket.reading_stopped
 
     def stop_reading(self) -> None:
         """End the input of the connection, so that its task ends; any task may call this.
@@ -126,7 +174,7 @@
         arrived_at = Millis(self.clock.now() - self.settings.transit_time)
         request = decode_request(parsed, self.settings.header_names, arrived_at)
         if isinstance(request, Refused):
-            self._send_reply(request, close=True)
+            self._refuse(request, parsed.headers)
             return False
         if not self.settings.callers_are_gateways:
             # The network time and the part count only if the caller is a gateway.
@@ -137,24 +185,54 @@
                 part=None,
             )
             self.is_first_request = False
-        reply = self.settings.handler(request, RequestInbox(self.wakeable_socket))
-        if isinstance(reply, Abandoned):
-            return False
-        close = not parsed.keep_alive or self.settings.is_closing()
+        inbox = RequestInbox(self.wakeable_socket, self.memory)
+        try:
+            reply = self.settings.handler(request, inbox)
+            if isinstance(reply, Abandoned):
+                return False
+            if isinstance(reply, LocalPage) and not inbox.answers.grow(len(reply.body)):
+                reply = _refuse_for_memory()
+            close = not parsed.keep_alive or self.settings.is_closing()
+            return self._send_reply(reply, request.id, close=close) and not close
+        finally:
+            inbox.close()
+
+    def _send_reply(self, reply: Reply, request_id: RequestId, *, close: bool) -> bool:
         header_names = self.settings.header_names
         if self.settings.callers_are_gateways:
-            data = encode_peer_reply(reply, header_names, request, close=close)
-        else:
-            data = encode_reply(reply, header_names, close=close)
-        return self._send(data) and not close
-
-    def _send_reply(self, reply: Reply, *, close: bool) -> bool:
-        return self._send(encode_reply(reply, self.settings.header_names, close=close))
+            return self._send(encode_peer_reply(reply, header_names, request_id, close=close))
+        return self._send(encode_reply(reply, header_names, close=close))
+
+    def _refuse(self, refusal: Refused, headers: list[Header]) -> None:
+        """Refuse the request with ``headers``, of which more bytes may arrive, and end."""
+        request_id = _find_request_id(headers, self.settings.header_names)
+        self.parser.discard()
+        if self._send_reply(refusal, request_id, close=True):
+            self._drop_input()
+
+    def _drop_input(self) -> None:
+        """Read and drop what the caller still sends, until it closes its side."""
+        self._set_state(CallerState.IDLE)
+        deadline = self.state_changed_at + LINGER_TIME
+        dropped = 0
+        try:
+            self.connection.shutdown(socket.SHUT_WR)
+            while dropped < MAX_LINGER_BYTES and (remaining := deadline - self.clock.now()) > 0:
+                self.connection.settimeout(remaining / MILLIS_PER_SECOND)
+                count = self.connection.recv_into(self.buffer)
+                if not count:
+                    return
+                dropped += count
+        except OSError:
+            return
 
-    def _send(self, data: bytes) -> bool:
+    def _send(self, blocks: tuple[bytes, ...]) -> bool:
+        deadline = self.clock.now() + WRITE_TIMEOUT
         try:
-            self.connection.settimeout(WRITE_TIMEOUT / MILLIS_PER_SECOND)
-            self.connection.sendall(data)
+            for block in blocks:
+                remaining = max(1.0, deadline - self.clock.now())
+                self.connection.settimeout(remaining / MILLIS_PER_SECOND)
+                self.connection.sendall(block)
         except OSError:
             return False
         return True
@@ -181,7 +259,10 @@
                 self._handle_timeout()
                 return None
             data = self._receive(Millis(remaining))
-            if data is not None and (not data or not self._parse(data)):
+            if data is not None and not data:
+                self._handle_end_of_input()
+                return None
+            if data is not None and not self._parse(data):
                 return None
         return self.parser.ready.pop(0)
 
@@ -207,12 +288,15 @@
         self.parse_error = self.parser.feed(data)
         return self.parse_error is not None or self._send_continue()
 
-    def _send_parse_error(self, parse_error: TooLarge | Malformed) -> None:
+    def _send_parse_error(self, parse_error: TooLarge | NoMemory | Malformed) -> None:
         match parse_error:
             case TooLarge(status=status):
-                self._send_reply(_refusal(status, Reason.TOO_LARGE, ""), close=True)
+                refusal = _refusal(status, Reason.TOO_LARGE, "")
+            case NoMemory():
+                refusal = _refuse_for_memory()
             case Malformed(detail=detail):
-                self._send_reply(_refusal(400, Reason.BAD_REQUEST, detail), close=True)
+                refusal = _refusal(400, Reason.BAD_REQUEST, detail)
+        self._refuse(refusal, self.parser.refused_headers or self.parser.headers)
 
     def _send_continue(self) -> bool:
         if not self.parser.expects_continue or not self.parser.in_body:
@@ -224,11 +308,15 @@
             return False
         return True
 
+    def _handle_end_of_input(self) -> None:
+        """Refuse an incomplete request if this gateway ended the input to make room."""
+        if self.is_ending and not self.parser.idle:
+            self._refuse(_refuse_for_memory("no room for more connections"), self.parser.headers)
+
     def _handle_timeout(self) -> None:
         if not self.parser.idle:
-            self._send_reply(
-                _refusal(408, Reason.DEADLINE, "the request was not complete in time"), close=True
-            )
+            refusal = _refusal(408, Reason.DEADLINE, "the request was not complete in time")
+            self._refuse(refusal, self.parser.headers)
 
 
 def decode_request(
@@ -244,7 +332,7 @@
     internal = (header_names.expected_searcher, *PEER_HEADERS)
     host = hosts[0].decode("latin-1").partition(":")[0] if hosts else ""
     return Request(
-        RequestId((find_header(parsed.headers, header_names.request_id) or b"").decode("latin-1")),
+        _find_request_id(parsed.headers, header_names),
         parsed.method,
         parsed.target,
         host,
@@ -257,6 +345,16 @@
     )
 
 
+def _find_request_id(headers: list[Header], header_names: HeaderNames) -> RequestId:
+    return RequestId((find_header(headers, header_names.request_id) or b"").decode("latin-1"))
+
+
+def _refuse_for_memory(detail: str = "no memory for the request") -> Refused:
+    failure = NotRun(Reason.OVERLOAD, Step.READ, detail=detail)
+    wait = Millis(NO_MEMORY_RETRY_AFTER * random.uniform(1.0, MAX_RETURN_SPREAD))
+    return Refused(503, failure, wait)
+
+
 def _parse_millis(value: bytes | None) -> Millis | None:
     number = None if value is None else parse_number(value)
     return None if number is None else Millis(float(number))
--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -7,7 +7,7 @@
 
 from ..._clock import MILLIS_PER_SECOND
 from ..._failures import describe_failure
-from ..._ids import Millis, SearcherId
+from ..._ids import Millis, RequestId, SearcherId
 from ...request.gateway import (
     Answered,
     Failed,
@@ -31,6 +31,9 @@
 from ._positions import decode_positions, encode_positions
 from ._searcher_notices import encode_leaving_searchers
 
+SMALL_BODY_BYTES = 16_384
+"""A body up to this size is copied behind its head, so that both are sent at once."""
+
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
     for status in HTTPStatus
@@ -38,55 +41,62 @@
 
 
 def encode_peer_reply(
-    reply: Reply, header_names: HeaderNames, request: Request, *, close: bool
-) -> bytes:
-    """Return the bytes of ``reply`` to another gateway.
+    reply: Reply, header_names: HeaderNames, request_id: RequestId, *, close: bool
+) -> tuple[bytes, ...]:
+    """Return the bytes of ``reply`` to another gateway, in the blocks in which they are sent.
 
     Compared with a reply to a caller, a header with the id of the request is added, which shows
     the other gateway to which request the reply belongs. If the request was refused, another
     header marks it as not run.
     """
-    status_line, _, rest = encode_reply(reply, header_names, close=close).partition(b"\r\n")
-    extra_headers = b"%s: %s\r\n" % (header_names.request_id, request.id.encode("latin-1"))
+    extra_headers = [(header_names.request_id, request_id.encode("latin-1"))]
     match reply:
         case Refused():
-            extra_headers += b"%s: 1\r\n" % header_names.not_run
+            extra_headers.append((header_names.not_run, b"1"))
         case Merged(missing_positions=missing, leaving=leaving):
-            extra_headers += b"%s: %s\r\n" % (MISSING_POSITIONS_HEADER, encode_positions(missing))
+            extra_headers.append((MISSING_POSITIONS_HEADER, encode_positions(missing)))
             if leaving:
                 names = encode_leaving_searchers(leaving)
-                extra_headers += b"%s: %s\r\n" % (LEAVING_SEARCHERS_HEADER, names)
-    return b"%s\r\n%s%s" % (status_line, extra_headers, rest)
+                extra_headers.append((LEAVING_SEARCHERS_HEADER, names))
+    return encode_reply(reply, header_names, close=close, extra_headers=tuple(extra_headers))
 
 
-def encode_reply(reply: Reply, header_names: HeaderNames, *, close: bool) -> bytes:
-    """Return the bytes of ``reply`` to a caller.
+def encode_reply(
+    reply: Reply,
+    header_names: HeaderNames,
+    *,
+    close: bool,
+    extra_headers: tuple[Header, ...] = (),
+) -> tuple[bytes, ...]:
+    """Return the bytes of ``reply`` to a caller, in the blocks in which they are sent.
 
-    If ``close`` is set, a ``Connection: close`` header announces the end of the connection.
+    If ``close`` is set, a ``Connection: close`` header announces the end of the connection. The
+    ``extra_headers`` come before those of the reply.
     """
     match reply:
         case Relayed(answer=answer):
-            return _encode_message(
-                answer.status, end_to_end_headers(answer.headers), answer.body, close
-            )
+            headers = extra_headers + end_to_end_headers(answer.headers)
+            return _encode_message(answer.status, headers, answer.body, close)
         case Merged(stamps=stamps, missing=missing, records=records):
             headers = (
+                *extra_headers,
                 (header_names.included_stamps, ", ".join(stamps).encode("latin-1")),
                 (header_names.missing_shards, b"%d" % missing),
             )
             return _encode_message(200, headers, records, close)
         case Refused(status=status, failure=failure, retry_after=retry_after):
             body = describe_failure(failure).encode()
-            if retry_after is None:
-                return _encode_message(status, (), body, close)
-            seconds = b"%.3f" % (retry_after / MILLIS_PER_SECOND)
-            return _encode_message(status, ((b"Retry-After", seconds),), body, close)
+            if retry_after is not None:
+                seconds = b"%.3f" % (retry_after / MILLIS_PER_SECOND)
+                extra_headers = (*extra_headers, (b"Retry-After", seconds))
+            return _encode_message(status, extra_headers, body, close)
         case Failed(status=status, failure=failure):
-            return _encode_message(status, (), describe_failure(failure).encode(), close)
+            body = describe_failure(failure).encode()
+            return _encode_message(status, extra_headers, body, close)
         case LocalPage(status=status, body=body):
-            return _encode_message(status, (), body, close)
+            return _encode_message(status, extra_headers, body, close)
         case _:
-            return b""
+            return ()
 
 
 def parse_missing_positions(answer: Answered) -> tuple[int, ...] | None:
@@ -101,8 +111,8 @@
 
 def encode_request(
     request: Request, header_names: HeaderNames, searcher: SearcherId, remaining: Millis
-) -> bytes:
-    """Return the bytes of ``request`` for one searcher.
+) -> tuple[bytes, ...]:
+    """Return the bytes of ``request`` for one searcher, in the blocks in which they are sent.
 
     ``remaining`` is how long the gateway waits for the answer; a header states it.
     """
@@ -119,16 +129,24 @@
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
-    lines.append(request.body)
-    return b"".join(lines)
+    return _join_blocks(lines, request.body)
 
 
-def _encode_message(status: int, headers: tuple[Header, ...], body: bytes, close: bool) -> bytes:
+def _encode_message(
+    status: int, headers: tuple[Header, ...], body: bytes, close: bool
+) -> tuple[bytes, ...]:
     lines = [STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status]
     for name, value in headers:
         lines.append(b"%s: %s\r\n" % (name, value))
     if close:
         lines.append(b"Connection: close\r\n")
     lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
+    return _join_blocks(lines, body)
+
+
+def _join_blocks(lines: list[bytes], body: bytes) -> tuple[bytes, ...]:
+    """Return the head and the body as one block, or as two without a copy of a larger body."""
+    if len(body) > SMALL_BODY_BYTES:
+        return b"".join(lines), body
     lines.append(body)
-    return b"".join(lines)
+    return (b"".join(lines),)
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -15,6 +15,10 @@
 from ..._clock import Clock
 from ..._ids import Millis
 from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
+
+ORDINARY_ANSWER_BYTES = 16_384
+"""The bytes of the answers to one request that are part of the memory of its connection."""
 
 CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -111,21 +115,31 @@
     """The finished calls of one request, in the order in which they finished.
 
     The task of the request waits for them. It is woken once a batch of calls has finished, or as
-    soon as a call finishes without success.
+    soon as a call finishes without success. ``answers`` holds the bytes of the answers until
+    :meth:`close`.
     """
 
-    def __init__(self, wakeable_socket: WakeableSocket) -> None:
+    def __init__(
+        self, wakeable_socket: WakeableSocket, memory: MemoryBudget = UNLIMITED_MEMORY
+    ) -> None:
         self.wakeable_socket = wakeable_socket
+        self.answers = Holding(memory, Use.ANSWERS, ORDINARY_ANSWER_BYTES)
         self.finished: deque[Call] = deque()
         self.batch_size = 1
         wakeable_socket.watch_for_close()
 
     def put(self, call: Call) -> None:
         """Add a finished call; any task may call this."""
+        if isinstance(call.outcome, Answered):
+            self.answers.add(len(call.outcome.body))
         self.finished.append(call)
         if len(self.finished) >= self.batch_size or not _is_success(call):
             self.wakeable_socket.wake()
 
+    def close(self) -> None:
+        """Return the bytes of the answers; their caller has taken them, or never will."""
+        self.answers.close()
+
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
         self.batch_size = number
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -7,6 +7,7 @@
 
 from ..._ids import Address, Millis
 from .._address import accept_connections, listen_on
+from ._buffers import bound_buffers
 from ._caller import CallerConnection, CallerSettings, CallerState
 from ._task_starter import TaskStarter
 
@@ -19,7 +20,7 @@
 
     ``failure`` says why the socket does not listen, or is empty if it does. When there are more
     than ``max_connections``, the connection that has been idle, or reading a request, for the
-    longest time is closed.
+    longest time is closed; if there is none, the new connection is.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
             if self.socket is None:
                 try:
                     self.socket = listen_on(self.address)
+                    bound_buffers(self.socket)
                 except OSError as error:
                     self.failure = str(error)
                     return False
@@ -106,10 +108,7 @@
             return
         with self.lock:
             self.connections.add(caller)
-            over_limit = len(self.connections) > self.max_connections
-        if over_limit:
-            self._close_longest_waiting(caller)
-        if self.tasks.start(self._run, caller) is not None:
+        if not self._make_room(caller) or self.tasks.start(self._run, caller) is not None:
             self._reject(caller)
 
     def _run(self, caller: CallerConnection) -> None:
@@ -124,18 +123,27 @@
         with self.lock:
             self.connections.discard(caller)
             self.rejected += 1
-        caller.wakeable_socket.close()
+        caller.close()
 
-    def _close_longest_waiting(self, newest: CallerConnection) -> None:
-        """Close the idle or reading connection whose state changed the longest time ago, if any."""
+    def _make_room(self, newest: CallerConnection) -> bool:
+        """Return whether there is room for ``newest``; close another connection for it if needed.
+
+        It is the idle or reading connection whose state changed the longest time ago.
+        """
         with self.lock:
+            if len(self.connections) <= self.max_connections:
+                return True
+            kept = [caller for caller in self.connections if not caller.is_ending]
+            if len(kept) <= self.max_connections:
+                return True
             waiting = [
                 caller
-                for caller in self.connections
+                for caller in kept
                 if caller is not newest and caller.state is not CallerState.SERVING
             ]
         if waiting:
             min(waiting, key=_state_changed_at).stop_reading()
+        return bool(waiting)
 
 
 def _state_changed_at(caller: CallerConnection) -> Millis:
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -5,6 +5,9 @@
 import httptools
 
 from ...request.gateway._exchange import Header
+from ._body_buffer import BodyBuffer
+from ._buffers import MAX_UNSENT_BYTES
+from ._holding import UNLIMITED_MEMORY, Holding, Use
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -26,13 +29,19 @@
 They concern one connection only, or the gateway sets them anew in the message that it sends.
 """
 
+HEADER_OBJECT_BYTES = 150
+"""The memory of one header, in addition to its bytes: a tuple and two byte strings."""
+
+REQUEST_OBJECT_BYTES = 800
+"""The memory of one request, in addition to its headers and its body."""
+
 MAX_NUMBER_DIGITS = 18
 """The maximum number of digits that a number in a header may have, so that it fits in 63 bits."""
 
 
 @dataclass(slots=True)
 class ParsedRequest:
-    """One complete request as received."""
+    """One complete request as received; ``cost`` is the number of bytes that are held for it."""
 
     method: bytes
     target: bytes
@@ -40,6 +49,7 @@
     headers: list[Header]
     body: bytes
     keep_alive: bool
+    cost: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +59,11 @@
     status: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoMemory:
+    """The process has no memory for the request, which is whole or in part not yet received."""
+
+
 @dataclass(frozen=True, slots=True)
 class Malformed:
     """The received bytes are not an HTTP message that the parser accepts."""
@@ -94,18 +109,23 @@
     """Collects complete requests in ``ready`` from the bytes that one caller sends.
 
     More than one may be ready, since a caller may send requests without waiting for the response.
-    ``header_bytes`` and ``body_bytes`` are the maximum sizes of a request's head and body.
+    ``header_bytes`` and ``body_bytes`` are the maximum sizes of a request's head and body. The
+    bytes of each request are taken from ``holding``: those of a body that states its length once
+    its head is complete. ``refused_headers`` are those of a request with an error in its size.
     """
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+    def __init__(self, header_bytes: int, body_bytes: int, holding: Holding | None = None) -> None:
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
+        self.holding = holding or Holding(UNLIMITED_MEMORY, Use.REQUESTS, 0)
+        self.uncounted = 0
+        self.refused_headers: list[Header] = []
         self.parser = httptools.HttpRequestParser(self)
         self.ready: list[ParsedRequest] = []
         self.expects_continue = False
         self._reset()
 
-    def feed(self, data: bytes | memoryview) -> TooLarge | Malformed | None:
+    def feed(self, data: bytes | memoryview) -> TooLarge | NoMemory | Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
         if not self.in_body:
             self.header_size += len(data)
@@ -117,6 +137,7 @@
             if self.size_error is not None:
                 return self.size_error
             return Malformed(str(error))
+        self._count()
         if self.in_message and not self.in_body and self.header_size > self.header_bytes:
             return TooLarge(431)
         return self.size_error
@@ -126,28 +147,52 @@
         """Return whether no part of the next request has been received."""
         return not self.in_message
 
+    def discard(self) -> None:
+        """Drop everything that was received and return its bytes; nothing may be fed any more."""
+        self.ready.clear()
+        self._reset()
+        self.holding.close()
+
     def _reset(self) -> None:
         self.in_message = False
         self.in_body = False
         self.header_size = 0
-        self.body_size = 0
+        self.cost = 0
+        self.body_is_counted = False
         self.target = b""
         self.headers: list[Header] = []
-        self.chunks: list[bytes] = []
-        self.size_error: TooLarge | None = None
+        self.body = BodyBuffer()
+        self.size_error: TooLarge | NoMemory | None = None
+
+    def _count(self) -> None:
+        """Take what was received from the holding; set ``size_error`` if that is not possible."""
+        count, self.uncounted = self.uncounted, 0
+        if not count or self.size_error is not None:
+            return
+        if self.holding.grow(count):
+            self.cost += count
+        else:
+            self._refuse(NoMemory())
+
+    def _refuse(self, error: TooLarge | NoMemory) -> None:
+        self.size_error = error
+        self.refused_headers = self.headers
 
     def on_message_begin(self) -> None:
         """Record that a part of a request has been received."""
         self.in_message = True
+        self.uncounted += REQUEST_OBJECT_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         self.target += url
+        self.uncounted += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; a trailer, which follows the body, is ignored."""
         if not self.in_body:
             self.headers.append((name, value))
+            self.uncounted += len(name) + len(value) + HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         """Check the size of the head and the size of the body that it announces.
@@ -157,20 +202,28 @@
         self.in_body = True
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
         if size + len(self.target) > self.header_bytes:
-            self.size_error = TooLarge(431)
-        length = find_header(self.headers, b"content-length")
-        if length is not None and length.isdigit() and int(length) > self.body_bytes:
-            self.size_error = TooLarge(413)
+            self._refuse(TooLarge(431))
+        stated = find_header(self.headers, b"content-length")
+        if stated is not None and stated.isdigit():
+            length = int(stated)
+            if length > self.body_bytes:
+                self._refuse(TooLarge(413))
+            self.uncounted += _body_cost(length)
+            self.body_is_counted = True
+        self._count()
         expect = find_header(self.headers, b"expect")
         self.expects_continue = expect is not None and expect.lower() == b"100-continue"
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body, unless the body is larger than allowed."""
-        self.body_size += len(body)
-        if self.body_size > self.body_bytes:
-            self.size_error = TooLarge(413)
-            return
-        self.chunks.append(body)
+        """Append a part of the body, unless the request is refused or larger than allowed."""
+        size = self.body.size + len(body)
+        if size > self.body_bytes:
+            self._refuse(TooLarge(413))
+        elif not self.body_is_counted:
+            self.uncounted += _body_cost(size) - _body_cost(self.body.size)
+            self._count()
+        if self.size_error is None:
+            self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Add the request to ``ready`` unless it has to be refused, and begin the next one."""
@@ -179,11 +232,17 @@
             self.target,
             self.parser.get_http_version(),
             self.headers,
-            b"".join(self.chunks),
+            self.body.join(),
             self.parser.should_keep_alive(),
+            self.cost,
         )
         size_error = self.size_error
         if size_error is None and not self.parser.should_upgrade():
             self.ready.append(request)
         self._reset()
         self.size_error = size_error
+
+
+def _body_cost(length: int) -> int:
+    """Return the bytes held for a body: itself, and what the socket holds while it is passed on."""
+    return length + min(length, MAX_UNSENT_BYTES)
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -6,11 +6,13 @@
 
 import re
 from dataclasses import dataclass
-from typing import Protocol
 
 import httptools
 
 from ...request.gateway._exchange import BodyFraming, Header
+from ._body_buffer import BodyBuffer
+from ._buffers import MAX_UNSENT_BYTES
+from ._holding import Holding
 from ._parser import Malformed, Oversized
 
 MAX_HEAD_BYTES = 65_536
@@ -23,7 +25,7 @@
 """The maximum number of bytes of all response bodies received for one request."""
 
 ORDINARY_BYTES = 16_384
-"""The received bytes of one answer that the budget of the process does not count."""
+"""The received bytes of one answer that are part of the memory of its connection."""
 
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 """The beginning of a response; within a head it shows that an earlier response is incomplete."""
@@ -79,18 +81,6 @@
     may_be_cut: bool
 
 
-class ReceiveBudget(Protocol):
-    """Bounds the bytes of unfinished answers on all connections of a process."""
-
-    def take(self, count: int) -> bool:
-        """Take ``count`` bytes until :meth:`release`, or return ``False``."""
-        ...
-
-    def release(self, count: int) -> None:
-        """Return ``count`` bytes."""
-        ...
-
-
 class TruncatedResponseError(Exception):
     """A response begins within another one that is incomplete."""
 
@@ -100,13 +90,12 @@
 
     The bytes received between two accepted responses are bounded. Responses that are not accepted,
     such as interim and late ones, count together with the one that is awaited. Those beyond
-    ``ORDINARY_BYTES`` also count towards ``budget``, if there is one, until
+    ``ORDINARY_BYTES`` are also taken from ``holding``, if there is one, until
     :meth:`reset_byte_counts` is called.
     """
 
-    def __init__(self, budget: ReceiveBudget | None = None) -> None:
-        self.budget = budget
-        self.budgeted_bytes = 0
+    def __init__(self, holding: Holding | None = None) -> None:
+        self.holding = holding
         self.parser = httptools.HttpResponseParser(self)
         self.ready: list[ParsedResponse] = []
         self.received_bytes = 0
@@ -115,9 +104,11 @@
 
     def feed(self, data: bytes | memoryview) -> Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
-        self.received_bytes += len(data)
-        if not self._take_from_budget():
-            return Oversized("too many bytes of unfinished answers on all connections")
+        before, self.received_bytes = self.received_bytes, self.received_bytes + len(data)
+        if self.holding is not None and not self.holding.grow(
+            _answer_cost(self.received_bytes) - _answer_cost(before)
+        ):
+            return Oversized("no memory for more bytes of answers")
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -141,9 +132,8 @@
         """
         self.received_bytes = 0
         self.body_size = 0
-        if self.budget is not None and self.budgeted_bytes:
-            self.budget.release(self.budgeted_bytes)
-            self.budgeted_bytes = 0
+        if self.holding is not None:
+            self.holding.shrink(self.holding.size)
 
     def feed_eof(self) -> None:
         """Complete a response that states no length, which ends with its connection.
@@ -159,16 +149,6 @@
         ):
             self._queue_response(BodyFraming.CLOSE, keep_alive=False)
 
-    def _take_from_budget(self) -> bool:
-        """Take the bytes beyond ``ORDINARY_BYTES`` from the budget; return ``False`` on failure."""
-        count = self.received_bytes - ORDINARY_BYTES - self.budgeted_bytes
-        if self.budget is None or count <= 0:
-            return True
-        if not self.budget.take(count):
-            return False
-        self.budgeted_bytes += count
-        return True
-
     def _reset(self) -> None:
         self.in_message = False
         self.in_body = False
@@ -177,7 +157,7 @@
         self.headers: list[Header] = []
         self.headers_by_name: dict[bytes, bytes] = {}
         self.repeated_names: frozenset[bytes] = frozenset()
-        self.chunks: list[bytes] = []
+        self.body = BodyBuffer()
 
     def on_message_begin(self) -> None:
         """Record that a part of a response has been received."""
@@ -210,7 +190,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self.body_size += len(body)
-        self.chunks.append(body)
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Add the response to ``ready`` unless it is an interim one.
@@ -228,7 +208,7 @@
 
     def _contains_head(self) -> bool:
         """Return whether the body contains the head of another response or the beginning of one."""
-        body = b"".join(self.chunks)
+        body = self.body.join()
         if b"HTTP/" not in body:
             return False
         max_length = (
@@ -276,7 +256,7 @@
     def _queue_response(self, framing: BodyFraming, *, keep_alive: bool) -> None:
         status = self.parser.get_status_code()
         if status >= 200:
-            body = b"".join(self.chunks)
+            body = self.body.join()
             response = ParsedResponse(
                 status,
                 self.headers,
@@ -298,3 +278,8 @@
     """
     if b"HTTP/" in value and STATUS_LINE.search(value):
         raise TruncatedResponseError("a response begins within the head of another")
+
+
+def _answer_cost(size: int) -> int:
+    """Return the bytes held for an answer: itself, and what the caller's socket will hold of it."""
+    return size + min(max(0, size - ORDINARY_BYTES), MAX_UNSENT_BYTES)
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -18,11 +18,13 @@
 from ..._failures import Reason
 from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome, ReceiveInfo
+from ._buffers import UNREAD_BYTES
 from ._client import HttpClient, parse_keep_alive_timeout
 from ._encoding import encode_request
 from ._header_names import HeaderNames
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
 from ._parser import Oversized, parse_number
-from ._response_parser import ParsedResponse, ReceiveBudget, ResponseParser
+from ._response_parser import ORDINARY_BYTES, ParsedResponse, ResponseParser
 from ._searcher_notices import Leaving, SearcherNotice, decode_notices
 
 CONNECT_TIMEOUT = Millis(300.0)
@@ -42,6 +44,12 @@
 """The size of the receive buffer of one connection; most responses of shards fit into it."""
 
 
+SEARCHER_CONNECTION_BYTES = 40_000
+"""The memory of one connection, with its task and the ordinary part of an answer."""
+
+SEARCHER_SOCKET_BYTES = UNREAD_BYTES
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """The load that a searcher states in a response; it may be outdated or wrong.
@@ -127,8 +135,8 @@
     """One connection to one searcher, which carries one call at a time.
 
     ``initial_call`` is the call that the connection is opened for, if any. ``number`` identifies
-    the connection in log lines. ``budget`` bounds the bytes of unfinished answers on all
-    connections together. ``skipped`` counts the responses that were skipped since the
+    the connection in log lines. The bytes of the connection and of unfinished answers are taken
+    from ``memory``. ``skipped`` counts the responses that were skipped since the
     last answered call. ``started_at`` is when the latest call began; ``initial_call`` begins with
     the opening of the connection. The handler sets ``idle_since``; it reads ``idle_since`` and
     ``keep_alive_timeout`` only while the connection is idle.
@@ -143,7 +151,7 @@
         clock: Clock,
         initial_call: Call | None = None,
         number: ConnectionNumber = ConnectionNumber(0),
-        budget: ReceiveBudget | None = None,
+        memory: MemoryBudget = UNLIMITED_MEMORY,
     ) -> None:
         self.number = number
         self.skipped = 0
@@ -160,15 +168,21 @@
         self.send_lock = Lock()
         self.idle_since = self.started_at
         self.keep_alive_timeout: Millis | None = None
-        self.parser = ResponseParser(budget)
+        self.memory = memory
+        self.parser = ResponseParser(Holding(memory, Use.ANSWERS, ORDINARY_BYTES))
 
     def run(self) -> None:
         """Open the connection and read responses until it ends or an error occurs."""
+        self.memory.add(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
+        self.memory.add(Use.SOCKETS, SEARCHER_SOCKET_BYTES)
         try:
             self._run()
         except Exception as error:
             self._finish(Lost(self.searcher, True, f"internal error: {error!r}"), connected=True)
             raise
+        finally:
+            self.memory.release(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
+            self.memory.release(Use.SOCKETS, SEARCHER_SOCKET_BYTES)
 
     def _run(self) -> None:
         wait = CONNECT_TIMEOUT
@@ -240,11 +254,13 @@
         on the connection wait until the rest of this request is sent.
         """
         remaining = Millis(call.deadline - self.clock.now())
-        data = memoryview(encode_request(call.request, self.header_names, self.searcher, remaining))
+        blocks = encode_request(call.request, self.header_names, self.searcher, remaining)
         with self.send_lock:
             try:
-                while data and self.client.socket is not None:
-                    data = data[self._send_some(data, call.deadline) :]
+                for block in blocks:
+                    data = memoryview(block)
+                    while data and self.client.socket is not None:
+                        data = data[self._send_some(data, call.deadline) :]
             except OSError:
                 self.client.abort()
 
--- a/src/masticgate/process/gateway/_connections.py
+++ b/src/masticgate/process/gateway/_connections.py
@@ -7,6 +7,7 @@
 from ..._ids import ConnectionNumber, Millis
 from ...connection.gateway import (
     HeaderNames,
+    MemoryBudget,
     SearcherTask,
     SearcherTaskHandler,
     TaskStarter,
@@ -15,7 +16,6 @@
 from ...request.gateway import Call
 from ...version.gateway import PEER_SERVICE
 from ._log import EventLog, LogEvent
-from ._receive_budget import ReceiveBudget
 from ._replica import Replica, ReplicaState
 
 DEFAULT_IDLE_TIMEOUT = Millis(4_000.0)
@@ -47,6 +47,7 @@
         clock: Clock,
         starter: TaskStarter,
         log: EventLog,
+        memory: MemoryBudget,
     ) -> None:
         self.header_names = header_names
         self.peer_header_names = peer_header_names(header_names)
@@ -56,7 +57,7 @@
         self.log = log
         self.tasks: dict[SearcherTask, Replica] = {}
         self.numbers = count(1)
-        self.receive_budget = ReceiveBudget()
+        self.memory = memory
 
     def open(self, replica: Replica, initial_call: Call | None = None) -> SearcherTask | None:
         """Start the task of a new connection; return ``None`` if no task can be started."""
@@ -73,7 +74,7 @@
             self.clock,
             initial_call,
             number,
-            self.receive_budget,
+            self.memory,
         )
         replica.connection_count += 1
         self.tasks[task] = replica
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -13,9 +13,11 @@
 from ..._failures import NotRun, Reason, Step
 from ..._ids import FailureDomainId, Millis, RouteId, SearcherId, ServiceId
 from ...connection.gateway import (
+    UNLIMITED_MEMORY,
     HeaderNames,
     Leaving,
     Load,
+    MemoryBudget,
     OthersLeaving,
     OversizedResponse,
     PauseRequested,
@@ -124,6 +126,7 @@
         starter: TaskStarter,
         log: EventLog,
         metrics: Metrics,
+        memory: MemoryBudget = UNLIMITED_MEMORY,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -133,7 +136,7 @@
         self.listings = Listings(clock, log, self._max_connections)
         self.services = self.listings.services
         self.replicas = self.listings.replicas
-        self.connections = Connections(header_names, self, clock, starter, log)
+        self.connections = Connections(header_names, self, clock, starter, log, memory)
         self.tasks = self.connections.tasks
         self.accepted_connections: dict[ServiceId, int] = {}
         self.shard_services: set[ServiceId] = set()
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -1,6 +1,8 @@
 """The gateway process: how it starts, reloads its settings and stops."""
 
 import os
+import resource
+import sys
 import threading
 from threading import Event
 
@@ -10,23 +12,21 @@
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, LocalPage, Reply, Request
 from ...version.gateway import CatalogueSource, Limits, PlatformSource, RouteTable
+from ._allocator import limit_arenas
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
+from ._memory_budget import ProcessMemory
+from ._memory_keeper import MemoryKeeper
+from ._memory_plan import plan_connections, plan_memory
 from ._metrics import Metrics
 from ._peers import Peers
 from ._relay import MAX_PLATFORM_AGE, RelayedSource
 from ._service import GatewayService, GatewayView
-from ._settings import GatewaySettings
+from ._settings import GatewaySettings, HostCapacity
 from ._supervisor import Supervisor
 from ._task_pool import TaskPool
 
-MAX_CALLER_CONNECTIONS = 1_500
-"""The maximum number of open connections from callers, and likewise from other gateways.
-
-Each uses a task and three file descriptors.
-"""
-
 MAX_PAGE_CONNECTIONS = 32
 """The maximum number of open connections to the readiness page, and to the metrics page."""
 
@@ -37,9 +37,6 @@
 twice.
 """
 
-MAX_TASKS = 4_000
-"""The maximum number of connection tasks that run at the same time, each on one thread."""
-
 STACK_BYTES = 256 * 1024
 """The stack size of each thread."""
 
@@ -83,13 +80,19 @@
     def __init__(
         self, settings: GatewaySettings, header_names: HeaderNames, source: PlatformSource
     ) -> None:
+        limit_arenas()
         threading.stack_size(STACK_BYTES)
         self.settings = settings
         self.clock = SystemClock()
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
-        self.pool = TaskPool(MAX_TASKS, self.log, self.metrics)
-        self.fleet = Fleet(settings, header_names, self.clock, self.pool, self.log, self.metrics)
+        self.memory = ProcessMemory(plan_memory(settings.capacity, 0), self.log, self.metrics)
+        self.memory_keeper = MemoryKeeper(self.memory, settings.capacity, self.metrics)
+        limits = plan_connections(settings.capacity, _descriptor_limit())
+        self.pool = TaskPool(limits.tasks, self.log, self.metrics)
+        self.fleet = Fleet(
+            settings, header_names, self.clock, self.pool, self.log, self.metrics, self.memory
+        )
         self.platform = source
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
         self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
@@ -120,11 +123,15 @@
             settings.caller_address,
             header_names,
             self.service.handle,
-            max_connections=MAX_CALLER_CONNECTIONS,
+            max_connections=limits.callers,
         )
         self.listeners = [self.readiness, self.callers]
+        self.peer_listener: Listener | None = None
         if settings.peer_address is not None:
-            self.listeners.append(self._listen_to_peers(settings.peer_address, header_names))
+            self.peer_listener = self._listen_to_peers(
+                settings.peer_address, header_names, limits.peers
+            )
+            self.listeners.append(self.peer_listener)
         self.required_listeners = tuple(self.listeners)
         if settings.metrics_address is not None:
             self.listeners.append(
@@ -154,6 +161,7 @@
         self.settings = settings
         self.fleet.apply_settings(settings)
         self.peers.apply_settings(settings, self.supervisor)
+        self._apply_capacity(settings.capacity)
         self.metrics.set_gauge("settings_waiting", len(waiting))
         self.log.write(
             LogEvent.RELOADED,
@@ -165,6 +173,15 @@
         )
         self.log.wake()
 
+    def _apply_capacity(self, capacity: HostCapacity) -> None:
+        """Limit memory, connections and tasks by the capacity of the host."""
+        limits = plan_connections(capacity, _descriptor_limit())
+        self.memory_keeper.apply(capacity)
+        self.pool.max_tasks = limits.tasks
+        self.callers.max_connections = limits.callers
+        if self.peer_listener is not None:
+            self.peer_listener.max_connections = limits.peers
+
     def record_unusable_settings(self, detail: str) -> None:
         """Count and log changed settings that cannot be used; the present ones stay in force."""
         self.metrics.count("settings_unusable")
@@ -221,11 +238,18 @@
         max_connections: int = MAX_PAGE_CONNECTIONS,
     ) -> Listener:
         settings = CallerSettings(
-            handler, header_names, self.clock, self._limits, self.stopping.is_set
+            handler,
+            header_names,
+            self.clock,
+            self._limits,
+            self.stopping.is_set,
+            memory=self.memory,
         )
         return Listener(address, settings, self.pool, max_connections)
 
-    def _listen_to_peers(self, address: Address, header_names: HeaderNames) -> Listener:
+    def _listen_to_peers(
+        self, address: Address, header_names: HeaderNames, max_connections: int
+    ) -> Listener:
         settings = CallerSettings(
             self.service.handle_peer,
             peer_header_names(header_names),
@@ -234,8 +258,9 @@
             self.stopping.is_set,
             callers_are_gateways=True,
             transit_time=PEER_TRANSIT_TIME,
+            memory=self.memory,
         )
-        return Listener(address, settings, self.pool, MAX_CALLER_CONNECTIONS)
+        return Listener(address, settings, self.pool, max_connections)
 
     def _make_relayed_source(self, platform: PlatformSource) -> CatalogueSource:
         wait = Event().wait
@@ -296,13 +321,21 @@
             last_run_at = now
             self.peers.update_gathering()
             self.fleet.maintain()
+            self.memory_keeper.maintain()
             self._log_listen_failures()
             if self._is_ready() != self.was_ready:
                 self.was_ready = self._is_ready()
                 self.log.write(LogEvent.READY, ready=self.was_ready)
             self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
+            self.metrics.set_gauge("connections_limit", self.callers.max_connections)
             self.metrics.set_gauge("callers", self.callers.count(*CallerState))
             self.metrics.set_gauge("callers_turned_away", self.callers.rejected)
             self.metrics.set_gauge("listeners_failed", len(self.listen_failures))
             self.metrics.set_gauge("tasks", threading.active_count())
             self.log.wake()
+
+
+def _descriptor_limit() -> int:
+    """Return how many descriptors the system lets this process open."""
+    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return sys.maxsize if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -65,6 +65,7 @@
     BYTES_TRAILING = "bytes_trailing"
     REQUEST = "request"
     REQUEST_FAILED = "request_failed"
+    MEMORY_REFUSED = "memory_refused"
     DROPPED = "dropped"
 
 
--- /dev/null
+++ b/src/masticgate/process/gateway/_memory_plan.py
@@ -0,0 +1,148 @@
+"""How many bytes and connections a gateway may use, by the limits of its host.
+
+The bytes are one sum for the whole process. Its memory consists of what the idle process needs (the
+interpreter, the modules, the configuration and the listings), of a margin, and of the rest, which
+is for the connections with their requests and answers.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ...connection.gateway import (
+    CALLER_CONNECTION_BYTES,
+    CALLER_SOCKET_BYTES,
+    SEARCHER_CONNECTION_BYTES,
+    SEARCHER_SOCKET_BYTES,
+    Use,
+)
+from ._settings import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES, HostCapacity
+
+MIN_MARGIN_BYTES = 6_000_000
+MARGIN_SHARE = 0.08
+"""The share of the limit that is kept free: free parts of the heap, and copies made for moments."""
+
+MIN_ROOM_SHARE = 0.25
+"""The share of the limit that connections may use even if the idle process leaves less."""
+
+CALLERS_SHARE = 0.3
+"""The share of the limit that the accepted connections may use, with their socket buffers."""
+
+SEARCHERS_SHARE = 0.3
+"""The same for the connections to searchers, and to gateways that gather."""
+
+REQUESTS_SHARE = 0.5
+"""The share of the room that larger requests may use."""
+
+REQUESTS_CEILING = 0.75
+"""Larger requests are refused once all uses together have taken this share of the room.
+
+The rest is for the answers to requests that were passed on, which are refused last.
+"""
+
+QUIET_BYTES = 4_000_000
+"""The process counts as idle while its connections use no more than this."""
+
+PEER_SHARE = 1 / 3
+"""The share of the accepted connections that other gateways may have open."""
+
+DESCRIPTORS_PER_CALLER = 2
+"""A connection that the gateway accepted has its socket and one descriptor to wake its task."""
+
+MAX_FILE_DESCRIPTORS = 200
+FILE_DESCRIPTORS_SHARE = 0.25
+"""The descriptors kept for files: a share of all, but no more than ``MAX_FILE_DESCRIPTORS``."""
+
+PROCESS_DESCRIPTORS = 16
+"""The descriptors of the idle process: streams, signals, listeners, seeds and the store."""
+
+CALLERS_DESCRIPTORS_SHARE = 0.75
+"""The share of the other descriptors that accepted connections may use.
+
+The rest is for the connections to searchers, to other gateways and to the store.
+"""
+
+MIN_CONNECTIONS = 2
+"""The accepted connections of each kind are never limited to fewer."""
+
+PAGE_TASKS = 64
+"""The tasks for readiness checks and for readers of the metrics."""
+
+MAX_ACCEPTED_CONNECTIONS = 3_000
+"""The accepted connections are never more, since each has a task on a thread of its own."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlan:
+    """The bytes that each use may take, if the idle process needs ``idle`` bytes of ``limit``."""
+
+    limit: int
+    idle: int
+
+    @property
+    def room(self) -> int:
+        """The bytes for all uses together."""
+        margin = max(MIN_MARGIN_BYTES, round(self.limit * MARGIN_SHARE))
+        return max(round(self.limit * MIN_ROOM_SHARE), self.limit - self.idle - margin)
+
+    def allows(self, use: Use, count: int, used: Mapping[Use, int]) -> bool:
+        """Return whether ``use`` may take ``count`` bytes more than it has of ``used``."""
+        total = sum(used.values()) + count
+        match use:
+            case Use.REQUESTS:
+                own_limit = self.room * REQUESTS_SHARE
+                return used[use] + count <= own_limit and total <= self.room * REQUESTS_CEILING
+            case _:
+                return total <= self.room
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """How many connections a gateway accepts from callers and gateways, and how many tasks run."""
+
+    callers: int
+    peers: int
+    tasks: int
+
+
+def plan_memory(capacity: HostCapacity, idle: int) -> MemoryPlan:
+    """Return the plan for a host of which the idle process uses ``idle`` bytes."""
+    return MemoryPlan(capacity.memory or DEFAULT_MEMORY_BYTES, idle)
+
+
+@dataclass(frozen=True, slots=True)
+class IdleMemory:
+    """The bytes that the process needs without connections, as last measured.
+
+    ``quiet`` is the measure of the last time when there were next to no connections. The bytes that
+    connections account for may not be resident yet, so that ``now`` is never below ``quiet``.
+    """
+
+    quiet: int
+    now: int
+
+    def measure(self, resident: int, used: Mapping[Use, int]) -> "IdleMemory":
+        """Return the measure for a process with ``resident`` bytes and these uses."""
+        in_process = sum(count for use, count in used.items() if use is not Use.SOCKETS)
+        without_uses = max(0, resident - in_process)
+        if in_process <= QUIET_BYTES:
+            return IdleMemory(without_uses, without_uses)
+        return IdleMemory(self.quiet, max(self.quiet, without_uses))
+
+
+def plan_connections(capacity: HostCapacity, descriptor_limit: int) -> ConnectionLimits:
+    """Return the limits for a host; the system allows ``descriptor_limit`` open descriptors."""
+    descriptors = min(capacity.descriptors or DEFAULT_DESCRIPTORS, descriptor_limit)
+    files = min(MAX_FILE_DESCRIPTORS, round(descriptors * FILE_DESCRIPTORS_SHARE))
+    others = max(0, descriptors - files - PROCESS_DESCRIPTORS)
+    by_descriptors = int(others * CALLERS_DESCRIPTORS_SHARE) // DESCRIPTORS_PER_CALLER
+    memory = capacity.memory or DEFAULT_MEMORY_BYTES
+    by_memory = int(memory * CALLERS_SHARE) // (CALLER_CONNECTION_BYTES + CALLER_SOCKET_BYTES)
+    accepted = min(by_descriptors, by_memory, MAX_ACCEPTED_CONNECTIONS)
+    peers = max(MIN_CONNECTIONS, int(accepted * PEER_SHARE))
+    callers = max(MIN_CONNECTIONS, accepted - peers)
+    searchers_by_descriptors = max(MIN_CONNECTIONS, others - accepted * DESCRIPTORS_PER_CALLER)
+    searchers_by_memory = int(memory * SEARCHERS_SHARE) // (
+        SEARCHER_CONNECTION_BYTES + SEARCHER_SOCKET_BYTES
+    )
+    searchers = max(MIN_CONNECTIONS, min(searchers_by_descriptors, searchers_by_memory))
+    return ConnectionLimits(callers, peers, callers + peers + searchers + PAGE_TASKS)
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -21,10 +21,12 @@
     InvalidResponse,
     NoResponse,
     SearcherTask,
+    Use,
     peer_header_names,
 )
 from masticgate.connection.gateway._parser import Malformed
 from masticgate.connection.gateway._response_parser import ResponseParser
+from masticgate.process.gateway import HostCapacity, _memory_keeper
 from masticgate.request.gateway import Call, Lost
 from masticgate.version.gateway import OneService
 
@@ -52,13 +54,16 @@
 """The most bytes of bodies in chunks, with the framing of the chunks."""
 
 MAX_PENDING_BYTES = 24_000_000
-"""The most bytes of unfinished answers on all connections, beyond ``ORDINARY_BYTES`` of each."""
+"""The room of the gateway in the test of many answers, for all its connections together."""
 
 ORDINARY_BYTES = 16_384
 
 RECEIVE_BYTES = 4_096
 """The most bytes that a connection receives at once."""
 
+SMALL_CAPACITY = HostCapacity(1.0, 1_000.0, memory=4 * MAX_PENDING_BYTES)
+"""Of this memory the room is a quarter, the least share, if the idle process fills it."""
+
 MAX_WAIT_S = 5.0
 LONG_TIMEOUT = Millis(60_000.0)
 SHORT_TIMEOUT = Millis(200.0)
@@ -310,13 +315,15 @@
 
 
 class TestManyEndlessResponses:
-    def test_process_bounds_their_bytes_together_and_serves_other_requests(self):
+    def test_process_bounds_their_bytes_together_and_serves_other_requests(self, monkeypatch):
         """Guard against a process that runs out of memory by many answers within their limits."""
         stalling = [StallingServer(3_000_000) for _ in range(10)]
         slow = replace(make_route(), timeout=Millis(8_000.0), objective=Millis(5_000.0))
         other = make_route(OneService(ServiceId("others")), prefix="/b/")
         searchers = {"orders": stalling, "others": [StandInSearcher(reply_to)]}
-        with running_gateway([slow, other], searchers) as gateway:
+        monkeypatch.setattr(_memory_keeper, "read_resident_bytes", lambda: SMALL_CAPACITY.memory)
+        with running_gateway([slow, other], searchers, capacity=SMALL_CAPACITY) as gateway:
+            assert gateway.memory.plan.room == MAX_PENDING_BYTES
             callers = [
                 RawCaller(gateway).get(request_id=f"q{number}", caller_timeout=8_000)
                 for number in range(20)
@@ -331,7 +338,7 @@
             for caller in callers:
                 assert caller.read()[0] in (200, 502, 503, 504)
             assert most <= MAX_PENDING_BYTES + 20 * ORDINARY_BYTES + 20 * RECEIVE_BYTES
-            wait_until(lambda: not gateway.fleet.connections.receive_budget.used)
+            wait_until(lambda: not gateway.memory.used[Use.ANSWERS])
             assert gateway.metrics.counters["answer_oversized"] > 0
 
     def test_bytes_of_finished_answers_no_longer_count(self):
@@ -339,7 +346,7 @@
         with running_gateway([make_route()], {"orders": [large]}) as gateway:
             for number in range(30):
                 assert RawCaller(gateway).get(request_id=f"q{number}").read()[0] == 200
-            assert gateway.fleet.connections.receive_budget.used == 0
+            wait_until(lambda: not gateway.memory.used[Use.ANSWERS])
 
 
 def wait_until(condition) -> None:
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -73,9 +73,9 @@
         """Return the text of a valid settings file."""
         return SETTINGS.format(**self.ports, grace=grace, store=self.store.address)
 
-    def write_settings(self, grace: float = 1.0) -> None:
-        """Write a valid settings file."""
-        self.path.write_text(self.settings(grace))
+    def write_settings(self, grace: float = 1.0, more: str = "") -> None:
+        """Write a valid settings file, with ``more`` at its end."""
+        self.path.write_text(self.settings(grace) + more)
 
     def start(self, *options: str, arguments: tuple[str, ...] = (), **popen) -> None:
         """Start the program; ``options`` are for the interpreter, ``popen`` for the process."""
@@ -128,6 +128,13 @@
             Event().wait(0.02)
         raise AssertionError(f"no line {event}: {self.output.read_text()}")
 
+    def read_status(self, name: str) -> int:
+        """Return a field of the process's status that is in kB, such as ``VmHWM``, in bytes."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        lines = dict(line.split(":", 1) for line in status.splitlines())
+        return int(lines[name].split()[0]) * 1024
+
     def wait_for_end(self, timeout_s: float = 10.0) -> int:
         """Return the exit status of the process once it has ended."""
         assert self.process is not None
