Give up replies that nobody reads while memory is short

A connection whose request was refused has a state of its own, so that it is the last to be closed to make room and its caller has the time to read the refusal; a stopping gateway closes it like an idle one.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -43,6 +43,9 @@
 WRITE_TIMEOUT = Millis(5_000.0)
 """A connection is closed if the caller does not accept the whole reply within this time."""
 
+STALL_TIMEOUT = Millis(1_000.0)
+"""It is closed if the caller accepts no byte for this long while memory is short."""
+
 ORDINARY_REQUEST_BYTES = 8_192
 """The bytes of the requests of one connection that are part of the memory of the connection."""
 
@@ -102,12 +105,14 @@
     """The activity of a caller's connection.
 
     In state ``IDLE`` the connection waits for a request, in ``READING`` it has received a part of a
-    request, and in ``SERVING`` its task runs the handler or sends the reply.
+    request, and in ``SERVING`` its task runs the handler or sends the reply. In ``REFUSED`` it
+    drops the rest of a request that was refused.
     """
 
     IDLE = "idle"
     READING = "reading"
     SERVING = "serving"
+    REFUSED = "refused"
 
 
 class CallerConnection:
@@ -212,7 +217,7 @@
 
     def _drop_input(self) -> None:
         """Read and drop what the caller still sends, until it closes its side."""
-        self._set_state(CallerState.IDLE)
+        self._set_state(CallerState.REFUSED)
         deadline = self.state_changed_at + LINGER_TIME
         dropped = 0
         try:
@@ -227,16 +232,35 @@
             return
 
     def _send(self, blocks: tuple[bytes, ...]) -> bool:
-        deadline = self.clock.now() + WRITE_TIMEOUT
+        """Send a reply; return ``False`` if the caller does not accept it.
+
+        It has :data:`WRITE_TIMEOUT` for all of it, but only :data:`STALL_TIMEOUT` without accepting
+        any byte if the memory of the process is short.
+        """
+        deadline = Millis(self.clock.now() + WRITE_TIMEOUT)
+        self.connection.settimeout(STALL_TIMEOUT / MILLIS_PER_SECOND)
         try:
             for block in blocks:
-                remaining = max(1.0, deadline - self.clock.now())
-                self.connection.settimeout(remaining / MILLIS_PER_SECOND)
-                self.connection.sendall(block)
+                data = memoryview(block)
+                while data := data[self._send_some(data, deadline) :]:
+                    if self.clock.now() >= deadline:
+                        return False
         except OSError:
             return False
         return True
 
+    def _send_some(self, data: memoryview, deadline: Millis) -> int:
+        """Send as many bytes as the caller accepts and return their number.
+
+        :raises TimeoutError: it accepted none for too long.
+        """
+        try:
+            return self.connection.send(data)
+        except TimeoutError:
+            if self.clock.now() >= deadline or self.memory.is_short():
+                raise
+            return 0
+
     def _read_request(self) -> ParsedRequest | None:
         """Return the next request, or ``None`` if the connection has to be closed.
 
--- a/src/masticgate/connection/gateway/_holding.py
+++ b/src/masticgate/connection/gateway/_holding.py
@@ -40,6 +40,10 @@
         """Return ``count`` bytes."""
         ...
 
+    def is_short(self) -> bool:
+        """Return whether little is left, so that answers that nobody takes have to be given up."""
+        ...
+
 
 class UnlimitedMemory:
     """A budget that refuses nothing and counts nothing."""
@@ -54,6 +58,10 @@
     def release(self, use: Use, count: int) -> None:
         """Do nothing."""
 
+    def is_short(self) -> bool:
+        """Return ``False``."""
+        return False
+
 
 UNLIMITED_MEMORY = UnlimitedMemory()
 
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -15,6 +15,9 @@
 """The pause after a failed attempt to listen; the address may be taken for some seconds."""
 
 
+UNNEEDED_STATES = (CallerState.IDLE, CallerState.REFUSED)
+
+
 class Listener:
     """One listening socket and the open connections that it accepted.
 
@@ -66,9 +69,9 @@
             return sum(caller.state in states for caller in self.connections)
 
     def close_idle(self) -> None:
-        """Close every connection that waits for a request."""
+        """Close every connection that waits for a request, or whose request was refused."""
         with self.lock:
-            idle = [caller for caller in self.connections if caller.state is CallerState.IDLE]
+            idle = [caller for caller in self.connections if caller.state in UNNEEDED_STATES]
         for caller in idle:
             caller.stop_reading()
 
@@ -128,7 +131,8 @@
     def _make_room(self, newest: CallerConnection) -> bool:
         """Return whether there is room for ``newest``; close another connection for it if needed.
 
-        It is the idle or reading connection whose state changed the longest time ago.
+        It is the idle or reading connection whose state changed the longest time ago, or else one
+        whose caller still sends a request that was refused and might lose the reply.
         """
         with self.lock:
             if len(self.connections) <= self.max_connections:
@@ -142,9 +146,9 @@
                 if caller is not newest and caller.state is not CallerState.SERVING
             ]
         if waiting:
-            min(waiting, key=_state_changed_at).stop_reading()
+            min(waiting, key=_closing_order).stop_reading()
         return bool(waiting)
 
 
-def _state_changed_at(caller: CallerConnection) -> Millis:
-    return caller.state_changed_at
+def _closing_order(caller: CallerConnection) -> tuple[bool, Millis]:
+    return caller.state is CallerState.REFUSED, caller.state_changed_at
--- a/src/masticgate/process/gateway/_memory_budget.py
+++ b/src/masticgate/process/gateway/_memory_budget.py
@@ -48,6 +48,10 @@
         with self.lock:
             self.used[use] -= count
 
+    def is_short(self) -> bool:
+        """Return whether little is left, so that answers that nobody takes have to be given up."""
+        return self.plan.is_short(self.used)
+
     @property
     def total(self) -> int:
         """The bytes of all uses together."""
--- a/src/masticgate/process/gateway/_memory_plan.py
+++ b/src/masticgate/process/gateway/_memory_plan.py
@@ -24,11 +24,11 @@
 MIN_ROOM_SHARE = 0.25
 """The share of the limit that connections may use even if the idle process leaves less."""
 
-CALLERS_SHARE = 0.3
+CALLERS_SHARE = 0.4
 """The share of the limit that the accepted connections may use, with their socket buffers."""
 
 SEARCHERS_SHARE = 0.3
-"""The same for the connections to searchers, and to gateways that gather."""
+"""The share for the connections to searchers, and to gateways that gather."""
 
 REQUESTS_SHARE = 0.5
 """The share of the room that larger requests may use."""
@@ -42,7 +42,7 @@
 QUIET_BYTES = 4_000_000
 """The process counts as idle while its connections use no more than this."""
 
-PEER_SHARE = 1 / 3
+PEER_SHARE = 0.4
 """The share of the accepted connections that other gateways may have open."""
 
 DESCRIPTORS_PER_CALLER = 2
@@ -78,6 +78,10 @@
     limit: int
     idle: int
 
+    def is_short(self, used: Mapping[Use, int]) -> bool:
+        """Return whether less is left than what is kept for answers."""
+        return sum(used.values()) > self.room * REQUESTS_CEILING
+
     @property
     def room(self) -> int:
         """The bytes for all uses together."""
