Keep the latest configuration only in the log of catalogue changes

Each gateway keeps its last 2,000 changes of the catalogue for other gateways.

Each configuration replaces the one before, so that a gateway that is behind needs the latest one only. The number of a replaced change stays, its value goes.

--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from threading import Condition
 from time import monotonic
 from urllib.parse import parse_qs
@@ -78,11 +79,21 @@
 HTTP_GONE = 410
 
 
+@dataclass(slots=True)
+class LoggedChange:
+    """One change as a JSON value, or ``None`` if a later change has replaced it."""
+
+    number: int
+    value: object | None
+
+
 class CatalogueLog:
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch.
+    start. ``age`` returns the time since the last successful read or watch. ``table_change`` is the
+    latest change of the configuration. It is the only one with a value, since each configuration
+    replaces the one before and is large.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -91,21 +102,25 @@
         self.epoch = f"{random.getrandbits(48):x}"
         self.number = 0
         self.state: dict[str, object] = {}
-        self.changes: deque[tuple[int, object]] = deque(maxlen=MAX_CHANGES)
+        self.changes: deque[LoggedChange] = deque(maxlen=MAX_CHANGES)
+        self.table_change = LoggedChange(0, None)
 
     def add(self, change: Change) -> None:
         """Apply one published change, and wake the watches that wait for it."""
         value = encode_change(change)
         with self.changed:
+            self.number += 1
+            logged = LoggedChange(self.number, value)
             match change:
                 case PublishedConfiguration():
                     self.state["table"] = value
+                    self.table_change.value = None
+                    self.table_change = logged
                 case SearcherListed(entry=entry):
                     self.state[f"searcher {entry.id}"] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
                     self.state.pop(f"searcher {searcher}", None)
-            self.number += 1
-            self.changes.append((self.number, value))
+            self.changes.append(logged)
             self.changed.notify_all()
 
     def handle_request(self, request: Request) -> LocalPage:
@@ -139,9 +154,13 @@
                 self.changed.wait(remaining)
             if self.age() > MAX_PLATFORM_AGE:
                 return LocalPage(503, b"the platform is unavailable")
-            if self.changes and after + 1 < self.changes[0][0]:
+            if self.changes and after + 1 < self.changes[0].number:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            values = [value for number, value in self.changes if number > after]
+            values = [
+                change.value
+                for change in self.changes
+                if change.number > after and change.value is not None
+            ]
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -82,6 +82,20 @@
             catalogue.epoch, 3, ()
         )
 
+    # Guards against thousands of whole configurations in memory after as many changes (FAULT).
+    def test_keeps_latest_configuration_only(self):
+        catalogue = make_catalogue()
+        catalogue.add(SearcherListed(make_entry("a")))
+        for version in range(8, 1_008):
+            table = make_table(SHARDS, version=version)
+            catalogue.add(PublishedConfiguration(table))
+        assert sum("table" in str(change.value) for change in catalogue.changes) == 1
+        update = decode_changes(watch_catalogue(catalogue, 1).body)
+        assert update.changes == (SearcherListed(make_entry("a")), PublishedConfiguration(table))
+        assert update.number == 1_002
+        behind = decode_changes(watch_catalogue(catalogue, 1_000).body)
+        assert behind.changes == (PublishedConfiguration(table),)
+
     def test_rejects_watch_after_restart_or_lost_changes(self):
         catalogue = make_catalogue()
         assert request_catalogue(catalogue, "after=1&epoch=other&wait=0").status == 410
