Bound what other processes make a gateway keep: heartbeats, log lines

A seed kept one entry for each name that any process sent in a heartbeat, of up to 16 KB, for 5 s and more, and a queue of 2,000 log lines held the ids that callers sent, of up to 16 KB each, if nobody read the standard output.

--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -18,6 +18,9 @@
 
 STANDARD_OUTPUT = 1
 MAX_QUEUED_LINES = 2_000
+MAX_VALUE_LENGTH = 2_000
+"""A longer text in a field is cut; a caller may send an id of many kilobytes."""
+
 MAX_LINES_PER_SECOND = 40
 """The limit for the lines of each event in one second; a busy host writes a tenth of that."""
 
@@ -127,7 +130,8 @@
 
     def _format_line(self, event: LogEvent, fields: dict[str, Any]) -> str:
         head = {"wall_ms": round(self.clock.wall()), "host": self.host, "event": event.value}
-        return json.dumps(head | fields, separators=(",", ":"), default=str)
+        values = {name: _shorten(value) for name, value in fields.items()}
+        return json.dumps(head | values, separators=(",", ":"), default=str)
 
     def _roll_window(self) -> None:
         now = self.clock.now()
@@ -154,3 +158,10 @@
         poller = select.poll()
         poller.register(self.descriptor, select.POLLOUT)
         poller.poll()
+
+
+def _shorten(value: object) -> object:
+    """Return ``value``, or its beginning if it is a text that is too long."""
+    if isinstance(value, str) and len(value) > MAX_VALUE_LENGTH:
+        return f"{value[:MAX_VALUE_LENGTH]}..."
+    return value
--- a/tests/gateway/test_log.py
+++ b/tests/gateway/test_log.py
@@ -9,6 +9,7 @@
 from masticgate.process.gateway._log import (
     MAX_LINES_PER_SECOND,
     MAX_QUEUED_LINES,
+    MAX_VALUE_LENGTH,
     EventLog,
     LogEvent,
 )
@@ -25,6 +26,14 @@
         line = json.loads(os.read(reader, 4096))
         assert (line["host"], line["event"], line["request"]) == ("g1", "request", "q1")
 
+    # Guards against a queue of lines that each hold an id of many kilobytes, as a caller sent it.
+    def test_cuts_long_texts(self):
+        log = EventLog(HostId("g1"), ManualClock())
+        log.write(LogEvent.REQUEST, request="q" * 16_000, detail="d" * MAX_VALUE_LENGTH)
+        line = json.loads(log.queue[0])
+        assert line["request"] == "q" * MAX_VALUE_LENGTH + "..."
+        assert line["detail"] == "d" * MAX_VALUE_LENGTH
+
     def test_full_pipe_does_not_block_writers(self):
         _, writer = os.pipe()
         clock = ManualClock()
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,7 +9,14 @@
 
 from masticgate import Address, ManualClock, Millis, ServiceId
 from masticgate._ids import FailureDomainId, HostId, RequestId
+from masticgate.process.gateway._gatherers import Member
 from masticgate.process.gateway._log import EventLog
+from masticgate.process.gateway._membership import (
+    HEARTBEAT_INTERVAL,
+    MAX_HEARTBEATS,
+    Heartbeat,
+    Membership,
+)
 from masticgate.process.gateway._peers import (
     HEARTBEAT_HOST,
     NAMING_DELAY,
@@ -144,6 +151,22 @@
 
 
 class TestMembers:
+    # Guards against a table that grows with each name that any process sends.
+    def test_keeps_bounded_number_of_heartbeats_with_bounded_names(self):
+        membership = Membership()
+        heartbeat = Heartbeat(None, HEARTBEAT_INTERVAL, Millis(0.0))
+        for number in range(MAX_HEARTBEATS + 100):
+            membership.record(HostId(f"g{number}"), heartbeat)
+        later = replace(heartbeat, received_at=Millis(1.0))
+        membership.record(HostId("g7"), later)
+        assert len(membership.heartbeats) == MAX_HEARTBEATS
+        assert membership.heartbeats[HostId("g7")] == later
+        membership.heartbeats.clear()
+        membership.record(HostId("g" * 4_000), heartbeat)
+        member = Member(HostId("g1"), Address("127.0.0.1:1"), FailureDomainId("z" * 4_000), 1.0)
+        membership.record(HostId("g1"), replace(heartbeat, member=member))
+        assert not membership.heartbeats
+
     def test_seed_counts_itself_and_gateways_that_send_heartbeats(self):
         peers = make_peers(ManualClock())
         send_heartbeat(peers, "g2")
