Count small messages with fewer steps

Heads are added up once when they are complete, and answers of ordinary size are not counted piece by piece.

--- a/src/masticgate/connection/gateway/_holding.py
+++ b/src/masticgate/connection/gateway/_holding.py
@@ -83,44 +83,41 @@
         self.size = 0
         self.closed = False
 
-    @property
-    def taken(self) -> int:
-        """The number of bytes that are taken from the budget."""
-        return max(0, self.size - self.allowance)
-
     def grow(self, count: int) -> bool:
         """Hold ``count`` more bytes, or return ``False`` if the budget does not have them."""
         with self.lock:
-            excess = max(0, self.size + count - self.allowance) - self.taken
-            if excess and not self.closed and not self.budget.take(self.use, excess):
+            size = self.size + count
+            if (
+                size > self.allowance
+                and not self.closed
+                and not self.budget.take(self.use, self._excess(size))
+            ):
                 return False
-            self._change(count)
+            self.size = size
             return True
 
     def add(self, count: int) -> None:
         """Hold ``count`` more bytes, which exist already, even if the budget is exceeded."""
         with self.lock:
-            excess = max(0, self.size + count - self.allowance) - self.taken
-            if excess and not self.closed:
-                self.budget.add(self.use, excess)
-            self._change(count)
+            size = self.size + count
+            if size > self.allowance and not self.closed:
+                self.budget.add(self.use, self._excess(size))
+            self.size = size
 
     def shrink(self, count: int) -> None:
         """Hold ``count`` bytes less."""
         with self.lock:
-            before = self.taken
-            self._change(-count)
-            if before != self.taken:
-                self.budget.release(self.use, before - self.taken)
+            before, self.size = self.size, self.size - count
+            if before > self.allowance and not self.closed:
+                self.budget.release(self.use, before - max(self.size, self.allowance))
 
     def close(self) -> None:
         """Return all bytes; later calls take none."""
         with self.lock:
-            taken = self.taken
-            self.closed, self.size = True, 0
-            if taken:
-                self.budget.release(self.use, taken)
-
-    def _change(self, count: int) -> None:
-        if not self.closed:
-            self.size += count
+            if self.size > self.allowance and not self.closed:
+                self.budget.release(self.use, self.size - self.allowance)
+            self.closed = True
+
+    def _excess(self, size: int) -> int:
+        """Return how much more has to be taken for ``size`` bytes, which exceed the allowance."""
+        return size - max(self.size, self.allowance)
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -118,7 +118,6 @@
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
         self.holding = holding or Holding(UNLIMITED_MEMORY, Use.REQUESTS, 0)
-        self.uncounted = 0
         self.refused_headers: list[Header] = []
         self.parser = httptools.HttpRequestParser(self)
         self.ready: list[ParsedRequest] = []
@@ -137,9 +136,10 @@
             if self.size_error is not None:
                 return self.size_error
             return Malformed(str(error))
-        self._count()
-        if self.in_message and not self.in_body and self.header_size > self.header_bytes:
-            return TooLarge(431)
+        if self.in_message and not self.in_body:
+            if self.header_size > self.header_bytes:
+                return TooLarge(431)
+            self._hold(_head_cost(self.header_size, len(self.headers)))
         return self.size_error
 
     @property
@@ -158,19 +158,18 @@
         self.in_body = False
         self.header_size = 0
         self.cost = 0
-        self.body_is_counted = False
+        self.body_is_held = False
         self.target = b""
         self.headers: list[Header] = []
         self.body = BodyBuffer()
         self.size_error: TooLarge | NoMemory | None = None
 
-    def _count(self) -> None:
-        """Take what was received from the holding; set ``size_error`` if that is not possible."""
-        count, self.uncounted = self.uncounted, 0
-        if not count or self.size_error is not None:
+    def _hold(self, cost: int) -> None:
+        """Hold ``cost`` bytes for the present request, or refuse it."""
+        if self.size_error is not None or cost <= self.cost:
             return
-        if self.holding.grow(count):
-            self.cost += count
+        if self.holding.grow(cost - self.cost):
+            self.cost = cost
         else:
             self._refuse(NoMemory())
 
@@ -181,18 +180,15 @@
     def on_message_begin(self) -> None:
         """Record that a part of a request has been received."""
         self.in_message = True
-        self.uncounted += REQUEST_OBJECT_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         self.target += url
-        self.uncounted += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; a trailer, which follows the body, is ignored."""
         if not self.in_body:
             self.headers.append((name, value))
-            self.uncounted += len(name) + len(value) + HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         """Check the size of the head and the size of the body that it announces.
@@ -200,17 +196,18 @@
         Also record whether the caller waits for a ``100 Continue`` before it sends the body.
         """
         self.in_body = True
-        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size + len(self.target) > self.header_bytes:
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers) + len(self.target)
+        if size > self.header_bytes:
             self._refuse(TooLarge(431))
+        cost = _head_cost(size, len(self.headers))
         stated = find_header(self.headers, b"content-length")
         if stated is not None and stated.isdigit():
             length = int(stated)
             if length > self.body_bytes:
                 self._refuse(TooLarge(413))
-            self.uncounted += _body_cost(length)
-            self.body_is_counted = True
-        self._count()
+            cost += _body_cost(length)
+            self.body_is_held = True
+        self._hold(cost)
         expect = find_header(self.headers, b"expect")
         self.expects_continue = expect is not None and expect.lower() == b"100-continue"
 
@@ -219,9 +216,8 @@
         size = self.body.size + len(body)
         if size > self.body_bytes:
             self._refuse(TooLarge(413))
-        elif not self.body_is_counted:
-            self.uncounted += _body_cost(size) - _body_cost(self.body.size)
-            self._count()
+        elif not self.body_is_held:
+            self._hold(self.cost + _body_cost(size) - _body_cost(self.body.size))
         if self.size_error is None:
             self.body.append(body)
 
@@ -243,6 +239,11 @@
         self.size_error = size_error
 
 
+def _head_cost(size: int, header_count: int) -> int:
+    """Return the bytes held for a head of ``size`` bytes."""
+    return REQUEST_OBJECT_BYTES + size + header_count * HEADER_OBJECT_BYTES
+
+
 def _body_cost(length: int) -> int:
     """Return the bytes held for a body: itself, and what the socket holds while it is passed on."""
     return length + min(length, MAX_UNSENT_BYTES)
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -104,10 +104,8 @@
 
     def feed(self, data: bytes | memoryview) -> Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
-        before, self.received_bytes = self.received_bytes, self.received_bytes + len(data)
-        if self.holding is not None and not self.holding.grow(
-            _answer_cost(self.received_bytes) - _answer_cost(before)
-        ):
+        self.received_bytes += len(data)
+        if self.received_bytes > ORDINARY_BYTES and not self._hold_received():
             return Oversized("no memory for more bytes of answers")
         try:
             self.parser.feed_data(data)
@@ -132,7 +130,7 @@
         """
         self.received_bytes = 0
         self.body_size = 0
-        if self.holding is not None:
+        if self.holding is not None and self.holding.size:
             self.holding.shrink(self.holding.size)
 
     def feed_eof(self) -> None:
@@ -149,6 +147,16 @@
         ):
             self._queue_response(BodyFraming.CLOSE, keep_alive=False)
 
+    def _hold_received(self) -> bool:
+        """Hold the received bytes beyond the ordinary ones; return ``False`` on failure.
+
+        What the socket of the caller will keep of them counts, too.
+        """
+        if self.holding is None:
+            return True
+        excess = self.received_bytes - ORDINARY_BYTES
+        return self.holding.grow(excess + min(excess, MAX_UNSENT_BYTES) - self.holding.size)
+
     def _reset(self) -> None:
         self.in_message = False
         self.in_body = False
@@ -278,8 +286,3 @@
     """
     if b"HTTP/" in value and STATUS_LINE.search(value):
         raise TruncatedResponseError("a response begins within the head of another")
-
-
-def _answer_cost(size: int) -> int:
-    """Return the bytes held for an answer: itself, and what the caller's socket will hold of it."""
-    return size + min(max(0, size - ORDINARY_BYTES), MAX_UNSENT_BYTES)
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -24,7 +24,7 @@
 from ._header_names import HeaderNames
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
 from ._parser import Oversized, parse_number
-from ._response_parser import ORDINARY_BYTES, ParsedResponse, ResponseParser
+from ._response_parser import ParsedResponse, ResponseParser
 from ._searcher_notices import Leaving, SearcherNotice, decode_notices
 
 CONNECT_TIMEOUT = Millis(300.0)
@@ -169,7 +169,7 @@
         self.idle_since = self.started_at
         self.keep_alive_timeout: Millis | None = None
         self.memory = memory
-        self.parser = ResponseParser(Holding(memory, Use.ANSWERS, ORDINARY_BYTES))
+        self.parser = ResponseParser(Holding(memory, Use.ANSWERS, 0))
 
     def run(self) -> None:
         """Open the connection and read responses until it ends or an error occurs."""
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -87,9 +87,7 @@
         holding, other = (Holding(memory, Use.REQUESTS, allowance) for _ in range(2))
         other.add(allowance + 7)
         for name, count in steps:
-            if name == "shrink":
-                count = min(count, holding.size)
-            getattr(holding, name)(count)
+            getattr(holding, name)(min(count, holding.size) if name == "shrink" else count)
             assert memory.total == 7 + max(0, holding.size - allowance)
         for _ in range(2):
             holding.close()
