--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -25,6 +25,9 @@
 MAX_HEARTBEATS = 10_000
 """The number of gateways whose heartbeats a seed keeps; the target is 3,300."""
 
+MAX_NAME_LENGTH = 253
+"""The length of a host's name, and of its failure domain's, in a heartbeat that a seed keeps."""
+
 
 def heartbeat_interval(members: int, *, is_gatherer: bool) -> Millis:
     """Return the interval between the heartbeats of one of ``members`` gateways."""
@@ -58,8 +61,10 @@
         self.heartbeats: dict[HostId, Heartbeat] = {}
 
     def record(self, host: HostId, heartbeat: Heartbeat) -> bool:
-        """Record a heartbeat; return ``False`` if it is that of one gateway too many."""
-        if host not in self.heartbeats and len(self.heartbeats) >= MAX_HEARTBEATS:
+        """Record a heartbeat; return ``False`` if it exceeds a bound on their number or names."""
+        domain = "" if heartbeat.member is None else heartbeat.member.domain
+        is_too_many = host not in self.heartbeats and len(self.heartbeats) >= MAX_HEARTBEATS
+        if is_too_many or max(len(host), len(domain)) > MAX_NAME_LENGTH:
             return False
         self.heartbeats[host] = heartbeat
         return True
