Keep the main thread alive after an error

Seen: an error in the main thread ended the process with status 1, without a line in the log: one of a reload, of making the gateway (want of memory or descriptors), of the stop, or an argument for the port of metrics that is no port.

Cause: only the tasks of other threads were supervised. A reload that raised was besides taken as applied, since its settings were stored before.

Change: the main thread runs the reloads and the stop under the supervisor, which logs and counts an error and calls again after 500 ms. Both can be called again: the gateway itself holds the settings last applied and the time at which its stop began. Making the gateway is tried again too, with a line on standard error. An invalid port for metrics leaves the gateway without that page. Supervisor._run, now called from outside, is Supervisor.run.

--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -31,8 +31,8 @@
     try:
         fields = Fields.of("settings", tomllib.loads(path.read_text(encoding="utf-8")))
         return _decode_settings(fields, metrics_port)
-    except (OSError, ValueError, RecursionError, FieldError) as error:
-        return InvalidNodeFile(f"{path}: {error}")
+    except (OSError, ValueError, RecursionError, MemoryError, FieldError) as error:
+        return InvalidNodeFile(f"{path}: {str(error) or type(error).__name__}")
 
 
 def _decode_settings(fields: Fields, metrics_port: int | None) -> GatewaySettings:
--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -1,10 +1,14 @@
 """The gateway program that the platform starts on each host."""
 
+import gc
 import os
 import sys
+from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 from .._clock import MILLIS_PER_SECOND, SystemClock
+from ..connection.gateway import parse_address
 from ..process.gateway import GatewaySettings
 from ..process.gateway._gateway import Gateway
 from ._names import HEADER_NAMES
@@ -21,15 +25,19 @@
 
 SETTINGS_POLL_INTERVAL_S = 0.1
 
+RETRY_INTERVAL_S = 0.5
+"""The pause after a failed start of the gateway."""
+
 EXIT_USAGE = 2
 
 
 def main(signals: SignalQueue) -> None:
     """Run a gateway until SIGTERM or SIGINT.
 
-    The optional command line argument is the port for metrics.
+    The optional command line argument is the port for metrics. An error is reported, and what
+    raised it is tried again.
     """
-    metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else None
+    metrics_port = _decode_port(sys.argv[1]) if len(sys.argv) > 1 else None
     path = Path(os.environ.get(NODE_FILE_VARIABLE, "/etc/masticgate/local.toml"))
     settings = _wait_for_settings(path, metrics_port, signals)
     if signals.stop_requested:
@@ -37,11 +45,34 @@
     if isinstance(settings, InvalidNodeFile):
         _print_error(f"no valid settings for {SETTINGS_WAIT_S:g} s: {settings.detail}")
         raise SystemExit(EXIT_USAGE)
-    store = PlatformStore(settings.store_address, SystemClock())
-    gateway = Gateway(settings, HEADER_NAMES, store)
+    gateway = _make_gateway(settings, signals)
+    if gateway is None:
+        return
     gateway.start()
-    _run(gateway, settings, path, metrics_port, signals)
-    gateway.stop()
+    gateway.supervisor.run(partial(_follow_settings, gateway, path, metrics_port, signals))
+    gateway.supervisor.run(gateway.stop)
+
+
+def _decode_port(text: str) -> int | None:
+    """Return the port that an argument states; one that is invalid is reported and ignored."""
+    if parse_address(f"0.0.0.0:{text}") is not None:
+        return int(text)
+    _print_error(f"no metrics are served, since this is no port: {text!r}")
+    return None
+
+
+def _make_gateway(settings: GatewaySettings, signals: SignalQueue) -> Gateway | None:
+    """Make the gateway; after an error, try again until a signal to stop arrives."""
+    while not signals.stop_requested:
+        try:
+            store = PlatformStore(settings.store_address, SystemClock())
+            return Gateway(settings, HEADER_NAMES, store)
+        except Exception as error:
+            _print_error(f"the start failed and is tried again: {error!r}")
+        # Sockets of the failed start may listen until they are collected.
+        gc.collect()
+        signals.wait_for_stop(RETRY_INTERVAL_S)
+    return None
 
 
 def _wait_for_settings(
@@ -61,12 +92,8 @@
             return settings
 
 
-def _run(
-    gateway: Gateway,
-    settings: GatewaySettings,
-    path: Path,
-    metrics_port: int | None,
-    signals: SignalQueue,
+def _follow_settings(
+    gateway: Gateway, path: Path, metrics_port: int | None, signals: SignalQueue
 ) -> None:
     """Reload changed settings on SIGHUP and regularly, until a signal to stop arrives.
 
@@ -76,10 +103,11 @@
         match read_node_file(path, metrics_port):
             case InvalidNodeFile(detail=detail):
                 gateway.record_unusable_settings(detail)
-            case changed if changed != settings:
-                settings = changed
-                gateway.reload(settings)
+            case changed if changed != gateway.requested:
+                gateway.reload(changed)
 
 
 def _print_error(text: str) -> None:
-    print(f"masticgate: {text}", file=sys.stderr)
+    """Print one line; a standard error that cannot be written to is ignored."""
+    with suppress(OSError):
+        print(f"masticgate: {text}", file=sys.stderr, flush=True)
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -77,7 +77,8 @@
     A gateway accepts requests from callers and sends them to searchers, according to the
     configuration that the platform publishes. It is not ready before all of
     ``required_listeners`` listen. ``listen_failures`` has the failures of listeners that were
-    logged.
+    logged. ``requested`` holds the settings that were last applied, with those that wait for a
+    restart.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
     ) -> None:
         threading.stack_size(STACK_BYTES)
         self.settings = settings
+        self.requested = settings
         self.clock = SystemClock()
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
@@ -94,6 +96,7 @@
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
         self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
+        self.stop_started_at: Millis | None = None
         self.finish_at: Millis | None = None
         self.peers = Peers(
             settings,
@@ -145,7 +148,8 @@
     def reload(self, changed: GatewaySettings) -> None:
         """Apply changed settings, but for those that stay as they were at the start.
 
-        The log and a gauge name the changes that wait for a restart.
+        The log and a gauge name the changes that wait for a restart. If it raises an error, it can
+        be called again.
         """
         waiting = self.settings.find_fixed_changes(changed)
         settings = self.settings.apply(changed)
@@ -163,6 +167,7 @@
             seeds=settings.seeds,
             waits_for_restart=waiting,
         )
+        self.requested = changed
         self.log.wake()
 
     def record_unusable_settings(self, detail: str) -> None:
@@ -177,9 +182,11 @@
         New connections are accepted for a part of that time, although the readiness page already
         reports that the gateway is not ready. Requests that cannot be finished are refused at once;
         those without an answer at ``finish_at`` are answered that their outcome is unknown. It does
-        not wait for queries of other gateways.
+        not wait for queries of other gateways. If it raises an error, it can be called again.
         """
-        started_at = self.clock.now()
+        if self.stop_started_at is None:
+            self.stop_started_at = self.clock.now()
+        started_at = self.stop_started_at
         grace = self.settings.grace
         self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
         self.stopping.set()
--- a/src/masticgate/process/gateway/_supervisor.py
+++ b/src/masticgate/process/gateway/_supervisor.py
@@ -29,14 +29,14 @@
         """Start ``run`` in a new thread; if none can be started, wait until one can."""
         while not self.ended.is_set():
             try:
-                Thread(target=self._run, args=(run,), daemon=True).start()
+                Thread(target=self.run, args=(run,), daemon=True).start()
                 return
             except RuntimeError as error:
                 self.log.write(LogEvent.TASK_REFUSED, task=describe_task(run), detail=str(error))
                 self.ended.wait(RESTART_DELAY / MILLIS_PER_SECOND)
 
-    def _run(self, run: Callable[[], None]) -> None:
-        """Call ``run`` until it returns normally."""
+    def run(self, run: Callable[[], None]) -> None:
+        """Call ``run`` in this thread until it returns normally."""
         while not self.ended.is_set():
             try:
                 run()
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -230,7 +230,7 @@
             if len(runs) < 3:
                 raise RecursionError("too deep")
 
-        Supervisor(log, metrics, Event())._run(run)
+        Supervisor(log, metrics, Event()).run(run)
         assert len(runs) == 3
         assert metrics.counters["tasks_failed"] == 2
         assert "too deep" in log.queue[0] and "test_odd_entries.py" in log.queue[0]
