Notice a signal to stop while the start waits for a thread

Seen: where the system refuses a thread to a starting gateway, SIGTERM was noticed only once it got one; without one, never. A MemoryError in the place of the usual RuntimeError ended the process.

Cause: Supervisor.start, called by the main thread, waited for its own event, which no signal sets.

Change: it waits for a signal to stop instead (SignalQueue.wait_for_stop, passed in), returns without the thread, and the gateway then stops in its usual order. MemoryError counts as a refused thread.

--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -66,7 +66,7 @@
     while not signals.stop_requested:
         try:
             store = PlatformStore(settings.store_address, SystemClock())
-            return Gateway(settings, HEADER_NAMES, store)
+            return Gateway(settings, HEADER_NAMES, store, signals.wait_for_stop)
         except Exception as error:
             _print_error(f"the start failed and is tried again: {error!r}")
         # Sockets of the failed start may listen until they are collected.
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import os
 import threading
+from collections.abc import Callable
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, SystemClock
@@ -78,11 +79,15 @@
     configuration that the platform publishes. It is not ready before all of
     ``required_listeners`` listen. ``listen_failures`` has the failures of listeners that were
     logged. ``requested`` holds the settings that were last applied, with those that wait for a
-    restart.
+    restart. ``wait_for_stop`` is that of the :class:`Supervisor`.
     """
 
     def __init__(
-        self, settings: GatewaySettings, header_names: HeaderNames, source: PlatformSource
+        self,
+        settings: GatewaySettings,
+        header_names: HeaderNames,
+        source: PlatformSource,
+        wait_for_stop: Callable[[float], bool] | None = None,
     ) -> None:
         threading.stack_size(STACK_BYTES)
         self.settings = settings
@@ -116,7 +121,7 @@
             self.follower.catalogue,
         )
         self.ended = Event()
-        self.supervisor = Supervisor(self.log, self.metrics, self.ended)
+        self.supervisor = Supervisor(self.log, self.metrics, self.ended, wait_for_stop)
         self.was_ready = False
         self.readiness = self._listen(settings.readiness_address, header_names, self._ready_page)
         self.callers = self._listen(
@@ -136,7 +141,10 @@
         self.listen_failures: dict[Address, str] = {}
 
     def start(self) -> None:
-        """Start the tasks that run until the process ends."""
+        """Start the tasks that run until the process ends.
+
+        Return without some of them if the process is told to stop meanwhile.
+        """
         self.log.write(
             LogEvent.STARTED, domain=self.settings.domain, callers=self.settings.caller_address
         )
--- a/src/masticgate/process/gateway/_supervisor.py
+++ b/src/masticgate/process/gateway/_supervisor.py
@@ -18,22 +18,37 @@
 
 
 class Supervisor:
-    """Starts each task in a thread of its own; ``ended`` stops the restarts."""
+    """Starts each task in a thread of its own; ``ended`` stops the restarts.
 
-    def __init__(self, log: EventLog, metrics: Metrics, ended: Event) -> None:
+    ``wait_for_stop`` waits for a number of seconds at most, and returns whether the process is told
+    to stop; the thread that starts tasks calls it.
+    """
+
+    def __init__(
+        self,
+        log: EventLog,
+        metrics: Metrics,
+        ended: Event,
+        wait_for_stop: Callable[[float], bool] | None = None,
+    ) -> None:
         self.log = log
         self.metrics = metrics
         self.ended = ended
+        self.wait_for_stop = wait_for_stop or ended.wait
 
     def start(self, run: Callable[[], None]) -> None:
-        """Start ``run`` in a new thread; if none can be started, wait until one can."""
-        while not self.ended.is_set():
+        """Start ``run`` in a new thread.
+
+        If none can be started, wait until one can, or until the process is told to stop.
+        """
+        while True:
             try:
                 Thread(target=self.run, args=(run,), daemon=True).start()
                 return
-            except RuntimeError as error:
+            except (RuntimeError, MemoryError) as error:
                 self.log.write(LogEvent.TASK_REFUSED, task=describe_task(run), detail=str(error))
-                self.ended.wait(RESTART_DELAY / MILLIS_PER_SECOND)
+            if self.wait_for_stop(RESTART_DELAY / MILLIS_PER_SECOND):
+                return
 
     def run(self, run: Callable[[], None]) -> None:
         """Call ``run`` in this thread until it returns normally."""
