--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -4,6 +4,7 @@
 import resource
 import sys
 import threading
+from collections.abc import Callable
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, SystemClock
@@ -76,15 +77,21 @@
     A gateway accepts requests from callers and sends them to searchers, according to the
     configuration that the platform publishes. It is not ready before all of
     ``required_listeners`` listen. ``listen_failures`` has the failures of listeners that were
-    logged.
+    logged. ``requested`` holds the settings that were last applied, with those that wait for a
+    restart. ``wait_for_stop`` is that of the :class:`Supervisor`.
     """
 
     def __init__(
-        self, settings: GatewaySettings, header_names: HeaderNames, source: PlatformSource
+        self,
+        settings: GatewaySettings,
+        header_names: HeaderNames,
+        source: PlatformSource,
+        wait_for_stop: Callable[[float], bool] | None = None,
     ) -> None:
         limit_arenas()
         threading.stack_size(STACK_BYTES)
         self.settings = settings
+        self.requested = settings
         self.clock = SystemClock()
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
@@ -100,6 +107,7 @@
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
         self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
         self.stopping = Event()
+        self.stop_started_at: Millis | None = None
         self.finish_at: Millis | None = None
         self.peers = Peers(
             settings,
@@ -119,7 +127,7 @@
             self.follower.catalogue,
         )
         self.ended = Event()
-        self.supervisor = Supervisor(self.log, self.metrics, self.ended)
+        self.supervisor = Supervisor(self.log, self.metrics, self.ended, wait_for_stop)
         self.was_ready = False
         self.readiness = self._listen(settings.readiness_address, header_names, self._ready_page)
         self.callers = self._listen(
@@ -143,7 +151,10 @@
         self.listen_failures: dict[Address, str] = {}
 
     def start(self) -> None:
-        """Start the tasks that run until the process ends."""
+        """Start the tasks that run until the process ends.
+
+        Return without some of them if the process is told to stop meanwhile.
+        """
         UncaughtErrors(self.log, self.metrics).install()
         self.log.write(
             LogEvent.STARTED,
@@ -159,7 +170,8 @@
     def reload(self, changed: GatewaySettings) -> None:
         """Apply changed settings, but for those that stay as they were at the start.
 
-        The log and a gauge name the changes that wait for a restart.
+        The log and a gauge name the changes that wait for a restart. If it raises an error, it can
+        be called again.
         """
         waiting = self.settings.find_fixed_changes(changed)
         settings = self.settings.apply(changed)
@@ -178,6 +190,7 @@
             seeds=settings.seeds,
             waits_for_restart=waiting,
         )
+        self.requested = changed
         self.log.wake()
 
     def _apply_capacity(self, capacity: HostCapacity) -> None:
@@ -201,9 +214,11 @@
         New connections are accepted for a part of that time, although the readiness page already
         reports that the gateway is not ready. Requests that cannot be finished are refused at once;
         those without an answer at ``finish_at`` are answered that their outcome is unknown. It does
-        not wait for queries of other gateways.
+        not wait for queries of other gateways. If it raises an error, it can be called again.
         """
-        started_at = self.clock.now()
+        if self.stop_started_at is None:
+            self.stop_started_at = self.clock.now()
+        started_at = self.stop_started_at
         grace = self.settings.grace
         self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
         self.stopping.set()
