Search an answer for the head of another one in linear time

Seen (a script that feeds the parser): an answer of 300 kB that consists of status lines, with a head of 30 kB, took 26.7 s of processor time, one of 8 MB with two headers 7.5 s.

Cause: at each status line within a body, the bytes that follow, up to twice the size of the answer's own head, were split into lines and compared.

Change: of the status lines before the same end of a head only the first one within reach is compared, and a line that was found unlike is not compared again. The search is a module of its own. A head that the search sees only up to a carriage return counts as cut before it; before, it was no head.

--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -4,13 +4,13 @@
 the first. The parser detects this by the head of the second response within the first one.
 """
 
-import re
 from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
 
 from ...request.gateway._exchange import BodyFraming, Header
+from ._embedded_heads import STATUS_LINE, contains_head
 from ._parser import Malformed, Oversized
 
 MAX_HEAD_BYTES = 65_536
@@ -25,12 +25,6 @@
 ORDINARY_BYTES = 16_384
 """The received bytes of one answer that the budget of the process does not count."""
 
-STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
-"""The beginning of a response; within a head it shows that an earlier response is incomplete."""
-
-FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"connection"})
-"""The headers that one response of a server may have and another may lack."""
-
 MIN_STATUS_LINE_BYTES = 9
 """The length of ``HTTP/1.1`` and a space.
 
@@ -234,26 +228,8 @@
         max_length = (
             2 * sum(len(name) + len(value) for name, value in self.headers) + EXTRA_HEAD_BYTES
         )
-        return self._ends_in_status_line(body) or any(
-            self._matches_head(body[found.start() : found.start() + max_length])
-            for found in STATUS_LINE.finditer(body)
-        )
-
-    def _matches_head(self, text: bytes) -> bool:
-        """Return whether ``text`` begins with a head like this response's, or with a part of one.
-
-        The responses of one server have the same header names, except for the framing headers.
-        """
-        head, separator, _ = text.partition(b"\r\n\r\n")
-        names = [line.partition(b":")[0].lower() for line in head.split(b"\r\n")[1:]]
-        if separator:
-            return self.headers_by_name.keys() - FRAMING_HEADERS <= set(names)
-        if not names:
-            return False
-        *complete_names, last_name = names
-        known = self.headers_by_name.keys() | FRAMING_HEADERS
-        return known.issuperset(complete_names) and any(
-            name.startswith(last_name) for name in known
+        return self._ends_in_status_line(body) or contains_head(
+            body, self.headers_by_name.keys(), max_length
         )
 
     def _ends_in_status_line(self, body: bytes) -> bool:
