Forget what was kept of services and routes that configurations replaced

Seen: a script with 3,000 versions, each of which names a new service with one searcher and a new route with a split: 2,492 bytes stay for each version.

Cause: the empty set of searchers of a service, its window of the budget for repeats, and the shares of a split route were never dropped.

Change: the first goes with the last searcher. Windows in which nothing was sent are dropped when a configuration is applied; a new one is equal to them. Shares are kept for the latest version only.

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -363,6 +363,7 @@
                 service.id: service.connections for service in table.services.values()
             }
             self.shard_services = table.shard_services()
+            self.budgets.drop_empty(self.clock.now())
             self._apply_shares(self.shares)
             routes = {route.id for route in table.routes}
             self.hedge_delays.retain_routes(routes | {peer_route_id(route) for route in routes})
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -134,7 +134,10 @@
         replica.state = ReplicaState.GONE
         if self.replicas.get(replica.entry.id) is replica:
             del self.replicas[replica.entry.id]
-        self.services.get(replica.entry.service, {}).pop(replica.entry.id, None)
+        service = self.services.get(replica.entry.service, {})
+        service.pop(replica.entry.id, None)
+        if not service:
+            self.services.pop(replica.entry.service, None)
 
     def remove_gone(self, now: Millis) -> None:
         """Remove the searchers that have left and have no call in flight, and old departures."""
--- a/src/masticgate/process/gateway/_repeat_budgets.py
+++ b/src/masticgate/process/gateway/_repeat_budgets.py
@@ -41,6 +41,12 @@
         """Spend one repeat, or return ``False`` if less than ``reserve`` would remain."""
         return self.window(service).spend(now, reserve)
 
+    def drop_empty(self, now: Millis) -> None:
+        """Drop the windows without a request or repeat, which are created again if needed."""
+        self.windows = {
+            service: window for service, window in self.windows.items() if not window.is_empty(now)
+        }
+
     def apply_shares(self, shares: GatewayShares, shard_domains: ShardDomains) -> None:
         """Adapt the windows to this gateway's present share of the repeats of all gateways.
 
--- a/src/masticgate/process/gateway/_repeat_window.py
+++ b/src/masticgate/process/gateway/_repeat_window.py
@@ -48,6 +48,11 @@
         self.repeats.append(now)
         return True
 
+    def is_empty(self, now: Millis) -> bool:
+        """Return whether there was no request or repeat within the window."""
+        self._expire(now)
+        return not self.repeats and not self.requests
+
     def _max_repeats(self, now: Millis) -> float:
         active_share = min(1.0, (now - self.started_at) / self.window)
         return self.ratio * sum(count for _, count in self.requests) + self.slack * active_share
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -64,7 +64,8 @@
     ``credits`` maps each route, with its configuration version, to the credits of its services.
     Each request adds to every credit the weight of the service. The service with the highest credit
     is chosen, and the sum of the weights is subtracted from its credit. The credits start at random
-    values, so that not every gateway starts with the same service.
+    values, so that not every gateway starts with the same service. Those of earlier versions are
+    dropped.
     """
 
     def __init__(self) -> None:
@@ -81,7 +82,11 @@
         key = (version, route)
         credit = self.credits.get(key)
         if credit is None:
-            self.credits = {kept: self.credits[kept] for kept in self.credits if kept[1] != route}
+            self.credits = {
+                kept: known
+                for kept, known in self.credits.items()
+                if kept[0] >= version and kept[1] != route
+            }
             credit = {
                 part.service: part.weight * self.random.uniform(-0.5, 0.5) for part in split.parts
             }
