Let the seeds tell a restarted gateway how its process before ended

What operators saw: nothing. No host keeps anything, so that the first line of a start said nothing of the end before, and where logs were lost with the process no other host had a word about it.

Change: heartbeats say when their process started, whether it stops, and what it uses of memory, descriptors and threads beside its limits, in 45 to 60 characters. A seed keeps the last two processes of each host, up to 4,000 hosts, for ten minutes after the last heartbeat. A starting gateway asks, and logs previous_end once, when all seeds have answered or after 5 s. A seed logs restart_unannounced, and counts it, when a host comes back with another process and the one before had not said that it stops. A gateway that begins to stop sends its heartbeats at once, since the interval may be 5 s. Unknown fields were ignored before, a missing one means that nothing is known.

--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._peers import Peers
+from ._process_reports import ProcessReport
 from ._process_watch import ProcessWatch
 from ._relay import MAX_PLATFORM_AGE, RelayedSource
 from ._service import GatewayService, GatewayView
@@ -88,6 +89,7 @@
         threading.stack_size(STACK_BYTES)
         self.settings = settings
         self.clock = SystemClock()
+        self.started_wall = round(self.clock.wall())
         self.log = EventLog(settings.host, self.clock)
         self.metrics = Metrics()
         self.process = ProcessWatch(settings.capacity, self.log, self.metrics, self._count_work)
@@ -106,6 +108,8 @@
             self._table,
             self._is_ready,
             self._is_platform_reachable,
+            self._report_process,
+            self.stopping,
         )
         self.service = GatewayService(
             self.fleet,
@@ -275,6 +279,9 @@
     def _read_process(self) -> dict[str, int]:
         return self.process.read_numbers(self.settings.capacity)
 
+    def _report_process(self) -> ProcessReport:
+        return ProcessReport(self.started_wall, self.stopping.is_set(), self.process.use)
+
     def _count_work(self) -> dict[str, int]:
         """Return the numbers of connections by what they do, and of their tasks, for log lines."""
         callers = {f"callers_{state.value}": self.callers.count(state) for state in CallerState}
@@ -315,6 +322,7 @@
                 self.log.write(LogEvent.PAUSED, for_ms=round(now - last_run_at))
             last_run_at = now
             self.process.update(self.settings.capacity)
+            self.peers.log_previous_end()
             self.peers.update_gathering()
             self.fleet.maintain()
             self._log_listen_failures()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -59,6 +59,8 @@
     SEARCHER_EJECTED = "searcher_ejected"
     SEARCHER_BACK = "searcher_back"
     SOURCE = "source"
+    PREVIOUS_END = "previous_end"
+    RESTART_UNANNOUNCED = "restart_unannounced"
     GATHERING = "gathering"
     GATHERER_FOUND = "gatherer_found"
     GATHERER_LOST = "gatherer_lost"
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from math import isfinite
-from threading import Lock
+from threading import Event, Lock
 from time import sleep
 from urllib.parse import parse_qs
 from zlib import crc32
@@ -38,6 +38,14 @@
     Membership,
     heartbeat_interval,
 )
+from ._previous_processes import PreviousEndQuestion, ProcessMemory
+from ._process_reports import (
+    ProcessReport,
+    decode_ended,
+    decode_report,
+    encode_ended,
+    encode_report,
+)
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
 from ._supervisor import Supervisor
@@ -141,7 +149,8 @@
     names, and ``gatherers`` holds all of them; the last ones stay in use while no seed names any.
     ``relay_domains`` maps each seed that relays the platform's catalogue to its failure domain.
     ``members`` is the number of running gateways, and ``heard_seeds`` are the seeds to which
-    heartbeats are sent.
+    heartbeats are sent. ``report_process`` returns what they say of this process, and the next ones
+    are sent at once when ``stopping`` is set.
     """
 
     def __init__(
@@ -153,6 +162,8 @@
         current_table: Callable[[], RouteTable | None],
         is_ready: Callable[[], bool],
         is_platform_reachable: Callable[[], bool],
+        report_process: Callable[[], ProcessReport],
+        stopping: Event,
     ) -> None:
         self.settings = settings
         self.fleet = fleet
@@ -161,6 +172,8 @@
         self.current_table = current_table
         self.is_ready = is_ready
         self.is_platform_reachable = is_platform_reachable
+        self.report_process = report_process
+        self.stopping = stopping
         self.lock = Lock()
         self.apply_lock = Lock()
         self.started_at = clock.now()
@@ -172,6 +185,8 @@
         self.members = 1
         self.gathering: Gathering = GatherHere()
         self.heard_seeds: set[Address] = set()
+        self.processes = ProcessMemory()
+        self.previous_end = PreviousEndQuestion(clock.now())
 
     def start(self, supervisor: Supervisor) -> None:
         """Start a heartbeat task for each seed except this gateway."""
@@ -199,6 +214,7 @@
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
         heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
+        self._record_process(host, query)
         with self.lock:
             self.membership.record(host, heartbeat)
             members = self.membership.count(heartbeat.received_at)
@@ -213,8 +229,43 @@
         }
         if query.get("known", [""])[0] != digest:
             reply |= {"gatherers": gatherers, "digest": digest}
+        if "previous" in query:
+            with self.lock:
+                before = self.processes.find_before(host)
+            reply["previous"] = encode_ended(before, self.clock.now())
         return LocalPage(200, json.dumps(reply, separators=(",", ":")).encode())
 
+    def _record_process(self, host: HostId, query: dict[str, list[str]]) -> None:
+        """Record what a heartbeat says of its process; log one that came after an unknown end."""
+        report = decode_report(query.get("process", [""])[0])
+        if report is None:
+            return
+        now = self.clock.now()
+        with self.lock:
+            ended = self.processes.record(host, report, now)
+        if ended is not None and not ended.report.is_stopping:
+            self.fleet.metrics.count("restarts_unannounced")
+            self.log.write(LogEvent.RESTART_UNANNOUNCED, gateway=host, **ended.log_fields(now))
+
+    def log_previous_end(self) -> None:
+        """Log once what the seeds know of this host's process before; called regularly."""
+        if not self.previous_end.is_open:
+            return
+        now = self.clock.now()
+        with self.lock:
+            seeds = set(self.settings.seeds) - {self.settings.peer_address}
+            conclusion = self.previous_end.conclude(seeds, now)
+        if conclusion is None:
+            return
+        ended = conclusion.ended
+        fields = ended.log_fields(now) if ended is not None else {}
+        self.log.write(
+            LogEvent.PREVIOUS_END,
+            known=ended is not None,
+            seeds_answered=conclusion.answered,
+            **fields,
+        )
+
     def find_relays(self) -> list[Address]:
         """Return the seeds that relay the catalogue, those in this gateway's domain first.
 
@@ -304,7 +355,7 @@
         misses = MAX_MISSED_HEARTBEATS
         wait = FIRST_HEARTBEAT_DELAY
         while self._is_seed(seed):
-            sleep(wait / MILLIS_PER_SECOND)
+            self._wait_for_next_heartbeat(wait)
             wait = self._next_interval(misses)
             reply = self._exchange_heartbeat(seed, client, wait)
             if reply is not None and reply.get("ready") is True:
@@ -318,6 +369,13 @@
                     self._forget_seed(seed)
         client.close()
 
+    def _wait_for_next_heartbeat(self, interval: Millis) -> None:
+        """Wait for ``interval``, or until the gateway begins to stop, of which the seeds learn."""
+        if self.stopping.is_set():
+            sleep(interval / MILLIS_PER_SECOND)
+        else:
+            self.stopping.wait(interval / MILLIS_PER_SECOND)
+
     def _is_seed(self, seed: Address) -> bool:
         """Return whether the settings name a seed; if they do not, forget it."""
         with self.lock:
@@ -350,13 +408,7 @@
 
         The next heartbeat follows after ``interval``.
         """
-        query: dict[str, object] = {"host": self.settings.host}
-        if seed in self.digests:
-            query["known"] = self.digests[seed]
-        if self.settings.peer_address is not None and self.is_ready():
-            own = self._own_member(self.settings.peer_address)
-            query |= {"peer": own.address, "domain": own.domain, "rate": round(own.rate, 1)}
-            query["interval"] = round(interval)
+        query = self._make_heartbeat(seed, interval)
         response = client.get(HEARTBEAT_HOST, "/", query, HEARTBEAT_TIMEOUTS)
         if not isinstance(response, HttpResponse):
             client.close()
@@ -365,7 +417,29 @@
             reply = json.loads(response.body)
         except (ValueError, RecursionError):
             return None
-        return reply if isinstance(reply, dict) else None
+        if not isinstance(reply, dict):
+            return None
+        if "previous" in query and "previous" in reply:
+            ended = decode_ended(reply["previous"], self.clock.now())
+            with self.lock:
+                self.previous_end.record(seed, ended)
+        return reply
+
+    def _make_heartbeat(self, seed: Address, interval: Millis) -> dict[str, object]:
+        """Return the query of a heartbeat to ``seed``."""
+        query: dict[str, object] = {
+            "host": self.settings.host,
+            "process": encode_report(self.report_process()),
+        }
+        if self.previous_end.is_open:
+            query["previous"] = 1
+        if seed in self.digests:
+            query["known"] = self.digests[seed]
+        if self.settings.peer_address is not None and self.is_ready():
+            own = self._own_member(self.settings.peer_address)
+            query |= {"peer": own.address, "domain": own.domain, "rate": round(own.rate, 1)}
+            query["interval"] = round(interval)
+        return query
 
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from threading import Event
 
 import pytest
 from hypothesis import given
@@ -21,7 +22,23 @@
     decode_heartbeat,
     peer_route,
 )
+from masticgate.process.gateway._previous_processes import (
+    ANSWER_WAIT,
+    MAX_REMEMBERED_HOSTS,
+    REMEMBERED_FOR,
+    PreviousEndQuestion,
+    ProcessMemory,
+)
+from masticgate.process.gateway._process_reports import (
+    EndedProcess,
+    ProcessReport,
+    decode_ended,
+    decode_report,
+    encode_ended,
+    encode_report,
+)
 from masticgate.process.gateway._replica import ReplicaState
+from masticgate.process.gateway._usage import ProcessUse, Use
 from masticgate.request.gateway import Request
 from masticgate.version.gateway import PEER_SERVICE, Idempotency, Shards
 
@@ -29,6 +46,14 @@
 
 OWN = Address("127.0.0.9:1")
 OTHER_SEED = Address("127.0.0.8:1")
+USE = ProcessUse(
+    memory=Use(17_600 * 1_024, 292_968 * 1_024),
+    memory_peak=18_000 * 1_024,
+    address_space=Use(None, None),
+    descriptors=Use(67, 4_096),
+    threads=Use(23, None),
+)
+REPORT = ProcessReport(1_796_532_926_123, False, USE)
 TABLE = make_table(make_route(Shards((ServiceId("s1"),), 2, 0.5)))
 
 
@@ -36,7 +61,17 @@
     log = EventLog(HostId("g1"), clock)
     seeds = (OWN,) if is_seed else (OTHER_SEED,)
     settings = replace(make_settings(), peer_address=OWN, seeds=seeds)
-    return Peers(settings, make_fleet(clock), clock, log, lambda: TABLE, lambda: True, lambda: True)
+    return Peers(
+        settings,
+        make_fleet(clock),
+        clock,
+        log,
+        lambda: TABLE,
+        lambda: True,
+        lambda: True,
+        lambda: REPORT,
+        Event(),
+    )
 
 
 def send_heartbeat(peers: Peers, host: str, *, rate: float | None = None, known: str = "") -> dict:
@@ -51,6 +86,18 @@
     return json.loads(peers.handle_heartbeat(request).body)
 
 
+def report_process(peers: Peers, host: str, started: int, *, stopping: bool = False) -> dict:
+    """Send a heartbeat that reports a process and asks for the process before it."""
+    report = encode_report(ProcessReport(started, stopping, USE))
+    target = f"/?host={host}&process={report}&previous=1".encode()
+    request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
+    return json.loads(peers.handle_heartbeat(request).body)
+
+
+def log_lines(peers: Peers, event: str) -> list[dict]:
+    return [line for line in map(json.loads, peers.log.queue) if line["event"] == event]
+
+
 def named_addresses(peers: Peers) -> set[str]:
     return {gatherer.address for gatherer in peers.gatherers}
 
@@ -166,7 +213,118 @@
         assert peers.find_relays() == ["127.0.0.3:1", "127.0.0.2:1"]
 
 
+class TestEnds:
+    def test_seed_tells_restarted_gateway_of_its_process_before(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        assert report_process(peers, "g2", 7)["previous"] is None
+        clock.advance(Millis(60_000.0))
+        report, heard_ms_ago = report_process(peers, "g2", 8)["previous"]
+        assert decode_report(report) == ProcessReport(7, False, USE)
+        assert heard_ms_ago == 60_000
+        assert "previous" not in send_heartbeat(peers, "g2")
+
+    def test_seed_logs_and_counts_restart_after_end_that_nobody_announced(self):
+        """Guard against an end without any line in the logs of the whole system (FAULT)."""
+        peers = make_peers(ManualClock())
+        for started in (7, 7, 8, 8):
+            report_process(peers, "g2", started)
+        (line,) = log_lines(peers, "restart_unannounced")
+        assert (line["gateway"], line["started_wall_ms"], line["stopping"]) == ("g2", 7, False)
+        assert line["memory_bytes"] == USE.memory.used and line["descriptors"] == 67
+        assert peers.fleet.metrics.counters["restarts_unannounced"] == 1
+
+    def test_restart_after_announced_stop_is_none_to_report(self):
+        peers = make_peers(ManualClock())
+        report_process(peers, "g2", 7)
+        report_process(peers, "g2", 7, stopping=True)
+        report_process(peers, "g2", 8)
+        assert not log_lines(peers, "restart_unannounced")
+
+    def test_late_heartbeat_of_process_before_is_ignored(self):
+        peers = make_peers(ManualClock())
+        for started in (7, 8, 7, 8):
+            report_process(peers, "g2", started)
+        assert len(log_lines(peers, "restart_unannounced")) == 1
+
+    def test_ended_process_is_forgotten_after_a_while(self):
+        clock = ManualClock()
+        peers = make_peers(clock)
+        report_process(peers, "g2", 7)
+        clock.advance(Millis(REMEMBERED_FOR + 1.0))
+        assert report_process(peers, "g2", 8)["previous"] is None
+
+    def test_number_of_remembered_hosts_is_bounded(self):
+        memory = ProcessMemory()
+        for number in range(MAX_REMEMBERED_HOSTS + 10):
+            memory.record(HostId(f"g{number}"), REPORT, Millis(0.0))
+        assert len(memory.hosts) == MAX_REMEMBERED_HOSTS
+        assert HostId("g9") not in memory.hosts and HostId("g10") in memory.hosts
+
+    def test_gateway_of_earlier_release_reports_no_process(self):
+        peers = make_peers(ManualClock())
+        send_heartbeat(peers, "g2", rate=9.0)
+        assert not peers.processes.hosts
+
+    def test_starting_gateway_logs_once_what_its_seeds_know(self):
+        clock = ManualClock()
+        peers = make_peers(clock, is_seed=False)
+        peers.log_previous_end()
+        assert not log_lines(peers, "previous_end")
+        clock.advance(Millis(2_000.0))
+        peers.previous_end.record(OTHER_SEED, EndedProcess(REPORT, Millis(500.0)))
+        for _ in range(2):
+            peers.log_previous_end()
+        (line,) = log_lines(peers, "previous_end")
+        assert (line["known"], line["seeds_answered"], line["heard_ms_ago"]) == (True, 1, 1_500)
+        assert line["started_wall_ms"] == REPORT.started_wall
+        assert line["memory_limit_bytes"] == USE.memory.limit
+
+    @pytest.mark.parametrize("release", ["silent", "earlier"])
+    def test_nothing_is_known_if_no_seed_tells_in_time(self, release):
+        clock = ManualClock()
+        peers = make_peers(clock, is_seed=False)
+        if release == "earlier":
+            peers._record_reply(OTHER_SEED, {"members": 3})
+        clock.advance(ANSWER_WAIT)
+        peers.log_previous_end()
+        (line,) = log_lines(peers, "previous_end")
+        assert (line["known"], line["seeds_answered"]) == (False, 0)
+
+    def test_answer_of_seed_that_heard_last_is_taken(self):
+        question = PreviousEndQuestion(Millis(0.0))
+        seeds = {OWN, OTHER_SEED}
+        question.record(OWN, EndedProcess(REPORT, Millis(-9.0)))
+        assert question.conclude(seeds, Millis(1.0)) is None
+        question.record(OTHER_SEED, EndedProcess(REPORT, Millis(-90.0)))
+        assert question.conclude(seeds, Millis(1.0)).ended.heard_at == -9.0
+        assert question.conclude(seeds, Millis(1.0)) is None
+
+
 class TestDecoding:
+    def test_report_is_short_and_the_same_after_decoding(self):
+        text = encode_report(REPORT)
+        assert text == "1796532926123.0.17600.18000.292968.67.4096.23."
+        assert decode_report(text) == REPORT
+        ended = EndedProcess(REPORT, Millis(100.0))
+        assert decode_ended(encode_ended(ended, Millis(300.0)), Millis(300.0)) == ended
+
+    @pytest.mark.parametrize(
+        "text",
+        ["", "7", "7.2" + "." * 7, "7.0" + ".1" * 8, "-7.0" + "." * 7, f"{'9' * 17}.0.......",
+         "7.0.\u0661......", "7.0.......\n", "7" * 200, 7, None, ["7"]],
+    )  # fmt: skip
+    def test_invalid_report_is_none(self, text):
+        assert decode_report(text) is None
+
+    @pytest.mark.parametrize("ago", [-1, 10**9, 1.5, "1", None])
+    def test_ended_process_that_was_heard_at_no_valid_time_is_none(self, ago):
+        assert decode_ended([encode_report(REPORT), ago], Millis(0.0)) is None
+
+    @given(st.recursive(st.none() | st.text() | st.integers(), st.lists, max_leaves=8))
+    def test_any_ended_process_is_decoded(self, value):
+        decode_ended(value, Millis(0.0))
+
     @pytest.mark.parametrize(
         "item",
         [["127.0.0.1:99999", "z"], ["host:1", "z"], ["127.0.0.1:\u0661", "z"], ["127.0.0.1:1"], 7],
