--- a/tests/platform/test_process_use.py
+++ b/tests/platform/test_process_use.py
@@ -4,12 +4,14 @@
 import signal
 import socket
 from collections.abc import Iterator, Sequence
-from contextlib import ExitStack, closing, contextmanager
+from contextlib import ExitStack, closing, contextmanager, suppress
 from http.client import HTTPConnection
+from threading import Event
+from time import monotonic
 
 import pytest
 
-from .program import GatewayProgram, free_port
+from .program import START_TIMEOUT_S, GatewayProgram, free_port
 
 CALLERS = 20
 
@@ -43,6 +45,13 @@
 
 
 def read_metrics(port: int) -> dict[str, float]:
+    # The program tries again to listen if an outgoing connection has the port.
+    deadline = monotonic() + START_TIMEOUT_S
+    while True:
+        with suppress(ConnectionRefusedError), socket.create_connection(("127.0.0.1", port), 5):
+            break
+        assert monotonic() < deadline, "the metrics address refuses connections"
+        Event().wait(0.02)
     with closing(HTTPConnection("127.0.0.1", port, timeout=5)) as connection:
         connection.request("GET", "/metrics")
         lines = connection.getresponse().read().decode().splitlines()
