Soak: start gateways from an installation, within limits, beside bursts

Gateways start now from a copy of the sources that the build of the deploy file installs (its installer replaced by one that copies the interpreter's libraries, so that it needs no network), with memoryMb from 200 to 552 and maxFds from 4,100 to 8,192, drawn by the seed; maxFds is in force. A process is watched every 0.2 s: one whose VmHWM, or resident and unread bytes, exceed its limit is killed and started again as the platform does, and counts as ended by itself, with the figures and its last log lines. Descriptors and threads are printed at their peak.

New faults: bursts of up to 1,400 callers (unfinished and whole bodies with a length and chunked, heads up to the limit, answers of 2 MB that are not read) at both ports, alone, in series, and beside SIGHUP, SIGSTOP and SIGTERM; builds of changed and unchanged sources during starts; added gateways; two fleets side by side from one installation. A run of bursts alone also checks that each small request is served or truly refused. Bursts run in processes of their own: within the process of the stand-ins they held up the answers of searchers.

--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -14,6 +14,7 @@
 from masticgate.process.gateway._gateway import Gateway
 
 from .fakes import HEADER_NAMES, make_entry, make_settings, make_table
+from .heads import head_value
 
 AnswerFunction = Callable[[bytes], bytes | None]
 """Returns the bytes to send for a request, or ``None`` to close the connection."""
@@ -33,15 +34,6 @@
     RESET = "reset"
 
 
-def head_value(head: bytes, name: bytes) -> bytes:
-    """Return the value of a header, or ``b""`` if there is none; ``name`` is in lower case."""
-    for line in head.split(b"\r\n"):
-        key, _, value = line.partition(b": ")
-        if key.lower() == name:
-            return value
-    return b""
-
-
 def reply_to(head: bytes, body: bytes = b"ok", status: int = 200, extra: bytes = b"") -> bytes:
     """Return a response to the request with ``head``; it has the request's id and a stamp."""
     request_id = head_value(head, b"x-id")
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -9,13 +9,13 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
-import sys
 import threading
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -24,11 +24,30 @@
 from urllib.parse import parse_qs, urlsplit
 
 from .loopback import RESET_AT_CLOSE, ConnectionEnd, StandInSearcher, head_value
+from .soak_bursts import (
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    Burst,
+    BurstKind,
+    BurstReply,
+)
+from .soak_installation import Installation
+from .soak_usage import MEGABYTE, ProcessUsage, unread_bytes
 
 GATEWAYS = 3
+ZONES = 3
+SEEDS = 3
+"""How many of the gateways are seeds, by which the others find each other."""
+
+FLEET_ADDRESSES = 120
+"""How many addresses of gateways are kept for each of the fleets that run side by side."""
+
 SHARDS = 4
 REPLICAS = 2
 CALLERS = 9
+MAX_PAUSE_S = 0.03
+"""The longest pause of a caller between two requests; longer if there are more gateways."""
+
 DRAIN_S = 3.0
 """How long a draining searcher may still be sent requests."""
 
@@ -61,9 +80,29 @@
 """How long a searcher waits, after a response, for its connection to be idle at the gateway."""
 
 RECORD_BYTES = 16
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 HOST = "soak.example"
-SOURCE = Path(__file__).resolve().parents[2] / "src"
+BULK = "bulk"
+"""The service whose searchers answer with large bodies, or slowly."""
+
+CALLER_PORT, PEER_PORT, READY_PORT = 8104, 8106, 8108
+LARGE_ANSWER = bytes(2_000_000)
+SLOW_RUN_S = 2.0
+"""How long a bulk searcher takes for a request with a large body."""
+
+MEMORY_LIMITS_MB = (200, 552)
+DESCRIPTOR_LIMITS = (4_100, 8_192)
+MAX_BURST_S = 5.0
+BURST_SIZES = (200, 700, 1_400)
+"""How many callers a burst has; a gateway accepts at most 1,500 connections."""
+
+MAX_ADDED_GATEWAYS = 2
+WATCH_INTERVAL_S = 0.2
+"""The interval at which the processes and what they use are looked at."""
+
+LOG_TAIL_LINES = 3
+LOG_LINE_LENGTH = 250
 
 
 class ProxyMode(Enum):
@@ -332,7 +371,7 @@
 
 def entry_gateway(request: str) -> int:
     """Return the index of the gateway to which the caller of a request sends it."""
-    return int(request.split("-")[1]) % GATEWAYS
+    return int(request.split("-")[1])
 
 
 def has_length(response: bytes) -> bool:
@@ -352,6 +391,36 @@
     return [rng.randbytes(16) for _ in range(3)]
 
 
+class BulkSearcher(StandInSearcher):
+    """A searcher that answers GET with a large body, and other requests slowly.
+
+    ``runs`` has the id of each request that it ran, and the time.
+    """
+
+    def __init__(self, searcher_id: str, service: str) -> None:
+        self.searcher_id = searcher_id
+        self.service = service
+        self.runs: list[tuple[str, float]] = []
+        super().__init__(lambda head: None)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, suppress(OSError):
+            while head := self._read(connection):
+                request = head_value(head, b"x-masticgate-request-id")
+                self.runs.append((request.decode(), time.monotonic()))
+                is_large = head.startswith(b"GET")
+                if not is_large:
+                    time.sleep(SLOW_RUN_S)
+                body = LARGE_ANSWER if is_large else b"done"
+                stamp = b"%s.%s.bulk" % (request, self.searcher_id.encode())
+                connection.sendall(
+                    b"HTTP/1.1 200 X\r\nx-masticgate-request-id: %s\r\n"
+                    b"x-masticgate-server-stamp: %s\r\nContent-Length: %d\r\n\r\n"
+                    % (request, stamp, len(body))
+                )
+                connection.sendall(body)
+
+
 class Store:
     """A stand-in for the platform's store: items by key, and the history of their changes.
 
@@ -454,51 +523,53 @@
 
 
 class GatewayProcess:
-    """A real gateway in a process of its own.
+    """A real gateway in a process of its own, with limits of memory and descriptors.
 
     ``disturbed_at`` is when it was last started, or may have been affected by an injected fault,
-    and ``excused_at`` when its process was last started, stopped or paused. ``own_ends`` has the
-    status of each process that ended without being told to, or with a failure.
+    and ``excused_at`` when its process was last started, stopped or paused. ``own_ends`` describes
+    each process that ended without being told to, ended with a failure, or exceeded its memory.
+    ``usages`` has what each of its processes used.
     """
 
-    def __init__(self, number: int, folder: Path, store: Store) -> None:
-        self.ip = gateway_address(number)
+    def __init__(self, number: int, soak: "Soak") -> None:
+        self.soak = soak
         self.number = number
-        self.path = folder / f"g{number}.toml"
-        self.log = folder / f"g{number}.log"
-        self.store_proxy = Proxy(store.proxy.address)
+        self.ip = soak.gateway_ip(number)
+        self.path = soak.folder / f"g{number}.toml"
+        self.log = soak.folder / f"g{number}.log"
+        self.store_proxy = Proxy(soak.store.proxy.address)
+        rng = random.Random(f"{soak.seed} limits {number}")
+        self.memory_mb = rng.randint(*MEMORY_LIMITS_MB)
+        self.max_descriptors = rng.randint(*DESCRIPTOR_LIMITS)
         self.path.write_text(self.settings())
         self.disturbed_at = 0.0
         self.excused_at = 0.0
         self.told_to_end = False
-        self.own_ends: list[int] = []
+        self.own_ends: list[str] = []
+        self.usages: list[ProcessUsage] = []
         self.lock = threading.Lock()
+        self.burst_lock = threading.Lock()
         self.process: subprocess.Popen | None = None
 
     def settings(self) -> str:
-        ports = {"front": 8104, "ready": 8108, "control": 8106}
+        ports = {"front": CALLER_PORT, "ready": READY_PORT, "control": PEER_PORT}
         listen = "\n".join(f'{name} = "{self.ip}:{port}"' for name, port in ports.items())
-        seeds = ", ".join(f'"{gateway_address(number)}:8106"' for number in range(1, GATEWAYS + 1))
+        seeds = ", ".join(f'"{self.soak.gateway_ip(n)}:{PEER_PORT}"' for n in range(1, SEEDS + 1))
+        zone = f"z{1 + (self.number - 1) % ZONES}"
         return (
-            f'nodeName = "g{self.number}"\nip = "{self.ip}"\nzone = "z{self.number}"\n'
+            f'nodeName = "g{self.number}"\nip = "{self.ip}"\nzone = "{zone}"\n'
             f"seedNodes = [{seeds}]\n[bindAddresses]\n{listen}\n[bounds]\ngraceS = {GRACE_S}\n"
             f"drainMs = {DRAIN_S * 1000}\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n"
             f'budgetSlack = 50\n[platform]\naddress = "{self.store_proxy.address}"\n'
+            f"[limits]\nmemoryMb = {self.memory_mb}\nmaxFds = {self.max_descriptors}\n"
         )
 
     def start(self) -> None:
-        environment = {
-            "PYTHONPATH": str(SOURCE),
-            "MASTICGATE_NODE_FILE": str(self.path),
-            "PATH": os.environ["PATH"],
-        }
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "masticgate.platform"],
-                stdout=log,
-                stderr=log,
-                env=environment,
-            )
+        self.process = self.soak.installation.start(self.path, self.log)
+        limits = (self.max_descriptors, self.max_descriptors)
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
+        memory_bytes = self.memory_mb * MEGABYTE
+        self.usages.append(ProcessUsage(self.process.pid, memory_bytes, self.max_descriptors))
         self.told_to_end = False
         self.disturbed_at = self.excused_at = time.monotonic()
 
@@ -525,21 +596,57 @@
     def end(self, number: int) -> None:
         """End the process with a signal, or kill it after the grace period."""
         assert self.process is not None
-        self.record_own_end()
+        if not self.watch():
+            return
         self.signal(number)
         try:
             status = self.process.wait(GRACE_S)
             if number == signal.SIGTERM and status > 0:
-                self.own_ends.append(status)
+                self.record_own_end(f"status {status} after SIGTERM")
         except subprocess.TimeoutExpired:
             self.process.kill()
             self.process.wait()
 
-    def record_own_end(self) -> None:
-        """Record the status of the process if it has ended without being told to."""
-        status = None if self.process is None else self.process.poll()
-        if status is not None and not self.told_to_end:
-            self.own_ends.append(status)
+    def watch(self, unread: int = 0) -> bool:
+        """Return whether the process lives, or was told to end; record it if it ended by itself.
+
+        A process that exceeds its memory is killed, as the platform does. ``unread`` is the number
+        of bytes that it has received and not yet read.
+        """
+        assert self.process is not None
+        usage = self.usages[-1]
+        usage.sample(unread)
+        status = self.process.poll()
+        if self.told_to_end:
+            return True
+        if status is not None:
+            self.record_own_end(f"status {status}")
+        elif usage.exceeds_memory:
+            self.told_to_end = True
+            self.process.kill()
+            self.process.wait()
+            self.record_own_end("killed for its memory")
+        else:
+            return True
+        self.told_to_end = True
+        return False
+
+    def record_own_end(self, reason: str) -> None:
+        """Record why the process ended, with what it used and its last log lines."""
+        lines = self.log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:]
+        tail = " | ".join(line[:LOG_LINE_LENGTH] for line in lines)
+        self.own_ends.append(f"{reason} ({self.usages[-1]}): {tail}")
+
+    def watch_and_restart(self, unread: int) -> None:
+        """Start the process again if it ended by itself, unless it is being restarted."""
+        if self.lock.acquire(blocking=False):
+            try:
+                if not self.watch(unread):
+                    self.start()
+            finally:
+                self.lock.release()
+        else:
+            self.usages[-1].sample(unread)
 
     def queues_signals(self) -> bool:
         """Return whether the process catches SIGHUP, as it does soon after its start."""
@@ -553,18 +660,31 @@
 
 @dataclass
 class Soak:
-    """One soak run of three gateways.
+    """One soak run of three gateways, to which faults may add more.
 
     ``seed`` seeds the random numbers. Threads share some of the generators, so runs with the same
-    seed may differ. ``faults`` are the kinds of faults that it injects. ``replies`` holds all
-    replies that callers received, and ``problems`` describes each violation.
+    seed may differ. ``faults`` are the kinds of faults that it injects. Runs at the same time in
+    one process have different numbers as their ``fleet``. ``replicas`` is the number of searchers
+    of each service. ``replies`` holds all replies that callers received, ``unanswered`` the first
+    requests on their connections that got none, and ``problems`` describes each violation.
     """
 
     seed: int
     folder: Path
+    installation: Installation
     faults: Sequence[Callable[["Soak"], None]] = ()
+    fleet: int = 0
+    gateway_count: int = GATEWAYS
+    replicas: int = REPLICAS
+    callers: int = CALLERS
     replies: list[CallerReply] = field(default_factory=list)
+    unanswered: list[str] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
+    bursts: list[Burst] = field(default_factory=list)
+
+    def gateway_ip(self, number: int) -> str:
+        """Return the IP address of a gateway of this fleet."""
+        return gateway_address(FLEET_ADDRESSES * self.fleet + number)
 
     def run(self, seconds: float) -> None:
         """Inject faults for ``seconds`` while callers send requests, then check the replies."""
@@ -574,54 +694,83 @@
         self.searchers: list[Searcher] = []
         self.version = 1
         for shard in range(SHARDS):
-            for replica in range(REPLICAS):
+            for replica in range(self.replicas):
                 self.add_searcher(f"s{shard}", f"s{shard}-{replica}")
-        for replica in range(REPLICAS):
+        for replica in range(self.replicas):
             self.add_searcher("orders", f"orders-{replica}")
+        self.bulk_searchers = [BulkSearcher(f"bulk-{n}", BULK) for n in range(REPLICAS)]
+        for searcher in self.bulk_searchers:
+            self.list_searcher(searcher, "ready", searcher.address)
         self.publish()
-        self.gateways = [
-            GatewayProcess(number, self.folder, self.store) for number in range(1, GATEWAYS + 1)
-        ]
-        for gateway in self.gateways:
-            gateway.start()
+        self.add_lock = threading.Lock()
+        self.gateways: list[GatewayProcess] = []
+        self.threads: list[threading.Thread] = []
         try:
+            for _ in range(self.gateway_count):
+                self.add_gateway()
+            self.start_thread(self.watch_processes)
             self.wait_ready()
-            callers = [
-                threading.Thread(target=self.run_caller, args=(number,))
-                for number in range(CALLERS)
-            ]
-            for caller in callers:
-                caller.start()
+            self.settled_at = time.monotonic() + SETTLE_S
+            for number in range(self.callers):
+                self.start_thread(self.run_caller, number % self.gateway_count, number)
             self.inject_faults(seconds)
             self.check_recovery()
-            self.stopping.set()
-            for caller in callers:
-                caller.join(10)
         finally:
             self.stopping.set()
+            for thread in self.threads:
+                thread.join(10)
             for gateway in self.gateways:
-                gateway.record_own_end()
-                if gateway.process is not None:
-                    gateway.process.kill()
-                    gateway.process.wait()
+                self.end_gateway(gateway)
         self.check_replies()
+        self.check_bursts()
         self.check_words()
-        for gateway in self.gateways:
-            if gateway.own_ends:
-                self.problems.append(f"gateway {gateway.number} ended with {gateway.own_ends}")
+        self.problems += [f"the build failed: {text}" for text in self.installation.failed_builds]
+
+    def start_thread(self, task: Callable[..., None], *arguments: object) -> None:
+        """Run a task in a thread that ends once the run stops."""
+        thread = threading.Thread(target=task, args=arguments)
+        self.threads.append(thread)
+        thread.start()
+
+    def add_gateway(self) -> int:
+        """Start another gateway and return its index."""
+        with self.add_lock:
+            gateway = GatewayProcess(len(self.gateways) + 1, self)
+            gateway.start()
+            self.gateways.append(gateway)
+            return gateway.number - 1
+
+    def end_gateway(self, gateway: GatewayProcess) -> None:
+        """Kill a gateway at the end of the run, and report its ends by itself and its peaks."""
+        gateway.watch()
+        gateway.process.kill()
+        gateway.process.wait()
+        self.problems += [
+            f"seed {self.seed}: gateway {gateway.number} ended by itself: {end}"
+            for end in gateway.own_ends
+        ]
+        peak = max(gateway.usages, key=lambda usage: usage.memory_bytes)
+        print(f"seed {self.seed}, gateway {gateway.number}, {len(gateway.usages)} starts: {peak}")
+
+    def watch_processes(self) -> None:
+        """Watch all gateways until the run ends, and start those again that end by themselves."""
+        while not self.stopping.wait(WATCH_INTERVAL_S):
+            unread = unread_bytes()
+            for gateway in [*self.gateways]:
+                gateway.watch_and_restart(unread[gateway.ip])
 
     def add_searcher(self, service: str, searcher_id: str) -> None:
         """Start a searcher and list it as ready."""
         searcher = Searcher(searcher_id, service, random.Random(f"{self.seed} {searcher_id}"))
         self.searchers.append(searcher)
-        self.list_searcher(searcher, "ready")
+        self.list_searcher(searcher, "ready", searcher.proxy.address)
 
-    def list_searcher(self, searcher: Searcher, state: str) -> None:
+    def list_searcher(self, searcher: Searcher | BulkSearcher, state: str, address: str) -> None:
         """Put the listing of a searcher into the store."""
         entry = {
             "service": searcher.service,
-            "address": searcher.proxy.address,
-            "zone": f"z{1 + len(searcher.searcher_id) % GATEWAYS}",
+            "address": address,
+            "zone": f"z{1 + len(searcher.searcher_id) % ZONES}",
             "version": "v1",
             "slots": 2,
             "state": state,
@@ -639,6 +788,7 @@
             "timeoutMs": 1000,
             "targetLatencyMs": 150,
         }
+        bulk = common | {"timeoutMs": 9000, "service": BULK}
         shards = [f"s{number}" for number in range(SHARDS)]
         routes = [
             common
@@ -647,9 +797,12 @@
             common | {"name": "one", "prefix": "/one/", "type": "idempotent", "service": "orders"},
             common
             | {"name": "book", "prefix": "/book/", "type": "non_idempotent", "service": "orders"},
+            bulk | {"name": "large", "prefix": "/large/", "type": "idempotent"},
+            bulk | {"name": "slow", "prefix": "/slow/", "type": "non_idempotent"},
         ]
-        services = [{"name": name, "maxConnections": 24} for name in [*shards, "orders"]]
-        config = {"version": self.version, "routes": routes, "services": services, "limits": {}}
+        services = [{"name": name, "maxConnections": 24} for name in [*shards, "orders", BULK]]
+        limits = {"maxHeaderBytes": MAX_HEADER_BYTES, "maxBodyBytes": MAX_BODY_BYTES}
+        config = {"version": self.version, "routes": routes, "services": services, "limits": limits}
         self.store.put("op/config", config)
         self.version += 3
 
@@ -666,7 +819,7 @@
                 time.sleep(0.05)
 
     def is_ready(self, gateway: GatewayProcess) -> bool:
-        connection = http.client.HTTPConnection(gateway.ip, 8108, timeout=1)
+        connection = http.client.HTTPConnection(gateway.ip, READY_PORT, timeout=1)
         try:
             connection.request("GET", "/v1/ready")
             return connection.getresponse().status == 200
@@ -675,18 +828,19 @@
         finally:
             connection.close()
 
-    def run_caller(self, number: int) -> None:
-        """Send requests one after another until the run ends, and record the replies.
+    def run_caller(self, index: int, number: int) -> None:
+        """Send requests to the gateway with an index until the run ends, and record the replies.
 
         The caller keeps its connection open until the gateway closes it or an error occurs.
         """
         rng = random.Random(f"{self.seed} caller {number}")
-        gateway = self.gateways[number % GATEWAYS]
-        connection = http.client.HTTPConnection(gateway.ip, 8104, timeout=3)
+        gateway = self.gateways[index]
+        connection = http.client.HTTPConnection(gateway.ip, CALLER_PORT, timeout=3)
         sequence = 0
-        while not self.stopping.wait(rng.uniform(0.0, 0.03)):
+        max_pause_s = MAX_PAUSE_S * self.gateway_count / GATEWAYS
+        while not self.stopping.wait(rng.uniform(0.0, max_pause_s)):
             sequence += 1
-            request = f"{self.seed}-{number}-{sequence}"
+            request = f"{self.seed}-{index}-{number}-{sequence}"
             path = rng.choice(["/all/x", "/all/x", "/one/x", "/book/x"])
             method = "POST" if path == "/book/x" else "GET"
             headers = {
@@ -694,6 +848,7 @@
                 "X-Masticgate-Request-Id": request,
                 "X-Masticgate-Deadline-Ms": "800",
             }
+            is_first = connection.sock is None
             try:
                 connection.request(method, path, b"order" if method == "POST" else None, headers)
                 response = connection.getresponse()
@@ -701,7 +856,9 @@
                 self.replies.append(
                     CallerReply(request, path, response.status, fields, response.read())
                 )
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as error:
+                if is_first:
+                    self.unanswered.append(f"{request}: {error!r}")
                 connection.close()
                 time.sleep(0.05)
 
@@ -781,6 +938,65 @@
                     f"booking {request} was run more than once, at {runs[request]}"
                 )
 
+    def run_burst(
+        self, gateway: GatewayProcess, kind: BurstKind, port: int, seconds: float
+    ) -> None:
+        """Run a burst of callers at one gateway, unless another one is running there."""
+        if not gateway.burst_lock.acquire(blocking=False):
+            return
+        try:
+            name = f"{self.seed}-{gateway.number - 1}-burst{len(self.bursts)}"
+            count = self.rng.choice(BURST_SIZES)
+            burst = Burst(name, kind, HOST, (gateway.ip, port), count)
+            self.bursts.append(burst)
+            burst.run(seconds)
+        finally:
+            gateway.burst_lock.release()
+
+    def check_bursts(self) -> None:
+        """Check the replies to bursts: those to refused requests, and those to unfinished ones."""
+        runs = {request for searcher in self.bulk_searchers for request, _ in searcher.runs}
+        for burst in self.bursts:
+            statuses = Counter(reply.status for reply in burst.replies)
+            print(f"{burst.name}, {burst.count} at {burst.address[1]} {burst.kind}: {statuses}")
+            for reply in burst.replies:
+                self.check_burst_reply(burst, reply, reply.request in runs)
+
+    def check_burst_reply(self, burst: Burst, reply: BurstReply, has_run: bool) -> None:
+        """Check one reply to a request of a burst."""
+        if reply.status in NOT_RUN_STATUSES and has_run:
+            self.problems.append(f"{reply.request} was refused with {reply.status} but was run")
+        if reply.status == 200:
+            stamp = head_value(reply.head, b"x-masticgate-server-stamp").decode()
+            is_own = stamp.startswith(f"{reply.request}.") and reply.body == b"done"
+            if not burst.kind.is_whole or not is_own:
+                self.problems.append(f"{reply.request} of a burst of {burst.kind} got {stamp}")
+        if reply.status in (400, 404, 413, 431) and burst.address[1] == CALLER_PORT:
+            self.problems.append(f"{reply.request} of {burst.kind} got {reply.status}")
+
+    def check_all_served(self) -> None:
+        """Check that each request was served, or refused before it ran; only bursts disturb them.
+
+        A request may fail if the responses to all permitted attempts were lost, or shortly after
+        the start, when a gateway has no budget yet to send a request again.
+        """
+        runs = {request for searcher in self.searchers for request, _ in searcher.runs}
+        failed = [
+            (reply.request, reply.path, reply.status)
+            for reply in self.replies
+            if reply.status != 200
+            and reply.at > self.settled_at
+            and not self.has_lost_every_response(reply)
+            and not (reply.status == 503 and reply.request not in runs)
+        ]
+        refused = sum(reply.status == 503 for reply in self.replies)
+        print(f"seed {self.seed}: {len(self.replies)} small requests, {refused} refused")
+        if failed or self.unanswered:
+            self.problems.append(
+                f"beside bursts, {failed} failed and {self.unanswered} got no reply,"
+                f" of {len(self.replies)}"
+            )
+
     def check_words(self) -> None:
         """Check that gateways keep to what searchers of bookings say: that they leave, or pause.
 
@@ -818,7 +1034,7 @@
 
     def check_reply(self, reply: CallerReply, runs: list[str]) -> None:
         """Check one reply; ``runs`` lists the ids of the searchers that ran its request."""
-        if reply.status in (408, 421, 429, 503) and reply.path == "/book/x" and runs:
+        if reply.status in NOT_RUN_STATUSES and reply.path == "/book/x" and runs:
             self.problems.append(f"{reply.request} was refused but was run at {runs}")
         if reply.status in (400, 404):
             self.problems.append(f"{reply.request} was rejected with {reply.status}")
@@ -933,7 +1149,7 @@
     """List a new searcher, drain an old one of the same service, and remove the old one."""
     old = soak.rng.choice([s for s in soak.searchers if s.drain_started_at is None])
     soak.add_searcher(old.service, f"{old.service}-{len(soak.searchers)}")
-    soak.list_searcher(old, "draining")
+    soak.list_searcher(old, "draining", old.proxy.address)
     old.drain_started_at = time.monotonic()
     time.sleep(1.0)
     soak.store.remove(f"servers/{old.searcher_id}")
@@ -974,7 +1190,7 @@
     """Make a searcher ask each gateway for one pause."""
     searcher = choose_searcher(soak)
     searcher.pause_s = soak.rng.choice([0.8, 1.5, 2.5])
-    searcher.pause_for = set(range(GATEWAYS))
+    searcher.pause_for = set(range(len(soak.gateways)))
     time.sleep(MAX_FAULT_S)
     searcher.pause_for = set()
 
@@ -1011,7 +1227,7 @@
         # A normal close would leave the port taken for another minute.
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         with suppress(OSError):
-            holder.bind((gateway.ip, soak.rng.choice([8104, 8106, 8108])))
+            holder.bind((gateway.ip, soak.rng.choice([CALLER_PORT, PEER_PORT, READY_PORT])))
             holder.connect(soak.store.server.listener.getsockname())
         gateway.start()
         time.sleep(soak.rng.uniform(0.5, 2.0))
@@ -1054,3 +1270,70 @@
     stop_twice,
 ]
 """The faults of a long run. Those of ``FAULTS`` alone are for the seeds that failed with them."""
+
+
+def send_burst(soak: Soak) -> None:
+    """Send one or two bursts of callers to one port of a gateway, one after another."""
+    gateway = soak.rng.choice(soak.gateways)
+    port = soak.rng.choice([CALLER_PORT, CALLER_PORT, PEER_PORT])
+    for _ in range(soak.rng.randint(1, 2)):
+        kind = soak.rng.choice(list(BurstKind))
+        soak.run_burst(gateway, kind, port, soak.rng.uniform(1.5, MAX_BURST_S))
+
+
+def send_burst_beside_signals(soak: Soak) -> None:
+    """Send a burst to a gateway that is paused, gets signals or is restarted meanwhile."""
+    gateway = soak.rng.choice(soak.gateways)
+    burst = threading.Thread(
+        target=soak.run_burst,
+        args=(gateway, soak.rng.choice(list(BurstKind)), CALLER_PORT, MAX_BURST_S),
+    )
+    burst.start()
+    time.sleep(soak.rng.uniform(0.1, 1.0))
+    for number in soak.rng.sample([signal.SIGHUP, signal.SIGSTOP, signal.SIGTERM], 2):
+        if number == signal.SIGTERM:
+            gateway.restart(number)
+            continue
+        gateway.signal(number)
+        time.sleep(soak.rng.uniform(0.1, 1.0))
+        gateway.signal(signal.SIGCONT)
+    burst.join()
+
+
+def build_during_starts(soak: Soak) -> None:
+    """Build the installation again, changed or not, while a gateway is started a few times."""
+    gateway = soak.rng.choice(soak.gateways)
+    for _ in range(4):
+        if soak.rng.random() < 0.5:
+            soak.installation.change_sources()
+        build = threading.Thread(target=soak.installation.build)
+        build.start()
+        time.sleep(soak.rng.uniform(0.0, 0.4))
+        gateway.restart(soak.rng.choice([signal.SIGKILL, signal.SIGTERM]))
+        build.join()
+
+
+def build_again(soak: Soak) -> None:
+    """Build the changed installation again while gateways run, and then reload one of them."""
+    soak.installation.change_sources()
+    soak.installation.build()
+    soak.rng.choice(soak.gateways).signal(signal.SIGHUP)
+
+
+def add_gateway(soak: Soak) -> None:
+    """Add a gateway, with callers of its own."""
+    if len(soak.gateways) < soak.gateway_count + MAX_ADDED_GATEWAYS:
+        index = soak.add_gateway()
+        for number in range(soak.callers // soak.gateway_count):
+            soak.start_thread(soak.run_caller, index, soak.callers + number)
+
+
+HEAVY_FAULTS = [
+    *ALL_FAULTS,
+    *[send_burst] * 4,
+    *[send_burst_beside_signals] * 3,
+    *[build_during_starts] * 2,
+    build_again,
+    add_gateway,
+]
+"""All faults, with those that may end a process by themselves."""
