Halve the size to which a relayed catalogue may be decompressed

Seen (a script, one process): a reply of 30 kB that another gateway compressed took 90 MB at its peak before it was refused, one with 240,000 changes 124 MB with the first one's peak. Machines with 200 MB are in use.

Cause: a decompressed update may have 32 MB, which are held as bytes, as text and as values at the same time.

Change: 16 MB, four times the catalogue of the 22,000 searchers of the target.

Tests: test_small_body_that_decodes_to_a_large_update_takes_bounded_memory failed before (such a body was decoded); a test holds that the catalogue of the target is decoded.

--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -44,8 +44,8 @@
 from .._address import parse_address
 from ._positions import MAX_SHARDS
 
-MAX_UPDATE_BYTES = 32_000_000
-"""The maximum size of a decompressed update."""
+MAX_UPDATE_BYTES = 16_000_000
+"""The maximum size of a decompressed update; one of 22,000 searchers has about 4 MB."""
 
 Choice = TypeVar("Choice", bound=Enum)
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -168,6 +168,25 @@
             with pytest.raises(InvalidCatalogueError):
                 decode_changes(body)
 
+    def test_small_body_that_decodes_to_a_large_update_takes_bounded_memory(self):
+        """Guard against 30 kB of another gateway that take much of the memory of the process."""
+        text = b'{"epoch":"e","number":1,"changes":[],"more":"%s"}' % (b"x" * 31_000_000)
+        body = zlib.compress(text)
+        del text
+        tracemalloc.start()
+        with pytest.raises(InvalidCatalogueError):
+            decode_changes(body)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak < 48_000_000
+
+    def test_update_of_all_searchers_of_the_target_is_decoded(self):
+        catalogue = make_catalogue()
+        for number in range(22_000):
+            catalogue.add(SearcherListed(make_entry(f"i-{number:010x}", f"service-{number:06}")))
+        update = decode_changes(request_catalogue(catalogue, "compressed=1").body)
+        assert len(update.changes) == 22_001
+
     @given(st.binary(max_size=60))
     def test_arbitrary_bytes_raise_only_invalid_catalogue_error(self, data):
         try:
