--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -223,7 +223,10 @@
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=entry.id, detail="too many searchers")
             case SearcherListed(entry=entry):
-                self.catalogue.add(change)
+                # A read of everything would otherwise push all other changes out of the log, and
+                # the gateways that watch this one would have to read everything as well.
+                if not self.catalogue.lists(change):
+                    self.catalogue.add(change)
                 self.held_searchers.pop(entry.id, None)
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -19,12 +19,13 @@
 MISSED_INTERVALS = 2.6
 """A gateway can no longer gather after this many of its intervals without a heartbeat."""
 
+MAX_HEARTBEATS = 5_000
+MAX_NAME_LENGTH = 253
+"""Bounds on what other processes can make a seed keep; a heartbeat is kept for some seconds."""
+
 MIN_MEMBER_TTL = Millis(5_000.0)
 """A gateway counts as running for at least this long after its last heartbeat."""
 
-MAX_HEARTBEATS = 10_000
-"""The number of gateways whose heartbeats a seed keeps; the target is 3,300."""
-
 
 def heartbeat_interval(members: int, *, is_gatherer: bool) -> Millis:
     """Return the interval between the heartbeats of one of ``members`` gateways."""
@@ -57,12 +58,13 @@
     def __init__(self) -> None:
         self.heartbeats: dict[HostId, Heartbeat] = {}
 
-    def record(self, host: HostId, heartbeat: Heartbeat) -> bool:
-        """Record a heartbeat; return ``False`` if it is that of one gateway too many."""
-        if host not in self.heartbeats and len(self.heartbeats) >= MAX_HEARTBEATS:
-            return False
-        self.heartbeats[host] = heartbeat
-        return True
+    def record(self, host: HostId, heartbeat: Heartbeat) -> None:
+        """Record a heartbeat, unless it exceeds a bound on their number or on their names."""
+        domain = "" if heartbeat.member is None else heartbeat.member.domain
+        if max(len(host), len(domain)) > MAX_NAME_LENGTH:
+            return
+        if host in self.heartbeats or len(self.heartbeats) < MAX_HEARTBEATS:
+            self.heartbeats[host] = heartbeat
 
     def count(self, now: Millis) -> int:
         """Return the number of running gateways, this one included, and drop the others."""
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -204,7 +204,9 @@
         heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
         with self.lock:
-            recorded = is_name(host) and self.membership.record(host, heartbeat)
+            if is_name(host):
+                self.membership.record(host, heartbeat)
+            recorded = self.membership.heartbeats.get(host) is heartbeat
             members = self.membership.count(heartbeat.received_at)
             named = self.named.get(self.settings.peer_address or Address(""), frozenset())
         if not recorded:
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -7,12 +7,13 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from threading import Condition
 from time import monotonic
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision, SearcherId
+from ..._ids import Address, Millis, Revision
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -78,13 +79,21 @@
 HTTP_GONE = 410
 
 
+@dataclass(slots=True)
+class LoggedChange:
+    """One change as a JSON value, or ``None`` if a later change has replaced it."""
+
+    number: int
+    value: object | None
+
+
 class CatalogueLog:
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch. ``changes`` holds
-    ``None`` in the place of a configuration that a later one has replaced, and ``table_number`` is
-    the number of the latest one.
+    start. ``age`` returns the time since the last successful read or watch. ``table_change`` is the
+    latest change of the configuration. It is the only one with a value, since each configuration
+    replaces the one before and is large.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -92,41 +101,32 @@
         self.changed = Condition()
         self.epoch = f"{random.getrandbits(48):x}"
         self.number = 0
-        self.table_number = 0
         self.state: dict[str, object] = {}
-        self.changes: deque[tuple[int, object]] = deque(maxlen=MAX_CHANGES)
+        self.changes: deque[LoggedChange] = deque(maxlen=MAX_CHANGES)
+        self.table_change = LoggedChange(0, None)
 
     def add(self, change: Change) -> None:
-        """Apply one published change, and wake the watches that wait for it.
-
-        A listing that is as it was is no change. A read of everything would otherwise push the
-        other changes out, and all other gateways would have to read everything as well.
-        """
+        """Apply one published change, and wake the watches that wait for it."""
         value = encode_change(change)
         with self.changed:
+            self.number += 1
+            logged = LoggedChange(self.number, value)
             match change:
-                case SearcherListed(entry=entry) if self.state.get(_state_key(entry.id)) == value:
-                    return
                 case PublishedConfiguration():
                     self.state["table"] = value
-                    self._drop_replaced_table()
-                    self.table_number = self.number + 1
+                    self.table_change.value = None
+                    self.table_change = logged
                 case SearcherListed(entry=entry):
-                    self.state[_state_key(entry.id)] = value
+                    self.state[f"searcher {entry.id}"] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
-                    self.state.pop(_state_key(searcher), None)
-            self.number += 1
-            self.changes.append((self.number, value))
+                    self.state.pop(f"searcher {searcher}", None)
+            self.changes.append(logged)
             self.changed.notify_all()
 
-    def _drop_replaced_table(self) -> None:
-        """Drop the previous configuration from the changes; the lock is held.
-
-        Configurations may be large, and a gateway that is behind needs only the latest one.
-        """
-        index = self.table_number - self.changes[0][0] if self.changes else -1
-        if index >= 0:
-            self.changes[index] = (self.table_number, None)
+    def lists(self, listing: SearcherListed) -> bool:
+        """Return whether the catalogue has this listing already, so that it is no change."""
+        with self.changed:
+            return bool(self.state.get(f"searcher {listing.entry.id}") == encode_change(listing))
 
     def handle_request(self, request: Request) -> LocalPage:
         """Return the reply to a read or a watch.
@@ -159,18 +159,16 @@
                 self.changed.wait(remaining)
             if self.age() > MAX_PLATFORM_AGE:
                 return LocalPage(503, b"the platform is unavailable")
-            if self.changes and after + 1 < self.changes[0][0]:
+            if self.changes and after + 1 < self.changes[0].number:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
             values = [
-                value for number, value in self.changes if number > after and value is not None
+                change.value
+                for change in self.changes
+                if change.number > after and change.value is not None
             ]
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
-def _state_key(searcher: SearcherId | None) -> str:
-    return f"searcher {searcher}"
-
-
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -286,6 +286,20 @@
         )
         assert "searcher a" not in follower.catalogue.state
 
+    def test_listings_that_are_read_again_are_not_relayed_again(self):
+        """Guard against gateways that all read everything again when their relay does."""
+        listings = [SearcherListed(make_entry(str(number))) for number in range(2_100)]
+        follower, _, _ = follow(
+            (0, contents(*listings)),
+            (1, HistoryGone()),
+            (0, contents(*listings, revision=2)),
+            (1, changes(3, SearcherUnlisted(SearcherId("7")))),
+            (1, changes(4, listings[7])),
+        )
+        log = follower.catalogue
+        assert log.lists(listings[7]) and not log.lists(SearcherListed(make_entry("x")))
+        assert log.number == 2_103
+
     def test_listings_without_end_are_applied_up_to_a_number(self, monkeypatch):
         """Guard against listings of another writer that take all memory."""
         monkeypatch.setattr(_fleet, "MAX_SEARCHERS", 100)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -113,20 +113,6 @@
             PublishedConfiguration(three),
         )
 
-    def test_listings_that_are_read_again_are_no_changes(self):
-        """Guard against gateways that all read everything again when their relay does."""
-        catalogue = make_catalogue()
-        listings = [SearcherListed(make_entry(str(number))) for number in range(2_100)]
-        for change in [*listings, *listings]:
-            catalogue.add(change)
-        assert catalogue.number == 2_101
-        catalogue.add(SearcherUnlisted(SearcherId("7")))
-        catalogue.add(listings[7])
-        assert decode_changes(watch_catalogue(catalogue, 2_101).body).changes == (
-            SearcherUnlisted(SearcherId("7")),
-            listings[7],
-        )
-
     def test_configuration_after_more_changes_than_are_kept(self):
         catalogue = make_catalogue()
         for number in range(2_100):
