--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -13,7 +13,7 @@
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision, SearcherId
+from ..._ids import Address, Millis, Revision
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -106,29 +106,28 @@
         self.table_change = LoggedChange(0, None)
 
     def add(self, change: Change) -> None:
-        """Apply one published change, and wake the watches that wait for it.
-
-        A listing that is as it was is no change. A read of everything would otherwise push the
-        other changes out, and all other gateways would have to read everything as well.
-        """
+        """Apply one published change, and wake the watches that wait for it."""
         value = encode_change(change)
         with self.changed:
-            logged = LoggedChange(self.number + 1, value)
+            self.number += 1
+            logged = LoggedChange(self.number, value)
             match change:
-                case SearcherListed(entry=entry) if self.state.get(_state_key(entry.id)) == value:
-                    return
                 case PublishedConfiguration():
                     self.state["table"] = value
                     self.table_change.value = None
                     self.table_change = logged
                 case SearcherListed(entry=entry):
-                    self.state[_state_key(entry.id)] = value
+                    self.state[f"searcher {entry.id}"] = value
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
-                    self.state.pop(_state_key(searcher), None)
-            self.number = logged.number
+                    self.state.pop(f"searcher {searcher}", None)
             self.changes.append(logged)
             self.changed.notify_all()
 
+    def lists(self, listing: SearcherListed) -> bool:
+        """Return whether the catalogue has this listing already, so that it is no change."""
+        with self.changed:
+            return bool(self.state.get(f"searcher {listing.entry.id}") == encode_change(listing))
+
     def handle_request(self, request: Request) -> LocalPage:
         """Return the reply to a read or a watch.
 
@@ -170,10 +169,6 @@
             return LocalPage(200, encode_update(self.epoch, self.number, values))
 
 
-def _state_key(searcher: SearcherId | None) -> str:
-    return f"searcher {searcher}"
-
-
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
