Test the count of descriptors that ran out and the heartbeat of a stop

Both paths were added with the signs of an end and had no test of their own: a count of descriptors where the folder has no size and cannot be listed any more, and the heartbeat that a stopping gateway sends before its next one is due.

--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,7 +2,8 @@
 
 import json
 from dataclasses import replace
-from threading import Event
+from threading import Event, Thread
+from time import monotonic
 
 import pytest
 from hypothesis import given
@@ -266,6 +267,18 @@
         send_heartbeat(peers, "g2", rate=9.0)
         assert not peers.processes.hosts
 
+    def test_seeds_hear_of_stop_before_next_heartbeat_is_due(self):
+        """Guard against a stop that ends before a heartbeat of every 5 s has announced it."""
+        peers = make_peers(ManualClock())
+        wait = Thread(target=peers._wait_for_next_heartbeat, args=(Millis(60_000.0),), daemon=True)
+        wait.start()
+        peers.stopping.set()
+        wait.join(10)
+        assert not wait.is_alive()
+        started_at = monotonic()
+        peers._wait_for_next_heartbeat(Millis(50.0))
+        assert monotonic() - started_at >= 0.05
+
     def test_starting_gateway_logs_once_what_its_seeds_know(self):
         clock = ManualClock()
         peers = make_peers(clock, is_seed=False)
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -1,6 +1,9 @@
 """Tests of what a process uses of its limited resources, and of when it says so."""
 
+import errno
+import os
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
@@ -93,6 +96,19 @@
         assert (use.descriptors.used is None) == (name == "DESCRIPTOR_FOLDER")
         assert use.memory_peak > 1_000_000 and use.threads.used >= 1
 
+    def test_all_descriptors_in_use_are_counted_where_folder_has_no_size(self, monkeypatch):
+        """Guard against an unknown number just when descriptors run out, before Linux 6.2."""
+        files = ProcessFiles()
+        files.descriptor_limit = 64
+
+        def refuse(path):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        empty = os.stat_result([0] * 10)
+        system = SimpleNamespace(pread=os.pread, stat=lambda path: empty, listdir=refuse)
+        monkeypatch.setattr(_process_files, "os", system)
+        assert files.read(CAPACITY).descriptors == Use(64, 64)
+
     def test_status_of_unknown_form_is_unknown(self, monkeypatch, tmp_path):
         path = tmp_path / "status"
         path.write_text("Name:\tx\nVmRSS:\nVmHWM: many kB\n")
