--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -38,7 +38,7 @@
     Membership,
     heartbeat_interval,
 )
-from ._previous_processes import PreviousEndQuestion, ProcessMemory
+from ._previous_processes import PreviousEndQuestion, ProcessHistory
 from ._process_reports import (
     ProcessReport,
     decode_ended,
@@ -185,7 +185,7 @@
         self.members = 1
         self.gathering: Gathering = GatherHere()
         self.heard_seeds: set[Address] = set()
-        self.processes = ProcessMemory()
+        self.processes = ProcessHistory()
         self.previous_end = PreviousEndQuestion(clock.now())
 
     def start(self, supervisor: Supervisor) -> None:
--- a/src/masticgate/process/gateway/_previous_processes.py
+++ b/src/masticgate/process/gateway/_previous_processes.py
@@ -23,7 +23,7 @@
     before: EndedProcess | None
 
 
-class ProcessMemory:
+class ProcessHistory:
     """The last processes of each host, as a seed hears of them; a lock of its user guards it.
 
     The hosts are in the order in which they were last heard of.
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -28,7 +28,7 @@
     MAX_REMEMBERED_HOSTS,
     REMEMBERED_FOR,
     PreviousEndQuestion,
-    ProcessMemory,
+    ProcessHistory,
 )
 from masticgate.process.gateway._process_reports import (
     EndedProcess,
@@ -256,7 +256,7 @@
         assert report_process(peers, "g2", 8)["previous"] is None
 
     def test_number_of_remembered_hosts_is_bounded(self):
-        memory = ProcessMemory()
+        memory = ProcessHistory()
         for number in range(MAX_REMEMBERED_HOSTS + 10):
             memory.record(HostId(f"g{number}"), REPORT, Millis(0.0))
         assert len(memory.hosts) == MAX_REMEMBERED_HOSTS
