Let a searcher's connection keep 64 KB unread, callers' 32 KB

With 32 KB, as since the sum of the memory, one connection receives at most 32 KB a round trip: 43 Mbit/s with 6 ms, less than the links. 64 KB is 87 Mbit/s (by arithmetic, no run). Both count in the sum. A test holds that changed limits are in force after a reload.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -16,7 +16,7 @@
 from ...request.gateway import Abandoned, Inbox, LocalPage, Refused, Reply, Request
 from ...request.gateway._exchange import Header
 from ...version.gateway import Limits
-from ._buffers import UNREAD_BYTES
+from ._buffers import CALLER_UNREAD_BYTES
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
     NETWORK_TIME_HEADER,
@@ -52,7 +52,7 @@
 CALLER_CONNECTION_BYTES = 24_000 + ORDINARY_REQUEST_BYTES + ORDINARY_ANSWER_BYTES
 """The memory of one connection, with its task and the ordinary part of a request and a reply."""
 
-CALLER_SOCKET_BYTES = UNREAD_BYTES
+CALLER_SOCKET_BYTES = CALLER_UNREAD_BYTES
 
 NO_MEMORY_RETRY_AFTER = Millis(250.0)
 """The time after which other requests have usually ended, and their memory is free again."""
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -11,7 +11,7 @@
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis
 from .._address import split_address
-from ._buffers import bound_buffers
+from ._buffers import SEARCHER_UNREAD_BYTES, bound_buffers
 from ._parser import Malformed, parse_number
 from ._response_parser import ResponseParser
 
@@ -251,7 +251,7 @@
 def _configure_socket(connection: socket.socket) -> None:
     """Make the kernel send small messages at once and detect an unreachable server."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    bound_buffers(connection)
+    bound_buffers(connection, SEARCHER_UNREAD_BYTES)
     with suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -7,7 +7,7 @@
 
 from ..._ids import Address, Millis
 from .._address import accept_connections, listen_on
-from ._buffers import bound_buffers
+from ._buffers import CALLER_UNREAD_BYTES, bound_buffers
 from ._caller import CallerConnection, CallerSettings, CallerState
 from ._task_starter import TaskStarter
 
@@ -90,7 +90,7 @@
             if self.socket is None:
                 try:
                     self.socket = listen_on(self.address)
-                    bound_buffers(self.socket)
+                    bound_buffers(self.socket, CALLER_UNREAD_BYTES)
                 except OSError as error:
                     self.failure = str(error)
                     return False
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -18,7 +18,7 @@
 from ..._failures import Reason
 from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome, ReceiveInfo
-from ._buffers import UNREAD_BYTES
+from ._buffers import SEARCHER_UNREAD_BYTES
 from ._client import HttpClient, parse_keep_alive_timeout
 from ._encoding import encode_request
 from ._header_names import HeaderNames
@@ -47,7 +47,7 @@
 SEARCHER_CONNECTION_BYTES = 40_000
 """The memory of one connection, with its task and the ordinary part of an answer."""
 
-SEARCHER_SOCKET_BYTES = UNREAD_BYTES
+SEARCHER_SOCKET_BYTES = SEARCHER_UNREAD_BYTES
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_memory_plan.py
+++ b/tests/gateway/test_memory_plan.py
@@ -1,5 +1,7 @@
 """Tests of how many bytes and connections a gateway may use, by the limits of its host."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -21,6 +23,9 @@
 )
 from masticgate.process.gateway._settings import DEFAULT_MEMORY_BYTES
 
+from .fakes import make_route
+from .loopback import running_gateway
+
 LIMITS = st.integers(min_value=100_000_000, max_value=4_000_000_000)
 IDLE = st.integers(min_value=10_000_000, max_value=60_000_000)
 STEPS = st.lists(st.tuples(st.sampled_from(Use), st.integers(0, 20_000_000)), max_size=60)
@@ -64,6 +69,18 @@
         assert plan.limit == DEFAULT_MEMORY_BYTES
 
 
+class TestReload:
+    def test_changed_limits_are_in_force_at_once(self):
+        with running_gateway([make_route()], {}) as gateway:
+            capacity = HostCapacity(1.0, 1_000.0, 1_000_000_000, 2_000)
+            before = gateway.callers.max_connections
+            gateway.reload(replace(gateway.settings, capacity=capacity))
+            assert gateway.memory.plan.limit == 1_000_000_000
+            limits = plan_connections(capacity, 1_048_576)
+            assert gateway.callers.max_connections == limits.callers != before
+            assert gateway.pool.max_tasks == limits.tasks
+
+
 class TestIdleMemory:
     def test_subtracts_what_connections_account_for(self):
         used = dict.fromkeys(Use, 0) | {Use.REQUESTS: 50_000_000, Use.SOCKETS: 30_000_000}
