Do not count an answer that found no memory as a failure of its searcher

An answer that a gateway gives up since its own memory is used was a failure of the searcher that sent it, so that a burst ejected sound searchers. It is still lost to its caller and logged (answer_oversized), but no failure.

A request that is incomplete when its connection is closed by a stop is refused as shutting_down, not for want of room.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -238,8 +238,8 @@
         any byte if the memory of the process is short.
         """
         deadline = Millis(self.clock.now() + WRITE_TIMEOUT)
-        self.connection.settimeout(STALL_TIMEOUT / MILLIS_PER_SECOND)
         try:
+            self.connection.settimeout(STALL_TIMEOUT / MILLIS_PER_SECOND)
             for block in blocks:
                 data = memoryview(block)
                 while data := data[self._send_some(data, deadline) :]:
@@ -333,9 +333,13 @@
         return True
 
     def _handle_end_of_input(self) -> None:
-        """Refuse an incomplete request if this gateway ended the input to make room."""
-        if self.is_ending and not self.parser.idle:
-            self._refuse(_refuse_for_memory("no room for more connections"), self.parser.headers)
+        """Refuse an incomplete request if this gateway ended the input, to make room or to stop."""
+        if not self.is_ending or self.parser.idle:
+            return
+        refusal = _refuse_for_memory("no room for more connections")
+        if self.settings.is_closing():
+            refusal = replace(refusal, failure=NotRun(Reason.SHUTTING_DOWN, Step.READ))
+        self._refuse(refusal, self.parser.headers)
 
     def _handle_timeout(self) -> None:
         if not self.parser.idle:
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -73,7 +73,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Oversized(Malformed):
-    """The received bytes exceed a limit of the message or of the process."""
+    """The received bytes exceed a limit of the message, or of the process if it lacks memory."""
+
+    lacked_memory: bool = False
 
 
 def find_header(headers: list[Header] | tuple[Header, ...], name: bytes) -> bytes | None:
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -106,7 +106,7 @@
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
         self.received_bytes += len(data)
         if self.received_bytes > ORDINARY_BYTES and not self._hold_received():
-            return Oversized("no memory for more bytes of answers")
+            return Oversized("no memory for more bytes of answers", lacked_memory=True)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -307,6 +307,8 @@
                 self.handler.record_violation(
                     self, OversizedResponse(self.parser.received_bytes, problem.detail)
                 )
+                if problem.lacked_memory:
+                    return Lost(self.searcher, True, problem.detail, lacked_memory=True)
             reusable = problem is None and not self.parser.in_message
             if not self._handle_responses(reusable=reusable):
                 return Lost(self.searcher, True, f"bad response: {problem}")
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -501,7 +501,7 @@
                 return
             case Declined():
                 replica.raise_failure_rate(now)
-            case Lost() if call.cancelled:
+            case Lost(lacked_memory=lacked_memory) if call.cancelled or lacked_memory:
                 return
             case Answered() | Lost():
                 self._record_failure(replica, call, now)
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -151,11 +151,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """No valid answer was received; the request may have run unless ``sent`` is ``False``."""
+    """No valid answer was received; the request may have run unless ``sent`` is ``False``.
+
+    ``lacked_memory`` is set if this gateway had no memory for the answer.
+    """
 
     searcher: SearcherId
     sent: bool
     detail: str
+    lacked_memory: bool = False
 
 
 Outcome = Answered | Declined | Lost
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -340,6 +340,8 @@
             assert most <= MAX_PENDING_BYTES + 20 * ORDINARY_BYTES + 20 * RECEIVE_BYTES
             wait_until(lambda: not gateway.memory.used[Use.ANSWERS])
             assert gateway.metrics.counters["answer_oversized"] > 0
+            # The gateway lacked the memory; its searchers did not fail.
+            assert gateway.metrics.counters["searcher_failures"] == 0
 
     def test_bytes_of_finished_answers_no_longer_count(self):
         large = StandInSearcher(lambda head: reply_to(head, bytes(1_000_000)))
