--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -16,7 +16,7 @@
 from ...request.gateway import Abandoned, Inbox, LocalPage, Refused, Reply, Request
 from ...request.gateway._exchange import Header
 from ...version.gateway import Limits
-from ._buffers import UNREAD_BYTES
+from ._buffers import CALLER_UNREAD_BYTES
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
     NETWORK_TIME_HEADER,
@@ -52,7 +52,7 @@
 CALLER_CONNECTION_BYTES = 24_000 + ORDINARY_REQUEST_BYTES + ORDINARY_ANSWER_BYTES
 """The memory of one connection, with its task and the ordinary part of a request and a reply."""
 
-CALLER_SOCKET_BYTES = UNREAD_BYTES
+CALLER_SOCKET_BYTES = CALLER_UNREAD_BYTES
 
 NO_MEMORY_RETRY_AFTER = Millis(250.0)
 """The time after which other requests have usually ended, and their memory is free again."""
@@ -238,8 +238,8 @@
         any byte if the memory of the process is short.
         """
         deadline = Millis(self.clock.now() + WRITE_TIMEOUT)
-        self.connection.settimeout(STALL_TIMEOUT / MILLIS_PER_SECOND)
         try:
+            self.connection.settimeout(STALL_TIMEOUT / MILLIS_PER_SECOND)
             for block in blocks:
                 data = memoryview(block)
                 while data := data[self._send_some(data, deadline) :]:
@@ -333,9 +333,13 @@
         return True
 
     def _handle_end_of_input(self) -> None:
-        """Refuse an incomplete request if this gateway ended the input to make room."""
-        if self.is_ending and not self.parser.idle:
-            self._refuse(_refuse_for_memory("no room for more connections"), self.parser.headers)
+        """Refuse an incomplete request if this gateway ended the input, to make room or to stop."""
+        if not self.is_ending or self.parser.idle:
+            return
+        refusal = _refuse_for_memory("no room for more connections")
+        if self.settings.is_closing():
+            refusal = replace(refusal, failure=NotRun(Reason.SHUTTING_DOWN, Step.READ))
+        self._refuse(refusal, self.parser.headers)
 
     def _handle_timeout(self) -> None:
         if not self.parser.idle:
