Draw different ports for the gateway program of the tests

A test with the real program failed because the gateway was not ready after 20 s, twice in about 35 runs of the tests of invalid ports for metrics. The log of the second failure shows why: two of its listeners had the same address, and the second could not listen.

--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -6,7 +6,7 @@
 import socket
 import subprocess
 import sys
-from contextlib import closing, suppress
+from contextlib import ExitStack, closing, suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from threading import Event
@@ -47,6 +47,13 @@
         return int(probe.getsockname()[1])
 
 
+def free_ports(*names: str) -> dict[str, int]:
+    """Return a port for each name, all different, on which nothing listens."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in names]
+        return {name: probe.getsockname()[1] for name, probe in zip(names, probes, strict=True)}
+
+
 def answer_as_store(head: bytes, version: int = 7) -> bytes:
     """Answer as a store that holds one configuration, with ``version``, and no searchers."""
     if b"kv-watch" in head.split(b" ")[1]:
@@ -66,7 +73,7 @@
         self.store = StandInSearcher(answer_as_store)
         self.path = folder / "local.toml"
         self.output = folder / "output.txt"
-        self.ports = {name: free_port() for name in PORTS}
+        self.ports = free_ports(*PORTS)
         self.process: subprocess.Popen[bytes] | None = None
 
     def settings(self, grace: float = 1.0) -> str:
