Go on with a start of tasks that an error interrupted

Seen: an error while the gateway starts its tasks, for example want of memory for a log line, ended the process with status 1.

Change: the start runs under the supervisor like reloads and the stop. The gateway keeps the tasks that were not started yet, so that none is started twice.

Evidence: with the real program, the two cases of test_start_that_fails_is_tried_again that fail in Supervisor.start and in Peers.start failed before and pass.

--- a/src/masticgate/platform/_serve.py
+++ b/src/masticgate/platform/_serve.py
@@ -48,7 +48,7 @@
     gateway = _make_gateway(settings, signals)
     if gateway is None:
         return
-    gateway.start()
+    gateway.supervisor.run(gateway.start)
     gateway.supervisor.run(partial(_follow_settings, gateway, path, metrics_port, signals))
     gateway.supervisor.run(gateway.stop)
 
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import os
 import threading
+from collections import deque
 from collections.abc import Callable
 from threading import Event
 
@@ -79,7 +80,8 @@
     configuration that the platform publishes. It is not ready before all of
     ``required_listeners`` listen. ``listen_failures`` has the failures of listeners that were
     logged. ``requested`` holds the settings that were last applied, with those that wait for a
-    restart. ``wait_for_stop`` is that of the :class:`Supervisor`.
+    restart, and ``waiting_tasks`` the tasks that were not started yet. ``wait_for_stop`` is that of
+    the :class:`Supervisor`.
     """
 
     def __init__(
@@ -139,18 +141,21 @@
                 self._listen(settings.metrics_address, header_names, self._metrics_page)
             )
         self.listen_failures: dict[Address, str] = {}
+        self.waiting_tasks = deque([self.log.run, self.follower.run, self._run_maintenance])
+        self.waiting_tasks.extend(listener.run for listener in self.listeners)
 
     def start(self) -> None:
         """Start the tasks that run until the process ends.
 
-        Return without some of them if the process is told to stop meanwhile.
+        Return without some of them if the process is told to stop meanwhile. If it raises an error,
+        it can be called again.
         """
         self.log.write(
             LogEvent.STARTED, domain=self.settings.domain, callers=self.settings.caller_address
         )
-        tasks = [self.log.run, self.follower.run, self._run_maintenance]
-        for run in (*tasks, *(listener.run for listener in self.listeners)):
-            self.supervisor.start(run)
+        while self.waiting_tasks:
+            self.supervisor.start(self.waiting_tasks[0])
+            self.waiting_tasks.popleft()
         self.peers.start(self.supervisor)
 
     def reload(self, changed: GatewaySettings) -> None:
--- a/tests/platform/test_main_task.py
+++ b/tests/platform/test_main_task.py
@@ -12,6 +12,8 @@
 import masticgate.platform._node_file as node_file
 import masticgate.platform._serve as serve
 from masticgate.process.gateway._gateway import Gateway
+from masticgate.process.gateway._peers import Peers
+from masticgate.process.gateway._supervisor import Supervisor
 serve.RELOAD_INTERVAL_S = 0.2
 def fail_twice(owner, name, error):
     call, errors = getattr(owner, name), [error, error]
@@ -45,6 +47,8 @@
             'fail_twice(serve, "Gateway", OSError(24, "Too many open files"))',
             'fail_twice(serve, "Gateway", MemoryError())',
             'fail_twice(serve, "PlatformStore", RuntimeError("injected"))',
+            'fail_twice(Supervisor, "start", MemoryError())',
+            'fail_twice(Peers, "start", MemoryError())',
             'fail_twice(node_file.Path, "read_text", MemoryError())',
         ],
     )
