--- a/src/masticgate/__init__.py
+++ b/src/masticgate/__init__.py
@@ -10,7 +10,7 @@
     from ._public import *  # noqa: F403
 
 _folder = dirname(dirname(__file__))
-_search_path = [abspath(entry) for entry in sys.path]
+_search_path = [entry and abspath(entry) for entry in sys.path]
 
 if _folder in _search_path and realpath(_folder) != _folder:
     # The package was found by way of a link, which may name another installation at any moment: the
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -332,6 +332,18 @@
         assert all(Path(file).is_relative_to(project.deps.resolve()) for file in files)
 
 
+class TestOddFolders:
+    def test_start_in_folder_that_is_gone(self, project):
+        """Guard against a start that needs the name of its working folder."""
+        project.build()
+        code = (
+            "import os, sys; sys.path[:] = ['', os.path.abspath('target/deps'), *sys.path];"
+            "os.mkdir('gone'); os.chdir('gone'); os.rmdir('../gone'); import masticgate._clock"
+        )
+        _, errors = project.start(command=("-S", "-c", code)).communicate(timeout=30)
+        assert errors == b""
+
+
 class TestSeveralBuilds:
     def test_two_builds_at_once_install_once(self, project):
         builds = [project.start_build() for _ in range(3)]
