Start without a null device

Seen in a trial with the real program in a mount namespace without devices: the start ended with status 1, since the null device was opened to find out whether a standard stream is closed. No user has reported it.

Change: only the place of a closed stream is filled, with the root folder where there is no null device: what is written to it is refused and dropped.

Evidence: the 3 cases of test_missing_null_device_does_not_end_start failed before and pass.

--- a/src/masticgate/platform/_streams.py
+++ b/src/masticgate/platform/_streams.py
@@ -10,6 +10,17 @@
 
     A pipe or a connection would get the number of the stream otherwise, and receive the log lines.
     """
-    while (descriptor := os.open(os.devnull, os.O_RDWR)) in STANDARD_DESCRIPTORS:
-        pass
-    os.close(descriptor)
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            _open_placeholder()
+
+
+def _open_placeholder() -> None:
+    """Open a file that takes no lines, with the lowest free number."""
+    try:
+        os.open(os.devnull, os.O_RDWR)
+    except OSError:
+        # There may be no devices; a folder refuses what is written to it.
+        os.open("/", os.O_RDONLY)
--- a/tests/platform/test_process_life.py
+++ b/tests/platform/test_process_life.py
@@ -173,6 +173,14 @@
             assert program.wait_for_event("listen_failed")["address"].endswith(f":{port}")
 
 
+NO_NULL_DEVICE = """
+import os, runpy, sys
+os.devnull = "/missing/null"
+sys.argv[1:] = []
+runpy.run_module("masticgate.platform", run_name="__main__")
+"""
+
+
 class TestOutput:
     @pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
     def test_closed_stream_does_not_become_a_connection(self, program, closed):
@@ -184,6 +192,19 @@
             target = os.readlink(f"/proc/{program.process.pid}/fd/{descriptor}")
             assert target == "/dev/null"
 
+    @pytest.mark.parametrize("closed", [(), (1,), (0, 1, 2)])
+    def test_missing_null_device_does_not_end_start(self, program, closed):
+        """Guard against an end at once where there are no devices (FAULT)."""
+        program.write_settings()
+        program.start(
+            "-c", NO_NULL_DEVICE, preexec_fn=lambda: [os.close(number) for number in closed]
+        )
+        program.wait_until_ready()
+        for number in closed:
+            assert os.readlink(f"/proc/{program.process.pid}/fd/{number}") == "/"
+        program.signal(signal.SIGTERM)
+        assert program.wait_for_end() == 0
+
     def test_full_pipe_delays_neither_requests_nor_stop(self, program):
         reader, writer = os.pipe()
         os.set_blocking(writer, False)
