Try again to load modules that want of descriptors kept out

Such a want can be short where the whole machine is short of descriptors. No user has reported it.

Change: the program catches OSError and MemoryError while it loads its modules, says so on standard error and tries again every 500 ms until a signal to stop arrives. A module that is missing ends it as before: only another start finds the next installation.

--- a/src/masticgate/platform/__main__.py
+++ b/src/masticgate/platform/__main__.py
@@ -1,5 +1,6 @@
 """The entry point of ``python -m masticgate.platform``, which runs a gateway on the platform."""
 
+from ._loading import load_main
 from ._signals import SignalQueue
 from ._streams import open_missing_streams
 
@@ -9,6 +10,4 @@
 # process, so that it is queued from here on.
 signals = SignalQueue()
 
-from ._serve import main  # noqa: E402
-
-main(signals)
+load_main(signals)(signals)
--- a/tests/platform/test_scarce_resources.py
+++ b/tests/platform/test_scarce_resources.py
@@ -28,6 +28,9 @@
 MEGABYTE = 1_000_000
 CALLERS = 150
 
+FEW_DESCRIPTORS = 5
+"""Enough for the standard streams and the queue of signals, and for no further file."""
+
 
 @pytest.fixture
 def program(tmp_path):
@@ -36,10 +39,10 @@
     program.close()
 
 
-def wait_for_refusal(program: GatewayProgram) -> None:
-    """Wait until the program was refused a thread."""
+def wait_for_output(program: GatewayProgram, text: str) -> None:
+    """Wait until the program has written ``text``."""
     deadline = monotonic() + START_TIMEOUT_S
-    while "refused" not in program.output.read_text():
+    while text not in program.output.read_text():
         assert monotonic() < deadline and program.process.poll() is None
         Event().wait(0.02)
 
@@ -61,13 +64,35 @@
         """Guard against a SIGTERM that is not noticed before there is a thread."""
         program.write_settings()
         program.start("-c", NO_THREADS.format(count=count, error=error))
-        wait_for_refusal(program)
+        wait_for_output(program, "refused")
         program.signal(signal.SIGTERM)
         sent_at = monotonic()
         assert program.wait_for_end() == 0
         assert monotonic() - sent_at < 3.0
 
 
+class TestLoading:
+    @pytest.fixture
+    def short_of_descriptors(self, program):
+        """Return a program that cannot open the files of its modules, and says so."""
+        program.write_settings()
+        program.start(
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (FEW_DESCRIPTORS, 64))
+        )
+        wait_for_output(program, "tried again")
+        return program
+
+    def test_goes_on_once_there_are_descriptors(self, short_of_descriptors):
+        """Guard against an end while modules are loaded (FAULT)."""
+        pid = short_of_descriptors.process.pid
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (64, 64))
+        short_of_descriptors.wait_until_ready()
+
+    def test_stop_ends_wait_for_descriptors(self, short_of_descriptors):
+        short_of_descriptors.signal(signal.SIGTERM)
+        assert short_of_descriptors.wait_for_end(5) == 0
+
+
 class TestLimits:
     @pytest.mark.parametrize("descriptors", [24, 64])
     @pytest.mark.parametrize("address_space_mb", [120, 200])
