--- a/src/masticgate/platform/__main__.py
+++ b/src/masticgate/platform/__main__.py
@@ -1,6 +1,7 @@
 """The entry point of ``python -m masticgate.platform``, which runs a gateway on the platform."""
 
 from ._early_errors import report_early_errors
+from ._loading import load_main
 from ._signals import SignalQueue
 from ._streams import open_missing_streams
 
@@ -11,6 +12,4 @@
 # process, so that it is queued from here on.
 signals = SignalQueue()
 
-from ._serve import main  # noqa: E402
-
-main(signals)
+load_main(signals)(signals)
