Soak: let callers open new connections beside bursts

Callers kept their connections, so that no run showed what a new connection meets beside a burst. One reply in ten is now followed by a new connection.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -34,6 +34,9 @@
 from .soak_installation import Installation
 from .soak_usage import MEGABYTE, ProcessUsage, unread_bytes
 
+NEW_CONNECTION_RATE = 0.1
+"""The share of replies after which a caller closes its connection."""
+
 GATEWAYS = 3
 ZONES = 3
 SEEDS = 3
@@ -834,7 +837,8 @@
     def run_caller(self, index: int, number: int) -> None:
         """Send requests to the gateway with an index until the run ends, and record the replies.
 
-        The caller keeps its connection open until the gateway closes it or an error occurs.
+        The caller keeps its connection open until the gateway closes it or an error occurs, and at
+        random opens a new one.
         """
         rng = random.Random(f"{self.seed} caller {number}")
         gateway = self.gateways[index]
@@ -859,6 +863,8 @@
                 self.replies.append(
                     CallerReply(request, path, response.status, fields, response.read())
                 )
+                if rng.random() < NEW_CONNECTION_RATE:
+                    connection.close()
             except (OSError, http.client.HTTPException) as error:
                 if is_first:
                     self.unanswered.append(f"{request}: {error!r}")
@@ -961,7 +967,7 @@
         runs = {request for searcher in self.bulk_searchers for request, _ in searcher.runs}
         for burst in self.bursts:
             statuses = Counter(reply.status for reply in burst.replies)
-            print(f"{burst.name}, {burst.count} at {burst.address[1]} {burst.kind}: {statuses}")
+            print(f"{burst}: {statuses}")
             for reply in burst.replies:
                 self.check_burst_reply(burst, reply, reply.request in runs)
 
--- a/tests/gateway/soak_bursts.py
+++ b/tests/gateway/soak_bursts.py
@@ -155,6 +155,10 @@
     closed_count: int = 0
     unread_sockets: list[socket.socket] = field(default_factory=list)
 
+    def __str__(self) -> str:
+        port, closed = self.address[1], self.closed_count
+        return f"{self.name}, {self.count} of {self.kind.value} at {port}, {closed} closed"
+
     def run(self, seconds: float) -> None:
         """Run the burst in another process for some seconds, and take over what it reports."""
         ip, port = self.address
