Account for a connection as measured, with the kernel's stack of its task

800 idle connections took 27.3 KB resident each, and 27.9 KB after one request each (one run); 24 KB were accounted. The kernel's stack of a task, 16 KB, was not.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -2,7 +2,7 @@
 
 from .._address import parse_address as parse_address
 from ._caller import CALLER_CONNECTION_BYTES as CALLER_CONNECTION_BYTES
-from ._caller import CALLER_SOCKET_BYTES as CALLER_SOCKET_BYTES
+from ._caller import CALLER_KERNEL_BYTES as CALLER_KERNEL_BYTES
 from ._caller import CallerSettings as CallerSettings
 from ._caller import Handler as Handler
 from ._catalogue_codec import CatalogueUpdate as CatalogueUpdate
@@ -29,7 +29,7 @@
 from ._searcher_notices import PauseRequested as PauseRequested
 from ._searcher_notices import SearcherNotice as SearcherNotice
 from ._searcher_task import SEARCHER_CONNECTION_BYTES as SEARCHER_CONNECTION_BYTES
-from ._searcher_task import SEARCHER_SOCKET_BYTES as SEARCHER_SOCKET_BYTES
+from ._searcher_task import SEARCHER_KERNEL_BYTES as SEARCHER_KERNEL_BYTES
 from ._searcher_task import Load as Load
 from ._searcher_task import OversizedResponse as OversizedResponse
 from ._searcher_task import ProtocolViolation as ProtocolViolation
--- a/src/masticgate/connection/gateway/_buffers.py
+++ b/src/masticgate/connection/gateway/_buffers.py
@@ -1,4 +1,4 @@
-"""Bounds on the kernel's buffers of a socket, which are a part of the memory of a connection."""
+"""The kernel's part of the memory of a connection, and bounds on the buffers of its socket."""
 
 import socket
 from contextlib import suppress
@@ -15,6 +15,9 @@
 They hold what is on its way at 100 Mbit/s with a round trip of 6 ms.
 """
 
+KERNEL_STACK_BYTES = 16_384
+"""The kernel's stack of the task of one connection."""
+
 KERNEL_FACTOR = 2
 """The kernel doubles the size of a send buffer that it is told, for its own structures."""
 
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -16,7 +16,7 @@
 from ...request.gateway import Abandoned, Inbox, LocalPage, Refused, Reply, Request
 from ...request.gateway._exchange import Header
 from ...version.gateway import Limits
-from ._buffers import CALLER_UNREAD_BYTES
+from ._buffers import CALLER_UNREAD_BYTES, KERNEL_STACK_BYTES
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
     NETWORK_TIME_HEADER,
@@ -49,10 +49,10 @@
 ORDINARY_REQUEST_BYTES = 8_192
 """The bytes of the requests of one connection that are part of the memory of the connection."""
 
-CALLER_CONNECTION_BYTES = 24_000 + ORDINARY_REQUEST_BYTES + ORDINARY_ANSWER_BYTES
+CALLER_CONNECTION_BYTES = 28_000 + ORDINARY_REQUEST_BYTES + ORDINARY_ANSWER_BYTES
 """The memory of one connection, with its task and the ordinary part of a request and a reply."""
 
-CALLER_SOCKET_BYTES = CALLER_UNREAD_BYTES
+CALLER_KERNEL_BYTES = CALLER_UNREAD_BYTES + KERNEL_STACK_BYTES
 
 NO_MEMORY_RETRY_AFTER = Millis(250.0)
 """The time after which other requests have usually ended, and their memory is free again."""
@@ -134,7 +134,7 @@
         self.buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.wakeable_socket = WakeableSocket(connection, settings.clock)
         self.memory.add(Use.CALLERS, CALLER_CONNECTION_BYTES)
-        self.memory.add(Use.SOCKETS, CALLER_SOCKET_BYTES)
+        self.memory.add(Use.KERNEL, CALLER_KERNEL_BYTES)
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -156,7 +156,7 @@
         self.wakeable_socket.close()
         self.parser.discard()
         self.memory.release(Use.CALLERS, CALLER_CONNECTION_BYTES)
-        self.memory.release(Use.SOCKETS, CALLER_SOCKET_BYTES)
+        self.memory.release(Use.KERNEL, CALLER_KERNEL_BYTES)
 
     @property
     def is_ending(self) -> bool:
--- a/src/masticgate/connection/gateway/_holding.py
+++ b/src/masticgate/connection/gateway/_holding.py
@@ -13,14 +13,15 @@
     """What the memory of a gateway is used for, beyond the memory of the idle process.
 
     ``CALLERS`` are the connections that the gateway accepted, each with its task and the ordinary
-    part of a request and a reply, and ``SEARCHERS`` those that it opened. ``SOCKETS`` are the
-    kernel's buffers of both, which are no part of the resident memory. ``REQUESTS`` are the heads
-    and bodies of larger requests, and ``ANSWERS`` larger answers until their caller has taken them.
+    part of a request and a reply, and ``SEARCHERS`` those that it opened. ``KERNEL`` is what the
+    kernel keeps for both, which is no part of the resident memory: the stacks of their tasks and
+    received bytes. ``REQUESTS`` are the heads and bodies of larger requests, and ``ANSWERS`` larger
+    answers until their caller has taken them.
     """
 
     CALLERS = "callers"
     SEARCHERS = "searchers"
-    SOCKETS = "sockets"
+    KERNEL = "kernel"
     REQUESTS = "requests"
     ANSWERS = "answers"
 
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -18,7 +18,7 @@
 from ..._failures import Reason
 from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome, ReceiveInfo
-from ._buffers import SEARCHER_UNREAD_BYTES
+from ._buffers import KERNEL_STACK_BYTES, SEARCHER_UNREAD_BYTES
 from ._client import HttpClient, parse_keep_alive_timeout
 from ._encoding import encode_request
 from ._header_names import HeaderNames
@@ -44,10 +44,10 @@
 """The size of the receive buffer of one connection; most responses of shards fit into it."""
 
 
-SEARCHER_CONNECTION_BYTES = 40_000
+SEARCHER_CONNECTION_BYTES = 44_000
 """The memory of one connection, with its task and the ordinary part of an answer."""
 
-SEARCHER_SOCKET_BYTES = SEARCHER_UNREAD_BYTES
+SEARCHER_KERNEL_BYTES = SEARCHER_UNREAD_BYTES + KERNEL_STACK_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +174,7 @@
     def run(self) -> None:
         """Open the connection and read responses until it ends or an error occurs."""
         self.memory.add(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
-        self.memory.add(Use.SOCKETS, SEARCHER_SOCKET_BYTES)
+        self.memory.add(Use.KERNEL, SEARCHER_KERNEL_BYTES)
         try:
             self._run()
         except Exception as error:
@@ -182,7 +182,7 @@
             raise
         finally:
             self.memory.release(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
-            self.memory.release(Use.SOCKETS, SEARCHER_SOCKET_BYTES)
+            self.memory.release(Use.KERNEL, SEARCHER_KERNEL_BYTES)
 
     def _run(self) -> None:
         wait = CONNECT_TIMEOUT
--- a/src/masticgate/process/gateway/_memory_keeper.py
+++ b/src/masticgate/process/gateway/_memory_keeper.py
@@ -71,6 +71,6 @@
         used = self.memory.used
         self.metrics.set_gauge("memory_callers_bytes", used[Use.CALLERS])
         self.metrics.set_gauge("memory_searchers_bytes", used[Use.SEARCHERS])
-        self.metrics.set_gauge("memory_sockets_bytes", used[Use.SOCKETS])
+        self.metrics.set_gauge("memory_kernel_bytes", used[Use.KERNEL])
         self.metrics.set_gauge("memory_requests_bytes", used[Use.REQUESTS])
         self.metrics.set_gauge("memory_answers_bytes", used[Use.ANSWERS])
--- a/src/masticgate/process/gateway/_memory_plan.py
+++ b/src/masticgate/process/gateway/_memory_plan.py
@@ -10,9 +10,9 @@
 
 from ...connection.gateway import (
     CALLER_CONNECTION_BYTES,
-    CALLER_SOCKET_BYTES,
+    CALLER_KERNEL_BYTES,
     SEARCHER_CONNECTION_BYTES,
-    SEARCHER_SOCKET_BYTES,
+    SEARCHER_KERNEL_BYTES,
     Use,
 )
 from ._settings import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES, HostCapacity
@@ -24,8 +24,8 @@
 MIN_ROOM_SHARE = 0.25
 """The share of the limit that connections may use even if the idle process leaves less."""
 
-CALLERS_SHARE = 0.4
-"""The share of the limit that the accepted connections may use, with their socket buffers."""
+CALLERS_SHARE = 0.45
+"""The share of the limit for the accepted connections, with what the kernel keeps for them."""
 
 SEARCHERS_SHARE = 0.3
 """The share for the connections to searchers, and to gateways that gather."""
@@ -126,7 +126,7 @@
 
     def measure(self, resident: int, used: Mapping[Use, int]) -> "IdleMemory":
         """Return the measure for a process with ``resident`` bytes and these uses."""
-        in_process = sum(count for use, count in used.items() if use is not Use.SOCKETS)
+        in_process = sum(count for use, count in used.items() if use is not Use.KERNEL)
         without_uses = max(0, resident - in_process)
         if in_process <= QUIET_BYTES:
             return IdleMemory(without_uses, without_uses)
@@ -140,13 +140,13 @@
     others = max(0, descriptors - files - PROCESS_DESCRIPTORS)
     by_descriptors = int(others * CALLERS_DESCRIPTORS_SHARE) // DESCRIPTORS_PER_CALLER
     memory = capacity.memory or DEFAULT_MEMORY_BYTES
-    by_memory = int(memory * CALLERS_SHARE) // (CALLER_CONNECTION_BYTES + CALLER_SOCKET_BYTES)
+    by_memory = int(memory * CALLERS_SHARE) // (CALLER_CONNECTION_BYTES + CALLER_KERNEL_BYTES)
     accepted = min(by_descriptors, by_memory, MAX_ACCEPTED_CONNECTIONS)
     peers = max(MIN_CONNECTIONS, int(accepted * PEER_SHARE))
     callers = max(MIN_CONNECTIONS, accepted - peers)
     searchers_by_descriptors = max(MIN_CONNECTIONS, others - accepted * DESCRIPTORS_PER_CALLER)
     searchers_by_memory = int(memory * SEARCHERS_SHARE) // (
-        SEARCHER_CONNECTION_BYTES + SEARCHER_SOCKET_BYTES
+        SEARCHER_CONNECTION_BYTES + SEARCHER_KERNEL_BYTES
     )
     searchers = max(MIN_CONNECTIONS, min(searchers_by_descriptors, searchers_by_memory))
     return ConnectionLimits(callers, peers, callers + peers + searchers + PAGE_TASKS)
