--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -20,7 +20,7 @@
 from ._header_names import peer_header_names as peer_header_names
 from ._holding import UNLIMITED_MEMORY as UNLIMITED_MEMORY
 from ._holding import MemoryBudget as MemoryBudget
-from ._holding import Use as Use
+from ._holding import MemoryUse as MemoryUse
 from ._listener import Listener as Listener
 from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -23,7 +23,7 @@
     PART_HEADER,
     HeaderNames,
 )
-from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 from ._inbox import ORDINARY_ANSWER_BYTES, RequestInbox, WakeableSocket
 from ._parser import (
     Malformed,
@@ -128,13 +128,13 @@
         self.state_changed_at = settings.clock.now()
         limits = settings.limits()
         self.memory = settings.memory
-        holding = Holding(self.memory, Use.REQUESTS, ORDINARY_REQUEST_BYTES)
+        holding = Holding(self.memory, MemoryUse.REQUESTS, ORDINARY_REQUEST_BYTES)
         self.parser = RequestParser(limits.header_bytes, limits.body_bytes, holding)
         self.parse_error: TooLarge | NoMemory | Malformed | None = None
         self.buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.wakeable_socket = WakeableSocket(connection, settings.clock)
-        self.memory.add(Use.CALLERS, CALLER_CONNECTION_BYTES)
-        self.memory.add(Use.KERNEL, CALLER_KERNEL_BYTES)
+        self.memory.add(MemoryUse.CALLERS, CALLER_CONNECTION_BYTES)
+        self.memory.add(MemoryUse.KERNEL, CALLER_KERNEL_BYTES)
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -155,8 +155,8 @@
         """Close the connection and return its memory; to be called once."""
         self.wakeable_socket.close()
         self.parser.discard()
-        self.memory.release(Use.CALLERS, CALLER_CONNECTION_BYTES)
-        self.memory.release(Use.KERNEL, CALLER_KERNEL_BYTES)
+        self.memory.release(MemoryUse.CALLERS, CALLER_CONNECTION_BYTES)
+        self.memory.release(MemoryUse.KERNEL, CALLER_KERNEL_BYTES)
 
     @property
     def is_ending(self) -> bool:
--- a/src/masticgate/connection/gateway/_holding.py
+++ b/src/masticgate/connection/gateway/_holding.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 
-class Use(Enum):
+class MemoryUse(Enum):
     """What the memory of a gateway is used for, beyond the memory of the idle process.
 
     ``CALLERS`` are the connections that the gateway accepted, each with its task and the ordinary
@@ -29,15 +29,15 @@
 class MemoryBudget(Protocol):
     """The bytes that the connections of a process may hold; any task may call it."""
 
-    def take(self, use: Use, count: int) -> bool:
+    def take(self, use: MemoryUse, count: int) -> bool:
         """Take ``count`` bytes until :meth:`release`, or return ``False`` and take none."""
         ...
 
-    def add(self, use: Use, count: int) -> None:
+    def add(self, use: MemoryUse, count: int) -> None:
         """Take ``count`` bytes that are held already, even if there are not enough."""
         ...
 
-    def release(self, use: Use, count: int) -> None:
+    def release(self, use: MemoryUse, count: int) -> None:
         """Return ``count`` bytes."""
         ...
 
@@ -49,14 +49,14 @@
 class UnlimitedMemory:
     """A budget that refuses nothing and counts nothing."""
 
-    def take(self, use: Use, count: int) -> bool:
+    def take(self, use: MemoryUse, count: int) -> bool:
         """Return ``True``."""
         return True
 
-    def add(self, use: Use, count: int) -> None:
+    def add(self, use: MemoryUse, count: int) -> None:
         """Do nothing."""
 
-    def release(self, use: Use, count: int) -> None:
+    def release(self, use: MemoryUse, count: int) -> None:
         """Do nothing."""
 
     def is_short(self) -> bool:
@@ -76,7 +76,7 @@
 
     __slots__ = ("allowance", "budget", "closed", "lock", "size", "use")
 
-    def __init__(self, budget: MemoryBudget, use: Use, allowance: int) -> None:
+    def __init__(self, budget: MemoryBudget, use: MemoryUse, allowance: int) -> None:
         self.budget = budget
         self.use = use
         self.allowance = allowance
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -15,7 +15,7 @@
 from ..._clock import Clock
 from ..._ids import Millis
 from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
-from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 
 ORDINARY_ANSWER_BYTES = 16_384
 """The bytes of the answers to one request that are part of the memory of its connection."""
@@ -123,7 +123,7 @@
         self, wakeable_socket: WakeableSocket, memory: MemoryBudget = UNLIMITED_MEMORY
     ) -> None:
         self.wakeable_socket = wakeable_socket
-        self.answers = Holding(memory, Use.ANSWERS, ORDINARY_ANSWER_BYTES)
+        self.answers = Holding(memory, MemoryUse.ANSWERS, ORDINARY_ANSWER_BYTES)
         self.finished: deque[Call] = deque()
         self.batch_size = 1
         wakeable_socket.watch_for_close()
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -7,7 +7,7 @@
 from ...request.gateway._exchange import Header
 from ._body_buffer import BodyBuffer
 from ._buffers import MAX_UNSENT_BYTES
-from ._holding import UNLIMITED_MEMORY, Holding, Use
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryUse
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -119,7 +119,7 @@
     def __init__(self, header_bytes: int, body_bytes: int, holding: Holding | None = None) -> None:
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
-        self.holding = holding or Holding(UNLIMITED_MEMORY, Use.REQUESTS, 0)
+        self.holding = holding or Holding(UNLIMITED_MEMORY, MemoryUse.REQUESTS, 0)
         self.refused_headers: list[Header] = []
         self.parser = httptools.HttpRequestParser(self)
         self.ready: list[ParsedRequest] = []
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -22,7 +22,7 @@
 from ._client import HttpClient, parse_keep_alive_timeout
 from ._encoding import encode_request
 from ._header_names import HeaderNames
-from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, Use
+from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 from ._parser import Oversized, parse_number
 from ._response_parser import ParsedResponse, ResponseParser
 from ._searcher_notices import Leaving, SearcherNotice, decode_notices
@@ -169,20 +169,20 @@
         self.idle_since = self.started_at
         self.keep_alive_timeout: Millis | None = None
         self.memory = memory
-        self.parser = ResponseParser(Holding(memory, Use.ANSWERS, 0))
+        self.parser = ResponseParser(Holding(memory, MemoryUse.ANSWERS, 0))
 
     def run(self) -> None:
         """Open the connection and read responses until it ends or an error occurs."""
-        self.memory.add(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
-        self.memory.add(Use.KERNEL, SEARCHER_KERNEL_BYTES)
+        self.memory.add(MemoryUse.SEARCHERS, SEARCHER_CONNECTION_BYTES)
+        self.memory.add(MemoryUse.KERNEL, SEARCHER_KERNEL_BYTES)
         try:
             self._run()
         except Exception as error:
             self._finish(Lost(self.searcher, True, f"internal error: {error!r}"), connected=True)
             raise
         finally:
-            self.memory.release(Use.SEARCHERS, SEARCHER_CONNECTION_BYTES)
-            self.memory.release(Use.KERNEL, SEARCHER_KERNEL_BYTES)
+            self.memory.release(MemoryUse.SEARCHERS, SEARCHER_CONNECTION_BYTES)
+            self.memory.release(MemoryUse.KERNEL, SEARCHER_KERNEL_BYTES)
 
     def _run(self) -> None:
         wait = CONNECT_TIMEOUT
--- a/src/masticgate/process/gateway/_memory_budget.py
+++ b/src/masticgate/process/gateway/_memory_budget.py
@@ -2,7 +2,7 @@
 
 from threading import Lock
 
-from ...connection.gateway import Use
+from ...connection.gateway import MemoryUse
 from ._log import EventLog, LogEvent
 from ._memory_plan import MemoryPlan
 from ._metrics import Metrics
@@ -19,9 +19,9 @@
         self.log = log
         self.metrics = metrics
         self.lock = Lock()
-        self.used = dict.fromkeys(Use, 0)
+        self.used = dict.fromkeys(MemoryUse, 0)
 
-    def take(self, use: Use, count: int) -> bool:
+    def take(self, use: MemoryUse, count: int) -> bool:
         """Take ``count`` bytes until :meth:`release`, or return ``False`` and take none."""
         with self.lock:
             allowed = self.plan.allows(use, count, self.used)
@@ -38,12 +38,12 @@
             )
         return allowed
 
-    def add(self, use: Use, count: int) -> None:
+    def add(self, use: MemoryUse, count: int) -> None:
         """Take ``count`` bytes that are held already, even if there are not enough."""
         with self.lock:
             self.used[use] += count
 
-    def release(self, use: Use, count: int) -> None:
+    def release(self, use: MemoryUse, count: int) -> None:
         """Return ``count`` bytes."""
         with self.lock:
             self.used[use] -= count
--- a/src/masticgate/process/gateway/_memory_keeper.py
+++ b/src/masticgate/process/gateway/_memory_keeper.py
@@ -1,19 +1,13 @@
 """Measures the memory of the process, plans with it, and gives free memory back to the system."""
 
-import os
-from contextlib import suppress
-from pathlib import Path
-
-from ...connection.gateway import Use
+from ...connection.gateway import MemoryUse
 from ._allocator import trim_heap
 from ._memory_budget import ProcessMemory
 from ._memory_plan import IdleMemory, MemoryPlan, plan_memory
 from ._metrics import Metrics
+from ._process_files import read_resident_bytes
 from ._settings import HostCapacity
 
-STATM = Path("/proc/self/statm")
-RESIDENT_FIELD = 1
-
 DEFAULT_IDLE_BYTES = 25_000_000
 """The bytes that an idle process needs, where they cannot be measured."""
 
@@ -21,14 +15,6 @@
 """Free memory is given back if the process has this much more than its connections account for."""
 
 
-def read_resident_bytes() -> int | None:
-    """Return the resident bytes of this process, or ``None`` if they cannot be read."""
-    with suppress(OSError, ValueError, IndexError):
-        pages = int(STATM.read_text(encoding="ascii").split()[RESIDENT_FIELD])
-        return pages * os.sysconf("SC_PAGE_SIZE")
-    return None
-
-
 class MemoryKeeper:
     """Keeps the plan of ``memory`` up to date; :meth:`maintain` is called regularly.
 
@@ -65,12 +51,11 @@
             self.idle = self.idle.measure(resident, self.memory.used)
 
     def _set_gauges(self, plan: MemoryPlan) -> None:
-        self.metrics.set_gauge("memory_limit_bytes", plan.limit)
         self.metrics.set_gauge("memory_room_bytes", plan.room)
         self.metrics.set_gauge("memory_accounted_bytes", self.memory.total)
         used = self.memory.used
-        self.metrics.set_gauge("memory_callers_bytes", used[Use.CALLERS])
-        self.metrics.set_gauge("memory_searchers_bytes", used[Use.SEARCHERS])
-        self.metrics.set_gauge("memory_kernel_bytes", used[Use.KERNEL])
-        self.metrics.set_gauge("memory_requests_bytes", used[Use.REQUESTS])
-        self.metrics.set_gauge("memory_answers_bytes", used[Use.ANSWERS])
+        self.metrics.set_gauge("memory_callers_bytes", used[MemoryUse.CALLERS])
+        self.metrics.set_gauge("memory_searchers_bytes", used[MemoryUse.SEARCHERS])
+        self.metrics.set_gauge("memory_kernel_bytes", used[MemoryUse.KERNEL])
+        self.metrics.set_gauge("memory_requests_bytes", used[MemoryUse.REQUESTS])
+        self.metrics.set_gauge("memory_answers_bytes", used[MemoryUse.ANSWERS])
--- a/src/masticgate/process/gateway/_memory_plan.py
+++ b/src/masticgate/process/gateway/_memory_plan.py
@@ -13,7 +13,7 @@
     CALLER_KERNEL_BYTES,
     SEARCHER_CONNECTION_BYTES,
     SEARCHER_KERNEL_BYTES,
-    Use,
+    MemoryUse,
 )
 from ._settings import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES, HostCapacity
 
@@ -78,7 +78,7 @@
     limit: int
     idle: int
 
-    def is_short(self, used: Mapping[Use, int]) -> bool:
+    def is_short(self, used: Mapping[MemoryUse, int]) -> bool:
         """Return whether less is left than what is kept for answers."""
         return sum(used.values()) > self.room * REQUESTS_CEILING
 
@@ -88,11 +88,11 @@
         margin = max(MIN_MARGIN_BYTES, round(self.limit * MARGIN_SHARE))
         return max(round(self.limit * MIN_ROOM_SHARE), self.limit - self.idle - margin)
 
-    def allows(self, use: Use, count: int, used: Mapping[Use, int]) -> bool:
+    def allows(self, use: MemoryUse, count: int, used: Mapping[MemoryUse, int]) -> bool:
         """Return whether ``use`` may take ``count`` bytes more than it has of ``used``."""
         total = sum(used.values()) + count
         match use:
-            case Use.REQUESTS:
+            case MemoryUse.REQUESTS:
                 own_limit = self.room * REQUESTS_SHARE
                 return used[use] + count <= own_limit and total <= self.room * REQUESTS_CEILING
             case _:
@@ -124,9 +124,9 @@
     quiet: int
     now: int
 
-    def measure(self, resident: int, used: Mapping[Use, int]) -> "IdleMemory":
+    def measure(self, resident: int, used: Mapping[MemoryUse, int]) -> "IdleMemory":
         """Return the measure for a process with ``resident`` bytes and these uses."""
-        in_process = sum(count for use, count in used.items() if use is not Use.KERNEL)
+        in_process = sum(count for use, count in used.items() if use is not MemoryUse.KERNEL)
         without_uses = max(0, resident - in_process)
         if in_process <= QUIET_BYTES:
             return IdleMemory(without_uses, without_uses)
--- a/src/masticgate/process/gateway/_process_files.py
+++ b/src/masticgate/process/gateway/_process_files.py
@@ -9,6 +9,10 @@
 from ._settings import HostCapacity
 from ._usage import ProcessUse, Use
 
+STATM_FILE = "/proc/self/statm"
+RESIDENT_FIELD = 1
+"""The field of the resident memory, in pages."""
+
 STATUS_FILE = "/proc/self/status"
 DESCRIPTOR_FOLDER = "/proc/self/fd"
 STATUS_BYTES = 8_192
@@ -17,6 +21,16 @@
 BYTES_PER_KIBIBYTE = 1_024
 
 
+def read_resident_bytes() -> int | None:
+    """Return the resident bytes of this process, or ``None`` if they cannot be read."""
+    try:
+        with open(STATM_FILE, "rb") as file:
+            pages = int(file.read().split()[RESIDENT_FIELD])
+    except (OSError, ValueError, IndexError):
+        return None
+    return pages * resource.getpagesize()
+
+
 class ProcessFiles:
     """Reads the use of this process's resources, and its limits.
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -19,9 +19,9 @@
     HttpClient,
     HttpResponse,
     InvalidResponse,
+    MemoryUse,
     NoResponse,
     SearcherTask,
-    Use,
     peer_header_names,
 )
 from masticgate.connection.gateway._parser import Malformed
@@ -338,7 +338,7 @@
             for caller in callers:
                 assert caller.read()[0] in (200, 502, 503, 504)
             assert most <= MAX_PENDING_BYTES + 20 * ORDINARY_BYTES + 20 * RECEIVE_BYTES
-            wait_until(lambda: not gateway.memory.used[Use.ANSWERS])
+            wait_until(lambda: not gateway.memory.used[MemoryUse.ANSWERS])
             assert gateway.metrics.counters["answer_oversized"] > 0
             # The gateway lacked the memory; its searchers did not fail.
             assert gateway.metrics.counters["searcher_failures"] == 0
@@ -348,7 +348,7 @@
         with running_gateway([make_route()], {"orders": [large]}) as gateway:
             for number in range(30):
                 assert RawCaller(gateway).get(request_id=f"q{number}").read()[0] == 200
-            wait_until(lambda: not gateway.memory.used[Use.ANSWERS])
+            wait_until(lambda: not gateway.memory.used[MemoryUse.ANSWERS])
 
 
 def wait_until(condition) -> None:
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from masticgate import HostId, Millis, SearcherId, ServiceId, SystemClock
-from masticgate.connection.gateway import CallerSettings, Use
+from masticgate.connection.gateway import CallerSettings, MemoryUse
 from masticgate.connection.gateway._caller import (
     CALLER_CONNECTION_BYTES,
     ORDINARY_REQUEST_BYTES,
@@ -84,7 +84,7 @@
     )
     def test_takes_what_exceeds_allowance_and_returns_it_once(self, allowance, steps):
         memory = make_memory(1_000)
-        holding, other = (Holding(memory, Use.REQUESTS, allowance) for _ in range(2))
+        holding, other = (Holding(memory, MemoryUse.REQUESTS, allowance) for _ in range(2))
         other.add(allowance + 7)
         for name, count in steps:
             getattr(holding, name)(min(count, holding.size) if name == "shrink" else count)
@@ -95,7 +95,7 @@
 
     def test_takes_nothing_after_close(self):
         memory = make_memory()
-        holding = Holding(memory, Use.ANSWERS, 0)
+        holding = Holding(memory, MemoryUse.ANSWERS, 0)
         holding.close()
         assert holding.grow(100)
         holding.add(100)
@@ -108,24 +108,26 @@
     def test_takes_stated_length_when_head_is_complete(self):
         memory = make_memory(20_000_000)
         parser = RequestParser(
-            16_384, 9_000_000, Holding(memory, Use.REQUESTS, ORDINARY_REQUEST_BYTES)
+            16_384, 9_000_000, Holding(memory, MemoryUse.REQUESTS, ORDINARY_REQUEST_BYTES)
         )
         assert parser.feed(HEAD + b"Content-Length: 2000000\r\n\r\n") is None
-        assert memory.used[Use.REQUESTS] > 2_000_000 - ORDINARY_REQUEST_BYTES
-        other = RequestParser(16_384, 9_000_000, Holding(memory, Use.REQUESTS, 0))
+        assert memory.used[MemoryUse.REQUESTS] > 2_000_000 - ORDINARY_REQUEST_BYTES
+        other = RequestParser(16_384, 9_000_000, Holding(memory, MemoryUse.REQUESTS, 0))
         assert isinstance(other.feed(HEAD + b"Content-Length: 8000000\r\n\r\n"), NoMemory)
         assert other.refused_headers
 
     # Guards against heads of many short headers, whose objects take many times their bytes.
     def test_counts_objects_of_headers(self):
         memory = make_memory()
-        parser = RequestParser(16_384, 0, Holding(memory, Use.REQUESTS, 0))
+        parser = RequestParser(16_384, 0, Holding(memory, MemoryUse.REQUESTS, 0))
         parser.feed(b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 2_000)
-        assert memory.used[Use.REQUESTS] > 2_000 * 100
+        assert memory.used[MemoryUse.REQUESTS] > 2_000 * 100
 
     def test_small_request_takes_nothing(self):
         memory = make_memory()
-        parser = RequestParser(16_384, 9_000, Holding(memory, Use.REQUESTS, ORDINARY_REQUEST_BYTES))
+        parser = RequestParser(
+            16_384, 9_000, Holding(memory, MemoryUse.REQUESTS, ORDINARY_REQUEST_BYTES)
+        )
         parser.feed(HEAD + b"Content-Length: 1000\r\n\r\n" + bytes(1_000))
         assert parser.ready
         assert memory.total == 0
@@ -147,13 +149,13 @@
     def test_returns_all_memory(self, end, limit):
         memory = make_memory(limit)
         far, task = run_connection(make_settings(memory))
-        assert memory.used[Use.CALLERS] == CALLER_CONNECTION_BYTES
+        assert memory.used[MemoryUse.CALLERS] == CALLER_CONNECTION_BYTES
         with suppress(OSError):
             far.sendall(self.ENDS[end])
             far.shutdown(socket.SHUT_WR)
         assert read_all(far).startswith(b"HTTP/1.1 ") or end in ("incomplete", "chunked")
         task.join(TIMEOUT_S)
-        assert memory.used == dict.fromkeys(Use, 0)
+        assert memory.used == dict.fromkeys(MemoryUse, 0)
 
     def test_returns_all_memory_after_error_of_handler(self):
         def fail(request, inbox):
@@ -165,7 +167,7 @@
         far.sendall(self.ENDS["served"])
         with pytest.raises(RuntimeError):
             connection.run()
-        assert memory.used == dict.fromkeys(Use, 0)
+        assert memory.used == dict.fromkeys(MemoryUse, 0)
 
     # Guards against a body that stays in memory until the next request on its connection.
     def test_idle_connection_holds_no_request(self):
@@ -173,7 +175,7 @@
         far, _ = run_connection(make_settings(memory))
         far.sendall(self.ENDS["served"])
         assert far.recv(4_096)
-        wait_until(lambda: not memory.used[Use.REQUESTS])
+        wait_until(lambda: not memory.used[MemoryUse.REQUESTS])
         far.close()
 
     # Guards against a reply that is lost since its connection is closed with unread bytes, and
@@ -223,7 +225,7 @@
         inbox.put(self.make_answer(1_000))
         assert memory.total == 0
         inbox.put(self.make_answer(100_000))
-        assert memory.used[Use.ANSWERS] > 80_000
+        assert memory.used[MemoryUse.ANSWERS] > 80_000
         inbox.close()
         inbox.put(self.make_answer(100_000))
         assert memory.total == 0
--- a/tests/gateway/test_memory_plan.py
+++ b/tests/gateway/test_memory_plan.py
@@ -10,7 +10,7 @@
     CALLER_KERNEL_BYTES,
     SEARCHER_CONNECTION_BYTES,
     SEARCHER_KERNEL_BYTES,
-    Use,
+    MemoryUse,
 )
 from masticgate.process.gateway import HostCapacity
 from masticgate.process.gateway._memory_plan import (
@@ -28,12 +28,12 @@
 
 LIMITS = st.integers(min_value=100_000_000, max_value=4_000_000_000)
 IDLE = st.integers(min_value=10_000_000, max_value=60_000_000)
-STEPS = st.lists(st.tuples(st.sampled_from(Use), st.integers(0, 20_000_000)), max_size=60)
+STEPS = st.lists(st.tuples(st.sampled_from(MemoryUse), st.integers(0, 20_000_000)), max_size=60)
 
 
-def take_all(plan: MemoryPlan, steps) -> dict[Use, int]:
+def take_all(plan: MemoryPlan, steps) -> dict[MemoryUse, int]:
     """Return what is used after all steps that the plan allows."""
-    used = dict.fromkeys(Use, 0)
+    used = dict.fromkeys(MemoryUse, 0)
     for use, count in steps:
         if plan.allows(use, count, used):
             used[use] += count
@@ -49,20 +49,20 @@
     @given(LIMITS, IDLE, STEPS)
     def test_requests_leave_room_for_answers(self, limit, idle, steps):
         plan = MemoryPlan(limit, idle)
-        requests = [(Use.REQUESTS, count) for _, count in steps]
+        requests = [(MemoryUse.REQUESTS, count) for _, count in steps]
         used = take_all(plan, requests)
-        assert plan.allows(Use.ANSWERS, plan.room // 4, used)
+        assert plan.allows(MemoryUse.ANSWERS, plan.room // 4, used)
 
     @given(LIMITS, IDLE)
     def test_requests_give_way_before_answers(self, limit, idle):
         plan = MemoryPlan(limit, idle)
-        used = dict.fromkeys(Use, 0) | {Use.ANSWERS: plan.room * 4 // 5}
-        assert not plan.allows(Use.REQUESTS, 1, used)
-        assert plan.allows(Use.ANSWERS, plan.room // 10, used)
+        used = dict.fromkeys(MemoryUse, 0) | {MemoryUse.ANSWERS: plan.room * 4 // 5}
+        assert not plan.allows(MemoryUse.REQUESTS, 1, used)
+        assert plan.allows(MemoryUse.ANSWERS, plan.room // 10, used)
 
     def test_room_remains_where_idle_process_exceeds_limit(self):
         plan = MemoryPlan(20_000_000, 25_000_000)
-        assert plan.allows(Use.REQUESTS, 262_144, dict.fromkeys(Use, 0))
+        assert plan.allows(MemoryUse.REQUESTS, 262_144, dict.fromkeys(MemoryUse, 0))
 
     def test_unknown_limit_is_the_default(self):
         plan = plan_memory(HostCapacity(1.0, 1_000.0, memory=0), 20_000_000)
@@ -83,18 +83,21 @@
 
 class TestIdleMemory:
     def test_subtracts_what_connections_account_for(self):
-        used = dict.fromkeys(Use, 0) | {Use.REQUESTS: 50_000_000, Use.KERNEL: 30_000_000}
+        used = dict.fromkeys(MemoryUse, 0) | {
+            MemoryUse.REQUESTS: 50_000_000,
+            MemoryUse.KERNEL: 30_000_000,
+        }
         idle = IdleMemory(20_000_000, 20_000_000).measure(90_000_000, used)
         assert idle.now == 40_000_000
 
     # Otherwise bytes that are accounted for and not received yet would be given away twice.
     def test_is_not_below_last_quiet_measure(self):
-        used = dict.fromkeys(Use, 0) | {Use.REQUESTS: 50_000_000}
+        used = dict.fromkeys(MemoryUse, 0) | {MemoryUse.REQUESTS: 50_000_000}
         idle = IdleMemory(20_000_000, 20_000_000).measure(30_000_000, used)
         assert idle.now == 20_000_000
 
     def test_falls_once_there_are_no_connections(self):
-        idle = IdleMemory(40_000_000, 70_000_000).measure(25_000_000, dict.fromkeys(Use, 0))
+        idle = IdleMemory(40_000_000, 70_000_000).measure(25_000_000, dict.fromkeys(MemoryUse, 0))
         assert idle == IdleMemory(25_000_000, 25_000_000)
 
 
