Let the measure of the idle process fall while there are connections

A gateway whose memory was last measured without connections while it decoded a catalogue kept that measure as long as its connections held more than 4 MB, which is always on a busy host. Its room was too small by those bytes for all that time, and larger requests and answers were refused.

The idle process never needs more than the resident memory, which is now an upper bound on the kept measure.

Evidence: the new test failed before (idle measure 90 MB while 45 MB were resident, 5 of them connections', after any number of further measures) and passes now.

--- a/src/masticgate/process/gateway/_memory_plan.py
+++ b/src/masticgate/process/gateway/_memory_plan.py
@@ -117,8 +117,9 @@
 class IdleMemory:
     """The bytes that the process needs without connections, as last measured.
 
-    ``quiet`` is the measure of the last time when there were next to no connections. The bytes that
-    connections account for may not be resident yet, so that ``now`` is never below ``quiet``.
+    ``quiet`` is the measure of the last time when there were next to no connections, or the whole
+    resident memory if that was less later. The bytes that connections account for may not be
+    resident yet, so that ``now`` is never below ``quiet``.
     """
 
     quiet: int
@@ -130,7 +131,8 @@
         without_uses = max(0, resident - in_process)
         if in_process <= QUIET_BYTES:
             return IdleMemory(without_uses, without_uses)
-        return IdleMemory(self.quiet, max(self.quiet, without_uses))
+        quiet = min(self.quiet, resident)
+        return IdleMemory(quiet, max(quiet, without_uses))
 
 
 def plan_connections(capacity: HostCapacity, descriptor_limit: int) -> ConnectionLimits:
--- a/tests/gateway/test_memory_plan.py
+++ b/tests/gateway/test_memory_plan.py
@@ -96,6 +96,13 @@
         idle = IdleMemory(20_000_000, 20_000_000).measure(30_000_000, used)
         assert idle.now == 20_000_000
 
+    # Guards against a gateway that refuses requests as long as it has connections, since it was
+    # measured while it read the catalogue.
+    def test_is_not_above_resident_memory(self):
+        used = dict.fromkeys(MemoryUse, 0) | {MemoryUse.SEARCHERS: 5_000_000}
+        idle = IdleMemory(90_000_000, 90_000_000).measure(45_000_000, used)
+        assert idle.now == 45_000_000
+
     def test_falls_once_there_are_no_connections(self):
         idle = IdleMemory(40_000_000, 70_000_000).measure(25_000_000, dict.fromkeys(MemoryUse, 0))
         assert idle == IdleMemory(25_000_000, 25_000_000)
