Free the place of a task whose thread finds no memory

Each connection for whose thread the system had no memory kept its place among the tasks, its two descriptors and its bytes in the memory of the process for good, and the listener paused: only a thread that the system refuses was expected, which raises another error. Such a task is refused like the others, and its connection is closed.

Evidence: the new test failed before with the MemoryError and passes now.

--- a/src/masticgate/process/gateway/_task_pool.py
+++ b/src/masticgate/process/gateway/_task_pool.py
@@ -32,10 +32,10 @@
             self.running += 1
         try:
             Thread(target=self._run, args=(run, args), daemon=True).start()
-        except RuntimeError as error:
+        except (RuntimeError, MemoryError) as error:
             with self.lock:
                 self.running -= 1
-            return TaskRefused(str(error))
+            return TaskRefused(str(error) or type(error).__name__)
         return None
 
     def close(self) -> None:
--- a/tests/gateway/test_refused_tasks.py
+++ b/tests/gateway/test_refused_tasks.py
@@ -11,6 +11,7 @@
 
 from masticgate import Address, HostId, Millis, NotRun, ServiceId, SystemClock
 from masticgate.connection.gateway import CallerSettings, Listener, TaskRefused
+from masticgate.process.gateway import _task_pool
 from masticgate.process.gateway._fleet import Fleet
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
@@ -153,6 +154,17 @@
         assert pool.tasks.start(ran.append, 2) is None
         wait_until(lambda: ran == [2])
 
+    # Guards against places of tasks that are lost for good, and with them the connections, their
+    # descriptors and their memory, each time that the system has no memory for a thread.
+    def test_task_without_memory_for_its_thread_frees_its_place(self, monkeypatch):
+        def refuse(**options: object) -> Thread:
+            raise MemoryError
+
+        monkeypatch.setattr(_task_pool, "Thread", refuse)
+        tasks = make_pool(1)
+        assert tasks.start(int) == TaskRefused("MemoryError")
+        assert tasks.running == 0
+
     # Guards against the threads of a burst of connections that stay for good.
     def test_threads_end_with_their_tasks(self):
         tasks, release = make_pool(64), Event()
