Bound the trailers and the chunk framing of a request

The head and the body of a request were bounded, but not what stands between the pieces of a chunked body or follows it.

These bytes now have the limit of a head, counted from the last piece of the body on, and the request is refused with 431.

--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -111,7 +111,8 @@
     """Collects complete requests in ``ready`` from the bytes that one caller sends.
 
     More than one may be ready, since a caller may send requests without waiting for the response.
-    ``header_bytes`` and ``body_bytes`` are the maximum sizes of a request's head and body. The
+    ``header_bytes`` and ``body_bytes`` are the maximum sizes of a request's head and body, and
+    ``header_bytes`` also that of what stands between the pieces of a body or follows it. The
     bytes of each request are taken from ``holding``: those of a body that states its length once
     its head is complete. ``refused_headers`` are those of a request with an error in its size.
     """
@@ -128,7 +129,9 @@
 
     def feed(self, data: bytes | memoryview) -> TooLarge | NoMemory | Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
-        if not self.in_body:
+        if self.in_body:
+            self.framing_size += len(data)
+        else:
             self.header_size += len(data)
         try:
             self.parser.feed_data(data)
@@ -138,6 +141,8 @@
             if self.size_error is not None:
                 return self.size_error
             return Malformed(str(error))
+        if self.framing_size > self.header_bytes:
+            self._refuse(TooLarge(431))
         if self.in_message and not self.in_body:
             if self.header_size > self.header_bytes:
                 return TooLarge(431)
@@ -159,6 +164,7 @@
         self.in_message = False
         self.in_body = False
         self.header_size = 0
+        self.framing_size = 0
         self.cost = 0
         self.body_is_held = False
         self.target = b""
@@ -215,6 +221,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, unless the request is refused or larger than allowed."""
+        self.framing_size = 0
         size = self.body.size + len(body)
         if size > self.body_bytes:
             self._refuse(TooLarge(413))
