Make the text of the whole catalogue once for all gateways that read it

When a relay starts again, all gateways that watch it read the whole catalogue from it at about the same time. Each read encoded it anew, on as many threads as there were reads: the processor was busy for seconds, in which the gateway served little else, reads ran into their timeout of 1 s and went on to the platform, and the texts, many times the size of the replies, were in no sum.

One text is made at a time, and shared until the catalogue changes.

Evidence: the new test failed before (8 texts for 8 reads) and passes now.

--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from threading import Condition
+from threading import Condition, Lock
 from time import monotonic
 from urllib.parse import parse_qs
 
@@ -87,13 +87,23 @@
     value: object | None
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedContents:
+    """The compressed text of the whole catalogue as of one change."""
+
+    number: int
+    body: bytes
+
+
 class CatalogueLog:
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
     start. ``age`` returns the time since the last successful read or watch. ``table_change`` is the
     latest change of the configuration. It is the only one with a value, since each configuration
-    replaces the one before and is large.
+    replaces the one before and is large. ``encoded`` is the text that reads of the whole catalogue
+    share until it changes; ``encoding_lock`` is held while one is made, which takes many times the
+    memory of the text itself.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -104,6 +114,8 @@
         self.state: dict[str, object] = {}
         self.changes: deque[LoggedChange] = deque(maxlen=MAX_CHANGES)
         self.table_change = LoggedChange(0, None)
+        self.encoding_lock = Lock()
+        self.encoded: EncodedContents | None = None
 
     def add(self, change: Change) -> None:
         """Apply one published change, and wake the watches that wait for it."""
@@ -146,11 +158,17 @@
         return self._reply_with_changes(after, min(MAX_WATCH_WAIT, Millis(float(wait))))
 
     def _reply_with_contents(self, *, compressed: bool) -> LocalPage:
-        with self.changed:
-            if "table" not in self.state:
-                return LocalPage(503, b"no configuration")
-            number, values = self.number, list(self.state.values())
-        return LocalPage(200, encode_update(self.epoch, number, values, compressed=compressed))
+        with self.encoding_lock:
+            with self.changed:
+                if "table" not in self.state:
+                    return LocalPage(503, b"no configuration")
+                number, values = self.number, list(self.state.values())
+            if not compressed:
+                return LocalPage(200, encode_update(self.epoch, number, values))
+            if self.encoded is None or self.encoded.number != number:
+                body = encode_update(self.epoch, number, values, compressed=True)
+                self.encoded = EncodedContents(number, body)
+            return LocalPage(200, self.encoded.body)
 
     def _reply_with_changes(self, after: int, wait: Millis) -> LocalPage:
         deadline = monotonic() + wait / MILLIS_PER_SECOND
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -2,7 +2,8 @@
 
 import tracemalloc
 import zlib
-from threading import Event
+from threading import Event, Thread
+from time import sleep
 
 import pytest
 from hypothesis import given
@@ -14,6 +15,7 @@
     CatalogueUpdate,
     InvalidCatalogueError,
     decode_changes,
+    encode_update,
 )
 from masticgate.process.gateway import (
     Changes,
@@ -25,6 +27,7 @@
     SearcherUnlisted,
     Unavailable,
     UnreadableItem,
+    _relay,
 )
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._relay import CatalogueLog, RelayedSource
@@ -139,6 +142,31 @@
         behind = decode_changes(watch_catalogue(catalogue, 1_000).body)
         assert behind.changes == (PublishedConfiguration(table),)
 
+    # Guards against the texts of many gateways that read the whole catalogue at once, each of
+    # which took the processor for long and many times the memory of the reply.
+    def test_reads_at_once_share_one_text(self, monkeypatch):
+        catalogue, bodies, calls = make_catalogue(), [], []
+
+        def encode(*arguments, **options):
+            calls.append(arguments)
+            sleep(0.02)
+            return encode_update(*arguments, **options)
+
+        def read():
+            bodies.append(request_catalogue(catalogue, "compressed=1").body)
+
+        monkeypatch.setattr(_relay, "encode_update", encode)
+        readers = [Thread(target=read) for _ in range(8)]
+        for reader in readers:
+            reader.start()
+        for reader in readers:
+            reader.join()
+        assert len(calls) == 1
+        assert len({id(body) for body in bodies}) == 1
+        catalogue.add(SearcherListed(make_entry("a")))
+        read()
+        assert len(decode_changes(bodies[-1]).changes) == 2
+
     def test_rejects_watch_after_restart_or_lost_changes(self):
         catalogue = make_catalogue()
         assert request_catalogue(catalogue, "after=1&epoch=other&wait=0").status == 410
