Share the text of a change among the gateways that watch for it

All gateways that watch a relay wait for the same change. Each watch encoded it anew, so that a large configuration cost processor time and memory for each of them at the same moment.

Evidence: the new test failed before (a text of its own for each watch) and passes now.

--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -95,6 +95,15 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedChanges:
+    """The text of the changes after ``after``, up to and including ``number``."""
+
+    after: int
+    number: int
+    body: bytes
+
+
 class CatalogueLog:
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
@@ -103,7 +112,8 @@
     latest change of the configuration. It is the only one with a value, since each configuration
     replaces the one before and is large. ``encoded`` is the text that reads of the whole catalogue
     share until it changes; ``encoding_lock`` is held while one is made, which takes many times the
-    memory of the text itself.
+    memory of the text itself. ``encoded_changes`` is the text that was made last for a watch, since
+    most watches wait for the same change.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -116,6 +126,7 @@
         self.table_change = LoggedChange(0, None)
         self.encoding_lock = Lock()
         self.encoded: EncodedContents | None = None
+        self.encoded_changes: EncodedChanges | None = None
 
     def add(self, change: Change) -> None:
         """Apply one published change, and wake the watches that wait for it."""
@@ -179,12 +190,20 @@
                 return LocalPage(503, b"the platform is unavailable")
             if self.changes and after + 1 < self.changes[0].number:
                 return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            values = [
-                change.value
-                for change in self.changes
-                if change.number > after and change.value is not None
-            ]
-            return LocalPage(200, encode_update(self.epoch, self.number, values))
+            return LocalPage(200, self._encode_changes(after))
+
+    def _encode_changes(self, after: int) -> bytes:
+        known = self.encoded_changes
+        if known is not None and (known.after, known.number) == (after, self.number):
+            return known.body
+        values = [
+            change.value
+            for change in self.changes
+            if change.number > after and change.value is not None
+        ]
+        body = encode_update(self.epoch, self.number, values)
+        self.encoded_changes = EncodedChanges(after, self.number, body)
+        return body
 
 
 class RelayedSource:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -167,6 +167,17 @@
         read()
         assert len(decode_changes(bodies[-1]).changes) == 2
 
+    # Guards against the texts of many gateways that wait for the same large configuration.
+    def test_watches_of_the_same_change_share_one_text(self):
+        catalogue = make_catalogue()
+        catalogue.add(SearcherListed(make_entry("a")))
+        first = watch_catalogue(catalogue, 1).body
+        assert watch_catalogue(catalogue, 1).body is first
+        assert len(decode_changes(watch_catalogue(catalogue, 0).body).changes) == 2
+        assert watch_catalogue(catalogue, 1).body == first
+        catalogue.add(SearcherListed(make_entry("b")))
+        assert len(decode_changes(watch_catalogue(catalogue, 1).body).changes) == 2
+
     def test_rejects_watch_after_restart_or_lost_changes(self):
         catalogue = make_catalogue()
         assert request_catalogue(catalogue, "after=1&epoch=other&wait=0").status == 410
