Count an error of a finalizer while its task holds the lock of the metrics

The collector may run a finalizer in a task that holds the lock of the metrics. If the finalizer failed, the hook for such errors counted it and waited for the same lock for good, and with it each task that counts anything: the gateway served nothing more and did not end either.

The lock can now be taken again by its holder, as that of the log.

Evidence: the new test failed before (the thread still waited after 5 s) and passes now; the one for the log passed before as well.

--- a/src/masticgate/process/gateway/_metrics.py
+++ b/src/masticgate/process/gateway/_metrics.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 from collections import Counter
-from threading import Lock
+from threading import RLock
 
 from ..._ids import Millis
 
@@ -29,7 +29,8 @@
     """The metrics of one gateway since its start."""
 
     def __init__(self) -> None:
-        self.lock = Lock()
+        # A finalizer may run while a task holds the lock, and an error of it is counted.
+        self.lock = RLock()
         self.counters: Counter[str] = Counter()
         self.gauges: dict[str, float] = {}
         self.histograms: dict[tuple[str, str], Histogram] = {}
