Close connections above a limit that was lowered while they were open

A reload that lowered the limits of the host had no effect on open connections: each new one closed one other, so that their number stayed, and since the limit of all tasks was lowered as well, none was left for readiness checks, searchers and the metrics until enough connections had ended by themselves. All idle and reading connections above the limit are now closed, at the reload or for the next new connection.

Evidence: both new tests failed before (a connection above the limit stayed open) and pass now.

--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -82,6 +82,11 @@
         for caller in serving:
             caller.wakeable_socket.end_wait()
 
+    def limit_connections(self, maximum: int) -> None:
+        """Change ``max_connections``, and close connections that are idle or reading above it."""
+        self.max_connections = maximum
+        self._make_room(None)
+
     def _listen(self) -> bool:
         """Listen on the address; return ``False`` if that fails or :meth:`stop` was called."""
         with self.lock:
@@ -128,25 +133,26 @@
             self.rejected += 1
         caller.close()
 
-    def _make_room(self, newest: CallerConnection) -> bool:
-        """Return whether there is room for ``newest``; close another connection for it if needed.
+    def _make_room(self, newest: CallerConnection | None) -> bool:
+        """Return whether there is room for ``newest``; close other connections for it if needed.
 
-        It is the idle or reading connection whose state changed the longest time ago, or else one
-        whose caller still sends a request that was refused and might lose the reply.
+        They are the idle or reading ones whose state changed the longest time ago, or else those
+        whose callers still send a request that was refused and might lose the reply.
         """
         with self.lock:
             if len(self.connections) <= self.max_connections:
                 return True
             kept = [caller for caller in self.connections if not caller.is_ending]
-            if len(kept) <= self.max_connections:
+            excess = len(kept) - self.max_connections
+            if excess <= 0:
                 return True
             waiting = [
                 caller
                 for caller in kept
                 if caller is not newest and caller.state is not CallerState.SERVING
             ]
-        if waiting:
-            min(waiting, key=_closing_order).stop_reading()
+        for caller in sorted(waiting, key=_closing_order)[:excess]:
+            caller.stop_reading()
         return bool(waiting)
 
 
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -207,9 +207,9 @@
         limits = plan_connections(capacity, _descriptor_limit())
         self.memory_keeper.apply(capacity)
         self.pool.max_tasks = limits.tasks
-        self.callers.max_connections = limits.callers
+        self.callers.limit_connections(limits.callers)
         if self.peer_listener is not None:
-            self.peer_listener.max_connections = limits.peers
+            self.peer_listener.limit_connections(limits.peers)
 
     def record_unusable_settings(self, detail: str) -> None:
         """Count and log changed settings that cannot be used; the present ones stay in force."""
--- a/tests/gateway/test_connection_limit.py
+++ b/tests/gateway/test_connection_limit.py
@@ -101,3 +101,22 @@
         for caller in newest:
             caller.sendall(REQUEST)
             assert caller.recv(4_096).endswith(b"served")
+
+    # Guards against a lower limit that has no effect while connections are open, and whose tasks
+    # then leave none for readiness checks and searchers.
+    def test_lower_limit_closes_connections_above_it(self, limited):
+        idle = [limited.connect(b"", CallerState.IDLE) for _ in range(MAX_CONNECTIONS)]
+        limited.listener.limit_connections(1)
+        assert idle[0].recv(1) == b""
+        limited.answer.set()
+        idle[1].sendall(REQUEST)
+        assert idle[1].recv(4_096).endswith(b"served")
+
+    def test_new_connection_closes_all_above_limit(self, limited):
+        idle = [limited.connect(b"", CallerState.IDLE) for _ in range(MAX_CONNECTIONS)]
+        limited.listener.max_connections = 1
+        newest = limited.connect_one_more()
+        assert [caller.recv(1) for caller in idle] == [b"", b""]
+        limited.answer.set()
+        newest.sendall(REQUEST)
+        assert newest.recv(4_096).endswith(b"served")
