Count what the socket of a caller holds of a larger reply

The bytes of a larger answer were accounted for until the caller had taken them, but not the copy of up to 128 KB that the socket holds meanwhile, although it was counted while the answer was received. Callers that do not read made a gateway hold as many times that as it has connections (100 MB for 800), which the limit of a host with a control group includes.

Evidence: the new test failed before (8,983,616 bytes at most were accounted for a reply of 9,000,000 that is not read) and passes now.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -16,7 +16,7 @@
 from ...request.gateway import Abandoned, Inbox, LocalPage, Refused, Reply, Request
 from ...request.gateway._exchange import Header
 from ...version.gateway import Limits
-from ._buffers import CALLER_UNREAD_BYTES, KERNEL_STACK_BYTES
+from ._buffers import CALLER_UNREAD_BYTES, KERNEL_STACK_BYTES, MAX_UNSENT_BYTES
 from ._encoding import encode_peer_reply, encode_reply
 from ._header_names import (
     NETWORK_TIME_HEADER,
@@ -198,21 +198,26 @@
             if isinstance(reply, LocalPage) and not inbox.answers.grow(len(reply.body)):
                 reply = _refuse_for_memory()
             close = not parsed.keep_alive or self.settings.is_closing()
-            return self._send_reply(reply, request.id, close=close) and not close
+            blocks = self._encode(reply, request.id, close=close)
+            size = sum(map(len, blocks))
+            if size > ORDINARY_ANSWER_BYTES:
+                # What the socket holds of a larger reply until the caller accepts it.
+                inbox.answers.add(min(size, MAX_UNSENT_BYTES))
+            return self._send(blocks) and not close
         finally:
             inbox.close()
 
-    def _send_reply(self, reply: Reply, request_id: RequestId, *, close: bool) -> bool:
+    def _encode(self, reply: Reply, request_id: RequestId, *, close: bool) -> tuple[bytes, ...]:
         header_names = self.settings.header_names
         if self.settings.callers_are_gateways:
-            return self._send(encode_peer_reply(reply, header_names, request_id, close=close))
-        return self._send(encode_reply(reply, header_names, close=close))
+            return encode_peer_reply(reply, header_names, request_id, close=close)
+        return encode_reply(reply, header_names, close=close)
 
     def _refuse(self, refusal: Refused, headers: list[Header]) -> None:
         """Refuse the request with ``headers``, of which more bytes may arrive, and end."""
         request_id = _find_request_id(headers, self.settings.header_names)
         self.parser.discard()
-        if self._send_reply(refusal, request_id, close=True):
+        if self._send(self._encode(refusal, request_id, close=True)):
             self._drop_input()
 
     def _drop_input(self) -> None:
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -197,6 +197,18 @@
         task.join(TIMEOUT_S)
         assert not task.is_alive()
 
+    # Guards against the memory of sockets whose callers do not read, which was in no sum.
+    def test_counts_what_socket_holds_of_reply(self):
+        memory = make_memory()
+        far, task = run_connection(
+            make_settings(memory, lambda request, inbox: LocalPage(200, bytes(9_000_000)))
+        )
+        far.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        wait_until(lambda: memory.used[MemoryUse.ANSWERS] > 9_100_000)
+        far.close()
+        task.join(TIMEOUT_S)
+        assert memory.total == 0
+
     # Guards against callers that do not read and take the memory from all others.
     def test_gives_up_reply_that_nobody_reads_while_memory_is_short(self):
         memory = make_memory(20_000_000)
