Serve routes with a timeout of more than 25 days

A poll accepts no longer timeout. Where a route states one (the configuration allows 30 years), the task of each request that was not answered before its hedge ended by an error, after the request had been sent to a searcher, and the connection of its caller without a reply.

Evidence: the new test failed before with "OverflowError: timeout is too large" and passes now.

--- a/src/masticgate/_clock.py
+++ b/src/masticgate/_clock.py
@@ -1,10 +1,14 @@
 """Clocks in milliseconds: the clocks of the operating system, and a clock that a test sets."""
 
 import time
+from math import ceil
 from typing import Protocol
 
 from ._ids import Millis
 
+MAX_POLL_MS = 2**31 - 1
+"""The longest timeout that a poll accepts, about 25 days."""
+
 MILLIS_PER_SECOND = 1000.0
 
 
@@ -54,3 +58,8 @@
 def remaining_seconds(deadline: Millis, clock: Clock) -> float:
     """Return the seconds that remain to ``deadline``, or zero if it has passed."""
     return max(0.0, deadline - clock.now()) / MILLIS_PER_SECOND
+
+
+def remaining_poll_time(deadline: Millis, clock: Clock) -> int:
+    """Return the milliseconds for a poll that ends at ``deadline``, or earlier if that is far."""
+    return min(MAX_POLL_MS, max(0, ceil(deadline - clock.now())))
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -9,10 +9,9 @@
 import socket
 from collections import deque
 from contextlib import suppress
-from math import ceil
 from threading import Lock
 
-from ..._clock import Clock
+from ..._clock import Clock, remaining_poll_time
 from ..._ids import Millis
 from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
@@ -65,8 +64,7 @@
 
         The wait also ends, with ``False``, when the caller sends more bytes.
         """
-        remaining = max(0, ceil(deadline - self.clock.now()))
-        for descriptor, events in self.poller.poll(remaining):
+        for descriptor, events in self.poller.poll(remaining_poll_time(deadline, self.clock)):
             if descriptor == self.event:
                 with suppress(BlockingIOError):
                     os.eventfd_read(self.event)
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -14,7 +14,7 @@
 from threading import Lock
 from typing import Protocol
 
-from ..._clock import Clock
+from ..._clock import Clock, remaining_poll_time
 from ..._failures import Reason
 from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome, ReceiveInfo
@@ -285,7 +285,7 @@
             return False
         poller = select.poll()
         poller.register(descriptor, select.POLLOUT)
-        return bool(poller.poll(max(0, deadline - self.clock.now())))
+        return bool(poller.poll(remaining_poll_time(deadline, self.clock)))
 
     def _receive_responses(self) -> Outcome:
         """Handle responses until the connection ends; return the outcome of an unfinished call."""
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -244,6 +244,17 @@
         far.close()
 
 
+class TestFarDeadline:
+    # Guards against a route with a timeout of years, whose requests end without a reply.
+    def test_answer_arrives_before_it(self):
+        near, far = connect_pair()
+        inbox = RequestInbox(WakeableSocket(near, CLOCK))
+        call = TestRequestInbox.make_answer(1)
+        threading.Timer(0.1, inbox.put, (call,)).start()
+        assert inbox.wait(Millis(CLOCK.now() + 1e12)) is call
+        far.close()
+
+
 class TestGateway:
     def test_returns_all_memory_after_large_requests_and_answers(self):
         searchers = {"orders": [StandInSearcher(lambda head: reply_to(head, bytes(500_000)))]}
