Drop what was received of an answer as soon as its connection ends

The parser of answers is part of a cycle of references. When a connection ended within an answer, as that of each cancelled hedge does, its bytes were returned to the budget of the process, but stayed in memory until the collector of cycles came by, which may take hundreds of connections. The same held for each reply to a read or watch of the catalogue. So a gateway could exceed the memory of its host, and be killed, while it accounted for next to nothing.

The parser now drops its bytes when its connection ends.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -158,9 +158,11 @@
                 response, *others = parser.ready
                 if problem is not None or others or parser.in_message or not response.keep_alive:
                     self.close()
+                parser.discard()
                 return HttpResponse(response.status, response.body)
             if problem is not None:
                 self.close()
+                parser.discard()
                 return problem
 
     def send_nowait(self, data: memoryview) -> int:
--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -118,15 +118,21 @@
         return None
 
     def reset_byte_counts(self) -> None:
-        """Count the received bytes from zero again.
-
-        To be called after a response was accepted, and when the connection ends.
-        """
+        """Count the received bytes from zero again; to be called after a response was accepted."""
         self.received_bytes = 0
         self.body_size = 0
         if self.holding is not None and self.holding.size:
             self.holding.shrink(self.holding.size)
 
+    def discard(self) -> None:
+        """Drop everything that was received and return its bytes; nothing may be fed any more.
+
+        The parser is part of a cycle of references, and may be kept for long after its connection.
+        """
+        self.ready.clear()
+        self._reset()
+        self.reset_byte_counts()
+
     def feed_eof(self) -> None:
         """Complete a response that states no length, which ends with its connection.
 
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -408,7 +408,7 @@
         if self.current_call is not None:
             self._complete_call(self.current_call, outcome, None, reusable=False)
         self.client.close()
-        self.parser.reset_byte_counts()
+        self.parser.discard()
         self.handler.handle_close(self, connected=connected)
 
     def _decode_outcome(self, response: ParsedResponse, notices: list[SearcherNotice]) -> Outcome:
