Drop answers that come after their request was answered

The late answer of a hedge went to the inbox of a request that was answered already. A call refers to its inbox, so that the two stayed in memory until the collector of cycles came by, and no sum had them, since the inbox had returned its bytes.

A closed inbox keeps nothing.

Evidence: the new test failed before (late answers of 500,000 bytes still held after 5 s) and passes now.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -127,16 +127,20 @@
         wakeable_socket.watch_for_close()
 
     def put(self, call: Call) -> None:
-        """Add a finished call; any task may call this."""
+        """Add a finished call, which is dropped after :meth:`close`; any task may call this."""
         if isinstance(call.outcome, Answered):
             self.answers.add(len(call.outcome.body))
         self.finished.append(call)
+        if self.answers.closed:
+            # A call refers to its inbox; together they would be kept for long.
+            self.finished.clear()
         if len(self.finished) >= self.batch_size or not _is_success(call):
             self.wakeable_socket.wake()
 
     def close(self) -> None:
-        """Return the bytes of the answers; their caller has taken them, or never will."""
+        """Drop the answers and return their bytes; their caller has taken them, or never will."""
         self.answers.close()
+        self.finished.clear()
 
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
--- a/tests/gateway/test_dropped_answers.py
+++ b/tests/gateway/test_dropped_answers.py
@@ -9,11 +9,12 @@
 from masticgate.connection.gateway import GetTimeouts, HttpClient, HttpResponse
 from masticgate.connection.gateway._body_buffer import BodyBuffer
 from masticgate.connection.gateway._response_parser import ParsedResponse
+from masticgate.request.gateway import Answered
 from masticgate.version.gateway import Idempotency
 
 from .fakes import make_route
 from .heads import head_value
-from .loopback import RawCaller, StandInSearcher, running_gateway
+from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
 
 ANSWER_BYTES = 500_000
 TIMEOUTS = GetTimeouts(Millis(1_000.0), Millis(1_000.0))
@@ -29,10 +30,12 @@
 
 
 def held_bytes() -> int:
-    """Return the bytes of all bodies that parsers hold."""
+    """Return the bytes of all bodies that parsers and finished calls hold."""
     objects = gc.get_objects()
     unfinished = sum(found.size for found in objects if isinstance(found, BodyBuffer))
-    return unfinished + sum(len(found.body) for found in objects if type(found) is ParsedResponse)
+    return unfinished + sum(
+        len(found.body) for found in objects if type(found) in (Answered, ParsedResponse)
+    )
 
 
 class TestDroppedAnswers:
@@ -56,6 +59,23 @@
                 assert monotonic() < deadline
                 sleep(0.01)
 
+    # Guards against the late answers of hedges, which stayed in memory in the same way.
+    def test_answer_that_comes_after_another_is_dropped(self):
+        def respond(head):
+            sleep(0.06)
+            return reply_to(head, bytes(ANSWER_BYTES))
+
+        searchers = {"orders": [StandInSearcher(respond), StandInSearcher(respond)]}
+        with running_gateway([make_route()], searchers) as gateway:
+            caller = RawCaller(gateway)
+            for number in range(4):
+                assert caller.get(request_id=f"q{number}", caller_timeout=2_000).read()[0] == 200
+            assert sum(len(searcher.requests) for searcher in searchers["orders"]) > 4
+            deadline = monotonic() + 5.0
+            while held_bytes():
+                assert monotonic() < deadline
+                sleep(0.01)
+
     def test_answer_to_gateway_itself_is_dropped(self):
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + bytes(ANSWER_BYTES)
         server = StandInSearcher(lambda head: answer)
