--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -9,10 +9,9 @@
 import socket
 from collections import deque
 from contextlib import suppress
-from math import ceil
 from threading import Lock
 
-from ..._clock import Clock
+from ..._clock import Clock, remaining_poll_time
 from ..._ids import Millis
 from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
@@ -65,8 +64,7 @@
 
         The wait also ends, with ``False``, when the caller sends more bytes.
         """
-        remaining = max(0, ceil(deadline - self.clock.now()))
-        for descriptor, events in self.poller.poll(remaining):
+        for descriptor, events in self.poller.poll(remaining_poll_time(deadline, self.clock)):
             if descriptor == self.event:
                 with suppress(BlockingIOError):
                     os.eventfd_read(self.event)
@@ -129,16 +127,20 @@
         wakeable_socket.watch_for_close()
 
     def put(self, call: Call) -> None:
-        """Add a finished call; any task may call this."""
+        """Add a finished call, which is dropped after :meth:`close`; any task may call this."""
         if isinstance(call.outcome, Answered):
             self.answers.add(len(call.outcome.body))
         self.finished.append(call)
+        if self.answers.closed:
+            # A call refers to its inbox; together they would be kept for long.
+            self.finished.clear()
         if len(self.finished) >= self.batch_size or not _is_success(call):
             self.wakeable_socket.wake()
 
     def close(self) -> None:
-        """Return the bytes of the answers; their caller has taken them, or never will."""
+        """Drop the answers and return their bytes; their caller has taken them, or never will."""
         self.answers.close()
+        self.finished.clear()
 
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
