Never both run and refuse a task whose thread runs out of memory

A MemoryError of Thread.start may come after the thread has begun. The task was then refused and ran all the same: a request that may run once could be sent twice, and its place was freed twice. The task itself now tells whether it began: only one that did not is refused, and one that was refused does not begin. Both cases of the new test failed before.

--- a/src/masticgate/process/gateway/_task_pool.py
+++ b/src/masticgate/process/gateway/_task_pool.py
@@ -1,6 +1,8 @@
 """A bounded number of threads for the tasks of connections, one thread for each task."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
 from threading import Lock, Thread
 from typing import Any
 
@@ -10,6 +12,23 @@
 from ._supervisor import record_task_failure
 
 
+class TaskState(Enum):
+    """Whether a task has begun in its thread, or was refused before it could."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class Task:
+    """A function with its arguments, and its state, which the lock of the pool guards."""
+
+    run: Callable[..., None]
+    arguments: tuple[Any, ...]
+    state: TaskState = TaskState.STARTING
+
+
 class TaskPool:
     """Starts each task at once or refuses it for good.
 
@@ -30,12 +49,15 @@
             if self.running >= self.max_tasks:
                 return TaskRefused("all tasks are in use")
             self.running += 1
+        task = Task(run, args)
         try:
-            Thread(target=self._run, args=(run, args), daemon=True).start()
+            Thread(target=self._run, args=(task,), daemon=True).start()
         except (RuntimeError, MemoryError) as error:
-            with self.lock:
-                self.running -= 1
-            return TaskRefused(str(error) or type(error).__name__)
+            # The error may come after the thread has begun.
+            if self._claim(task, TaskState.REFUSED):
+                with self.lock:
+                    self.running -= 1
+                return TaskRefused(str(error) or type(error).__name__)
         return None
 
     def close(self) -> None:
@@ -43,11 +65,21 @@
         with self.lock:
             self.max_tasks = 0
 
-    def _run(self, run: Callable[..., None], args: tuple[Any, ...]) -> None:
+    def _claim(self, task: Task, state: TaskState) -> bool:
+        """Put a task that is starting into ``state``; return ``False`` if it has another one."""
+        with self.lock:
+            if task.state is not TaskState.STARTING:
+                return False
+            task.state = state
+            return True
+
+    def _run(self, task: Task) -> None:
+        if not self._claim(task, TaskState.RUNNING):
+            return
         try:
-            run(*args)
+            task.run(*task.arguments)
         except Exception as error:
-            record_task_failure(self.log, self.metrics, run, error)
+            record_task_failure(self.log, self.metrics, task.run, error)
         finally:
             with self.lock:
                 self.running -= 1
--- a/tests/gateway/test_refused_tasks.py
+++ b/tests/gateway/test_refused_tasks.py
@@ -165,6 +165,28 @@
         assert tasks.start(int) == TaskRefused("MemoryError")
         assert tasks.running == 0
 
+    # Guards against a request that runs although it was refused, and twice once it is sent again.
+    @pytest.mark.parametrize("begins_first", [True, False])
+    def test_task_never_both_runs_and_is_refused(self, monkeypatch, begins_first):
+        started: list[Thread] = []
+
+        class LateFailingThread(Thread):
+            def start(self):
+                started.append(self)
+                if begins_first:
+                    super().start()
+                    self.join()
+                raise MemoryError
+
+        monkeypatch.setattr(_task_pool, "Thread", LateFailingThread)
+        tasks, runs = make_pool(1), []
+        refused = tasks.start(runs.append, "run") is not None
+        if not begins_first:
+            Thread.start(started[0])
+            started[0].join()
+        assert (refused, runs) == (not begins_first, ["run"] if begins_first else [])
+        assert tasks.running == 0
+
     # Guards against the threads of a burst of connections that stay for good.
     def test_threads_end_with_their_tasks(self):
         tasks, release = make_pool(64), Event()
