Take a limit of 0 in the settings as unknown

The plan of memory did, the report of limits did not, and said for good that memory and descriptors were near their limits. Found in the review; one case of the test failed before.

--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -84,6 +84,6 @@
     return HostCapacity(
         cores,
         limits.number("linkMbps", DEFAULT_LINK_MBPS),
-        round(memory_mb * BYTES_PER_MEGABYTE),
-        round(limits.number("maxFds", DEFAULT_DESCRIPTORS)),
+        round(memory_mb * BYTES_PER_MEGABYTE) or DEFAULT_MEMORY_BYTES,
+        round(limits.number("maxFds", DEFAULT_DESCRIPTORS)) or DEFAULT_DESCRIPTORS,
     )
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -45,6 +45,14 @@
         capacity = read_node_file(path, None).capacity
         assert (capacity.memory, capacity.descriptors) == (552_000_000, 8_192)
 
+    @pytest.mark.parametrize("limits", ["", "memoryMb = 0\nmaxFds = 0\n"])
+    def test_unknown_limits_are_those_of_the_smallest_machine(self, tmp_path, limits):
+        """Guard against a gateway that takes itself to be at its limit for good."""
+        path = tmp_path / "local.toml"
+        path.write_text(TEXT + "[limits]\n" + limits)
+        capacity = read_node_file(path, None).capacity
+        assert (capacity.memory, capacity.descriptors) == (200_000_000, 4_096)
+
     @pytest.mark.parametrize("missing", ["nodeName", "zone", "graceS", "address", "front"])
     def test_error_names_missing_field(self, tmp_path, missing):
         path = tmp_path / "local.toml"
