Tests: one small request and one storm of signals where there were two each

test_memory_limit.py and test_descriptor_limit.py had the same request of one more caller, now GatewayProgram.request; the two storms of SIGHUP in test_signals.py are one function. The assertions are the same.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -101,7 +101,7 @@
 DESCRIPTOR_LIMITS = (4_100, 8_192)
 MAX_BURST_S = 5.0
 BURST_SIZES = (200, 700, 1_400)
-"""How many callers a burst has; a gateway accepts at most 1,500 connections."""
+"""How many callers a burst has; a gateway accepts no more than its memory allows."""
 
 MAX_ADDED_GATEWAYS = 2
 WATCH_INTERVAL_S = 0.2
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -19,6 +19,8 @@
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 START_TIMEOUT_S = 20.0
+REPLY_TIMEOUT_S = 5.0
+SMALL_REQUEST = b"GET /z/ HTTP/1.1\r\nHost: a.example\r\nX-Masticgate-Request-Id: q\r\n\r\n"
 PORTS = ("front", "ready", "control")
 
 RUN_PROGRAM = "import runpy; runpy.run_module('masticgate.platform', run_name='__main__')"
@@ -122,6 +124,13 @@
             return connection.getresponse().status == 200
         return False
 
+    def request(self) -> bytes:
+        """Return the reply to a small request of one more caller."""
+        address = ("127.0.0.1", self.ports["front"])
+        with socket.create_connection(address, timeout=REPLY_TIMEOUT_S) as caller:
+            caller.sendall(SMALL_REQUEST)
+            return caller.recv(4_096)
+
     def wait_until_ready(self) -> None:
         """Wait until the readiness check succeeds.
 
--- a/tests/platform/test_descriptor_limit.py
+++ b/tests/platform/test_descriptor_limit.py
@@ -10,7 +10,6 @@
 from .program import GatewayProgram
 
 CALLERS = 150
-REPLY_TIMEOUT_S = 5.0
 
 
 def limit_descriptors(count: int) -> None:
@@ -24,14 +23,6 @@
     program.close()
 
 
-def get_reply(program: GatewayProgram) -> bytes:
-    """Return the reply to a request of one more caller."""
-    address = ("127.0.0.1", program.ports["front"])
-    with socket.create_connection(address, timeout=REPLY_TIMEOUT_S) as caller:
-        caller.sendall(b"GET /z/ HTTP/1.1\r\nHost: a.example\r\nX-Masticgate-Request-Id: q\r\n\r\n")
-        return caller.recv(4_096)
-
-
 class TestIdleCallers:
     # Guards against callers that take all descriptors, so that none is left for a readiness check,
     # a searcher or the store (FAULT).
@@ -49,4 +40,4 @@
                     stack.enter_context(socket.create_connection(address, timeout=1))
             Event().wait(0.5)
             assert program.is_ready()
-            assert b"no_searcher" in get_reply(program)
+            assert b"no_searcher" in program.request()
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -24,7 +24,6 @@
 """The burst of all callers is about as large as the memory of the host."""
 
 SENDERS = 32
-REPLY_TIMEOUT_S = 5.0
 REPLIES_TIMEOUT_S = 20.0
 TRIM_TIMEOUT_S = 10.0
 
@@ -94,14 +93,6 @@
     program.close()
 
 
-def get_reply(program: GatewayProgram) -> bytes:
-    """Return the reply to a small request of another caller."""
-    address = ("127.0.0.1", program.ports["front"])
-    with socket.create_connection(address, timeout=REPLY_TIMEOUT_S) as caller:
-        caller.sendall(b"GET /z/ HTTP/1.1\r\nHost: a.example\r\nX-Masticgate-Request-Id: q\r\n\r\n")
-        return caller.recv(4_096)
-
-
 class TestBurstOfBodies:
     # Guards against a process that is killed since bodies, each within its limit, together exceed
     # the memory of the host (FAULT).
@@ -111,9 +102,9 @@
         held = Burst(program, port, BURSTS[burst])
         with held.stack:
             # The stand-in store lists no searcher, which shows that the request was read.
-            assert b"no_searcher" in get_reply(program)
+            assert b"no_searcher" in program.request()
             replies = held.read_replies(CALLERS // 4)
-            assert b"no_searcher" in get_reply(program)
+            assert b"no_searcher" in program.request()
             assert program.read_status("VmHWM") < MEMORY_BYTES
         for reply in replies:
             assert reply.startswith(b"HTTP/1.1 503 ")
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -30,38 +30,34 @@
 """Reads its signals only after 3 s, as a process does whose main thread is held up."""
 
 
+def stop_after_storm(code: str, storm_s: float, end_timeout_s: float) -> int:
+    """Send SIGHUP without a pause and then SIGTERM; return how often the child noticed a reload.
+
+    The child has to end with success within ``end_timeout_s``.
+    """
+    child = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE)
+    try:
+        assert child.stdout.readline() == b"ready\n"
+        end_of_storm = monotonic() + storm_s
+        while monotonic() < end_of_storm:
+            os.kill(child.pid, signal.SIGHUP)
+        os.kill(child.pid, signal.SIGTERM)
+        assert child.wait(end_timeout_s) == 0
+        return int(child.stdout.read())
+    finally:
+        child.kill()
+        child.stdout.close()
+
+
 class TestSignalQueue:
     def test_notices_stop_behind_more_reloads_than_the_pipe_holds(self):
         """Guard against a SIGTERM that is lost in a storm of SIGHUP, and so ends in a kill."""
-        child = subprocess.Popen([sys.executable, "-c", BUSY_CHILD], stdout=subprocess.PIPE)
-        try:
-            assert child.stdout.readline() == b"ready\n"
-            end_of_storm = monotonic() + 2.5
-            while monotonic() < end_of_storm:
-                os.kill(child.pid, signal.SIGHUP)
-            os.kill(child.pid, signal.SIGTERM)
-            assert child.wait(6.0) == 0
-            assert int(child.stdout.read()) < 20
-        finally:
-            child.kill()
-            child.stdout.close()
+        assert stop_after_storm(BUSY_CHILD, storm_s=2.5, end_timeout_s=6.0) < 20
 
     def test_takes_reloads_in_quick_succession_together(self):
         """Guard against a storm of SIGHUP that keeps the processor busy with reloads."""
-        child = subprocess.Popen(
-            [sys.executable, "-c", BUSY_CHILD.replace("3.0", "0.0")], stdout=subprocess.PIPE
-        )
-        try:
-            assert child.stdout.readline() == b"ready\n"
-            end_of_storm = monotonic() + 2.0
-            while monotonic() < end_of_storm:
-                os.kill(child.pid, signal.SIGHUP)
-            os.kill(child.pid, signal.SIGTERM)
-            assert child.wait(4.0) == 0
-            assert int(child.stdout.read()) <= 42
-        finally:
-            child.kill()
-            child.stdout.close()
+        child = BUSY_CHILD.replace("3.0", "0.0")
+        assert stop_after_storm(child, storm_s=2.0, end_timeout_s=4.0) <= 42
 
     def test_notices_stop_at_once_right_after_reload(self):
         """Guard against a SIGTERM that is noticed only 5 s after a SIGHUP, past the grace time."""
