Peers: separate the heartbeat codec, the naming and the exchange with a seed

The codec is now _heartbeat_codec.py (decoded replies are the data class HeartbeatReply), the task is _seed_exchange.py, and the names and how they are used are _naming.py. Behaviour is unchanged; the tests reach the same functions under their new names, with the same assertions.

--- a/src/masticgate/process/gateway/_gatherers.py
+++ b/src/masticgate/process/gateway/_gatherers.py
@@ -45,6 +45,14 @@
     rate: float
 
 
+@dataclass(frozen=True, slots=True)
+class Gatherer:
+    """A gateway that gathers parts of queries for others, as a seed names it."""
+
+    address: Address
+    domain: FailureDomainId
+
+
 def gatherer_count(members: int, connections: int) -> int:
     """Return how many of ``members`` gateways gather queries.
 
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -32,10 +32,12 @@
     Split,
 )
 from ._fleet import Fleet
+from ._heartbeat_codec import HEARTBEAT_HOST
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._naming import GatherAtPeers, GatherHere, peer_route
 from ._network_times import NetworkTimes
-from ._peers import HEARTBEAT_HOST, GatherAtPeers, GatherHere, Peers, peer_route
+from ._peers import Peers
 from ._permits import OwnGatherings
 from ._planner import plan_parts
 from ._relay import CATALOGUE_HOST, CatalogueLog
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from masticgate import Millis, ServiceId
-from masticgate.process.gateway._peers import peer_route
+from masticgate.process.gateway._naming import peer_route
 from masticgate.request.gateway import (
     Abandoned,
     Failed,
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -7,7 +7,8 @@
 from threading import Event
 
 from masticgate import Address, Millis, SearcherId, ServiceId
-from masticgate.process.gateway._peers import NAMING_DELAY, GatherAtPeers
+from masticgate.process.gateway._naming import GatherAtPeers
+from masticgate.process.gateway._peers import NAMING_DELAY
 from masticgate.version.gateway import PEER_SERVICE, Shards
 
 from .fakes import make_route
--- a/tests/gateway/test_missing_counts.py
+++ b/tests/gateway/test_missing_counts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from masticgate import ServiceId
-from masticgate.process.gateway._peers import GatherAtPeers
+from masticgate.process.gateway._naming import GatherAtPeers
 from masticgate.version.gateway import PEER_SERVICE, Shards
 
 from .fakes import make_entry, make_route
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -11,7 +11,14 @@
 
 from masticgate import Address, ManualClock, Millis, ServiceId
 from masticgate._ids import FailureDomainId, HostId, RequestId
-from masticgate.process.gateway._gatherers import Member
+from masticgate.process.gateway._gatherers import Gatherer, Member
+from masticgate.process.gateway._heartbeat_codec import (
+    HEARTBEAT_HOST,
+    MAX_NAMED_GATHERERS,
+    decode_gatherers,
+    decode_heartbeat,
+    decode_reply,
+)
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._membership import (
     HEARTBEAT_INTERVAL,
@@ -19,18 +26,8 @@
     Heartbeat,
     Membership,
 )
-from masticgate.process.gateway._peers import (
-    HEARTBEAT_HOST,
-    MAX_NAMED_GATHERERS,
-    NAMING_DELAY,
-    GatherAtPeers,
-    Gatherer,
-    GatherHere,
-    Peers,
-    decode_gatherers,
-    decode_heartbeat,
-    peer_route,
-)
+from masticgate.process.gateway._naming import GatherAtPeers, GatherHere, peer_route
+from masticgate.process.gateway._peers import NAMING_DELAY, Peers
 from masticgate.process.gateway._previous_processes import (
     ANSWER_WAIT,
     MAX_REMEMBERED_HOSTS,
@@ -47,6 +44,7 @@
     encode_report,
 )
 from masticgate.process.gateway._replica import ReplicaState
+from masticgate.process.gateway._seed_exchange import SeedExchange
 from masticgate.process.gateway._usage import ProcessUse, Use
 from masticgate.request.gateway import Request
 from masticgate.version.gateway import PEER_SERVICE, Idempotency, Shards
@@ -95,6 +93,12 @@
     return json.loads(peers.handle_heartbeat(request).body)
 
 
+def record_reply(peers: Peers, reply: dict) -> None:
+    """Record a reply of another seed, which is ready."""
+    body = json.dumps({"ready": True} | reply).encode()
+    peers.record_reply(OTHER_SEED, decode_reply(body, peers.clock.now()))
+
+
 def report_process(peers: Peers, host: str, started: int, *, stopping: bool = False) -> dict:
     """Send a heartbeat that reports a process and asks for the process before it."""
     report = encode_report(ProcessReport(started, stopping, USE))
@@ -108,7 +112,7 @@
 
 
 def named_addresses(peers: Peers) -> set[str]:
-    return {gatherer.address for gatherer in peers.gatherers}
+    return {gatherer.address for gatherer in peers.names.gatherers}
 
 
 def gatherer_states(peers: Peers) -> dict[str, ReplicaState]:
@@ -144,11 +148,11 @@
     def test_reply_without_names_keeps_those_of_the_seed(self):
         peers = make_peers(ManualClock(), is_seed=False)
         names = {"gatherers": [["127.0.1.2:1", "z1"]], "digest": "1f"}
-        peers._record_reply(OTHER_SEED, {"members": 58} | names)
-        peers._record_reply(OTHER_SEED, {"members": 59})
+        record_reply(peers, {"members": 58} | names)
+        record_reply(peers, {"members": 59})
         peers.update_gathering()
         assert named_addresses(peers) == {"127.0.1.2:1"}
-        assert peers.digests == {OTHER_SEED: "1f"}
+        assert peers.names.digests == {OTHER_SEED: "1f"}
 
     def test_seed_names_none_right_after_its_start(self):
         clock = ManualClock()
@@ -174,17 +178,17 @@
     def test_gateway_forwards_to_named_gatherers(self):
         peers = make_peers(ManualClock(), is_seed=False)
         reply = {"members": 58, "gatherers": [["127.0.1.2:1", "z1"], ["127.0.1.3:1", "z2"]]}
-        peers._record_reply(OTHER_SEED, reply)
+        record_reply(peers, reply)
         peers.update_gathering()
         assert peers.gathering == GatherAtPeers()
         assert set(gatherer_states(peers)) == {"127.0.1.2:1", "127.0.1.3:1"}
-        peers._record_reply(OTHER_SEED, reply | {"gatherers": [["127.0.1.3:1", "z2"]]})
+        record_reply(peers, reply | {"gatherers": [["127.0.1.3:1", "z2"]]})
         assert gatherer_states(peers)["127.0.1.2:1"] is ReplicaState.LEAVING
 
     def test_gatherers_stay_in_use_while_no_seed_names_any(self):
         peers = make_peers(ManualClock(), is_seed=False)
-        peers._record_reply(OTHER_SEED, {"gatherers": [["127.0.1.2:1", "z1"]]})
-        peers.named.clear()
+        record_reply(peers, {"gatherers": [["127.0.1.2:1", "z1"]]})
+        peers.names.by_seed.clear()
         peers.update_gathering()
         assert peers.gathering == GatherAtPeers()
         assert gatherer_states(peers) == {"127.0.1.2:1": ReplicaState.ACTIVE}
@@ -192,7 +196,7 @@
     def test_full_read_of_the_catalogue_keeps_gatherers(self):
         """Guard against gatherers that count as unlisted, since the platform does not list them."""
         peers = make_peers(ManualClock(), is_seed=False)
-        peers._record_reply(OTHER_SEED, {"gatherers": [["127.0.1.2:1", "z1"]]})
+        record_reply(peers, {"gatherers": [["127.0.1.2:1", "z1"]]})
         assert peers.fleet.find_unlisted(set()) == set()
 
     def test_forwarded_query_is_not_idempotent(self):
@@ -267,7 +271,7 @@
                             FailureDomainId(f"z{number}"), 1.0)  # fmt: skip
             peers.membership.record(member.host, Heartbeat(member, Millis(500.0), clock.now()))
         peers.update_gathering()
-        assert len(peers.gatherers) == MAX_NAMED_GATHERERS
+        assert len(peers.names.gatherers) == MAX_NAMED_GATHERERS
 
     def test_long_names_of_a_seed_are_not_kept(self):
         """Guard against heartbeats that a seed refuses, since they repeat its long digest."""
@@ -275,9 +279,9 @@
         long = "x" * 100_000
         named = [["127.0.1.2:1", long], ["127.0.1.3:1", "z1"]]
         reply = {"members": 58, "relays": True, "domain": long, "gatherers": named, "digest": long}
-        peers._record_reply(OTHER_SEED, reply)
+        record_reply(peers, reply)
         assert named_addresses(peers) == {"127.0.1.3:1"}
-        assert peers.digests == {OTHER_SEED: ""} and not peers.relay_domains
+        assert peers.names.digests == {OTHER_SEED: ""} and not peers.relay_domains
 
 
 class TestEnds:
@@ -336,13 +340,14 @@
     def test_seeds_hear_of_stop_before_next_heartbeat_is_due(self):
         """Guard against a stop that ends before a heartbeat of every 5 s has announced it."""
         peers = make_peers(ManualClock())
-        wait = Thread(target=peers._wait_for_next_heartbeat, args=(Millis(60_000.0),), daemon=True)
+        exchange = SeedExchange(OTHER_SEED, peers, peers.clock, peers.stopping)
+        wait = Thread(target=exchange.wait, args=(Millis(60_000.0),), daemon=True)
         wait.start()
         peers.stopping.set()
         wait.join(10)
         assert not wait.is_alive()
         started_at = monotonic()
-        peers._wait_for_next_heartbeat(Millis(50.0))
+        exchange.wait(Millis(50.0))
         assert monotonic() - started_at >= 0.05
 
     def test_starting_gateway_logs_once_what_its_seeds_know(self):
@@ -364,7 +369,7 @@
         clock = ManualClock()
         peers = make_peers(clock, is_seed=False)
         if release == "earlier":
-            peers._record_reply(OTHER_SEED, {"members": 3})
+            record_reply(peers, {"members": 3})
         clock.advance(ANSWER_WAIT)
         peers.log_previous_end()
         (line,) = log_lines(peers, "previous_end")
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -32,7 +32,7 @@
 )
 from masticgate.connection.gateway import SearcherTask
 from masticgate.connection.gateway._response_parser import ResponseParser
-from masticgate.process.gateway._peers import GatherAtPeers
+from masticgate.process.gateway._naming import GatherAtPeers
 from masticgate.request.gateway import (
     Answered,
     Call,
