Connections: keep none to a searcher of which the share is below one

Cause: the share of a searcher's connections was at least one for every gateway, so that 83 gateways each kept an idle connection to searchers that accept 58 to 64. The searchers reset the excess; requests that had been written got 502.

Change: where the share is below one, a connection is opened for a request, closed after the answer, and none is opened ahead of a request. Idle connections are closed when the share falls below one, such as after a start, when the other gateways become known. A connection that is closed for this does not count for the limit while it closes, so that no request is refused for it. With a share of one or more nothing changes.

--- a/src/masticgate/process/gateway/_connections.py
+++ b/src/masticgate/process/gateway/_connections.py
@@ -1,10 +1,10 @@
 """The connections to searchers and gatherers: how they open, stay idle and are closed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Set
 from itertools import count
 
 from ..._clock import Clock
-from ..._ids import ConnectionNumber, Millis
+from ..._ids import ConnectionNumber, Millis, ServiceId
 from ...connection.gateway import (
     HeaderNames,
     MemoryBudget,
@@ -38,6 +38,9 @@
     """All connections of a gateway to searchers and gatherers; the fleet's lock guards them.
 
     ``tasks`` maps the task of each connection to its searcher. The tasks report to ``handler``.
+    To the searchers of ``unkept_services``, this gateway's share is below one connection: each is
+    opened for one call and closed after it. ``released`` holds the tasks of such connections that
+    no longer count for their searchers, although they have not ended yet.
     """
 
     def __init__(
@@ -56,6 +59,8 @@
         self.starter = starter
         self.log = log
         self.tasks: dict[SearcherTask, Replica] = {}
+        self.unkept_services: Set[ServiceId] = frozenset()
+        self.released: set[SearcherTask] = set()
         self.numbers = count(1)
         self.memory = memory
 
@@ -86,13 +91,44 @@
         return None
 
     def keep_idle(self, replica: Replica, task: SearcherTask) -> None:
-        """Keep an idle connection, or close it if its searcher is gone."""
+        """Keep an idle connection, or close it if its searcher is gone or none is kept to it."""
         if replica.state is ReplicaState.GONE:
             task.close()
             return
+        if replica.entry.service in self.unkept_services:
+            self._release(replica, task)
+            return
         task.idle_since = self.clock.now()
         replica.idle.append(task)
 
+    def apply_unkept(self, services: Set[ServiceId], replicas: Iterable[Replica]) -> None:
+        """Keep no idle connections to the searchers of ``services``, and close the present ones."""
+        self.unkept_services = services
+        for replica in replicas:
+            if replica.entry.service in services:
+                while replica.idle:
+                    self._release(replica, replica.idle.pop())
+
+    def remove(self, task: SearcherTask) -> Replica:
+        """Remove a connection that has ended, and return its searcher."""
+        replica = self.tasks.pop(task)
+        if task in self.released:
+            self.released.remove(task)
+        else:
+            replica.connection_count -= 1
+        if task in replica.idle:
+            replica.idle.remove(task)
+        return replica
+
+    def _release(self, replica: Replica, task: SearcherTask) -> None:
+        """Close an idle connection, so that another one may be opened at once.
+
+        Otherwise the only permitted connection would count as in use while it closes.
+        """
+        self.released.add(task)
+        replica.connection_count -= 1
+        task.close()
+
     def expire_idle(
         self, replica: Replica, now: Millis, is_in_use: Callable[[Replica, Millis], bool]
     ) -> None:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -301,10 +301,7 @@
         searcher. The outcomes of calls are recorded by :meth:`handle_outcome`.
         """
         with self.lock:
-            replica = self.tasks.pop(task)
-            replica.connection_count -= 1
-            if task in replica.idle:
-                replica.idle.remove(task)
+            replica = self.connections.remove(task)
             if connected or task.opened_for_call:
                 return
             self.metrics.count("connections_failed")
@@ -389,7 +386,9 @@
         Do nothing if the shares of this gateway say that it does not keep connections warm.
         """
         with self.lock:
-            for service in self.shard_services if self.shares.keeps_warm else ():
+            if not self.shares.keeps_warm:
+                return
+            for service in self.shard_services - self.connections.unkept_services:
                 for replica in self._warm_replicas(service):
                     if replica.connection_count == 0:
                         self.connections.open(replica)
@@ -538,6 +537,12 @@
         self.shard_domains = self.listings.domains(self.shard_services)
         for replica in self.replicas.values():
             replica.max_connections = self._max_connections(replica.entry.service)
+        unkept = {
+            service
+            for service, accepted in self.accepted_connections.items()
+            if not shares.keeps_connections(accepted, self.shard_domains.get(service))
+        }
+        self.connections.apply_unkept(unkept, self.replicas.values())
         self.budgets.apply_shares(shares, self.shard_domains)
 
     def _max_connections(self, service: ServiceId) -> int:
--- a/src/masticgate/process/gateway/_shares.py
+++ b/src/masticgate/process/gateway/_shares.py
@@ -55,13 +55,27 @@
     keeps_warm: bool
 
     def max_connections(self, accepted: int, domains: Set[FailureDomainId] | None) -> int:
-        """Return this gateway's share of the connections that one searcher accepts.
+        """Return the number of connections that this gateway may open to one searcher.
 
-        ``domains`` are those with searchers of the same shard, or ``None`` if it serves none.
+        ``accepted`` is what the searcher accepts from all gateways together, and ``domains`` are
+        those with searchers of the same shard, or ``None`` if it serves none. The result is at
+        least one, so that every gateway can send a request.
         """
+        return max(1, self._connection_share(accepted, domains))
+
+    def keeps_connections(self, accepted: int, domains: Set[FailureDomainId] | None) -> bool:
+        """Return whether this gateway may keep connections to one searcher without a request.
+
+        If its share is below one connection, a connection of every gateway would exceed what the
+        searcher accepts, and the searcher would reset some of them.
+        """
+        return self._connection_share(accepted, domains) >= 1
+
+    def _connection_share(self, accepted: int, domains: Set[FailureDomainId] | None) -> int:
+        """Return this gateway's share of the connections, which may be none."""
         if domains is None or not self.gatherer_domains:
-            return max(1, accepted // max(MIN_ASSUMED_GATEWAYS, self.gateways))
-        return max(1, int(accepted * NEAR_CONNECTION_SHARE) // self._near_count(domains))
+            return accepted // max(MIN_ASSUMED_GATEWAYS, self.gateways)
+        return int(accepted * NEAR_CONNECTION_SHARE) // self._near_count(domains)
 
     def repeat_limits(
         self, bounds: RepeatBounds, domains: Set[FailureDomainId] | None
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -320,6 +320,79 @@
         assert replica.state is ReplicaState.ACTIVE
 
 
+class TestConnectionsBelowShare:
+    """Guard against 83 gateways that each keep a connection to a searcher that accepts 64.
+
+    The searcher resets what exceeds its limit, and requests that were written on such a connection
+    get 502.
+    """
+
+    def make_fleet_of(self, gateways: int, *services: str, keeps_warm: bool = False):
+        fleet = make_fleet()
+        target = Shards(tuple(ServiceId(s) for s in services), 1, 0.5) if services else None
+        table = make_table(make_route(target) if target else make_route())
+        entries = {name: replace(entry, connections=64) for name, entry in table.services.items()}
+        fleet.apply_table(replace(table, services=entries))
+        for service in services or ("orders",):
+            fleet.apply_listing(make_entry(f"{service}-0", service))
+        self.apply(fleet, gateways, keeps_warm=keeps_warm)
+        return fleet
+
+    def apply(self, fleet, gateways: int, *, keeps_warm: bool = False) -> None:
+        fleet.apply_shares(GatewayShares(gateways, (), fleet.settings.domain, keeps_warm))
+
+    def test_connection_is_closed_after_the_answer(self):
+        fleet = self.make_fleet_of(83)
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        assert first.task.client.aborted
+        assert not fleet.replicas[SearcherId("orders-0")].idle
+
+    def test_connection_is_kept_up_to_the_number_that_the_searcher_accepts(self):
+        fleet = self.make_fleet_of(64)
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        assert send(fleet).task is first.task
+
+    def test_next_request_is_sent_although_the_connection_has_not_ended_yet(self):
+        """Guard against a refusal for lack of connections while the searcher is free."""
+        fleet = self.make_fleet_of(83)
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        second = send(fleet)
+        assert second.task is not first.task
+        fleet.handle_close(first.task, connected=True)
+        assert fleet.replicas[SearcherId("orders-0")].connection_count == 1
+        assert send(fleet).reason is Reason.OVERLOAD
+        fleet.handle_close(second.task, connected=True)
+        assert fleet.replicas[SearcherId("orders-0")].connection_count == 0
+        assert not fleet.connections.released
+
+    def test_idle_connections_are_closed_when_more_gateways_become_known(self):
+        """The load: after a power loss, a gateway knows no other one at first."""
+        fleet = self.make_fleet_of(1)
+        first = send(fleet)
+        finish(fleet, first, answered(first.searcher))
+        assert not first.task.client.aborted
+        self.apply(fleet, 83)
+        assert first.task.client.aborted
+        assert fleet.replicas[SearcherId("orders-0")].connection_count == 0
+
+    def test_none_is_opened_ahead_of_a_request(self):
+        assert len(self.make_fleet_of(64, "s1", keeps_warm=True).tasks) == 1
+        assert not self.make_fleet_of(83, "s1", keeps_warm=True).tasks
+        fleet = self.make_fleet_of(83, "s1", keeps_warm=True)
+        fleet.maintain()
+        assert not fleet.tasks
+
+    def test_connection_that_opens_when_the_share_falls_is_closed(self):
+        fleet = self.make_fleet_of(1, "s1", keeps_warm=True)
+        (task,) = fleet.tasks
+        self.apply(fleet, 83, keeps_warm=True)
+        fleet.handle_open(task)
+        assert task.client.aborted
+
+
 class TestUnlistedSearchers:
     def test_late_listing_of_another_gateway_does_not_lengthen_its_last_resort(self):
         """Guard against requests to a searcher that left, over the drain time after that (DRAIN).
