Gateway: one estimate of each searcher's speed, and a limit from it

Two late answers were needed before a slow searcher was avoided, and the estimate was forgotten 2 s after the last answer, so that each gatherer tried the slow searcher again by an ordinary request.

The estimate now tells a pause from a slow searcher: after one late answer the next call is a probe, which is hedged at once while half of the budget for repeats is left and another searcher has a free slot. A late probe means slow; probes then follow at 0.5 to 2 s. A concurrency limit is derived from the same answers and from refusals.

--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -10,7 +10,6 @@
 """
 
 import select
-from dataclasses import dataclass
 from threading import Lock
 from typing import Protocol
 
@@ -23,8 +22,16 @@
 from ._encoding import encode_request
 from ._header_names import HeaderNames
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
-from ._parser import Oversized, parse_number
+from ._parser import Oversized
+from ._protocol_violations import (
+    OversizedResponse,
+    ProtocolViolation,
+    SkippedResponse,
+    TrailingBytes,
+    UnrequestedBytes,
+)
 from ._response_parser import ParsedResponse, ResponseParser
+from ._searcher_load import Load, decode_load
 from ._searcher_notices import Leaving, SearcherNotice, decode_notices
 
 CONNECT_TIMEOUT = Millis(300.0)
@@ -50,58 +57,6 @@
 SEARCHER_KERNEL_BYTES = SEARCHER_UNREAD_BYTES + KERNEL_STACK_BYTES
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """The load that a searcher states in a response; it may be outdated or wrong.
-
-    ``running`` and ``waiting`` are numbers of requests. ``slots`` is the number of requests that
-    the searcher runs at the same time.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@dataclass(frozen=True, slots=True)
-class SkippedResponse:
-    """A complete response arrived that is not the expected one; it is skipped.
-
-    Its id is missing or differs, or it has more than one id or stamp.
-    """
-
-    response_id: RequestId
-    expected_id: RequestId
-
-
-@dataclass(frozen=True, slots=True)
-class UnrequestedBytes:
-    """Bytes arrived while the connection had no call; the connection is closed."""
-
-    count: int
-
-
-@dataclass(frozen=True, slots=True)
-class TrailingBytes:
-    """More bytes arrived together with a complete response; the connection is closed."""
-
-    request: RequestId
-
-
-@dataclass(frozen=True, slots=True)
-class OversizedResponse:
-    """A response exceeds a limit before its end; the connection is closed.
-
-    ``count`` is the number of received bytes, and ``detail`` names the limit.
-    """
-
-    count: int
-    detail: str
-
-
-ProtocolViolation = SkippedResponse | UnrequestedBytes | TrailingBytes | OversizedResponse
-
-
 class SearcherTaskHandler(Protocol):
     """Handles the events of connections to searchers; their tasks call it concurrently."""
 
@@ -340,7 +295,7 @@
             self._complete_call(
                 call,
                 self._decode_outcome(response, notices),
-                self._decode_load(response),
+                decode_load(response.headers_by_name.get(self.header_names.load, b"")),
                 reusable=keep_alive,
             )
             if not keep_alive:
@@ -431,11 +386,3 @@
             receive_info,
             Leaving() in notices,
         )
-
-    def _decode_load(self, response: ParsedResponse) -> Load | None:
-        parts = response.headers_by_name.get(self.header_names.load, b"").split(b",")
-        match [parse_number(part) for part in parts]:
-            case [int(running), int(waiting), int(slots)]:
-                return Load(running, waiting, slots)
-            case _:
-                return None
--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -12,8 +12,8 @@
 CROSS_DOMAIN_COST = 0.8
 """Added to the cost of a searcher in another failure domain, for its round trip and traffic.
 
-It exceeds the cost that one late answer adds, so that a single late answer of a searcher in the
-gateway's own domain does not move requests to another domain.
+It exceeds what the ordinary variation of latencies adds to the cost of a searcher in the gateway's
+own domain.
 """
 
 MAX_GATHERER_FAILURE_RATE = 0.15
@@ -49,7 +49,31 @@
         return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "all connections are busy")
     if call.service == PEER_SERVICE:
         return min(free, key=lambda replica: _gatherer_sort_key(replica, call, now))
-    return min(free, key=lambda replica: _searcher_sort_key(replica, own_domain, now))
+    with_room = [replica for replica in free if replica.has_room(now)]
+    return min(with_room or free, key=lambda replica: _searcher_sort_key(replica, own_domain, now))
+
+
+def may_hedge_at_once(
+    call: Call,
+    chosen: Replica,
+    known: Collection[Replica],
+    tried: Set[SearcherId],
+    now: Millis,
+) -> bool:
+    """Return whether ``chosen`` may well answer late, and the call may be hedged at once for that.
+
+    That takes another searcher with a free slot, so that early hedges stop under load.
+    """
+    if call.service == PEER_SERVICE or not chosen.speed.is_doubtful(now):
+        return False
+    return any(
+        replica is not chosen
+        and replica.entry.id not in tried
+        and replica.is_usable(now)
+        and replica.has_capacity()
+        and replica.in_progress(now) < replica.entry.slots
+        for replica in known
+    )
 
 
 def _describe_known(known: Collection[Replica], now: Millis) -> str:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,14 +4,12 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
-import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
 from threading import Lock
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import FailureDomainId, Millis, RouteId, SearcherId, ServiceId
+from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
 from ...connection.gateway import (
     UNLIMITED_MEMORY,
     HeaderNames,
@@ -19,90 +17,35 @@
     Load,
     MemoryBudget,
     OthersLeaving,
-    OversizedResponse,
     PauseRequested,
     ProtocolViolation,
     SearcherNotice,
     SearcherTask,
-    SkippedResponse,
     TaskStarter,
-    TrailingBytes,
-    UnrequestedBytes,
-)
-from ...request.gateway import (
-    Answered,
-    BodyFraming,
-    Call,
-    Declined,
-    InFlightCall,
-    Lost,
 )
+from ...request.gateway import Call, InFlightCall
 from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
-from ._choice import choose_replica
+from ._choice import choose_replica, may_hedge_at_once
+from ._connection_limits import max_connections
 from ._connections import Connections
+from ._dispatched_call import DispatchedCall
 from ._hedge_delays import HedgeDelays
+from ._hedge_delays import peer_route_id as peer_route_id
 from ._listings import LAST_RESORT_SHARE, Listings
-from ._log import EventLog, LogEvent
+from ._log import EventLog
 from ._metrics import Metrics
-from ._rendezvous import rendezvous_weight
+from ._outcomes import Outcomes
 from ._repeat_budgets import RepeatBudgets
-from ._replica import Replica, ReplicaState
+from ._replica import Replica
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from ._unserved import UnservedServices
+from ._violations import record_violation
+from ._warm_connections import WarmConnections
 
 RETRY_RESERVE = 1.0
 """The number of repeats in each budget that hedges may not spend, so that retries can."""
 
-NO_SEARCHER_WAIT = Millis(300.0)
-"""The time after which a service whose searchers all leave may have another one."""
-
-MAX_RETURN_SPREAD = 1.2
-"""Refused callers are told to return after up to this many times the shortest wait."""
-
-DEFAULT_CONNECTIONS = 8
-"""The connection limit for a searcher whose service the configuration does not name."""
-
-WARM_SEARCHERS = 1
-"""The number of searchers of each shard to which a gatherer keeps a connection open."""
-
-MAX_SHARD_CONNECTIONS = 4
-"""The connections of one gateway to each searcher of a shard, whatever its share.
-
-A searcher runs about two requests at once, and a gatherer has hundreds of searchers; requests that
-wait for a slow searcher must not take a task each.
-"""
-
-RENEWAL_WINDOW = Millis(20_000.0)
-"""An expired idle connection is replaced if its searcher was sent a request within this time."""
-
-SHARD_RENEWAL_WINDOW = Millis(6_000.0)
-"""The same for the searchers of shards, of which a gatherer has hundreds and uses some to hedge."""
-
-
-def peer_route_id(route: RouteId) -> RouteId:
-    """Return the id of the route by which parts of queries on ``route`` go to gatherers."""
-    return RouteId(f"{PEER_SERVICE}/{route}")
-
-
-@dataclass(slots=True)
-class DispatchedCall:
-    """A call that was assigned to a connection and has no outcome yet."""
-
-    call: Call
-    searcher: SearcherId
-    task: SearcherTask
-
-    def cancel(self) -> None:
-        """Cancel the call, so that the searcher drops the request or never receives it.
-
-        The connection is closed if the call was started; otherwise the call is not sent.
-        """
-        self.task.cancel(self.call)
-
-    def withdraw(self) -> bool:
-        """Cancel the call unless sending it has begun; return whether it was cancelled."""
-        return self.task.withdraw(self.call)
-
 
 class Fleet:
     """All searchers that the platform lists, and the gatherers; one lock guards their state.
@@ -114,8 +57,8 @@
 
     ``accepted_connections`` maps each service to the number of connections that one of its
     searchers accepts from all gateways together. ``services`` and ``replicas`` are those of
-    ``listings``, and ``tasks`` those of ``connections``. ``unserved`` holds the
-    shards that had no searcher to send to when it was last updated.
+    ``listings``, and ``tasks`` those of ``connections``. ``outcomes``
+    updates searchers by the outcomes of calls.
     """
 
     def __init__(
@@ -144,8 +87,8 @@
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.hedge_delays = HedgeDelays()
-        self.unserved: set[ServiceId] = set()
-        self.random = random.Random()
+        self.outcomes = Outcomes(self.hedge_delays, self.listings, log, metrics)
+        self.unserved = UnservedServices(self.listings)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, also to existing budgets for repeats."""
@@ -166,13 +109,15 @@
         sent if there is no searcher for it, all connections are busy, or no task can be started.
         """
         while True:
+            now = self.clock.now()
             with self.lock:
+                known = self.listings.of_service(call.service)
                 replica = choose_replica(
                     call,
-                    self.listings.of_service(call.service),
+                    known,
                     tried,
                     self.settings.domain,
-                    self.clock.now(),
+                    now,
                     is_shard=call.service in self.shard_services,
                 )
                 if isinstance(replica, NotRun):
@@ -182,7 +127,11 @@
                 if task is None:
                     return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "no task can start")
                 replica.in_flight += 1
-                replica.last_used_at = self.clock.now()
+                replica.last_used_at = call.sent_at = now
+                call.likely_late = may_hedge_at_once(call, replica, known, tried, now) and (
+                    self.budgets.allows_early_hedge(call.service, now)
+                )
+                replica.speed.record_call(now)
             if idle is None or idle.dispatch(call):
                 break
             with self.lock:
@@ -209,11 +158,10 @@
 
         All of their searchers leave or want a pause, or there is none.
         """
-        if not self.unserved:
+        if not self.unserved.services:
             return []
-        now = self.clock.now()
         with self.lock:
-            return [s for s in services if s in self.unserved and self._abstain(s, now)]
+            return self.unserved.find(services, self.clock.now())
 
     def retry_after(self, service: ServiceId) -> Millis | None:
         """Return when a searcher of ``service`` may accept a request again, in milliseconds.
@@ -221,21 +169,8 @@
         The result is ``None`` unless all of them leave or want a pause, or there is none. It is
         spread, so that refused callers do not return together.
         """
-        now = self.clock.now()
         with self.lock:
-            if not self._abstain(service, now):
-                return None
-            pauses = [
-                replica.paused_until - now
-                for replica in self.listings.of_service(service)
-                if replica.is_listed
-            ]
-        wait = min(pauses, default=NO_SEARCHER_WAIT)
-        return Millis(wait * self.random.uniform(1.0, MAX_RETURN_SPREAD))
-
-    def _abstain(self, service: ServiceId, now: Millis) -> bool:
-        """Return whether no searcher of a service may be sent a request; the lock is held."""
-        return all(replica.abstains(now) for replica in self.listings.of_service(service))
+            return self.unserved.retry_after(service, self.clock.now())
 
     def record_overdue(self, call: InFlightCall) -> None:
         """Prefer other searchers while the one of ``call`` has not answered it."""
@@ -243,7 +178,7 @@
             replica = self.replicas.get(call.searcher)
             if replica is not None and not call.call.overdue and call.call.outcome is None:
                 call.call.overdue = True
-                replica.overdue += 1
+                self.outcomes.record_overdue(replica, call.call, self.clock.now())
 
     def hedge_delay(self, route: Route) -> Millis:
         """Return the age at which a request on ``route`` is hedged."""
@@ -287,10 +222,7 @@
             replica = self.tasks[task]
             replica.in_flight -= 1
             replica.overdue -= call.overdue
-            self._record_outcome(replica, call, now)
-            if load is not None:
-                replica.other_requests = max(0, load.running + load.waiting - replica.in_flight - 1)
-                replica.load_reported_at = now
+            self.outcomes.record(replica, call, load, now)
             if reusable:
                 self.connections.keep_idle(replica, task)
 
@@ -309,7 +241,7 @@
                 return
             self.metrics.count("connections_failed")
             if replica.record_failure(self.clock.now()):
-                self._log_ejection(replica, "", "connect")
+                self.outcomes.log_ejection(replica, "", "connect")
 
     def handle_notice(self, task: SearcherTask, notice: SearcherNotice) -> None:
         """Stop using a searcher that leaves or wants a pause, as its answer says."""
@@ -321,7 +253,7 @@
                 case PauseRequested(duration=duration):
                     self.metrics.count("pauses_requested")
                     self.listings.pause(replica, duration)
-                    self._update_unserved([replica.entry.service])
+                    self.unserved.update([replica.entry.service], self.clock.now())
                 case OthersLeaving(searchers=searchers):
                     for searcher in searchers:
                         known = self.replicas.get(searcher)
@@ -330,34 +262,11 @@
 
     def _record_departure(self, replica: Replica, why: str) -> None:
         self.listings.record_departure(replica, why, self.settings.drain)
-        self._update_unserved([replica.entry.service])
-
-    def _update_unserved(self, services: Iterable[ServiceId]) -> None:
-        """Add those of ``services`` to ``unserved`` that have no searcher to send to."""
-        now = self.clock.now()
-        self.unserved.update(service for service in services if self._abstain(service, now))
+        self.unserved.update([replica.entry.service], self.clock.now())
 
     def record_violation(self, task: SearcherTask, violation: ProtocolViolation) -> None:
         """Log and count bytes that do not belong to the response to a call."""
-        fields: dict[str, object] = {"searcher": task.searcher, "connection": task.number}
-        match violation:
-            case SkippedResponse(response_id=response_id, expected_id=expected):
-                self.metrics.count("answer_skipped")
-                event = LogEvent.ANSWER_SKIPPED
-                fields |= {"answered": response_id, "request": expected}
-            case UnrequestedBytes(count=number):
-                self.metrics.count("bytes_unrequested")
-                event = LogEvent.BYTES_UNREQUESTED
-                fields |= {"bytes": number}
-            case OversizedResponse(count=number, detail=detail):
-                self.metrics.count("answer_oversized")
-                event = LogEvent.ANSWER_OVERSIZED
-                fields |= {"bytes": number, "detail": detail}
-            case TrailingBytes(request=request):
-                self.metrics.count("bytes_trailing")
-                event = LogEvent.BYTES_TRAILING
-                fields |= {"request": request}
-        self.log.write(event, **fields)
+        record_violation(task, violation, self.log, self.metrics)
 
     def apply_table(self, table: RouteTable) -> None:
         """Apply a configuration: the connection limits, and the services searched as shards."""
@@ -389,10 +298,8 @@
         Do nothing if the shares of this gateway say that it does not keep connections warm.
         """
         with self.lock:
-            for service in self.shard_services if self.shares.keeps_warm else ():
-                for replica in self._warm_replicas(service):
-                    if replica.connection_count == 0:
-                        self.connections.open(replica)
+            for replica in self._warm_connections().find_missing(self.clock.now()):
+                self.connections.open(replica)
 
     def has_room(self, searcher: SearcherId) -> bool:
         """Return whether a listing of ``searcher`` can be applied.
@@ -464,72 +371,18 @@
         now = self.clock.now()
         with self.lock:
             self.listings.remove_gone(now)
+            is_in_use = self._warm_connections().is_in_use
             for replica in self.replicas.values():
-                self.connections.expire_idle(replica, now, self._is_in_use)
+                self.connections.expire_idle(replica, now, is_in_use)
             self.connections.close_stuck(now)
-            self.unserved.clear()
+            self.unserved.services.clear()
             if self.shares.keeps_warm:
-                self._update_unserved(self.shard_services)
+                self.unserved.update(self.shard_services, now)
         self.warm_up()
 
-    def _is_in_use(self, replica: Replica, now: Millis) -> bool:
-        """Return whether an expired idle connection of a searcher is worth replacing.
-
-        One to a gatherer is not: each of hundreds of gateways would keep one open to each gatherer.
-        """
-        service = replica.entry.service
-        if service == PEER_SERVICE:
-            return False
-        if service in self.shard_services:
-            window = SHARD_RENEWAL_WINDOW if self.shares.keeps_warm else Millis(0.0)
-        else:
-            window = RENEWAL_WINDOW
-        return now - replica.last_used_at < window or self._is_kept_warm(replica)
-
-    def _record_outcome(self, replica: Replica, call: Call, now: Millis) -> None:
-        """Update a searcher's statistics and state from the outcome of one call.
-
-        The lock is held.
-        """
-        match call.outcome:
-            case Answered(status=status, latency=latency, receive_info=receive_info) if (
-                status < 500
-            ):
-                if receive_info.framing is BodyFraming.CLOSE:
-                    self.metrics.count("answers_ended_by_close")
-                first_attempt = not call.repeat
-                ratio = self.hedge_delays.record(
-                    call.route.id, latency, now, first_attempt=first_attempt
-                )
-                if replica.record_success(ratio, now):
-                    self.log.write(LogEvent.SEARCHER_BACK, searcher=replica.entry.id)
-            case Declined(reason=Reason.NO_SEARCHER):
-                why = "another searcher has its address"
-                self.listings.start_leaving(replica, why, Millis(0.0))
-            case Answered(status=503) | Declined() if replica.is_paused(now):
-                return
-            case Declined():
-                replica.raise_failure_rate(now)
-            case Lost(lacked_memory=lacked_memory) if call.cancelled or lacked_memory:
-                return
-            case Answered() | Lost():
-                self._record_failure(replica, call, now)
-
-    def _record_failure(self, replica: Replica, call: Call, now: Millis) -> None:
-        self.metrics.count("searcher_failures")
-        detail = call.outcome.detail if isinstance(call.outcome, Lost) else "error status"
-        if replica.record_failure(now):
-            self._log_ejection(replica, call.request.id, detail)
-
-    def _log_ejection(self, replica: Replica, request: str, detail: str) -> None:
-        self.log.write(
-            LogEvent.SEARCHER_EJECTED,
-            searcher=replica.entry.id,
-            service=replica.entry.service,
-            request=request,
-            failures=replica.consecutive_failures,
-            detail=detail,
-            next_ejection_ms=round(replica.next_ejection_time),
+    def _warm_connections(self) -> WarmConnections:
+        return WarmConnections(
+            self.listings, self.settings, self.shard_services, self.shares.keeps_warm
         )
 
     def _apply_shares(self, shares: GatewayShares) -> None:
@@ -541,35 +394,6 @@
         self.budgets.apply_shares(shares, self.shard_domains)
 
     def _max_connections(self, service: ServiceId) -> int:
-        """Return this gateway's connection limit for each searcher of a service."""
         accepted = self.accepted_connections.get(service)
-        if accepted is None:
-            return DEFAULT_CONNECTIONS
-        share = self.shares.max_connections(accepted, self.shard_domains.get(service))
-        return min(share, MAX_SHARD_CONNECTIONS) if service in self.shard_services else share
-
-    def _warm_replicas(self, service: ServiceId) -> list[Replica]:
-        """Return the searchers of a shard to which this gateway keeps a connection open.
-
-        They are the ones for first attempts, in this gateway's domain if there is one.
-        """
-        now = self.clock.now()
-        active = [
-            replica
-            for replica in self.listings.of_service(service)
-            if replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
-        ]
-        own_domain = self.settings.domain
-        active.sort(
-            key=lambda r: (
-                r.entry.domain != own_domain,
-                rendezvous_weight(self.settings.host, r.entry.id),
-            )
-        )
-        return active[:WARM_SEARCHERS]
-
-    def _is_kept_warm(self, replica: Replica) -> bool:
-        service = replica.entry.service
-        if not self.shares.keeps_warm or service not in self.shard_services:
-            return False
-        return replica in self._warm_replicas(service)
+        is_shard, domains = service in self.shard_services, self.shard_domains.get(service)
+        return max_connections(accepted, domains, self.shares, is_shard=is_shard)
--- a/src/masticgate/process/gateway/_hedge_delays.py
+++ b/src/masticgate/process/gateway/_hedge_delays.py
@@ -5,7 +5,7 @@
 """
 
 from ..._ids import Millis, RouteId
-from ...version.gateway import Route
+from ...version.gateway import PEER_SERVICE, Route
 from .._latency_window import LatencyWindow
 
 HEDGE_PERCENTILE = 90.0
@@ -31,6 +31,11 @@
 """The percentile of a route's latencies to which a single latency is compared."""
 
 
+def peer_route_id(route: RouteId) -> RouteId:
+    """Return the id of the route by which parts of queries on ``route`` go to gatherers."""
+    return RouteId(f"{PEER_SERVICE}/{route}")
+
+
 class HedgeDelays:
     """The latencies of first attempts by route; the fleet's lock guards them."""
 
@@ -47,6 +52,11 @@
         delay = min(percentile * HEDGE_DELAY_FACTOR, median * MAX_MEDIAN_FACTOR)
         return Millis(min(delay, route.objective * MAX_DELAY_SHARE))
 
+    def usual_latency(self, route: RouteId) -> Millis | None:
+        """Return the median latency of a route, or ``None`` while it is not known."""
+        window = self.windows.get(route)
+        return window.percentile(TYPICAL_PERCENTILE) if window is not None else None
+
     def record(self, route: RouteId, latency: Millis, now: Millis, *, first_attempt: bool) -> float:
         """Record the latency of an answer, and return its ratio to the median of its route.
 
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -61,6 +61,8 @@
     SEARCHER_PAUSED = "searcher_paused"
     SEARCHER_EJECTED = "searcher_ejected"
     SEARCHER_BACK = "searcher_back"
+    SEARCHER_SLOW = "searcher_slow"
+    SEARCHER_RECOVERED = "searcher_recovered"
     SOURCE = "source"
     PREVIOUS_END = "previous_end"
     RESTART_UNANNOUNCED = "restart_unannounced"
--- a/src/masticgate/process/gateway/_repeat_budgets.py
+++ b/src/masticgate/process/gateway/_repeat_budgets.py
@@ -8,6 +8,10 @@
 from ._settings import RepeatBounds
 from ._shares import GatewayShares
 
+EARLY_HEDGE_SHARE = 0.5
+"""The part of a budget that early hedges may use; the rest is for calls that are overdue or failed.
+"""
+
 ShardDomains = Mapping[ServiceId, frozenset[FailureDomainId]]
 
 
@@ -41,6 +45,10 @@
         """Spend one repeat, or return ``False`` if less than ``reserve`` would remain."""
         return self.window(service).spend(now, reserve)
 
+    def allows_early_hedge(self, service: ServiceId, now: Millis) -> bool:
+        """Return whether a hedge may be sent before the first attempt is overdue."""
+        return self.window(service).used_share(now) < EARLY_HEDGE_SHARE
+
     def drop_empty(self, now: Millis) -> None:
         """Drop the windows without a request or repeat, which are created again if needed."""
         self.windows = {
--- a/src/masticgate/process/gateway/_repeat_window.py
+++ b/src/masticgate/process/gateway/_repeat_window.py
@@ -48,6 +48,11 @@
         self.repeats.append(now)
         return True
 
+    def used_share(self, now: Millis) -> float:
+        """Return the part of the allowed repeats that were sent within the window."""
+        self._expire(now)
+        return len(self.repeats) / max(1.0, self._max_repeats(now))
+
     def is_empty(self, now: Millis) -> bool:
         """Return whether there was no request or repeat within the window."""
         self._expire(now)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -5,6 +5,7 @@
 from ..._ids import Millis
 from ...connection.gateway import SearcherTask
 from ...version.gateway import SearcherEntry
+from .searchers import ConcurrencyLimit, Speed
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
@@ -15,30 +16,6 @@
 MAX_EJECTION_TIME = Millis(4_000.0)
 """The upper bound on the duration of an ejection."""
 
-LATENCY_RATIO_WEIGHT = 0.15
-"""The weight of the latest answer in the smoothed latency ratio."""
-
-SLOW_LATENCY_RATIO = 1.3
-"""A searcher with a higher smoothed ratio may be slow, and not only have paused once."""
-
-SLOW_RATIO_WEIGHT = 0.4
-"""The weight of a late answer of such a searcher.
-
-Two late answers in a row then outweigh that another searcher is in another failure domain.
-"""
-
-MAX_LATENCY_RATIO = 4.0
-"""The bound on the latency ratio of one answer.
-
-It keeps a single pause of a searcher from diverting later requests to others.
-"""
-
-LATENCY_RATIO_TTL = Millis(2_000.0)
-"""How long the latency ratio of an idle searcher counts after its last answer.
-
-After that, a ratio over 1 counts as 1.
-"""
-
 FAILURE_RATE_WEIGHT = 0.2
 """The weight of the latest attempt in the smoothed failure rate."""
 
@@ -85,8 +62,9 @@
 class Replica:
     """One searcher and the connections to it; the fleet's lock guards it.
 
-    ``latency_ratio`` is its latency relative to the usual latency of the same route, and
-    ``failure_rate`` is the share of its attempts that were refused or failed; both are smoothed.
+    ``speed`` estimates its latency relative to the usual latency of the same route, ``limit``
+    bounds the requests that it should have in progress, and ``failure_rate`` is the smoothed share
+    of its attempts that were refused or failed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
     when a hedge was due. Until ``paused_until``, the searcher wants no requests.
@@ -102,8 +80,8 @@
         self.overdue = 0
         self.last_used_at = now
         self.cold_until = Millis(now + entry.cold)
-        self.latency_ratio = 1.0
-        self.latency_ratio_updated_at = Millis(0.0)
+        self.speed = Speed()
+        self.limit = ConcurrencyLimit(entry.slots)
         self.failure_rate = 0.0
         self.failure_rate_updated_at = now
         self.other_requests = 0
@@ -148,20 +126,25 @@
         """Return whether a connection is idle or another one may be opened."""
         return bool(self.idle) or self.connection_count < self.max_connections
 
+    def in_progress(self, now: Millis) -> int:
+        """Return the number of requests at the searcher, as far as this gateway knows."""
+        is_fresh = now - self.load_reported_at < LOAD_REPORT_TTL
+        return self.in_flight + (self.other_requests if is_fresh else 0)
+
+    def has_room(self, now: Millis) -> bool:
+        """Return whether the searcher handles another request well, by its concurrency limit."""
+        return self.in_progress(now) + 1 <= self.limit.value(now)
+
     def cost(self, now: Millis) -> float:
         """Return the cost of a request at this searcher; the lowest cost is preferred.
 
         It grows with the searcher's latency, its load and its failure rate.
         """
-        latency_ratio = self.latency_ratio
-        if self.in_flight == 0 and now - self.latency_ratio_updated_at > LATENCY_RATIO_TTL:
-            latency_ratio = min(latency_ratio, 1.0)
+        factor = self.speed.factor(now)
         if now < self.cold_until:
-            latency_ratio *= COLD_START_FACTOR
-        other_requests = self.other_requests if now - self.load_reported_at < LOAD_REPORT_TTL else 0
-        load_per_slot = (self.in_flight + other_requests) / self.entry.slots
+            factor *= COLD_START_FACTOR
         return (
-            latency_ratio * (1.0 + load_per_slot)
+            factor * (1.0 + self.in_progress(now) / self.entry.slots)
             + OVERDUE_COST * self.overdue
             + FAILURE_COST * self.current_failure_rate(now)
         )
@@ -184,17 +167,10 @@
         self.failure_rate = failure_rate + FAILURE_RATE_WEIGHT * (failed - failure_rate)
         self.failure_rate_updated_at = now
 
-    def record_success(self, ratio: float, now: Millis) -> bool:
-        """Record an answer; return ``True`` if it ends an ejection.
-
-        ``ratio`` is its latency relative to the usual latency of the route.
-        """
+    def record_success(self, now: Millis) -> bool:
+        """Record an answer; return ``True`` if it ends an ejection."""
         self.consecutive_failures = 0
         self._update_failure_rate(0.0, now)
-        is_slow = ratio > self.latency_ratio > SLOW_LATENCY_RATIO
-        weight = SLOW_RATIO_WEIGHT if is_slow else LATENCY_RATIO_WEIGHT
-        self.latency_ratio += weight * (min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio)
-        self.latency_ratio_updated_at = now
         if self.state is not ReplicaState.EJECTED:
             return False
         self.state = ReplicaState.ACTIVE
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -85,22 +85,34 @@
         return self.possibly_ran or self.cancelled_after_start
 
     def send_first(self) -> bool:
-        """Send the first attempt; return ``False`` if no searcher can accept it."""
-        return self._send(None)
+        """Send the first attempt; return ``False`` if no searcher can accept it.
+
+        If its answer is likely late, hedge it at once, as far as the budget allows it.
+        """
+        if not self._send(None):
+            return False
+        self._hedge_if_likely_late()
+        return True
 
     def send_hedge(self) -> bool:
         """Send a hedge, if the deadline, the route's limit and the budget allow it.
 
         Return whether it was sent. Only one hedge is tried; later calls return ``False``.
         """
-        if self.hedged:
-            return False
-        self.hedged = True
         for in_flight_call in self.in_flight_calls.values():
             if in_flight_call.call.started:
                 self.upstream.record_overdue(in_flight_call)
+        if self.hedged:
+            return False
+        self.hedged = True
         return self._repeat(Repeat.HEDGE)
 
+    def _hedge_if_likely_late(self) -> None:
+        """Send an early hedge, which is not a sign that the first attempt is overdue."""
+        is_idempotent = self.route.kind is Idempotency.IDEMPOTENT
+        if is_idempotent and any(c.call.likely_late for c in self.in_flight_calls.values()):
+            self.hedged = self.pending_started and self._repeat(Repeat.HEDGE)
+
     def handle_outcome(self, call: Call) -> bool:
         """Record the outcome of ``call``; return ``False`` if it is not an attempt in flight."""
         in_flight_call = self.in_flight_calls.pop(id(call), None)
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -192,6 +192,8 @@
     The task of the searcher's connection sets ``outcome``. ``deadline`` is a point on the
     gateway's clock. ``started`` is set before the first byte is sent, ``cancelled`` when the
     outcome is no longer needed, and ``overdue`` when the call had no outcome when a hedge was due.
+    The upstream client sets ``sent_at``, and ``likely_late`` if the answer may well be late and a
+    hedge may be sent at once.
     """
 
     request: Request
@@ -203,6 +205,8 @@
     started: bool = False
     cancelled: bool = False
     overdue: bool = False
+    sent_at: Millis = Millis(0.0)
+    likely_late: bool = False
     outcome: Outcome | None = field(default=None)
 
 
--- /dev/null
+++ b/tests/gateway/test_hedging.py
@@ -0,0 +1,132 @@
+"""Guard against answers that are late for want of an early hedge, and against needless hedges."""
+
+import pytest
+
+from masticgate import ManualClock, Millis, ServiceId
+from masticgate.request.gateway import Call, Merged, Relayed, Repeat, run_forward, run_gather
+from masticgate.version.gateway import Idempotency, Shards
+
+from .fakes import (
+    ScriptedUpstream,
+    SlowConnect,
+    answered,
+    make_entry,
+    make_fleet,
+    make_request,
+    make_route,
+)
+from .test_gather import record
+
+ORDERS = ServiceId("orders")
+
+
+class DoubtfulUpstream(ScriptedUpstream):
+    """A scripted client whose first attempts at ``doubtful`` services are likely late."""
+
+    def __init__(self, plans, doubtful, repeats=100):
+        super().__init__(plans, repeats)
+        self.doubtful = doubtful
+
+    def send(self, call, tried):
+        call.likely_late = call.repeat is None and call.service in self.doubtful
+        return super().send(call, tried)
+
+
+def send_and_finish(fleet, latency: float, *, kind=None):
+    """Send a call that is answered after ``latency``, and return it."""
+    call = Call(make_request(), make_route(), ORDERS, Millis(9e9), None, kind)
+    dispatched = fleet.send(call, set())
+    call.started = True
+    fleet.clock.advance(Millis(latency))
+    call.outcome = answered(dispatched.searcher, latency=latency)
+    fleet.handle_outcome(dispatched.task, call, None, reusable=True)
+    return dispatched
+
+
+def make_busy_fleet(**settings):
+    """Return a fleet with two searchers whose usual latency is known, and full budgets."""
+    fleet = make_fleet(ManualClock(), **settings)
+    fleet.apply_listing(make_entry("near", domain="z1"))
+    fleet.apply_listing(make_entry("far", domain="z2"))
+    fleet.clock.advance(Millis(20_000.0))
+    for _ in range(30):
+        send_and_finish(fleet, 10.0)
+    return fleet
+
+
+class TestEarlyHedges:
+    def test_likely_late_shard_is_hedged_at_once(self):
+        plans = {"a": [(5, record(1))], "b": [(300, record(2)), (5, record(2))]}
+        script = DoubtfulUpstream(plans, {"b"})
+        reply = run_gather(*gather_arguments(script))
+        assert isinstance(reply, Merged) and reply.missing == 0
+        assert script.now() == 5.0
+
+    def test_without_budget_first_attempt_is_waited_for(self):
+        script = DoubtfulUpstream(
+            {"orders": [(30, b"order"), (5, b"hedge")]}, {"orders"}, repeats=0
+        )
+        reply = run_forward(make_request(), make_route(), ORDERS, script, script)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"order"
+
+    def test_request_that_is_not_idempotent_is_sent_once(self):
+        script = DoubtfulUpstream({"orders": [(30, b"order"), (5, b"hedge")]}, {"orders"})
+        route = make_route(kind=Idempotency.NON_IDEMPOTENT)
+        run_forward(make_request(), route, ORDERS, script, script)
+        assert len(script.sent_calls) == 1
+
+    def test_attempt_whose_connection_is_opening_is_not_replaced_at_once(self):
+        script = DoubtfulUpstream(
+            {"orders": [(15, SlowConnect(b"order")), (5, b"hedge")]}, {"orders"}
+        )
+        reply = run_forward(make_request(), make_route(), ORDERS, script, script)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"order"
+        assert len(script.sent_calls) == 1
+
+    def test_early_hedge_is_no_sign_that_first_attempt_is_overdue(self):
+        script = DoubtfulUpstream({"orders": [(15, b"order"), (5, b"hedge")]}, {"orders"})
+        run_forward(make_request(), make_route(), ORDERS, script, script)
+        assert [sent.call.overdue for sent in script.sent_calls] == [False, False]
+
+
+def gather_arguments(script):
+    target = Shards(tuple(ServiceId(name) for name in script.plans), 3, 0.5)
+    return make_request(), make_route(target), target, script, script
+
+
+class TestLikelyLateCalls:
+    def test_call_after_late_answer_goes_to_same_searcher_and_may_be_hedged(self):
+        fleet = make_busy_fleet()
+        assert not send_and_finish(fleet, 90.0).call.likely_late
+        probe = send_and_finish(fleet, 90.0)
+        assert (probe.searcher, probe.call.likely_late) == ("near", True)
+        following = send_and_finish(fleet, 10.0)
+        assert (following.searcher, following.call.likely_late) == ("far", False)
+
+    def test_no_early_hedge_while_all_other_searchers_are_busy(self):
+        """Guards against early hedges that add to an overload."""
+        fleet = make_busy_fleet()
+        send_and_finish(fleet, 90.0)
+        far = fleet.replicas["far"]
+        far.in_flight = far.entry.slots
+        assert not send_and_finish(fleet, 90.0).call.likely_late
+
+    def test_early_hedges_leave_half_of_the_budget(self):
+        fleet = make_busy_fleet(ratio=0.0, slack=100.0)
+        budget = fleet.budgets.window(ORDERS)
+        while fleet.budgets.allows_early_hedge(ORDERS, fleet.now()):
+            assert fleet.allow_hedge(ORDERS)
+        send_and_finish(fleet, 90.0)
+        assert not send_and_finish(fleet, 90.0).call.likely_late
+        assert budget.slack * 0.5 <= len(budget.repeats) <= budget.slack * 0.5 + 1.0
+        assert fleet.allow_hedge(ORDERS)
+
+    @pytest.mark.parametrize("repeat", [None, Repeat.HEDGE])
+    def test_recovered_searcher_is_used_again(self, repeat):
+        fleet = make_busy_fleet()
+        for _ in range(2):
+            send_and_finish(fleet, 90.0)
+        fleet.clock.advance(Millis(600.0))
+        assert send_and_finish(fleet, 10.0, kind=repeat).searcher == "near"
+        last = send_and_finish(fleet, 10.0)
+        assert (last.searcher, last.call.likely_late) == ("near", False)
