--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -375,6 +375,7 @@
             for replica in self.replicas.values():
                 self.connections.expire_idle(replica, now, is_in_use)
             self.connections.close_stuck(now)
+            self.outcomes.set_gauges(self.replicas.values(), now)
             self.unserved.services.clear()
             if self.shares.keeps_warm:
                 self.unserved.update(self.shard_services, now)
--- a/src/masticgate/process/gateway/_outcomes.py
+++ b/src/masticgate/process/gateway/_outcomes.py
@@ -1,5 +1,7 @@
 """Applies the outcomes of calls to the state of their searchers."""
 
+from collections.abc import Iterable
+
 from ..._failures import Reason
 from ..._ids import Millis
 from ...connection.gateway import Load
@@ -61,7 +63,7 @@
         usual = self.hedge_delays.usual_latency(call.route.id)
         if usual is not None:
             ratio = (now - call.sent_at) / usual
-            self._record_evidence(replica, Overdue(ratio, call.sent_at), now)
+            self.record_evidence(replica, Overdue(ratio, call.sent_at), now)
 
     def log_ejection(self, replica: Replica, request: str, detail: str) -> None:
         """Log that a searcher is ejected because of its failures."""
@@ -95,17 +97,18 @@
         )
         replica.limit.record_answer(ratio, replica.in_progress(now) + 1, queue, now)
         evidence = AnswerTime(ratio, answer.latency, call.sent_at, queue)
-        self._record_evidence(replica, evidence, now)
+        self.record_evidence(replica, evidence, now)
         if replica.record_success(now):
             self.log.write(LogEvent.SEARCHER_BACK, searcher=replica.entry.id)
 
-    def _record_evidence(self, replica: Replica, evidence: Evidence, now: Millis) -> None:
+    def record_evidence(self, replica: Replica, evidence: Evidence, now: Millis) -> bool:
         """Update the estimate of a searcher's speed, and log if it has become or ceased to be slow.
 
-        Gatherers are left out, since their latency depends on the parts that they are sent.
+        Return whether it has. Gatherers are left out, since their latency depends on the parts that
+        they are sent.
         """
         if replica.entry.service == PEER_SERVICE:
-            return
+            return False
         was_slow = replica.speed.is_slow(now)
         replica.speed.record(evidence, now)
         is_slow = replica.speed.is_slow(now)
@@ -117,6 +120,15 @@
                 factor=round(replica.speed.late_factor if is_slow else replica.speed.base, 2),
                 evidence=type(evidence).__name__,
             )
+        return is_slow != was_slow
+
+    def set_gauges(self, replicas: Iterable[Replica], now: Millis) -> None:
+        """Update the gauges of the searchers that are slow or limited."""
+        known = list(replicas)
+        slow = sum(replica.speed.is_slow(now) for replica in known)
+        self.metrics.set_gauge("searchers_slow", slow)
+        limited = sum(replica.limit.is_limited(now) for replica in known)
+        self.metrics.set_gauge("searchers_limited", limited)
 
     def _record_failure(self, replica: Replica, call: Call, now: Millis) -> None:
         self.metrics.count("searcher_failures")
--- a/src/masticgate/process/gateway/searchers/_speed.py
+++ b/src/masticgate/process/gateway/searchers/_speed.py
@@ -128,7 +128,7 @@
     ``base`` is the smoothed ratio of the answers that were not late, and ``late_factor`` that of
     the latest late one. ``late_at`` is the time of the latest evidence of lateness, and
     ``answered_at`` that of the latest answer of any kind. No probe is due before ``probe_at``.
-    ``is_reported`` says that the lateness is known from a report only.
+    ``is_reported`` says that the latest evidence of lateness is a report, which is not passed on.
     """
 
     def __init__(self) -> None:
@@ -230,8 +230,8 @@
         if now - noticed_at >= REPORT_TTL or noticed_at <= latest + REPORT_MARGIN:
             return
         if not self.is_slow(now):
-            self.probe_interval, self.is_reported = FIRST_PROBE_INTERVAL, True
-        self.state = SpeedState.SLOW
+            self.probe_interval = FIRST_PROBE_INTERVAL
+        self.state, self.is_reported = SpeedState.SLOW, True
         self.late_factor = min(MAX_FACTOR, max(MIN_LATE_FACTOR, factor))
         self.late_at = max(self.late_at, noticed_at)
         self.probe_at = max(self.probe_at, Millis(noticed_at + REPORT_TTL))
--- a/tests/gateway/test_searcher_speed.py
+++ b/tests/gateway/test_searcher_speed.py
@@ -2,20 +2,25 @@
 
 import pytest
 
-from masticgate import Millis
+from masticgate import ManualClock, Millis, SearcherId
 from masticgate.connection.gateway import Load
 from masticgate.connection.gateway._searcher_load import decode_load
 from masticgate.process.gateway._replica import Replica
+from masticgate.process.gateway._slow_reports import SlowReports
 from masticgate.process.gateway.searchers import (
     AnswerTime,
     ConcurrencyLimit,
     Overdue,
+    ReceivedReports,
     Report,
+    SlowSearcher,
     Speed,
     SpeedState,
+    decode_reports,
+    encode_reports,
 )
 
-from .fakes import make_entry
+from .fakes import make_entry, make_fleet
 from .searcher_models import (
     Estimated,
     FixedWeights,
@@ -168,6 +173,101 @@
         speed.record(Report(8.0, Millis(5_000.0)), Millis(6_600.0))
         assert not speed.is_doubtful(Millis(6_600.0))
 
+    def test_answer_after_report_ends_doubt(self):
+        speed = Speed()
+        speed.record(Report(8.0, Millis(5_000.0)), Millis(5_200.0))
+        speed.record(answer(1.0, 5_300.0), Millis(5_300.0))
+        assert not speed.is_doubtful(Millis(5_300.0))
+
+
+class TestReportCodec:
+    def test_decodes_what_it_encodes(self):
+        slow = [SlowSearcher(SearcherId("a,b:c"), 8.25, Millis(120.0))]
+        assert decode_reports(encode_reports(slow)) == slow
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "",
+            "x",
+            "{}",
+            "[1]",
+            '[["a",8]]',
+            '[["",8,0]]',
+            '[["a","8",0]]',
+            '[["a",1,0]]',
+            '[["a",NaN,0]]',
+            '[["a",8,-1]]',
+            '[["a",8,1500]]',
+            '[["a",8,1e999]]',
+            f'[["a",{"9" * 400},0]]',
+            "[" * 10_000,
+        ],
+    )
+    def test_leaves_out_invalid_reports(self, text):
+        assert decode_reports(text) == []
+
+    def test_valid_report_counts_beside_invalid_one(self):
+        assert len(decode_reports('[["a",8,-1],["b",8,0]]')) == 1
+
+    def test_takes_32_reports_of_one_heartbeat(self):
+        text = encode_reports(
+            [SlowSearcher(SearcherId(f"s{i}"), 8.0, Millis(0.0)) for i in range(100)]
+        )
+        assert len(decode_reports(text)) == 32
+
+
+class TestReceivedReports:
+    def test_returns_the_latest_64(self):
+        received = ReceivedReports()
+        slow = [SlowSearcher(SearcherId(f"s{i}"), 8.0, Millis(float(i))) for i in range(100)]
+        received.record(slow, Millis(5_000.0))
+        assert received.latest(Millis(5_000.0)) == slow[:64]
+
+    def test_drops_old_reports(self):
+        received = ReceivedReports()
+        received.record([SlowSearcher(SearcherId("a"), 8.0, Millis(0.0))], Millis(5_000.0))
+        received.record([], Millis(6_600.0))
+        assert not received.reports
+
+
+class TestSharedReports:
+    """Reports that pass from one gatherer through a seed to another one."""
+
+    def make_fleets(self):
+        clock = ManualClock(Millis(10_000.0))
+        fleets = [make_fleet(clock) for _ in range(3)]
+        for fleet in fleets:
+            fleet.apply_listing(make_entry("a"))
+        return clock, fleets, [SlowReports(fleet) for fleet in fleets]
+
+    def make_slow(self, fleet):
+        now = fleet.now()
+        fleet.replicas["a"].speed.record(AnswerTime(9.0, Millis(400.0), now), now)
+
+    def test_other_gatherer_learns_of_slow_searcher(self):
+        clock, fleets, reports = self.make_fleets()
+        self.make_slow(fleets[0])
+        reply = reports[1].exchange(reports[0].encode_own())
+        reports[2].apply_reply(reply)
+        for fleet in fleets:
+            assert fleet.replicas["a"].speed.factor(clock.now()) == 9.0
+
+    def test_report_is_not_passed_on_as_own_evidence(self):
+        """Guards against gatherers that confirm each other's reports after the recovery."""
+        clock, fleets, reports = self.make_fleets()
+        self.make_slow(fleets[0])
+        reports[2].apply_reply(reports[1].exchange(reports[0].encode_own()))
+        assert reports[2].encode_own() == "[]"
+        clock.advance(Millis(1_600.0))
+        assert reports[1].exchange(reports[2].encode_own()) == []
+
+    @pytest.mark.parametrize("value", [None, 1, "x", [], [["unknown", 8.0, 0]], [["a", 8.0]]])
+    def test_ignores_reply_without_usable_reports(self, value):
+        clock, fleets, reports = self.make_fleets()
+        reports[2].apply_reply(value)
+        assert not fleets[2].replicas["a"].speed.is_doubtful(clock.now())
+
 
 class TestConcurrencyLimit:
     def test_begins_with_slots_and_queue(self):
