Gateway: heartbeats carry the reports of slow searchers

The parameter "slow" of a heartbeat, and the field "slow" of its reply. Both are sent only by gateways that gather, and to them.

--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -49,6 +49,7 @@
 )
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from ._slow_reports import SlowReports
 from ._supervisor import Supervisor
 
 HEARTBEAT_HOST = "heartbeat.gateway"
@@ -182,6 +183,7 @@
         self.apply_lock = Lock()
         self.started_at = clock.now()
         self.membership = Membership()
+        self.slow_reports = SlowReports(fleet)
         self.named: dict[Address, frozenset[Gatherer]] = {}
         self.digests: dict[Address, str] = {}
         self.gatherers: frozenset[Gatherer] = frozenset()
@@ -235,6 +237,8 @@
         }
         if query.get("known", [""])[0] != digest:
             reply |= {"gatherers": gatherers, "digest": digest}
+        if "slow" in query:
+            reply["slow"] = self.slow_reports.exchange(query["slow"][0])
         if "previous" in query:
             with self.lock:
                 before = self.processes.find_before(host)
@@ -440,6 +444,8 @@
         }
         if self.previous_end.is_open:
             query["previous"] = 1
+        if isinstance(self.gathering, GatherHere):
+            query["slow"] = self.slow_reports.encode_own()
         if seed in self.digests:
             query["known"] = self.digests[seed]
         if self.settings.peer_address is not None and self.is_ready():
@@ -465,6 +471,7 @@
                 self.named[seed] = decode_gatherers(reply["gatherers"])
                 self.digests[seed] = str(digest) if is_name(digest) else ""
         self._apply_gatherers()
+        self.slow_reports.apply_reply(reply.get("slow"))
 
 
 def decode_heartbeat(query: dict[str, list[str]], now: Millis) -> Heartbeat:
--- a/tests/gateway/test_searcher_speed.py
+++ b/tests/gateway/test_searcher_speed.py
@@ -1,10 +1,15 @@
 """Guard against calls that go to slow searchers, and against traffic that a pause moves away."""
 
+import json
+from urllib.parse import urlencode
+
 import pytest
 
 from masticgate import ManualClock, Millis, SearcherId
+from masticgate._ids import RequestId
 from masticgate.connection.gateway import Load
 from masticgate.connection.gateway._searcher_load import decode_load
+from masticgate.process.gateway._peers import HEARTBEAT_HOST
 from masticgate.process.gateway._replica import Replica
 from masticgate.process.gateway._slow_reports import SlowReports
 from masticgate.process.gateway.searchers import (
@@ -19,6 +24,7 @@
     decode_reports,
     encode_reports,
 )
+from masticgate.request.gateway import Request
 
 from .fakes import make_entry, make_fleet
 from .searcher_models import (
@@ -32,6 +38,15 @@
     slow_between,
     steady,
 )
+from .test_peers import make_peers
+
+
+def heartbeat_reply(peers, **query: str) -> dict:
+    """Return the reply of a seed to a heartbeat."""
+    target = f"/?{urlencode(query)}".encode()
+    request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
+    return json.loads(peers.handle_heartbeat(request).body)
+
 
 SEEDS = range(8)
 MAX_HEDGES_PER_S = 3.6
@@ -369,3 +384,19 @@
         fixed, smoothed, estimated = compare([steady(2.0), steady(), steady()])
         assert estimated.in_time >= smoothed.in_time
         assert estimated.hedges == 0
+
+
+class TestHeartbeats:
+    """Reports in the heartbeats between gatherers and seeds."""
+
+    def test_seed_returns_reports_to_gateways_that_gather(self):
+        peers = make_peers(ManualClock(Millis(10_000.0)))
+        text = encode_reports([SlowSearcher(SearcherId("a"), 8.0, Millis(100.0))])
+        assert heartbeat_reply(peers, host="g2", slow=text)["slow"] == [["a", 8.0, 100]]
+        assert heartbeat_reply(peers, host="g3", slow="[]")["slow"] == [["a", 8.0, 100]]
+        assert "slow" not in heartbeat_reply(peers, host="g4")
+
+    @pytest.mark.parametrize("slow", ["x", "[[1]]", "[" * 5_000])
+    def test_invalid_reports_do_not_affect_the_heartbeat(self, slow):
+        reply = heartbeat_reply(make_peers(ManualClock(Millis(10_000.0))), host="g2", slow=slow)
+        assert (reply["slow"], reply["members"]) == ([], 2)
