Gateway: a hedge or retry is no probe of a slow searcher

A hedge could go to a searcher that may be slow as soon as its probe was due, although another one had answered in time. Only first attempts probe now. The gauges leave gatherers out.

--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -50,7 +50,9 @@
     if call.service == PEER_SERVICE:
         return min(free, key=lambda replica: _gatherer_sort_key(replica, call, now))
     with_room = [replica for replica in free if replica.has_room(now)]
-    return min(with_room or free, key=lambda replica: _searcher_sort_key(replica, own_domain, now))
+    return min(
+        with_room or free, key=lambda replica: _searcher_sort_key(replica, call, own_domain, now)
+    )
 
 
 def may_hedge_at_once(
@@ -109,8 +111,14 @@
 
 
 def _searcher_sort_key(
-    replica: Replica, own_domain: FailureDomainId, now: Millis
+    replica: Replica, call: Call, own_domain: FailureDomainId, now: Millis
 ) -> tuple[bool, float]:
+    """Return the key of a searcher; the lowest one is chosen.
+
+    A hedge or retry is no probe, since an earlier attempt is late or failed already.
+    """
     in_other_domain = replica.entry.domain != own_domain
-    cost = replica.cost(now) + (CROSS_DOMAIN_COST if in_other_domain else 0.0)
+    cost = replica.cost(now, may_probe=call.repeat is None) + (
+        CROSS_DOMAIN_COST if in_other_domain else 0.0
+    )
     return replica.state is ReplicaState.LEAVING, cost
--- a/src/masticgate/process/gateway/_outcomes.py
+++ b/src/masticgate/process/gateway/_outcomes.py
@@ -124,7 +124,7 @@
 
     def set_gauges(self, replicas: Iterable[Replica], now: Millis) -> None:
         """Update the gauges of the searchers that are slow or limited."""
-        known = list(replicas)
+        known = [replica for replica in replicas if replica.entry.service != PEER_SERVICE]
         slow = sum(replica.speed.is_slow(now) for replica in known)
         self.metrics.set_gauge("searchers_slow", slow)
         limited = sum(replica.limit.is_limited(now) for replica in known)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -135,12 +135,13 @@
         """Return whether the searcher handles another request well, by its concurrency limit."""
         return self.in_progress(now) + 1 <= self.limit.value(now)
 
-    def cost(self, now: Millis) -> float:
+    def cost(self, now: Millis, *, may_probe: bool = True) -> float:
         """Return the cost of a request at this searcher; the lowest cost is preferred.
 
-        It grows with the searcher's latency, its load and its failure rate.
+        It grows with the searcher's latency, its load and its failure rate. ``may_probe`` says
+        whether the request may find out if the searcher is still slow.
         """
-        factor = self.speed.factor(now)
+        factor = self.speed.factor(now, may_probe=may_probe)
         if now < self.cold_until:
             factor *= COLD_START_FACTOR
         return (
--- a/src/masticgate/process/gateway/searchers/_speed.py
+++ b/src/masticgate/process/gateway/searchers/_speed.py
@@ -144,13 +144,14 @@
         self.slowdown = 1.0
         self.slowdown_at = Millis(0.0)
 
-    def factor(self, now: Millis) -> float:
+    def factor(self, now: Millis, *, may_probe: bool = True) -> float:
         """Return the expected latency of the next call, as a factor on the usual one.
 
-        A searcher that is due for a probe counts as if it had never been late.
+        If the call ``may_probe``, a searcher that is due for that counts as if it had never been
+        late.
         """
         factor = self._current_base(now)
-        if self.is_doubtful(now) and not self.is_probe_due(now):
+        if self.is_doubtful(now) and not (may_probe and self.is_probe_due(now)):
             factor = max(factor, self.late_factor)
         if now - self.slowdown_at < SLOWDOWN_TTL:
             factor = max(factor, self.slowdown)
