--- a/src/masticgate/process/gateway/_heartbeat_codec.py
+++ b/src/masticgate/process/gateway/_heartbeat_codec.py
@@ -29,7 +29,7 @@
 
     ``member`` is ``None`` while the gateway cannot gather queries. ``known_digest`` is that of the
     gatherers that the seed named last. ``asks_for_previous`` asks for the process that ran on the
-    same host before.
+    same host before. ``slow`` has the encoded reports of slow searchers if the gateway gathers.
     """
 
     host: HostId
@@ -38,6 +38,7 @@
     interval: Millis
     known_digest: str | None
     asks_for_previous: bool
+    slow: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +55,7 @@
     ``relay_domain`` is the seed's failure domain if it relays the platform's catalogue. ``members``
     is the number of running gateways, or ``None`` if it is invalid. ``gatherers`` is ``None`` if
     the sender knows them already, ``digest`` identifies them, and ``previous`` is ``None`` unless
-    the heartbeat asked for it.
+    the heartbeat asked for it. ``slow`` is the undecoded field with the reports of slow searchers.
     """
 
     is_ready: bool
@@ -63,6 +64,7 @@
     gatherers: frozenset[Gatherer] | None
     digest: str
     previous: AnsweredPrevious | None
+    slow: object = None
 
 
 def encode_heartbeat(heartbeat: SentHeartbeat) -> dict[str, object]:
@@ -73,6 +75,8 @@
     }
     if heartbeat.asks_for_previous:
         query["previous"] = 1
+    if heartbeat.slow is not None:
+        query["slow"] = heartbeat.slow
     if heartbeat.known_digest is not None:
         query["known"] = heartbeat.known_digest
     own = heartbeat.member
@@ -107,11 +111,13 @@
     gatherers: Collection[Gatherer],
     known_digest: str,
     previous: AnsweredPrevious | None,
+    slow: list[list[object]] | None,
     now: Millis,
 ) -> bytes:
     """Return the body of a reply to a heartbeat.
 
-    It names ``gatherers`` unless ``known_digest``, which the heartbeat stated, is theirs.
+    It names ``gatherers`` unless ``known_digest``, which the heartbeat stated, is theirs. ``slow``
+    has the reports of slow searchers, or is ``None`` if the heartbeat had none.
     """
     named = sorted([gatherer.address, gatherer.domain] for gatherer in gatherers)
     digest = digest_gatherers(named)
@@ -125,6 +131,8 @@
         reply |= {"gatherers": named, "digest": digest}
     if previous is not None:
         reply["previous"] = encode_ended(previous.ended, now)
+    if slow is not None:
+        reply["slow"] = slow
     return json.dumps(reply, separators=(",", ":")).encode()
 
 
@@ -150,6 +158,7 @@
         previous=(
             AnsweredPrevious(decode_ended(reply["previous"], now)) if "previous" in reply else None
         ),
+        slow=reply.get("slow"),
     )
 
 
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -32,6 +32,7 @@
 from ._seed_exchange import SeedExchange
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from ._slow_reports import SlowReports
 from ._supervisor import Supervisor
 
 NAMING_DELAY = Millis(1_500.0)
@@ -88,6 +89,7 @@
         self.started_at = clock.now()
         self.membership = Membership()
         self.names = GathererNames(fleet, log)
+        self.slow_reports = SlowReports(fleet)
         self.relay_domains: dict[Address, FailureDomainId] = {}
         self.members = 1
         self.gathering: Gathering = GatherHere()
@@ -137,6 +139,7 @@
             gatherers=self.names.named_by(own_address),
             known_digest=query.get("known", [""])[0],
             previous=AnsweredPrevious(previous) if "previous" in query else None,
+            slow=self.slow_reports.exchange(query["slow"][0]) if "slow" in query else None,
             now=self.clock.now(),
         )
         return LocalPage(200, reply)
@@ -271,6 +274,7 @@
             interval,
             self.names.digests.get(seed),
             self.previous_end.is_open,
+            self.slow_reports.encode_own() if isinstance(self.gathering, GatherHere) else None,
         )
 
     def record_reply(self, seed: Address, reply: HeartbeatReply) -> None:
@@ -289,6 +293,7 @@
         if reply.gatherers is not None:
             self.names.record(seed, reply.gatherers, reply.digest)
         self.names.apply(self.settings.peer_address)
+        self.slow_reports.apply_reply(reply.slow)
 
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
