Seeds name gatherers as soon as they have heard from enough gateways

Cause: a starting seed named nobody for 1.5 s, gateways looked at the names in the rounds of maintenance, 500 ms apart, and asked for them every 500 ms. After a power loss the gatherers were known 1.5 to 2 s after the start, and until then each gateway gathered three queries at a time and refused the rest.

Change: a seed names gatherers once the gateways that it has heard grow by at most a fifth within 250 ms, are nine tenths of what others report, and three quarters of them can gather; after 1.5 s in any case. While more are heard it adds names and keeps those in use; once none was heard for 1 s, it names the best. Heartbeats state the number of gateways that their sender knows, so that a seed that restarts alone waits for all of them, and its low count no longer replaces that of the other seeds. Starting gateways send heartbeats every 100 to 500 ms, and one at once when they have a configuration. New names are applied when they arrive, with the choice of where to gather. The decisions are pure, in process/gateway/startup.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -4,6 +4,7 @@
 watches for changes, and reads all of it again when the source requires that.
 """
 
+from collections.abc import Callable
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
@@ -79,17 +80,25 @@
     each searcher whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
     became available again to the time until which it stays in use. Further times in which the
     platform is unavailable extend it. ``configuration_unreadable`` says that the latest published
-    configuration could not be decoded.
+    configuration could not be decoded. ``handle_contents`` is called when the whole catalogue was
+    read and applied.
     """
 
     def __init__(
-        self, source: CatalogueSource, fleet: Fleet, clock: Clock, log: EventLog, metrics: Metrics
+        self,
+        source: CatalogueSource,
+        fleet: Fleet,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        handle_contents: Callable[[], None] = lambda: None,
     ) -> None:
         self.source = source
         self.fleet = fleet
         self.clock = clock
         self.log = log
         self.metrics = metrics
+        self.handle_contents = handle_contents
         self.backoff = Backoff(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY)
         self.reread_backoff = Backoff(INITIAL_REREAD_DELAY, MAX_REREAD_DELAY)
         self.table: RouteTable | None = None
@@ -108,6 +117,7 @@
                 case Contents() as contents:
                     self._record_contact()
                     self._apply_all(contents)
+                    self.handle_contents()
                     self._follow(contents.revision)
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -109,7 +109,14 @@
         )
         self.platform = source
         catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
-        self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
+        self.follower = Follower(
+            catalogue_source,
+            self.fleet,
+            self.clock,
+            self.log,
+            self.metrics,
+            lambda: self.peers.handle_catalogue(),
+        )
         self.stopping = Event()
         self.stop_started_at: Millis | None = None
         self.finish_at: Millis | None = None
@@ -122,7 +129,6 @@
             self._is_ready,
             self._is_platform_reachable,
             self._report_process,
-            self.stopping,
         )
         self.service = GatewayService(
             self.fleet,
@@ -231,6 +237,7 @@
         grace = self.settings.grace
         self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
         self.stopping.set()
+        self.peers.hurry()
         serving = self.callers.count(CallerState.SERVING)
         self.log.write(LogEvent.STOPPING, serving=serving, **self._read_process())
         self.log.wake()
--- a/src/masticgate/process/gateway/_gatherers.py
+++ b/src/masticgate/process/gateway/_gatherers.py
@@ -63,13 +63,17 @@
 
 
 def choose_gatherers(
-    members: Collection[Member], shard_domains: Set[FailureDomainId], connections: int
+    members: Collection[Member],
+    shard_domains: Set[FailureDomainId],
+    connections: int,
+    in_use: Set[Address] = frozenset(),
 ) -> tuple[Member, ...]:
     """Return the gatherers: in each domain with shards, the members that can gather most.
 
     ``shard_domains`` are the failure domains in which the shards have searchers; where no member is
     in one of them, the other domains are used. All gateways that know the same members choose the
-    same ones, and one that leaves is replaced by at most one other.
+    same ones, and one that leaves is replaced by at most one other. Those ``in_use`` come before
+    all others.
     """
     domains: dict[FailureDomainId, list[Member]] = {}
     for member in members:
@@ -79,12 +83,16 @@
         return ()
     per_domain = ceil(gatherer_count(len(members), connections) / len(local))
     return tuple(
-        member for group in local.values() for member in _choose_in_domain(group, per_domain)
+        member
+        for group in local.values()
+        for member in _choose_in_domain(group, per_domain, in_use)
     )
 
 
-def _choose_in_domain(members: list[Member], count: int) -> list[Member]:
-    chosen = sorted(members, key=lambda m: (-m.rate, rendezvous_weight("", m.host), m.host))[:count]
-    least_rate = chosen[0].rate * MIN_RELATIVE_RATE
+def _choose_in_domain(members: list[Member], count: int, in_use: Set[Address]) -> list[Member]:
+    members = sorted(members, key=lambda m: (-m.rate, rendezvous_weight("", m.host), m.host))
+    members.sort(key=lambda m: m.address not in in_use)
+    chosen = members[:count]
+    least_rate = max(member.rate for member in chosen) * MIN_RELATIVE_RATE
     capable = [member for member in chosen if member.rate >= least_rate]
     return capable if len(capable) >= MIN_GATHERERS_PER_DOMAIN else chosen
--- a/src/masticgate/process/gateway/_heartbeat_codec.py
+++ b/src/masticgate/process/gateway/_heartbeat_codec.py
@@ -8,7 +8,7 @@
 
 from ..._fields import FieldError, decode_json, is_name
 from ..._ids import FailureDomainId, HostId, Millis
-from ...connection.gateway import parse_address
+from ...connection.gateway import parse_address, parse_number
 from ._gatherers import Gatherer, Member
 from ._membership import HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL, Heartbeat
 from ._process_reports import EndedProcess, ProcessReport, decode_ended, encode_ended, encode_report
@@ -29,7 +29,7 @@
 
     ``member`` is ``None`` while the gateway cannot gather queries. ``known_digest`` is that of the
     gatherers that the seed named last. ``asks_for_previous`` asks for the process that ran on the
-    same host before.
+    same host before. ``known_members`` is the number of gateways that the seeds stated, or 0.
     """
 
     host: HostId
@@ -38,6 +38,7 @@
     interval: Millis
     known_digest: str | None
     asks_for_previous: bool
+    known_members: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,8 @@
         query["previous"] = 1
     if heartbeat.known_digest is not None:
         query["known"] = heartbeat.known_digest
+    if heartbeat.known_members:
+        query["members"] = heartbeat.known_members
     own = heartbeat.member
     if own is not None:
         query |= {"peer": own.address, "domain": own.domain, "rate": round(own.rate, 1)}
@@ -84,7 +87,9 @@
 
 def decode_heartbeat(query: dict[str, list[str]], now: Millis) -> Heartbeat:
     """Return the heartbeat that a query states; one that is invalid states no member."""
-    unknown = Heartbeat(None, HEARTBEAT_INTERVAL, now)
+    reported = parse_number(query.get("members", ["0"])[0].encode())
+    known = reported if reported is not None and reported <= MAX_MEMBERS else 0
+    unknown = Heartbeat(None, HEARTBEAT_INTERVAL, now, known)
     try:
         host, domain = HostId(query["host"][0]), FailureDomainId(query["domain"][0])
         address = parse_address(query["peer"][0])
@@ -95,7 +100,7 @@
         return unknown
     if not (is_name(host) and is_name(domain)):
         return unknown
-    return Heartbeat(Member(host, address, domain, rate), interval, now)
+    return Heartbeat(Member(host, address, domain, rate), interval, now, known)
 
 
 def encode_reply(
--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -42,12 +42,13 @@
     """The latest heartbeat of one gateway; the next one is due after ``interval``.
 
     ``member`` is ``None`` if the gateway cannot gather queries now: it is not ready, or its release
-    does not state an address.
+    does not state an address. ``known_members`` is the number of gateways that it knows of, or 0.
     """
 
     member: Member | None
     interval: Millis
     received_at: Millis
+    known_members: int = 0
 
     def age_limit(self, minimum: Millis = Millis(0.0)) -> Millis:
         """Return the age at which this heartbeat is too old, but not less than ``minimum``."""
--- a/src/masticgate/process/gateway/_naming.py
+++ b/src/masticgate/process/gateway/_naming.py
@@ -90,13 +90,16 @@
         with self.lock:
             return self.by_seed.get(seed, frozenset())
 
-    def apply(self, own_address: Address | None) -> None:
-        """Send queries to the gatherers that the seeds name now, and no longer to others."""
+    def apply(self, own_address: Address | None) -> bool:
+        """Send queries to the gatherers that the seeds name now, and no longer to others.
+
+        Return whether they are others than before.
+        """
         with self.apply_lock:
             with self.lock:
                 named = frozenset[Gatherer]().union(*self.by_seed.values())
             if not named:
-                return
+                return False
             for gatherer in self.gatherers - named:
                 self.log.write(LogEvent.GATHERER_LOST, peer=gatherer.address)
                 self.fleet.remove_searcher(_peer_id(gatherer.address), "not named by a seed")
@@ -105,7 +108,9 @@
             for gatherer in named:
                 if gatherer.address != own_address:
                     self.fleet.apply_listing(_gatherer_entry(gatherer))
+            changed = named != self.gatherers
             self.gatherers = named
+            return changed
 
 
 def _peer_id(address: Address) -> SearcherId:
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -7,9 +7,10 @@
 
 from collections.abc import Callable
 from threading import Event, Lock
+from time import sleep
 from urllib.parse import parse_qs
 
-from ..._clock import Clock
+from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._fields import is_name
 from ..._ids import Address, FailureDomainId, HostId, Millis
 from ...request.gateway import LocalPage, Request
@@ -33,9 +34,7 @@
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
 from ._supervisor import Supervisor
-
-NAMING_DELAY = Millis(1_500.0)
-"""A starting seed names no gatherers before it can have heard from every gateway."""
+from .startup import NamingPhase, NamingRule, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -49,6 +48,9 @@
 The catalogue is the configuration and the listings of the searchers.
 """
 
+MIN_NAMING_INTERVAL = Millis(20.0)
+"""The time between two choices of gatherers, at least, while heartbeats arrive at a high rate."""
+
 MAX_LOGGED_CHARACTERS = 100
 """A log line quotes at most this much of a name that is invalid."""
 
@@ -59,8 +61,10 @@
     ``membership`` holds the heartbeats that this gateway receives if it is a seed, and ``names``
     the gatherers that the seeds name. ``relay_domains`` maps each seed that relays the platform's
     catalogue to its failure domain. ``members`` is the number of running gateways, and
-    ``heard_seeds`` are the seeds to which heartbeats are sent. ``report_process`` returns what they
-    say of this process, and the next ones are sent at once when ``stopping`` is set.
+    ``exchanges`` maps each seed to the task that sends it heartbeats. ``report_process`` returns
+    what they say of this process. ``naming_rule`` says when this gateway names gatherers if it is a
+    seed, and ``naming_due`` is set when it may name others. ``members_by_seed`` is the number of
+    gateways that each seed states; of a seed that has just started, it is too low.
     """
 
     def __init__(
@@ -73,7 +77,6 @@
         is_ready: Callable[[], bool],
         is_platform_reachable: Callable[[], bool],
         report_process: Callable[[], ProcessReport],
-        stopping: Event,
     ) -> None:
         self.settings = settings
         self.fleet = fleet
@@ -83,22 +86,58 @@
         self.is_ready = is_ready
         self.is_platform_reachable = is_platform_reachable
         self.report_process = report_process
-        self.stopping = stopping
         self.lock = Lock()
+        self.update_lock = Lock()
         self.started_at = clock.now()
         self.membership = Membership()
         self.names = GathererNames(fleet, log)
         self.relay_domains: dict[Address, FailureDomainId] = {}
         self.members = 1
+        self.members_by_seed: dict[Address, int] = {}
+        self.naming_rule = NamingRule(clock.now())
+        self.naming_due = Event()
         self.gathering: Gathering = GatherHere()
-        self.heard_seeds: set[Address] = set()
+        self.exchanges: dict[Address, SeedExchange] = {}
         self.processes = ProcessHistory()
         self.previous_end = PreviousEndQuestion(clock.now())
 
     def start(self, supervisor: Supervisor) -> None:
-        """Start a heartbeat task for each seed except this gateway."""
+        """Start a heartbeat task for each seed except this gateway.
+
+        If it is a seed itself, start the task that names gatherers as soon as enough is known.
+        """
+        if self.settings.is_seed:
+            supervisor.start(self.run_naming)
         self.apply_settings(self.settings, supervisor)
 
+    def run_naming(self) -> None:
+        """Name gatherers when what is known of the gateways changes, until all have started.
+
+        Later changes are applied by the regular calls of :meth:`update_gathering`.
+        """
+        while True:
+            with self.lock:
+                wait = self.naming_rule.time_to_change(self.clock.now())
+            if wait is None:
+                return
+            self.naming_due.wait(wait / MILLIS_PER_SECOND)
+            sleep(MIN_NAMING_INTERVAL / MILLIS_PER_SECOND)
+            self.naming_due.clear()
+            self.update_gathering()
+
+    def hurry(self) -> None:
+        """Send the next heartbeats at once, since the readiness of this gateway has changed."""
+        with self.lock:
+            exchanges = list(self.exchanges.values())
+        for exchange in exchanges:
+            exchange.hurry()
+        self.naming_due.set()
+
+    def handle_catalogue(self) -> None:
+        """Apply what is known to a catalogue that was read as a whole, and tell the seeds."""
+        self.hurry()
+        self.update_gathering()
+
     def apply_settings(self, settings: GatewaySettings, supervisor: Supervisor) -> None:
         """Apply changed settings: start a heartbeat task for each seed that has none.
 
@@ -107,11 +146,10 @@
         self.settings = settings
         for seed in settings.seeds:
             with self.lock:
-                is_new = seed != settings.peer_address and seed not in self.heard_seeds
-                if is_new:
-                    self.heard_seeds.add(seed)
-            if is_new:
-                supervisor.start(SeedExchange(seed, self, self.clock, self.stopping).run)
+                if seed == settings.peer_address or seed in self.exchanges:
+                    continue
+                exchange = self.exchanges[seed] = SeedExchange(seed, self, self.clock)
+            supervisor.start(exchange.run)
 
     def handle_heartbeat(self, request: Request) -> LocalPage:
         """Record a heartbeat, and return this gateway's state and the number of gateways.
@@ -124,9 +162,14 @@
         self._record_process(host, query)
         own_address = self.settings.peer_address or Address("")
         with self.lock:
+            before = self.membership.heartbeats.get(host)
             recorded = is_name(host) and self.membership.record(host, heartbeat)
+            self.naming_rule.record_report(heartbeat.known_members)
             members = self.membership.count(heartbeat.received_at)
+            self.naming_rule.record_heard(members, heartbeat.received_at)
             previous = self.processes.find_before(host) if "previous" in query else None
+        if before is None or before.member != heartbeat.member:
+            self.naming_due.set()
         if not recorded:
             self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
         reply = encode_reply(
@@ -186,10 +229,17 @@
         return sorted(relay_domains, key=lambda seed: (relay_domains[seed] != own_domain, seed))
 
     def update_gathering(self) -> None:
-        """Choose where queries are gathered, and apply this gateway's shares; called regularly."""
+        """Choose where queries are gathered, and apply this gateway's shares.
+
+        It is called regularly, and when this gateway learns of other gatherers.
+        """
         table = self.current_table()
         if table is None:
             return
+        with self.update_lock:
+            self._update_gathering(table)
+
+    def _update_gathering(self, table: RouteTable) -> None:
         if self.settings.is_seed:
             self._name_gatherers(table)
         self.names.apply(self.settings.peer_address)
@@ -219,16 +269,28 @@
         accepted = [table.services[name].connections for name in shards if name in table.services]
         domains = self.fleet.domains_of_shards()
         with self.lock:
-            self.members = self.membership.count(now)
-            if now - self.started_at < NAMING_DELAY or self.settings.peer_address is None:
+            if self.settings.peer_address is None:
                 return
+            heard = self.membership.count(now)
+            self._record_members(self.settings.peer_address, heard)
             members = self.membership.candidates(now)
             if self.is_ready():
                 members.append(self._own_member(self.settings.peer_address))
-            chosen = choose_gatherers(members, domains, min(accepted, default=0))
+            self.naming_rule.record_heard(heard, now)
+            phase = self.naming_rule.update(len(members), now, knows_shards=bool(domains))
+        if phase is NamingPhase.HEARING:
+            return
+        gatherers = self.names.gatherers if phase is NamingPhase.GROWING else ()
+        in_use = {gatherer.address for gatherer in gatherers}
+        chosen = choose_gatherers(members, domains, min(accepted, default=0), in_use)
         named = (Gatherer(member.address, member.domain) for member in chosen[:MAX_NAMED_GATHERERS])
         self.names.record(self.settings.peer_address, frozenset(named))
 
+    def _record_members(self, seed: Address, members: int) -> None:
+        """Record how many gateways a seed has heard of; the lock is held."""
+        self.members_by_seed[seed] = members
+        self.members = max(self.members_by_seed.values())
+
     def _gathers_for_lack_of_seeds(self) -> bool:
         """Return whether no seed is there to name gatherers, in a system of a few gateways."""
         return self.members < MIN_MEMBERS_TO_RELAY and (
@@ -240,7 +302,7 @@
         with self.lock:
             if address in self.settings.seeds:
                 return True
-            self.heard_seeds.discard(address)
+            self.exchanges.pop(address, None)
         self.forget_seed(address)
         return False
 
@@ -248,8 +310,15 @@
         """Forget what a seed stated that is not ready, or does not respond any more."""
         with self.lock:
             self.relay_domains.pop(seed, None)
+            self.members_by_seed.pop(seed, None)
         self.names.forget(seed)
 
+    def starting_interval(self, *, has_replied: bool) -> Millis | None:
+        """Return the interval between heartbeats while this gateway starts, ``None`` after that."""
+        age = Millis(self.clock.now() - self.started_at)
+        knows_gatherers = bool(self.names.gatherers)
+        return starting_interval(age, has_replied=has_replied, knows_gatherers=knows_gatherers)
+
     def usual_interval(self) -> Millis:
         """Return the interval between heartbeats to a seed that responds."""
         if not self.names.gatherers:
@@ -268,9 +337,10 @@
             self.settings.host,
             self.report_process(),
             self._own_member(address) if address is not None and can_gather else None,
-            interval,
+            max(interval, HEARTBEAT_INTERVAL),
             self.names.digests.get(seed),
             self.previous_end.is_open,
+            self.members if self.members > 1 else 0,
         )
 
     def record_reply(self, seed: Address, reply: HeartbeatReply) -> None:
@@ -284,11 +354,14 @@
                 self.relay_domains[seed] = reply.relay_domain
             else:
                 self.relay_domains.pop(seed, None)
+            was_alone = self.members == 1
             if reply.members is not None:
-                self.members = reply.members
+                self._record_members(seed, reply.members)
+                self.naming_rule.record_report(reply.members)
         if reply.gatherers is not None:
             self.names.record(seed, reply.gatherers, reply.digest)
-        self.names.apply(self.settings.peer_address)
+        if self.names.apply(self.settings.peer_address) or was_alone:
+            self.update_gathering()
 
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
--- a/src/masticgate/process/gateway/_seed_exchange.py
+++ b/src/masticgate/process/gateway/_seed_exchange.py
@@ -1,7 +1,6 @@
 """The task that exchanges heartbeats with one seed."""
 
 from threading import Event
-from time import sleep
 from typing import Protocol
 
 from ..._clock import MILLIS_PER_SECOND, Clock
@@ -42,6 +41,13 @@
         """Return whether the settings name a seed; if they do not, forget it."""
         ...
 
+    def starting_interval(self, *, has_replied: bool) -> Millis | None:
+        """Return the interval while this gateway starts, or ``None`` if it has started.
+
+        ``has_replied`` says whether the seed has replied to the latest heartbeat.
+        """
+        ...
+
     def usual_interval(self) -> Millis:
         """Return the interval between heartbeats to a seed that responds."""
         ...
@@ -63,18 +69,17 @@
     """The heartbeats to one seed; :meth:`run` is their task.
 
     The seed names gatherers, and may relay the catalogue, while it replies that it is ready.
-    ``misses`` is the number of heartbeats in a row that it did not reply to so. Once ``stopping``
-    is set, the next heartbeat is sent at once.
+    ``misses`` is the number of heartbeats in a row that it did not reply to so, and ``has_replied``
+    says whether it replied to the latest one at all. :meth:`hurry` makes the next one due.
     """
 
-    def __init__(
-        self, seed: Address, sender: HeartbeatSender, clock: Clock, stopping: Event
-    ) -> None:
+    def __init__(self, seed: Address, sender: HeartbeatSender, clock: Clock) -> None:
         self.seed = seed
         self.sender = sender
         self.clock = clock
-        self.stopping = stopping
+        self.due = Event()
         self.misses = MAX_MISSED_HEARTBEATS
+        self.has_replied = False
 
     def run(self) -> None:
         """Send heartbeats until the process ends, or the seed is none any more."""
@@ -82,27 +87,37 @@
         wait = FIRST_HEARTBEAT_DELAY
         while self.sender.is_seed(self.seed):
             self.wait(wait)
-            wait = self._next_interval()
-            reply = self._exchange(client, wait)
-            if reply is not None:
-                self.sender.record_reply(self.seed, reply)
-            if reply is not None and reply.is_ready:
-                self.misses = 0
-                continue
-            self.misses += 1
-            if reply is not None or self.misses >= MAX_MISSED_HEARTBEATS:
-                self.misses = max(self.misses, MAX_MISSED_HEARTBEATS)
-                self.sender.forget_seed(self.seed)
+            wait = self.next_interval()
+            self.handle_reply(self._exchange(client, wait))
         client.close()
 
-    def wait(self, interval: Millis) -> None:
-        """Wait for ``interval``, or until the gateway begins to stop, of which the seed learns."""
-        if self.stopping.is_set():
-            sleep(interval / MILLIS_PER_SECOND)
-        else:
-            self.stopping.wait(interval / MILLIS_PER_SECOND)
+    def handle_reply(self, reply: HeartbeatReply | None) -> None:
+        """Record the reply to the latest heartbeat, or that there was no valid one."""
+        self.has_replied = reply is not None
+        if reply is not None:
+            self.sender.record_reply(self.seed, reply)
+        if reply is not None and reply.is_ready:
+            self.misses = 0
+            return
+        self.misses += 1
+        if reply is not None or self.misses >= MAX_MISSED_HEARTBEATS:
+            self.misses = max(self.misses, MAX_MISSED_HEARTBEATS)
+            self.sender.forget_seed(self.seed)
+
+    def hurry(self) -> None:
+        """Send the next heartbeat at once, since the state of this gateway has changed."""
+        self.due.set()
 
-    def _next_interval(self) -> Millis:
+    def wait(self, interval: Millis) -> None:
+        """Wait for ``interval``, or until :meth:`hurry` is called."""
+        self.due.wait(interval / MILLIS_PER_SECOND)
+        self.due.clear()
+
+    def next_interval(self) -> Millis:
+        """Return the time from the next heartbeat to the one after it."""
+        starting = self.sender.starting_interval(has_replied=self.has_replied)
+        if starting is not None:
+            return starting
         if MAX_MISSED_HEARTBEATS <= self.misses < MAX_MISSED_HEARTBEATS + QUICK_RETRIES:
             return HEARTBEAT_RETRY_INTERVAL
         return self.sender.usual_interval()
--- a/tests/gateway/test_gathering_at_peers.py
+++ b/tests/gateway/test_gathering_at_peers.py
@@ -8,7 +8,7 @@
 
 from masticgate import Address, Millis, SearcherId, ServiceId
 from masticgate.process.gateway._naming import GatherAtPeers
-from masticgate.process.gateway._peers import NAMING_DELAY
+from masticgate.process.gateway.startup import NAMING_LIMIT
 from masticgate.version.gateway import PEER_SERVICE, Shards
 
 from .fakes import make_route
@@ -48,7 +48,7 @@
         ) as seed,
         running(routes, searchers, seeds=(SEED,)) as entry,
     ):
-        seed.peers.started_at -= NAMING_DELAY
+        seed.peers.naming_rule.started_at -= NAMING_LIMIT
         deadline = entry.clock.now() + 10_000.0
         while entry.peers.gathering != GatherAtPeers():
             assert entry.clock.now() < deadline, "the seed names no gatherer"
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,7 +2,7 @@
 
 import json
 from dataclasses import replace
-from threading import Event, Thread
+from threading import Thread
 from time import monotonic
 
 import pytest
@@ -27,7 +27,7 @@
     Membership,
 )
 from masticgate.process.gateway._naming import GatherAtPeers, GatherHere, peer_route
-from masticgate.process.gateway._peers import NAMING_DELAY, Peers
+from masticgate.process.gateway._peers import Peers
 from masticgate.process.gateway._previous_processes import (
     ANSWER_WAIT,
     MAX_REMEMBERED_HOSTS,
@@ -46,6 +46,7 @@
 from masticgate.process.gateway._replica import ReplicaState
 from masticgate.process.gateway._seed_exchange import SeedExchange
 from masticgate.process.gateway._usage import ProcessUse, Use
+from masticgate.process.gateway.startup import NAMING_LIMIT
 from masticgate.request.gateway import Request
 from masticgate.version.gateway import PEER_SERVICE, Idempotency, Shards
 
@@ -77,7 +78,6 @@
         lambda: True,
         lambda: True,
         lambda: REPORT,
-        Event(),
     )
 
 
@@ -124,7 +124,7 @@
     def test_seed_names_itself_and_gateways_that_can_gather(self):
         clock = ManualClock()
         peers = make_peers(clock)
-        clock.advance(NAMING_DELAY)
+        clock.advance(NAMING_LIMIT)
         send_heartbeat(peers, "g2", rate=9.0)
         send_heartbeat(peers, "g3")
         peers.update_gathering()
@@ -136,7 +136,7 @@
         """The load: hundreds of gateways ask three seeds for names that hardly ever change."""
         clock = ManualClock()
         peers = make_peers(clock)
-        clock.advance(NAMING_DELAY)
+        clock.advance(NAMING_LIMIT)
         peers.update_gathering()
         first = send_heartbeat(peers, "g3")
         assert first["gatherers"] == [[OWN, "z1"]]
@@ -157,7 +157,7 @@
     def test_seed_names_none_right_after_its_start(self):
         clock = ManualClock()
         peers = make_peers(clock)
-        clock.advance(Millis(NAMING_DELAY - 1.0))
+        clock.advance(Millis(NAMING_LIMIT - 1.0))
         assert send_heartbeat(peers, "g2", rate=9.0)["gatherers"] == []
         peers.update_gathering()
         assert peers.gathering == GatherHere(is_gatherer=False)
@@ -165,7 +165,7 @@
     def test_silent_gatherer_is_replaced_after_two_missed_heartbeats_and_still_counted(self):
         clock = ManualClock()
         peers = make_peers(clock)
-        clock.advance(NAMING_DELAY)
+        clock.advance(NAMING_LIMIT)
         send_heartbeat(peers, "g2", rate=9.0)
         clock.advance(Millis(1_200.0))
         peers.update_gathering()
@@ -265,7 +265,7 @@
         """Guard against one gatherer for each domain that a heartbeat states."""
         clock = ManualClock()
         peers = make_peers(clock)
-        clock.advance(NAMING_DELAY)
+        clock.advance(NAMING_LIMIT)
         for number in range(1_200):
             member = Member(HostId(f"h{number}"), Address(f"127.0.1.1:{number + 1}"),
                             FailureDomainId(f"z{number}"), 1.0)  # fmt: skip
@@ -340,10 +340,10 @@
     def test_seeds_hear_of_stop_before_next_heartbeat_is_due(self):
         """Guard against a stop that ends before a heartbeat of every 5 s has announced it."""
         peers = make_peers(ManualClock())
-        exchange = SeedExchange(OTHER_SEED, peers, peers.clock, peers.stopping)
+        exchange = peers.exchanges[OTHER_SEED] = SeedExchange(OTHER_SEED, peers, peers.clock)
         wait = Thread(target=exchange.wait, args=(Millis(60_000.0),), daemon=True)
         wait.start()
-        peers.stopping.set()
+        peers.hurry()
         wait.join(10)
         assert not wait.is_alive()
         started_at = monotonic()
