Evacuate failure domains that operators name in the store

Cause: an operator could not empty a failure domain; its searchers got requests until they left.

Change: the key op/evacuate/ZONE travels as DomainEvacuated and EvacuationEnded in the catalogue and between gateways. Replica.is_withheld is the one test that all kinds of attempts pass; idle connections to the searchers are closed. The value of the key says nothing, an odd name is logged once. Gatherers in the domain gather its shards from other domains.

--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -24,6 +24,8 @@
     MAX_COLD_TIME,
     MAX_SLOTS,
     Change,
+    DomainEvacuated,
+    EvacuationEnded,
     Idempotency,
     Limits,
     OneService,
@@ -63,6 +65,10 @@
             return {"listed": asdict(entry) | {"phase": entry.phase.value}}
         case SearcherUnlisted(searcher=searcher):
             return {"unlisted": searcher}
+        case DomainEvacuated(domain=domain):
+            return {"evacuated": domain}
+        case EvacuationEnded(domain=domain):
+            return {"evacuation_ended": domain}
         case UnreadableItem(key=key, detail=detail, searcher=searcher):
             return {"unreadable": [key, detail, searcher]}
 
@@ -151,6 +157,10 @@
             return SearcherListed(_decode_entry(fields.table("listed")))
         case ["unlisted"]:
             return SearcherUnlisted(_decode_searcher(fields, "unlisted"))
+        case ["evacuated"]:
+            return DomainEvacuated(FailureDomainId(fields.text("evacuated")))
+        case ["evacuation_ended"]:
+            return EvacuationEnded(FailureDomainId(fields.text("evacuation_ended")))
         case ["unreadable"]:
             return _decode_unreadable(fields)
         case _:
--- a/src/masticgate/platform/_items.py
+++ b/src/masticgate/platform/_items.py
@@ -3,11 +3,13 @@
 from base64 import b64decode
 from typing import Any
 
-from .._fields import FieldError, Fields, decode_json, is_header_text
+from .._fields import FieldError, Fields, decode_json, is_header_text, is_name
 from .._ids import Address, FailureDomainId, Millis, SearcherId, ServiceId
 from ..connection.gateway import parse_address
 from ..process.gateway import (
     Change,
+    DomainEvacuated,
+    EvacuationEnded,
     PublishedConfiguration,
     SearcherEntry,
     SearcherListed,
@@ -17,20 +19,25 @@
 )
 from ..version.gateway import MAX_COLD_TIME, MAX_SLOTS
 from ._configuration import decode_configuration
-from ._names import CONFIGURATION_KEY, SEARCHERS_PREFIX
+from ._names import CONFIGURATION_KEY, EVACUATIONS_PREFIX, SEARCHERS_PREFIX
 
 PHASES = {"ready": SearcherPhase.READY, "draining": SearcherPhase.DRAINING}
 
+MAX_SHOWN_CHARACTERS = 100
+"""A message quotes at most this much of a key that is invalid."""
+
 
 def decode_item(item: Any) -> Change | None:
     """Return the change that one item or one event of a watch describes.
 
-    Return ``None`` for a key that is neither the configuration nor a listing, and for the removal
-    of the configuration.
+    Return ``None`` for any other key than those of the configuration, of the listings and of the
+    evacuations, and for the removal of the configuration.
     """
-    if not isinstance(item, dict) or not is_header_text(item.get("key")):
+    key = item.get("key") if isinstance(item, dict) else None
+    if isinstance(key, str) and key.startswith(EVACUATIONS_PREFIX):
+        return _decode_evacuation(key, item)
+    if not isinstance(key, str) or not is_header_text(key):
         return UnreadableItem("", "an item without a valid key")
-    key = item["key"]
     if key.startswith(SEARCHERS_PREFIX):
         return _decode_searcher(key, item)
     if key == CONFIGURATION_KEY and not item.get("removed"):
@@ -38,6 +45,25 @@
     return None
 
 
+def _decode_evacuation(key: str, item: dict[str, Any]) -> Change:
+    """Return what the item of an evacuation says; its value says nothing, readable or not.
+
+    A name that no listing can state as the domain of its searcher evacuates nothing. It is not the
+    configuration's key either, so that the result names no key.
+    """
+    domain = key.removeprefix(EVACUATIONS_PREFIX)
+    if not is_name(domain):
+        shown = key[:MAX_SHOWN_CHARACTERS].encode("ascii", "backslashreplace").decode()
+        return UnreadableItem("", f"{shown!r}: not the name of a failure domain")
+    if item.get("removed"):
+        return EvacuationEnded(FailureDomainId(domain))
+    try:
+        Fields.of("evacuation", _decode_value(item))
+    except FieldError as error:
+        return DomainEvacuated(FailureDomainId(domain), str(error))
+    return DomainEvacuated(FailureDomainId(domain))
+
+
 def _decode_published(key: str, item: dict[str, Any]) -> Change:
     try:
         return PublishedConfiguration(decode_configuration(_decode_value(item)))
--- a/src/masticgate/platform/_names.py
+++ b/src/masticgate/platform/_names.py
@@ -20,4 +20,7 @@
 
 CONFIGURATION_KEY = "op/config"
 SEARCHERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
+"""The prefix of the keys that evacuate a failure domain, whose name follows it."""
+
 ALL_KEYS_PREFIX = ""
--- a/src/masticgate/process/gateway/__init__.py
+++ b/src/masticgate/process/gateway/__init__.py
@@ -8,6 +8,8 @@
 from ...version.gateway import Change as Change
 from ...version.gateway import Changes as Changes
 from ...version.gateway import Contents as Contents
+from ...version.gateway import DomainEvacuated as DomainEvacuated
+from ...version.gateway import EvacuationEnded as EvacuationEnded
 from ...version.gateway import HistoryGone as HistoryGone
 from ...version.gateway import PlatformSource as PlatformSource
 from ...version.gateway import PublishedConfiguration as PublishedConfiguration
--- a/src/masticgate/process/gateway/_connections.py
+++ b/src/masticgate/process/gateway/_connections.py
@@ -86,8 +86,8 @@
         return None
 
     def keep_idle(self, replica: Replica, task: SearcherTask) -> None:
-        """Keep an idle connection, or close it if its searcher is gone."""
-        if replica.state is ReplicaState.GONE:
+        """Keep an idle connection, or close it if its searcher is gone or evacuated."""
+        if replica.state is ReplicaState.GONE or replica.is_evacuated():
             task.close()
             return
         task.idle_since = self.clock.now()
@@ -108,7 +108,7 @@
             )
             if now - task.idle_since < idle_timeout - IDLE_TIMEOUT_MARGIN:
                 continue
-            is_active = replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
+            is_active = replica.state is ReplicaState.ACTIVE and not replica.is_withheld(now)
             if is_active and replica.connection_count <= 2 and is_in_use(replica, now):
                 self.open(replica)
             replica.idle.remove(task)
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -38,7 +38,7 @@
     Lost,
 )
 from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
-from ._choice import choose_replica
+from ._choice import choose_replica, usable_domains
 from ._connections import Connections
 from ._hedge_delays import HedgeDelays
 from ._listings import LAST_RESORT_SHARE, Listings
@@ -225,12 +225,12 @@
         with self.lock:
             if not self._abstain(service, now):
                 return None
-            pauses = [
-                replica.paused_until - now
+            waits = [
+                replica.withheld_time(now)
                 for replica in self.listings.of_service(service)
                 if replica.is_listed
             ]
-        wait = min(pauses, default=NO_SEARCHER_WAIT)
+        wait = min(waits, default=NO_SEARCHER_WAIT)
         return Millis(wait * self.random.uniform(1.0, MAX_RETURN_SPREAD))
 
     def _abstain(self, service: ServiceId, now: Millis) -> bool:
@@ -422,6 +422,18 @@
             if replica is not None:
                 self.listings.start_leaving(replica, why, usable_time)
 
+    def evacuate(self, domain: FailureDomainId) -> bool:
+        """Send nothing to the searchers of a domain; return ``False`` if that is so already."""
+        with self.lock:
+            services = self.listings.evacuate(domain)
+            self._update_unserved(services or ())
+        return services is not None
+
+    def end_evacuation(self, domain: FailureDomainId) -> bool:
+        """Use the searchers of a domain again; return whether it was evacuated."""
+        with self.lock:
+            return self.listings.evacuated.end(domain)
+
     def find_unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
         """Return the searchers that this gateway uses although they are not in ``listed``.
 
@@ -431,17 +443,13 @@
             return self.listings.find_unlisted(listed)
 
     def searcher_domains(self, services: Sequence[ServiceId]) -> list[set[FailureDomainId]]:
-        """Return the failure domains with usable searchers of each service."""
+        """Return the failure domains in which each service has usable searchers.
+
+        Gatherers in a domain whose searchers are withheld gather its shards from other domains.
+        """
         now = self.clock.now()
         with self.lock:
-            return [
-                {
-                    replica.entry.domain
-                    for replica in self.listings.of_service(service)
-                    if replica.is_listed and replica.is_usable(now)
-                }
-                for service in services
-            ]
+            return [usable_domains(self.listings.of_service(service), now) for service in services]
 
     def domains_of_shards(self) -> set[FailureDomainId]:
         """Return the failure domains that have listed searchers of shards."""
@@ -557,7 +565,7 @@
         active = [
             replica
             for replica in self.listings.of_service(service)
-            if replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
+            if replica.state is ReplicaState.ACTIVE and not replica.is_withheld(now)
         ]
         own_domain = self.settings.domain
         active.sort(
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -13,6 +13,8 @@
     Change,
     Changes,
     Contents,
+    DomainEvacuated,
+    EvacuationEnded,
     HistoryGone,
     PublishedConfiguration,
     RouteTable,
@@ -26,6 +28,7 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._relay import CatalogueLog
+from .evacuation import EvacuationApplier
 
 WATCH_TIMEOUT = Millis(1_800.0)
 """How long one watch waits for changes.
@@ -72,6 +75,10 @@
 """
 
 
+MAX_LOGGED_ODDITIES = 100
+"""The number of items without a usable key that are logged once and not at each read."""
+
+
 class Follower:
     """Keeps the configuration and the fleet up to date; :meth:`run` is its task.
 
@@ -95,11 +102,13 @@
         self.table: RouteTable | None = None
         self.configuration_unreadable = False
         self.catalogue = CatalogueLog(self.age)
+        self.evacuations = EvacuationApplier(fleet, self.catalogue, log, metrics)
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
         self.recovered_at: Millis | None = None
         self.held_searchers: dict[SearcherId, Millis] = {}
+        self.logged_oddities: set[str] = set()
 
     def run(self) -> None:
         """Read the whole catalogue, then apply changes, until :meth:`stop` is called."""
@@ -211,6 +220,7 @@
             self._apply(change)
             if isinstance(change, SearcherListed):
                 listed.add(change.entry.id)
+        self.evacuations.apply_all(contents.changes)
         for searcher in self.fleet.find_unlisted(listed):
             self._handle_unlisted(searcher, "not in the list")
 
@@ -231,6 +241,12 @@
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
                 self._handle_unlisted(searcher, "unlisted")
+            case DomainEvacuated():
+                self.evacuations.start(change)
+            case EvacuationEnded():
+                self.evacuations.end(change)
+            case UnreadableItem(key="", detail=detail) if not self._is_new_oddity(detail):
+                self.metrics.count("unreadable_items")
             case UnreadableItem(key=key, detail=detail, searcher=searcher):
                 self.catalogue.add(change)
                 self.metrics.count("unreadable_items")
@@ -240,6 +256,13 @@
                 elif key:
                     self.configuration_unreadable = True
 
+    def _is_new_oddity(self, detail: str) -> bool:
+        """Return whether an item without a usable key was not logged before."""
+        is_new = detail not in self.logged_oddities
+        if is_new and len(self.logged_oddities) < MAX_LOGGED_ODDITIES:
+            self.logged_oddities.add(detail)
+        return is_new
+
     def _apply_table(self, table: RouteTable) -> None:
         current = self.table
         if current is not None and table.version <= current.version:
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -8,6 +8,7 @@
 from ...version.gateway import PEER_SERVICE, SearcherEntry, SearcherPhase
 from ._log import EventLog, LogEvent
 from ._replica import Replica, ReplicaState
+from .evacuation import EvacuatedDomains
 
 LAST_RESORT_SHARE = 0.5
 """The part of the ``drain`` setting for which a leaving searcher is used if there is no other."""
@@ -51,6 +52,7 @@
         self.drained_start_times: dict[SearcherId, int] = {}
         self.pauses: dict[SearcherId, Period] = {}
         self.departures: dict[SearcherId, Period] = {}
+        self.evacuated = EvacuatedDomains()
 
     def of_service(self, service: ServiceId) -> Collection[Replica]:
         """Return the searchers of a service."""
@@ -116,9 +118,7 @@
             usable_until = min(usable_until, earlier.until)
         self.departures[replica.entry.id] = Period(replica.entry.born, usable_until)
         replica.start_leaving(usable_until)
-        for task in replica.idle:
-            task.close()
-        replica.idle.clear()
+        _close_idle(replica)
         self.log.write(
             LogEvent.SEARCHER_LEAVING,
             searcher=replica.entry.id,
@@ -128,9 +128,7 @@
 
     def remove(self, replica: Replica) -> None:
         """Remove a searcher and close its idle connections."""
-        for task in replica.idle:
-            task.close()
-        replica.idle.clear()
+        _close_idle(replica)
         replica.state = ReplicaState.GONE
         if self.replicas.get(replica.entry.id) is replica:
             del self.replicas[replica.entry.id]
@@ -139,6 +137,18 @@
         if not service:
             self.services.pop(replica.entry.service, None)
 
+    def evacuate(self, domain: FailureDomainId) -> set[ServiceId] | None:
+        """Send nothing to the searchers of a domain; return their services.
+
+        The result is ``None`` if the domain is evacuated already.
+        """
+        if not self.evacuated.start(domain):
+            return None
+        replicas = [replica for replica in self.replicas.values() if replica.is_evacuated()]
+        for replica in replicas:
+            _close_idle(replica)
+        return {replica.entry.service for replica in replicas}
+
     def remove_gone(self, now: Millis) -> None:
         """Remove the searchers that have left and have no call in flight, and old departures."""
         self.departures = {
@@ -189,7 +199,8 @@
         return known_start != (entry.born, entry.address, entry.service)
 
     def _add(self, entry: SearcherEntry) -> Replica:
-        replica = Replica(entry, self.max_connections(entry.service), self.clock.now())
+        limit, now = self.max_connections(entry.service), self.clock.now()
+        replica = Replica(entry, limit, now, self.evacuated)
         pause = self.pauses.get(entry.id)
         if pause is not None and pause.born == entry.born:
             replica.pause(pause.until)
@@ -211,6 +222,8 @@
         start that the listing states.
         """
         replica.entry = entry
+        if replica.is_evacuated():
+            _close_idle(replica)
         if entry.phase is SearcherPhase.DRAINING:
             self.record_departure(replica, "draining", drain)
         elif entry.born > self.drained_start_times.get(entry.id, -1):
@@ -221,3 +234,10 @@
         self.drained_start_times[entry.id] = max(known, entry.born)
         while len(self.drained_start_times) > MAX_DRAINED_SEARCHERS:
             del self.drained_start_times[next(iter(self.drained_start_times))]
+
+
+def _close_idle(replica: Replica) -> None:
+    """Close the idle connections to a searcher."""
+    for task in replica.idle:
+        task.close()
+    replica.idle.clear()
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -54,6 +54,8 @@
     PLATFORM_BACK = "platform_back"
     PLATFORM_REREAD = "platform_reread"
     UNREADABLE = "unreadable"
+    DOMAIN_EVACUATED = "domain_evacuated"
+    EVACUATION_ENDED = "evacuation_ended"
     SEARCHER_LISTED = "searcher_listed"
     SEARCHER_IGNORED = "searcher_ignored"
     SEARCHER_LEAVING = "searcher_leaving"
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -30,6 +30,8 @@
     Change,
     Changes,
     Contents,
+    DomainEvacuated,
+    EvacuationEnded,
     HistoryGone,
     PlatformSource,
     PublishedConfiguration,
@@ -141,6 +143,10 @@
                     self.table_change = logged
                 case SearcherListed(entry=entry):
                     self.state[f"searcher {entry.id}"] = value
+                case DomainEvacuated(domain=domain):
+                    self.state[f"evacuated {domain}"] = value
+                case EvacuationEnded(domain=domain):
+                    self.state.pop(f"evacuated {domain}", None)
                 case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
                     self.state.pop(f"searcher {searcher}", None)
             self.changes.append(logged)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -5,6 +5,7 @@
 from ..._ids import Millis
 from ...connection.gateway import SearcherTask
 from ...version.gateway import SearcherEntry
+from .evacuation import EvacuatedDomains
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
@@ -68,6 +69,10 @@
 """The factor by which a searcher is expected to be slower right after its start."""
 
 
+EVACUATION_CHECK_TIME = Millis(1_000.0)
+"""The time after which an evacuation may have ended; how long it lasts is not known."""
+
+
 class ReplicaState(Enum):
     """How a gateway treats a searcher.
 
@@ -89,11 +94,19 @@
     ``failure_rate`` is the share of its attempts that were refused or failed; both are smoothed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
-    when a hedge was due. Until ``paused_until``, the searcher wants no requests.
+    when a hedge was due. Until ``paused_until``, the searcher wants no requests. ``evacuated``
+    holds the failure domains that are evacuated.
     """
 
-    def __init__(self, entry: SearcherEntry, max_connections: int, now: Millis) -> None:
+    def __init__(
+        self,
+        entry: SearcherEntry,
+        max_connections: int,
+        now: Millis,
+        evacuated: EvacuatedDomains | None = None,
+    ) -> None:
         self.entry = entry
+        self.evacuated = evacuated or EvacuatedDomains()
         self.max_connections = max_connections
         self.state = ReplicaState.ACTIVE
         self.idle: list[SearcherTask] = []
@@ -116,7 +129,7 @@
 
     def is_usable(self, now: Millis) -> bool:
         """Return whether the searcher may be sent a request now."""
-        if self.is_paused(now):
+        if self.is_withheld(now):
             return False
         match self.state:
             case ReplicaState.ACTIVE:
@@ -132,12 +145,25 @@
         """Return whether the searcher has asked for a pause that is not over."""
         return now < self.paused_until
 
+    def is_evacuated(self) -> bool:
+        """Return whether the searcher is in a failure domain that is evacuated."""
+        return self.evacuated.covers(self.entry)
+
+    def is_withheld(self, now: Millis) -> bool:
+        """Return whether nothing at all may be sent to the searcher now, whatever its state."""
+        return self.is_paused(now) or self.is_evacuated()
+
+    def withheld_time(self, now: Millis) -> Millis:
+        """Return how long the searcher is withheld at least, or 0 if it is not."""
+        evacuation = EVACUATION_CHECK_TIME if self.is_evacuated() else Millis(0.0)
+        return max(evacuation, Millis(self.paused_until - now), Millis(0.0))
+
     def abstains(self, now: Millis) -> bool:
-        """Return whether the searcher cannot be sent a request because it leaves or pauses.
+        """Return whether the searcher cannot be sent a request because it leaves or is withheld.
 
         An ejected searcher does not abstain, since a request may be tried there.
         """
-        return self.is_paused(now) or (not self.is_listed and not self.is_usable(now))
+        return self.is_withheld(now) or (not self.is_listed and not self.is_usable(now))
 
     @property
     def is_listed(self) -> bool:
--- a/src/masticgate/version/gateway/__init__.py
+++ b/src/masticgate/version/gateway/__init__.py
@@ -8,6 +8,8 @@
 from ._catalogue import Change as Change
 from ._catalogue import Changes as Changes
 from ._catalogue import Contents as Contents
+from ._catalogue import DomainEvacuated as DomainEvacuated
+from ._catalogue import EvacuationEnded as EvacuationEnded
 from ._catalogue import HistoryGone as HistoryGone
 from ._catalogue import PlatformSource as PlatformSource
 from ._catalogue import PublishedConfiguration as PublishedConfiguration
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -90,7 +90,32 @@
     searcher: SearcherId | None = None
 
 
-Change = PublishedConfiguration | SearcherListed | SearcherUnlisted | UnreadableItem
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """An operator evacuates a failure domain: its searchers are to be sent nothing.
+
+    ``detail`` says what is wrong with the published item, if anything; its key alone counts.
+    """
+
+    domain: FailureDomainId
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationEnded:
+    """The evacuation of a failure domain has ended."""
+
+    domain: FailureDomainId
+
+
+Change = (
+    PublishedConfiguration
+    | SearcherListed
+    | SearcherUnlisted
+    | DomainEvacuated
+    | EvacuationEnded
+    | UnreadableItem
+)
 
 
 @dataclass(frozen=True, slots=True)
