Bound what cold searchers get from all gateways together

Cause: a searcher that has just started crashes under the rate of a warm one, and each gateway decided alone how much it sends.

Change: a service may state coldPerS and coldStartS. Each seed has an equal part of the bound and divides it among the gateways that it counts; a gateway uses the parts of the seeds that it hears. Seeds number the gateways for that, in the reply to a heartbeat. The cold time comes from listings with a new sequence, from the header X-Masticgate-Cold-Ms, and from refused connections.

--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -24,6 +24,7 @@
 from ._listener import Listener as Listener
 from ._parser import parse_number as parse_number
 from ._positions import MAX_SHARDS as MAX_SHARDS
+from ._searcher_notices import ColdReported as ColdReported
 from ._searcher_notices import Leaving as Leaving
 from ._searcher_notices import OthersLeaving as OthersLeaving
 from ._searcher_notices import PauseRequested as PauseRequested
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -130,6 +130,11 @@
         "routes": [_encode_route(route) for route in table.routes],
         "services": {service.id: service.connections for service in table.services.values()},
         "limits": asdict(table.limits),
+        "cold": {
+            service.id: [service.cold_rate, service.cold_time]
+            for service in table.services.values()
+            if service.cold_rate
+        },
     }
 
 
@@ -196,6 +201,7 @@
         phase=_decode_enum(fields, "phase", SearcherPhase),
         cold=Millis(fields.number("cold", maximum=MAX_COLD_TIME)),
         born=fields.integer("born", 0),
+        sequence=fields.integer("sequence", 0) if "sequence" in fields.values else 0,
     )
 
 
@@ -213,7 +219,9 @@
         ConfigurationVersion(fields.integer("version", 0)),
         tuple(_decode_route(route) for route in fields.tables("routes")),
         {
-            ServiceId(name): ServiceEntry(ServiceId(name), connections.integer(name, 0))
+            ServiceId(name): ServiceEntry(
+                ServiceId(name), connections.integer(name, 0), *_decode_cold(fields, name)
+            )
             for name in connections.values
         },
         Limits(
@@ -225,6 +233,18 @@
     )
 
 
+def _decode_cold(fields: Fields, service: str) -> tuple[float, Millis]:
+    """Return the bound for the cold searchers of a service; earlier releases do not state any."""
+    if "cold" not in fields.values or service not in fields.table("cold").values:
+        return 0.0, Millis(0.0)
+    match fields.table("cold").items(service):
+        case [rate, time]:
+            values = Fields(f"{fields.path}.cold", {"rate": rate, "time": time})
+            return values.number("rate"), Millis(values.number("time"))
+        case _:
+            raise fields.error("cold", "a rate and a time for each service")
+
+
 def _decode_route(fields: Fields) -> Route:
     return Route(
         id=RouteId(fields.text("id")),
--- a/src/masticgate/connection/gateway/_header_names.py
+++ b/src/masticgate/connection/gateway/_header_names.py
@@ -18,6 +18,8 @@
     those that are waiting, and its slots, which is how many it can run at the same time.
     ``not_run`` names the header that marks a request as not run. ``leaving`` names the header by
     which a searcher says that it leaves, and ``pause`` the one by which it asks for a pause.
+    ``cold`` names the header with the milliseconds for which the searcher stays cold: it answers
+    slowly and tolerates few requests.
 
     ``included_stamps`` and ``missing_shards`` name the headers of a merged answer with the stamps
     of its parts and the number of shards that are missing from it. ``leaving_searchers`` names the
@@ -36,6 +38,7 @@
     leaving: bytes
     pause: bytes
     leaving_searchers: bytes = b""
+    cold: bytes = b""
 
 
 NETWORK_TIME_HEADER = b"x-gateway-network-ms"
@@ -74,4 +77,5 @@
         leaving=b"",
         pause=b"",
         leaving_searchers=LEAVING_SEARCHERS_HEADER,
+        cold=b"",
     )
--- a/src/masticgate/connection/gateway/_searcher_notices.py
+++ b/src/masticgate/connection/gateway/_searcher_notices.py
@@ -13,6 +13,7 @@
 from ..._clock import MILLIS_PER_SECOND
 from ..._fields import is_header_text
 from ..._ids import Millis, SearcherId
+from ...version.gateway import MAX_COLD_TIME
 from ._header_names import HeaderNames
 
 UNAVAILABLE = 503
@@ -21,6 +22,9 @@
 SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 """Matches the seconds of a ``Retry-After`` header."""
 
+MILLISECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+"""Matches the time for which a searcher stays cold."""
+
 MAX_PAUSE = Millis(3_600_000.0)
 """The longest pause; a searcher that asks for a longer one gets this."""
 
@@ -47,7 +51,14 @@
     searchers: tuple[SearcherId, ...]
 
 
-SearcherNotice = Leaving | PauseRequested | OthersLeaving
+@dataclass(frozen=True, slots=True)
+class ColdReported:
+    """The searcher says for how many milliseconds it stays cold; 0 means that it is not."""
+
+    remaining: Millis
+
+
+SearcherNotice = Leaving | PauseRequested | OthersLeaving | ColdReported
 
 
 def decode_notices(
@@ -63,9 +74,20 @@
     searchers = decode_leaving_searchers(headers_by_name.get(names.leaving_searchers, b""))
     if searchers:
         notices.append(OthersLeaving(searchers))
+    cold = decode_cold(headers_by_name.get(names.cold, b"") if names.cold else b"")
+    if cold is not None:
+        notices.append(ColdReported(cold))
     return notices
 
 
+def decode_cold(value: bytes) -> Millis | None:
+    """Return the time in milliseconds that a searcher says it stays cold, or ``None``."""
+    text = value.strip()
+    if not MILLISECONDS.fullmatch(text):
+        return None
+    return min(MAX_COLD_TIME, Millis(float(text)))
+
+
 def decode_pause(value: bytes) -> Millis | None:
     """Return the pause that the value of a ``Retry-After`` header asks for, in milliseconds.
 
--- a/src/masticgate/platform/_configuration.py
+++ b/src/masticgate/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration, which the platform publishes."""
 
+from .._clock import MILLIS_PER_SECOND
 from .._fields import Fields
 from .._ids import ConfigurationVersion, Millis, RouteId, ServiceId
 from ..connection.gateway import MAX_SHARDS
@@ -36,10 +37,7 @@
     :raises FieldError: a field is missing or has an invalid value.
     """
     fields = Fields.of("config", value)
-    services = [
-        ServiceEntry(ServiceId(service.text("name")), int(service.number("maxConnections", 16.0)))
-        for service in fields.tables("services")
-    ]
+    services = [_decode_service(service) for service in fields.tables("services")]
     return RouteTable(
         ConfigurationVersion(fields.integer("version", 0)),
         tuple(_decode_route(route) for route in fields.tables("routes")),
@@ -48,6 +46,15 @@
     )
 
 
+def _decode_service(fields: Fields) -> ServiceEntry:
+    return ServiceEntry(
+        ServiceId(fields.text("name")),
+        int(fields.number("maxConnections", 16.0)),
+        fields.number("coldPerS", 0.0),
+        Millis(fields.number("coldStartS", 0.0) * MILLIS_PER_SECOND),
+    )
+
+
 def _decode_route(fields: Fields) -> Route:
     return Route(
         id=RouteId(fields.text("name")),
--- a/src/masticgate/platform/_items.py
+++ b/src/masticgate/platform/_items.py
@@ -82,9 +82,8 @@
 
 
 def _decode_entry(searcher: SearcherId, fields: Fields) -> SearcherEntry:
-    # The version and the sequence are not used, but a listing without them is invalid.
+    # The version is not used, but a listing without it is invalid.
     fields.text("version")
-    fields.integer("sequence", 0)
     phase = PHASES.get(fields.text("state"))
     if phase is None:
         raise fields.error("state", "'ready' or 'draining'")
@@ -97,6 +96,7 @@
         phase=phase,
         cold=Millis(fields.number("coldRemainingMs", maximum=MAX_COLD_TIME)),
         born=fields.integer("born", 0) if "born" in fields.values else 0,
+        sequence=fields.integer("sequence", 0),
     )
 
 
--- a/src/masticgate/platform/_names.py
+++ b/src/masticgate/platform/_names.py
@@ -16,6 +16,8 @@
     missing_shards=b"X-Masticgate-Missing-Parts",
     leaving=b"server-leaving",
     pause=b"retry-after",
+    # The remaining time in milliseconds for which the searcher is cold.
+    cold=b"x-masticgate-cold-ms",
 )
 
 CONFIGURATION_KEY = "op/config"
--- a/src/masticgate/platform/_node_file.py
+++ b/src/masticgate/platform/_node_file.py
@@ -9,11 +9,12 @@
 from .._fields import FieldError, Fields
 from .._ids import Address, FailureDomainId, HostId, Millis
 from ..connection.gateway import parse_address
-from ..process.gateway import GatewaySettings, HostCapacity, RepeatBounds
+from ..process.gateway import ColdMargin, GatewaySettings, HostCapacity, RepeatBounds
 from ..process.gateway._settings import DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_BYTES
 
 DEFAULT_LINK_MBPS = 1_000.0
 BYTES_PER_MEGABYTE = 1_000_000
+DEFAULT_COLD = ColdMargin()
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,10 @@
             slack=bounds.number("budgetSlack"),
             window=Millis(bounds.number("budgetWindowS") * MILLIS_PER_SECOND),
         ),
+        cold=ColdMargin(
+            bounds.number("coldOver", DEFAULT_COLD.over),
+            bounds.number("coldSlack", DEFAULT_COLD.slack),
+        ),
         capacity=_decode_capacity(Fields.of("settings.limits", fields.values.get("limits", {}))),
     )
 
--- a/src/masticgate/process/gateway/__init__.py
+++ b/src/masticgate/process/gateway/__init__.py
@@ -19,6 +19,7 @@
 from ...version.gateway import SearcherUnlisted as SearcherUnlisted
 from ...version.gateway import Unavailable as Unavailable
 from ...version.gateway import UnreadableItem as UnreadableItem
+from ._settings import ColdMargin as ColdMargin
 from ._settings import GatewaySettings as GatewaySettings
 from ._settings import HostCapacity as HostCapacity
 from ._settings import RepeatBounds as RepeatBounds
--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -39,7 +39,7 @@
         usable = [
             replica
             for replica in untried
-            if replica.state is ReplicaState.EJECTED and not replica.is_withheld(now)
+            if replica.state is ReplicaState.EJECTED and replica.accepts(now)
         ]
     if not usable:
         detail = _describe_known(known, now)
@@ -55,13 +55,17 @@
 def usable_domains(known: Collection[Replica], now: Millis) -> set[FailureDomainId]:
     """Return the failure domains whose gatherers can gather from one of the ``known`` searchers.
 
-    A domain whose searchers are evacuated is one of them if another domain has a usable searcher:
-    its gatherers send there, and their capacity is not lost with the searchers.
+    A domain whose searchers are evacuated, or cold, is one of them if another domain has a usable
+    searcher: its gatherers send there, and their capacity is not lost with the searchers.
     """
     listed = [replica for replica in known if replica.is_listed]
     usable = {replica.entry.domain for replica in listed if replica.is_usable(now)}
     if usable:
-        usable |= {replica.entry.domain for replica in listed if replica.is_evacuated()}
+        usable |= {
+            replica.entry.domain
+            for replica in listed
+            if replica.is_evacuated() or replica.cold_wait(now)
+        }
     return usable
 
 
@@ -69,11 +73,13 @@
     """Return how many searchers are known, and how many of them leave or are withheld."""
     leaving = sum(not replica.is_listed for replica in known)
     paused = sum(replica.is_paused(now) for replica in known)
+    cold = sum(replica.cold_wait(now) > 0 for replica in known)
     evacuated = sum(replica.is_evacuated() for replica in known)
     counts = [f"{len(known)} searchers known"]
     counts += [f"{leaving} leave"] if leaving else []
     counts += [f"{paused} paused"] if paused else []
     counts += [f"{evacuated} evacuated"] if evacuated else []
+    counts += [f"{cold} cold"] if cold else []
     return ", ".join(counts)
 
 
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -5,15 +5,16 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from threading import Lock
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import FailureDomainId, Millis, RouteId, SearcherId, ServiceId
+from ..._ids import Address, FailureDomainId, Millis, RouteId, SearcherId, ServiceId
 from ...connection.gateway import (
     UNLIMITED_MEMORY,
+    ColdReported,
     HeaderNames,
     Leaving,
     Load,
@@ -37,7 +38,14 @@
     InFlightCall,
     Lost,
 )
-from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
+from ...version.gateway import (
+    MAX_SEARCHERS,
+    PEER_SERVICE,
+    Route,
+    RouteTable,
+    SearcherEntry,
+    ServiceEntry,
+)
 from ._choice import choose_replica, usable_domains
 from ._connections import Connections
 from ._hedge_delays import HedgeDelays
@@ -49,6 +57,7 @@
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from .searchers import ColdBound, ColdLimits, SenderKind
 
 RETRY_RESERVE = 1.0
 """The number of repeats in each budget that hedges may not spend, so that retries can."""
@@ -133,13 +142,15 @@
         self.log = log
         self.metrics = metrics
         self.lock = Lock()
-        self.listings = Listings(clock, log, self._max_connections)
+        self.cold_limits = ColdLimits(settings.seeds)
+        self.listings = Listings(clock, log, self._max_connections, self.cold_limits)
         self.services = self.listings.services
         self.replicas = self.listings.replicas
         self.connections = Connections(header_names, self, clock, starter, log, memory)
         self.tasks = self.connections.tasks
         self.accepted_connections: dict[ServiceId, int] = {}
         self.shard_services: set[ServiceId] = set()
+        self.services_with_cold_bound: dict[ServiceId, ServiceEntry] = {}
         self.shard_domains: dict[ServiceId, frozenset[FailureDomainId]] = {}
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
@@ -152,6 +163,7 @@
         with self.lock:
             self.settings = settings
             self.budgets.bounds = settings.repeats
+            self._apply_cold_bounds()
             self._apply_shares(self.shares)
 
     def now(self) -> Millis:
@@ -176,6 +188,7 @@
                     is_shard=call.service in self.shard_services,
                 )
                 if isinstance(replica, NotRun):
+                    self._count_cold_refusal(call.service)
                     return replica
                 idle = replica.idle.pop() if replica.idle else None
                 task = idle or self.connections.open(replica, call)
@@ -183,10 +196,12 @@
                     return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "no task can start")
                 replica.in_flight += 1
                 replica.last_used_at = self.clock.now()
+                replica.cold.record_sent(replica.last_used_at)
             if idle is None or idle.dispatch(call):
                 break
             with self.lock:
                 replica.in_flight -= 1
+                replica.cold.withdraw()
         if call.repeat:
             self.metrics.count("repeats")
         else:
@@ -308,6 +323,7 @@
             if connected or task.opened_for_call:
                 return
             self.metrics.count("connections_failed")
+            self.listings.presume_cold(replica)
             if replica.record_failure(self.clock.now()):
                 self._log_ejection(replica, "", "connect")
 
@@ -322,6 +338,8 @@
                     self.metrics.count("pauses_requested")
                     self.listings.pause(replica, duration)
                     self._update_unserved([replica.entry.service])
+                case ColdReported(remaining=remaining):
+                    replica.set_cold(Millis(self.clock.now() + remaining))
                 case OthersLeaving(searchers=searchers):
                     for searcher in searchers:
                         known = self.replicas.get(searcher)
@@ -366,6 +384,10 @@
                 service.id: service.connections for service in table.services.values()
             }
             self.shard_services = table.shard_services()
+            self.services_with_cold_bound = {
+                service.id: service for service in table.services.values() if service.cold_rate
+            }
+            self._apply_cold_bounds()
             self.budgets.drop_empty(self.clock.now())
             self._apply_shares(self.shares)
             routes = {route.id for route in table.routes}
@@ -383,6 +405,27 @@
             self._apply_shares(shares)
         self.warm_up()
 
+    def record_senders(
+        self, seed: Address, kind: SenderKind, own: str | None, senders: Collection[str]
+    ) -> None:
+        """Record the gateways that a seed counts as senders, and the name of this one."""
+        with self.lock:
+            self.cold_limits.record(seed, kind, own, senders, self.clock.now())
+
+    def _apply_cold_bounds(self) -> None:
+        margin = self.settings.cold
+        bounds = {
+            service.id: ColdBound(service.cold_rate, margin.over, margin.slack, service.cold_time)
+            for service in self.services_with_cold_bound.values()
+        }
+        self.cold_limits.apply(self.settings.seeds, bounds, self.shard_services)
+
+    def _count_cold_refusal(self, service: ServiceId) -> None:
+        """Count a request that could not be sent since a searcher is cold; the lock is held."""
+        now = self.clock.now()
+        if any(replica.cold_wait(now) for replica in self.listings.of_service(service)):
+            self.metrics.count("cold_refused")
+
     def warm_up(self) -> None:
         """Open a connection to each searcher that is kept warm and has none.
 
@@ -475,6 +518,9 @@
             for replica in self.replicas.values():
                 self.connections.expire_idle(replica, now, self._is_in_use)
             self.connections.close_stuck(now)
+            if self.cold_limits.bounds:
+                cold = sum(replica.cold.is_cold(now) for replica in self.replicas.values())
+                self.metrics.set_gauge("searchers_cold", cold)
             self.unserved.clear()
             if self.shares.keeps_warm:
                 self._update_unserved(self.shard_services)
@@ -521,6 +567,8 @@
             case Lost(lacked_memory=lacked_memory) if call.cancelled or lacked_memory:
                 return
             case Answered() | Lost():
+                if isinstance(call.outcome, Lost) and not call.outcome.sent:
+                    self.listings.presume_cold(replica)
                 self._record_failure(replica, call, now)
 
     def _record_failure(self, replica: Replica, call: Call, now: Millis) -> None:
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -9,6 +9,7 @@
 from ._log import EventLog, LogEvent
 from ._replica import Replica, ReplicaState
 from .evacuation import EvacuatedDomains
+from .searchers import ColdLimits
 
 LAST_RESORT_SHARE = 0.5
 """The part of the ``drain`` setting for which a leaving searcher is used if there is no other."""
@@ -42,7 +43,11 @@
     """
 
     def __init__(
-        self, clock: Clock, log: EventLog, max_connections: Callable[[ServiceId], int]
+        self,
+        clock: Clock,
+        log: EventLog,
+        max_connections: Callable[[ServiceId], int],
+        cold_limits: ColdLimits | None = None,
     ) -> None:
         self.clock = clock
         self.log = log
@@ -53,6 +58,7 @@
         self.pauses: dict[SearcherId, Period] = {}
         self.departures: dict[SearcherId, Period] = {}
         self.evacuated = EvacuatedDomains()
+        self.cold_limits = cold_limits or ColdLimits(())
 
     def of_service(self, service: ServiceId) -> Collection[Replica]:
         """Return the searchers of a service."""
@@ -149,6 +155,15 @@
             _close_idle(replica)
         return {replica.entry.service for replica in replicas}
 
+    def presume_cold(self, replica: Replica) -> None:
+        """Treat a searcher that refuses connections as cold: its process has ended.
+
+        The next one is cold, and serves before its listing or an answer of it says so.
+        """
+        bound = self.cold_limits.bounds.get(replica.entry.service)
+        if bound is not None:
+            replica.set_cold(max(replica.cold.until, Millis(self.clock.now() + bound.duration)))
+
     def remove_gone(self, now: Millis) -> None:
         """Remove the searchers that have left and have no call in flight, and old departures."""
         self.departures = {
@@ -200,7 +215,7 @@
 
     def _add(self, entry: SearcherEntry) -> Replica:
         limit, now = self.max_connections(entry.service), self.clock.now()
-        replica = Replica(entry, limit, now, self.evacuated)
+        replica = Replica(entry, limit, now, self.evacuated, self.cold_limits)
         pause = self.pauses.get(entry.id)
         if pause is not None and pause.born == entry.born:
             replica.pause(pause.until)
@@ -221,6 +236,9 @@
         A searcher that was leaving or gone is active again, unless it has begun to drain since the
         start that the listing states.
         """
+        if entry != replica.entry:
+            # The remaining time counts from the writing of the listing, which is not read again.
+            replica.set_cold(max(replica.cold.until, Millis(self.clock.now() + entry.cold)))
         replica.entry = entry
         if replica.is_evacuated():
             _close_idle(replica)
--- a/src/masticgate/process/gateway/_membership.py
+++ b/src/masticgate/process/gateway/_membership.py
@@ -1,6 +1,7 @@
 """The gateways that a seed knows from their heartbeats."""
 
 from dataclasses import dataclass
+from itertools import count
 
 from ..._ids import HostId, Millis
 from ._gatherers import Member
@@ -55,10 +56,15 @@
 
 
 class Membership:
-    """The latest heartbeat of each gateway; the lock of :class:`Peers` guards it."""
+    """The latest heartbeat of each gateway; the lock of :class:`Peers` guards it.
+
+    ``positions`` numbers them from 1; 0 is this gateway. No two have the same number, and it stays
+    that of a gateway until the gateway no longer counts.
+    """
 
     def __init__(self) -> None:
         self.heartbeats: dict[HostId, Heartbeat] = {}
+        self.positions: dict[HostId, int] = {}
 
     def record(self, host: HostId, heartbeat: Heartbeat) -> bool:
         """Record a heartbeat; return ``False`` if it exceeds a bound on their number or names."""
@@ -67,8 +73,15 @@
         if is_too_many or max(len(host), len(domain)) > MAX_NAME_LENGTH:
             return False
         self.heartbeats[host] = heartbeat
+        if host not in self.positions:
+            taken = set(self.positions.values())
+            self.positions[host] = next(n for n in count(1) if n not in taken)
         return True
 
+    def position_count(self) -> int:
+        """Return the number of positions of gateways, this one's included."""
+        return 1 + max(self.positions.values(), default=0)
+
     def count(self, now: Millis) -> int:
         """Return the number of running gateways, this one included, and drop the others."""
         self.heartbeats = {
@@ -76,6 +89,9 @@
             for host, heartbeat in self.heartbeats.items()
             if now - heartbeat.received_at <= heartbeat.age_limit(MIN_MEMBER_TTL)
         }
+        self.positions = {
+            host: position for host, position in self.positions.items() if host in self.heartbeats
+        }
         return 1 + len(self.heartbeats)
 
     def candidates(self, now: Millis) -> list[Member]:
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -35,6 +35,7 @@
 from ._membership import (
     HEARTBEAT_INTERVAL,
     MAX_HEARTBEAT_INTERVAL,
+    MAX_HEARTBEATS,
     Heartbeat,
     Membership,
     heartbeat_interval,
@@ -50,6 +51,7 @@
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
 from ._supervisor import Supervisor
+from .searchers import SETTLING_TIME, SenderKind
 
 HEARTBEAT_HOST = "heartbeat.gateway"
 """The Host header by which a gateway recognizes a heartbeat."""
@@ -223,6 +225,8 @@
             recorded = is_name(host) and self.membership.record(host, heartbeat)
             members = self.membership.count(heartbeat.received_at)
             named = self.named.get(self.settings.peer_address or Address(""), frozenset())
+            position = self.membership.positions.get(host) if recorded else None
+            positions = self.membership.position_count()
         if not recorded:
             self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
         gatherers = sorted([gatherer.address, gatherer.domain] for gatherer in named)
@@ -233,6 +237,8 @@
             "relays": self.is_ready() and self.is_platform_reachable(),
             "members": members,
         }
+        if position is not None and self._is_settled():
+            reply["position"] = [position, positions]
         if query.get("known", [""])[0] != digest:
             reply |= {"gatherers": gatherers, "digest": digest}
         if "previous" in query:
@@ -329,6 +335,9 @@
             self.named[self.settings.peer_address] = frozenset(
                 Gatherer(member.address, member.domain) for member in chosen
             )
+            named = self.named[self.settings.peer_address]
+            position = (0, self.membership.position_count()) if self._is_settled() else None
+        self._record_senders(self.settings.peer_address, named, position)
 
     def _apply_gatherers(self) -> None:
         """Send queries to the gatherers that the seeds name now, and no longer to others."""
@@ -464,8 +473,35 @@
             if "gatherers" in reply:
                 self.named[seed] = decode_gatherers(reply["gatherers"])
                 self.digests[seed] = str(digest) if is_name(digest) else ""
+            named = self.named.get(seed, frozenset())
+        self._record_senders(seed, named, decode_position(reply.get("position")))
         self._apply_gatherers()
 
+    def _is_settled(self) -> bool:
+        """Return whether this seed can have heard from every gateway since its start."""
+        return self.clock.now() - self.started_at >= SETTLING_TIME
+
+    def _record_senders(
+        self, seed: Address, named: frozenset[Gatherer], position: tuple[int, int] | None
+    ) -> None:
+        """Record the gateways by whose number a seed divides what cold searchers may be sent."""
+        own = str(self.settings.peer_address)
+        gatherers = {str(gatherer.address) for gatherer in named}
+        own_gatherer = own if own in gatherers else None
+        self.fleet.record_senders(seed, SenderKind.GATHERERS, own_gatherer, gatherers)
+        if position is not None:
+            senders = [str(number) for number in range(position[1])]
+            self.fleet.record_senders(seed, SenderKind.ALL, str(position[0]), senders)
+
+
+def decode_position(value: object) -> tuple[int, int] | None:
+    """Return the position of this gateway among those that a seed counts, and their number."""
+    match value:
+        case [int(position), int(number)] if 0 <= position < number <= MAX_HEARTBEATS + 1:
+            return position, number
+        case _:
+            return None
+
 
 def decode_heartbeat(query: dict[str, list[str]], now: Millis) -> Heartbeat:
     """Return the heartbeat that a query states; one that is invalid states no member."""
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from threading import Condition, Lock
 from time import monotonic
+from typing import Any
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
@@ -155,7 +156,10 @@
     def lists(self, listing: SearcherListed) -> bool:
         """Return whether the catalogue has this listing already, so that it is no change."""
         with self.changed:
-            return bool(self.state.get(f"searcher {listing.entry.id}") == encode_change(listing))
+            known = self.state.get(f"searcher {listing.entry.id}")
+        return known is not None and _without_sequence(known) == _without_sequence(
+            encode_change(listing)
+        )
 
     def handle_request(self, request: Request) -> LocalPage:
         """Return the reply to a read or a watch.
@@ -212,6 +216,15 @@
         return body
 
 
+def _without_sequence(value: Any) -> Any:
+    """Return an encoded listing without its sequence, unless it says that its searcher is cold.
+
+    The time for which a searcher is cold counts from each listing on, also if it is the same again.
+    """
+    listed = value["listed"]
+    return listed if listed["cold"] else listed | {"sequence": 0}
+
+
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -6,6 +6,7 @@
 from ...connection.gateway import SearcherTask
 from ...version.gateway import SearcherEntry
 from .evacuation import EvacuatedDomains
+from .searchers import ColdGuard, ColdLimits
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
@@ -95,7 +96,8 @@
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
     when a hedge was due. Until ``paused_until``, the searcher wants no requests. ``evacuated``
-    holds the failure domains that are evacuated.
+    holds the failure domains that are evacuated. The searcher is cold until ``cold_until``, and
+    ``cold`` bounds what it gets meanwhile.
     """
 
     def __init__(
@@ -104,9 +106,13 @@
         max_connections: int,
         now: Millis,
         evacuated: EvacuatedDomains | None = None,
+        cold_limits: ColdLimits | None = None,
     ) -> None:
         self.entry = entry
         self.evacuated = evacuated or EvacuatedDomains()
+        self.cold = ColdGuard(
+            entry.id, entry.service, cold_limits or ColdLimits(()), Millis(now + entry.cold)
+        )
         self.max_connections = max_connections
         self.state = ReplicaState.ACTIVE
         self.idle: list[SearcherTask] = []
@@ -129,7 +135,7 @@
 
     def is_usable(self, now: Millis) -> bool:
         """Return whether the searcher may be sent a request now."""
-        if self.is_withheld(now):
+        if not self.accepts(now):
             return False
         match self.state:
             case ReplicaState.ACTIVE:
@@ -150,20 +156,34 @@
         return self.evacuated.covers(self.entry)
 
     def is_withheld(self, now: Millis) -> bool:
-        """Return whether nothing at all may be sent to the searcher now, whatever its state."""
+        """Return whether the searcher gets nothing now, not even a connection."""
         return self.is_paused(now) or self.is_evacuated()
 
+    def cold_wait(self, now: Millis) -> Millis:
+        """Return for how long the searcher gets nothing since it is cold."""
+        return self.cold.wait(now)
+
+    def set_cold(self, until: Millis) -> None:
+        """Treat the searcher as cold until a time; without a bound, its cost stays as it is."""
+        self.cold.until = until
+        if self.cold.is_bounded():
+            self.cold_until = until
+
+    def accepts(self, now: Millis) -> bool:
+        """Return whether anything may be sent to the searcher now, whatever its state is."""
+        return not self.is_withheld(now) and not self.cold_wait(now)
+
     def withheld_time(self, now: Millis) -> Millis:
-        """Return how long the searcher is withheld at least, or 0 if it is not."""
+        """Return how long the searcher gets nothing at least, or 0 if it may get something."""
         evacuation = EVACUATION_CHECK_TIME if self.is_evacuated() else Millis(0.0)
-        return max(evacuation, Millis(self.paused_until - now), Millis(0.0))
+        return max(evacuation, Millis(self.paused_until - now), self.cold_wait(now))
 
     def abstains(self, now: Millis) -> bool:
-        """Return whether the searcher cannot be sent a request because it leaves or is withheld.
+        """Return whether the searcher cannot be sent a request: it leaves or accepts nothing.
 
         An ejected searcher does not abstain, since a request may be tried there.
         """
-        return self.is_withheld(now) or (not self.is_listed and not self.is_usable(now))
+        return not self.accepts(now) or (not self.is_listed and not self.is_usable(now))
 
     @property
     def is_listed(self) -> bool:
--- a/src/masticgate/process/gateway/_settings.py
+++ b/src/masticgate/process/gateway/_settings.py
@@ -17,6 +17,17 @@
     window: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class ColdMargin:
+    """What a cold searcher tolerates in any second beyond the rate that its service states.
+
+    It gets at most ``over`` times that rate plus ``slack`` requests from all gateways together.
+    """
+
+    over: float = 1.5
+    slack: float = 5.0
+
+
 GATHERED_BYTES = 200_000.0
 """The bytes that a gatherer of 90 shards sends and receives for one query."""
 
@@ -84,6 +95,7 @@
     drain: Millis
     repeats: RepeatBounds
     capacity: HostCapacity
+    cold: ColdMargin = ColdMargin()
 
     def find_fixed_changes(self, changed: "GatewaySettings") -> list[str]:
         """Return the names of ``FIXED_SETTINGS`` that differ in ``changed``."""
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -44,7 +44,8 @@
 
     ``slots`` is the number of requests that the searcher runs at the same time. ``cold`` is the
     remaining time for which it answers slowly after its start. ``born`` is the time of its start in
-    milliseconds since the Unix epoch, or 0 if the listing does not state it.
+    milliseconds since the Unix epoch, or 0 if the listing does not state it. ``sequence`` grows
+    with each listing that the searcher writes.
     """
 
     id: SearcherId
@@ -55,6 +56,7 @@
     phase: SearcherPhase
     cold: Millis
     born: int
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/masticgate/version/gateway/_routes.py
+++ b/src/masticgate/version/gateway/_routes.py
@@ -86,11 +86,14 @@
     """A service of a published configuration.
 
     ``connections`` is the number of connections that each of its searchers accepts from all
-    gateways together.
+    gateways together. A searcher that is cold, which it is for ``cold_time`` after its start,
+    tolerates ``cold_rate`` requests a second from all of them; 0 stands for any number.
     """
 
     id: ServiceId
     connections: int
+    cold_rate: float = 0.0
+    cold_time: Millis = Millis(0.0)
 
 
 @dataclass(frozen=True, slots=True)
