Follow a store that is restored from an older copy

Cause: after a restore the store gives revisions out again, so that a watch misses changes without an error, and lists searchers and lacks evacuations as of the copy.

Change: the header Store-Era travels with contents and changes, also between gateways. Another era leads to a read of everything; relays of an older era are not read.

--- a/model/specifications.py
+++ b/model/specifications.py
@@ -2,7 +2,7 @@
 
 from model.process import abstention, handover
 from model.request import answer, booking
-from model.version import adoption, drain
+from model.version import adoption, drain, eras
 
 SPECIFICATIONS = (
     booking.SPECIFICATION,
@@ -10,5 +10,6 @@
     handover.SPECIFICATION,
     adoption.SPECIFICATION,
     drain.SPECIFICATION,
+    eras.SPECIFICATION,
     abstention.SPECIFICATION,
 )
--- a/src/masticgate/_ids.py
+++ b/src/masticgate/_ids.py
@@ -23,6 +23,9 @@
 If a gateway relays the platform's catalogue, that gateway numbers the changes instead.
 """
 
+StoreEra = NewType("StoreEra", int)
+"""The number of the platform's store since its last restore from a copy; later ones are higher."""
+
 SnapshotVersion = NewType("SnapshotVersion", int)
 """The number of one published index snapshot."""
 
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -19,6 +19,7 @@
     RouteId,
     SearcherId,
     ServiceId,
+    StoreEra,
 )
 from ...version.gateway import (
     MAX_COLD_TIME,
@@ -78,19 +79,27 @@
     """The changes that another gateway relays in one response.
 
     ``number`` is the number of the last change, counted from the start of that gateway, and
-    ``epoch`` identifies this start.
+    ``epoch`` identifies this start. ``era`` is that of the store, if it states one.
     """
 
     epoch: str
     number: Revision
     changes: tuple[Change, ...]
+    era: StoreEra | None = None
 
 
 def encode_update(
-    epoch: str, number: int, changes: list[object], *, compressed: bool = False
+    epoch: str,
+    number: int,
+    changes: list[object],
+    *,
+    compressed: bool = False,
+    era: StoreEra | None = None,
 ) -> bytes:
     """Return the body of a response with ``changes``, each as :func:`encode_change` returns it."""
     value = {"epoch": epoch, "number": number, "changes": changes}
+    if era is not None:
+        value["era"] = era
     body = json.dumps(value, separators=(",", ":")).encode()
     return zlib.compress(body) if compressed else body
 
@@ -106,7 +115,9 @@
     try:
         fields = Fields.of("update", decode_json(_decompress(body)))
         changes = tuple(_decode_change(item) for item in fields.tables("changes"))
-        return CatalogueUpdate(fields.text("epoch"), Revision(fields.integer("number", 0)), changes)
+        era = StoreEra(fields.integer("era", 0)) if "era" in fields.values else None
+        number = Revision(fields.integer("number", 0))
+        return CatalogueUpdate(fields.text("epoch"), number, changes, era)
     except FieldError as error:
         raise InvalidCatalogueError(str(error)) from error
 
--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Mapping
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from threading import Lock
 from urllib.parse import urlencode
 
@@ -31,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A complete response."""
+    """A complete response; the names of ``headers`` are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = field(default_factory=dict, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +160,7 @@
                 if problem is not None or others or parser.in_message or not response.keep_alive:
                     self.close()
                 parser.discard()
-                return HttpResponse(response.status, response.body)
+                return HttpResponse(response.status, response.body, response.headers_by_name)
             if problem is not None:
                 self.close()
                 parser.discard()
--- a/src/masticgate/platform/_names.py
+++ b/src/masticgate/platform/_names.py
@@ -25,4 +25,7 @@
 EVACUATIONS_PREFIX = "op/evacuate/"
 """The prefix of the keys that evacuate a failure domain, whose name follows it."""
 
+STORE_ERA_HEADER = b"store-era"
+"""The header of the store's responses with a number that rises when it is restored from a copy."""
+
 ALL_KEYS_PREFIX = ""
--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -1,11 +1,19 @@
 """The client of the platform's store, which holds the configuration and the listings."""
 
+from dataclasses import dataclass
 from typing import Any
 
 from .._clock import Clock
 from .._fields import FieldError, Fields, decode_json, is_name
-from .._ids import Address, Millis, Revision
-from ..connection.gateway import GetTimeouts, HttpClient, InvalidResponse, NoResponse
+from .._ids import Address, Millis, Revision, StoreEra
+from ..connection.gateway import (
+    GetTimeouts,
+    HttpClient,
+    HttpResponse,
+    InvalidResponse,
+    NoResponse,
+    parse_number,
+)
 from ..process.gateway import (
     Change,
     Changes,
@@ -17,7 +25,7 @@
 )
 from ..version.gateway import MAX_SEARCHERS
 from ._items import decode_item
-from ._names import ALL_KEYS_PREFIX, CONFIGURATION_KEY
+from ._names import ALL_KEYS_PREFIX, CONFIGURATION_KEY, STORE_ERA_HEADER
 
 READ_TIMEOUT = Millis(1_000.0)
 """A read usually takes a few milliseconds, and a few hundred if the store is slow."""
@@ -33,6 +41,14 @@
 """The status of the response to a watch if changes after its revision are no longer available."""
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """The decoded body of a response, and the era that it states, if any."""
+
+    values: dict[str, Any]
+    era: StoreEra | None
+
+
 class PlatformStore:
     """Reads and watches the store over one connection; only one task uses it.
 
@@ -56,7 +72,7 @@
         item = self._get("/v1/kv-key", {"key": CONFIGURATION_KEY}, READ_TIMEOUT)
         if isinstance(item, int | Unavailable):
             return _unavailable(item)
-        change = decode_item(item)
+        change = decode_item(item.values)
         return (
             change
             if isinstance(change, PublishedConfiguration)
@@ -68,10 +84,11 @@
 
         The pages are not a consistent snapshot, since the store may change between two of them. The
         returned revision is that of the first page, so that a watch from it misses no change.
-        Pages that do not advance, or do not end within ``MAX_PAGES``, are not usable.
+        Pages that do not advance, that have several eras, or that do not end within ``MAX_PAGES``,
+        are not usable.
         """
         changes: list[Change] = []
-        first_revision: Revision | None = None
+        first: Page | None = None
         last_keys: set[str] = set()
         after = ""
         for _ in range(MAX_PAGES):
@@ -79,18 +96,20 @@
             page = self._get("/v1/kv-range", query, READ_TIMEOUT)
             if isinstance(page, int | Unavailable):
                 return _unavailable(page)
-            items = page.get("items") or []
+            first = first or page
+            if page.era != first.era:
+                return Unavailable(f"pages of the eras {first.era} and {page.era}")
+            items = page.values.get("items") or []
             changes += _decode_items(items)
-            if first_revision is None:
-                first_revision = Revision(page["currentRev"])
-            if not page.get("hasMore") or not items:
-                return Contents(tuple(changes), first_revision)
+            revision = Revision(first.values["currentRev"])
+            if not page.values.get("hasMore") or not items:
+                return Contents(tuple(changes), revision, first.era)
             last_key = _last_key(items)
             if last_key is None or last_key in last_keys:
                 return Unavailable("a page without a key to continue from")
             if len(changes) > MAX_SEARCHERS:
                 changes.append(UnreadableItem("", f"items after {last_key}: too many"))
-                return Contents(tuple(changes), first_revision)
+                return Contents(tuple(changes), revision, first.era)
             last_keys.add(last_key)
             after = last_key
         return Unavailable(f"more than {MAX_PAGES} pages")
@@ -105,13 +124,11 @@
             return HistoryGone()
         if isinstance(page, int | Unavailable):
             return _unavailable(page)
-        changes = _decode_items(page.get("events") or [])
-        return Changes(tuple(changes), Revision(page["currentRev"]))
+        changes = _decode_items(page.values.get("events") or [])
+        return Changes(tuple(changes), Revision(page.values["currentRev"]), page.era)
 
-    def _get(
-        self, path: str, query: dict[str, Any], timeout: Millis
-    ) -> dict[str, Any] | int | Unavailable:
-        """Return the decoded body, the status if it is not 200, or why there is no usable body."""
+    def _get(self, path: str, query: dict[str, Any], timeout: Millis) -> Page | int | Unavailable:
+        """Return the response with its decoded body, the status if it is not 200, or a failure."""
         address = self.address
         if self.client.address != address:
             self.client.close()
@@ -132,7 +149,13 @@
                     body.items(name)
         except FieldError as error:
             return Unavailable(str(error))
-        return dict(body.values)
+        return Page(dict(body.values), _decode_era(response))
+
+
+def _decode_era(response: HttpResponse) -> StoreEra | None:
+    """Return the era that a response states; one that is no number counts as none."""
+    era = parse_number(response.headers.get(STORE_ERA_HEADER, b"").strip())
+    return None if era is None else StoreEra(era)
 
 
 def _last_key(items: list[Any]) -> str | None:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -452,8 +452,8 @@
 
     def remove_searcher(
         self, searcher: SearcherId, why: str, usable_time: Millis | None = None
-    ) -> None:
-        """Stop using a searcher; ``why`` is written to the log.
+    ) -> SearcherEntry | None:
+        """Stop using a searcher and return its last listing; ``why`` is written to the log.
 
         It is still used for ``usable_time`` if there is no other; the default is
         ``LAST_RESORT_SHARE`` of the ``drain`` setting.
@@ -462,8 +462,10 @@
             usable_time = Millis(self.settings.drain * LAST_RESORT_SHARE)
         with self.lock:
             replica = self.replicas.get(searcher)
-            if replica is not None:
-                self.listings.start_leaving(replica, why, usable_time)
+            if replica is None:
+                return None
+            self.listings.start_leaving(replica, why, usable_time)
+            return replica.entry
 
     def evacuate(self, domain: FailureDomainId) -> bool:
         """Send nothing to the searchers of a domain; return ``False`` if that is so already."""
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -7,7 +7,7 @@
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Millis, Revision, SearcherId
+from ..._ids import Millis, Revision, SearcherId, StoreEra
 from ...version.gateway import (
     CatalogueSource,
     Change,
@@ -29,6 +29,7 @@
 from ._metrics import Metrics
 from ._relay import CatalogueLog
 from .evacuation import EvacuationApplier
+from .store_view import StoreView
 
 WATCH_TIMEOUT = Millis(1_800.0)
 """How long one watch waits for changes.
@@ -103,6 +104,7 @@
         self.configuration_unreadable = False
         self.catalogue = CatalogueLog(self.age)
         self.evacuations = EvacuationApplier(fleet, self.catalogue, log, metrics)
+        self.view = StoreView()
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
@@ -117,6 +119,7 @@
                 case Contents() as contents:
                     self._record_contact()
                     self._apply_all(contents)
+                    self.catalogue.begin_era(contents.era)
                     self._follow(contents.revision)
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
@@ -132,9 +135,10 @@
     def _follow(self, after: Revision) -> None:
         """Apply changes after a revision until the whole catalogue has to be read again.
 
-        That is the case if the source says so, if its revision is lower than ``after``, and while
-        there is no readable configuration. A source may cut a watch that waits, and is unavailable
-        only if it also cuts the short one that follows.
+        That is the case if the source says so, if its revision is lower than ``after``, if the
+        store has another era, whose revisions are others, and while there is no readable
+        configuration. A source may cut a watch that waits, and is unavailable only if it also cuts
+        the short one that follows.
         """
         reread_at = Millis(self.clock.now() + self.reread_backoff.next_delay())
         began, wait = self.clock.now(), WATCH_TIMEOUT
@@ -147,12 +151,16 @@
                     watch_was_cut = True
                     self.metrics.count("watches_cut")
                     continue
+                case Changes(era=era) if self.view.is_other_era(era):
+                    self._record_contact()
+                    self._prepare_reread(after, f"the store has era {era}", reread_at)
+                    return
                 case Changes(changes=changes, revision=revision) if revision >= after:
                     self._record_contact()
                     after = revision
                     for change in changes:
                         self._apply(change)
-                    self._remove_held()
+                    self._end_holds()
                     if not self._lacks_configuration():
                         self.reread_backoff.reset()
                         reread_at = self.clock.now()
@@ -186,6 +194,7 @@
     def _watch_wait(self, reread_at: Millis) -> Millis:
         """Return how long the next watch may wait before something else is due."""
         due = [self.clock.now() + WATCH_TIMEOUT, *self.held_searchers.values()]
+        due += self.evacuations.held_until.values()
         if self._lacks_configuration():
             due.append(reread_at)
         return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, min(due) - self.clock.now())))
@@ -198,6 +207,7 @@
             self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(outage))
             self.unavailable_since = None
             self.recovered_at = self.last_contact_at
+            self.evacuations.extend_holds(outage)
             for searcher in self.held_searchers:
                 self.held_searchers[searcher] = Millis(self.held_searchers[searcher] + outage)
 
@@ -215,15 +225,31 @@
         self.stopping.wait(wait / MILLIS_PER_SECOND)
 
     def _apply_all(self, contents: Contents) -> None:
+        holds_until = self._begin_era(contents.era)
         listed = set()
         for change in contents.changes:
             self._apply(change)
             if isinstance(change, SearcherListed):
                 listed.add(change.entry.id)
-        self.evacuations.apply_all(contents.changes)
+        self.evacuations.apply_all(contents.changes, holds_until)
         for searcher in self.fleet.find_unlisted(listed):
             self._handle_unlisted(searcher, "not in the list")
 
+    def _begin_era(self, era: StoreEra | None) -> Millis | None:
+        """Record the store's era; after a restore, return the time until which losses are held.
+
+        What is missing may have been written since the copy from which the store was restored.
+        """
+        begun = self.view.begin(era)
+        if begun is None:
+            return None
+        self.log.write(LogEvent.STORE_ERA, before=begun.before, after=begun.after)
+        self.metrics.set_gauge("store_era", begun.after)
+        if begun.before is None:
+            return None
+        self.recovered_at = self.clock.now()
+        return Millis(self.recovered_at + RELIST_TIMEOUT)
+
     def _apply(self, change: Change) -> None:
         match change:
             case PublishedConfiguration(table=table):
@@ -232,12 +258,20 @@
             case SearcherListed(entry=entry) if not self.fleet.has_room(entry.id):
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=entry.id, detail="too many searchers")
+            case SearcherListed(entry=entry) if self.view.is_restored_departure(entry):
+                self.log.write(
+                    LogEvent.SEARCHER_IGNORED,
+                    searcher=entry.id,
+                    born=entry.born,
+                    phase=entry.phase.value,
+                )
             case SearcherListed(entry=entry):
                 # A read of everything would otherwise push all other changes out of the log, and
                 # the gateways that watch this one would have to read everything as well.
                 if not self.catalogue.lists(change):
                     self.catalogue.add(change)
                 self.held_searchers.pop(entry.id, None)
+                self.view.record_listing(entry)
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
                 self._handle_unlisted(searcher, "unlisted")
@@ -252,7 +286,7 @@
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
                 if searcher is not None:
-                    self.fleet.remove_searcher(searcher, "unreadable")
+                    self._remove_searcher(searcher, "unreadable")
                 elif key:
                     self.configuration_unreadable = True
 
@@ -297,13 +331,21 @@
                 self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
                 return
         self.catalogue.add(SearcherUnlisted(searcher))
-        self.fleet.remove_searcher(searcher, why)
+        self._remove_searcher(searcher, why)
+
+    def _remove_searcher(
+        self, searcher: SearcherId, why: str, usable_time: Millis | None = None
+    ) -> None:
+        entry = self.fleet.remove_searcher(searcher, why, usable_time)
+        if entry is not None:
+            self.view.record_departure(entry)
 
-    def _remove_held(self) -> None:
-        """Remove the held searchers whose listing has not returned in time."""
+    def _end_holds(self) -> None:
+        """Remove the held searchers and evacuations that have not returned in time."""
         now = self.clock.now()
         overdue = [searcher for searcher, until in self.held_searchers.items() if now >= until]
         for searcher in overdue:
             del self.held_searchers[searcher]
             self.catalogue.add(SearcherUnlisted(searcher))
-            self.fleet.remove_searcher(searcher, "not back in the list", Millis(0.0))
+            self._remove_searcher(searcher, "not back in the list", Millis(0.0))
+        self.evacuations.end_overdue(now)
--- a/src/masticgate/process/gateway/_log.py
+++ b/src/masticgate/process/gateway/_log.py
@@ -53,6 +53,7 @@
     PLATFORM_LOST = "platform_lost"
     PLATFORM_BACK = "platform_back"
     PLATFORM_REREAD = "platform_reread"
+    STORE_ERA = "store_era"
     UNREADABLE = "unreadable"
     DOMAIN_EVACUATED = "domain_evacuated"
     EVACUATION_ENDED = "evacuation_ended"
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -14,7 +14,7 @@
 from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision
+from ..._ids import Address, Millis, Revision, StoreEra
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -127,6 +127,7 @@
         self.state: dict[str, object] = {}
         self.changes: deque[LoggedChange] = deque(maxlen=MAX_CHANGES)
         self.table_change = LoggedChange(0, None)
+        self.era: StoreEra | None = None
         self.encoding_lock = Lock()
         self.encoded: EncodedContents | None = None
         self.encoded_changes: EncodedChanges | None = None
@@ -153,10 +154,27 @@
             self.changes.append(logged)
             self.changed.notify_all()
 
+    def begin_era(self, era: StoreEra | None) -> None:
+        """Pass on the era of the store, to which all changes so far belong.
+
+        The gateways that watch this one then read everything again.
+        """
+        with self.changed:
+            if era is None or era == self.era:
+                return
+            self.era = era
+            self.number += 1
+            self.changes.append(LoggedChange(self.number, None))
+            self.changed.notify_all()
+
     def lists(self, listing: SearcherListed) -> bool:
         """Return whether the catalogue has this listing already, so that it is no change."""
         with self.changed:
             known = self.state.get(f"searcher {listing.entry.id}")
+            era = self.era
+        if era is not None:
+            # After a restore, the sequence tells whether a listing is older than a departure.
+            return bool(known == encode_change(listing))
         return known is not None and _without_sequence(known) == _without_sequence(
             encode_change(listing)
         )
@@ -184,10 +202,11 @@
                 if "table" not in self.state:
                     return LocalPage(503, b"no configuration")
                 number, values = self.number, list(self.state.values())
+                era = self.era
             if not compressed:
-                return LocalPage(200, encode_update(self.epoch, number, values))
+                return LocalPage(200, encode_update(self.epoch, number, values, era=era))
             if self.encoded is None or self.encoded.number != number:
-                body = encode_update(self.epoch, number, values, compressed=True)
+                body = encode_update(self.epoch, number, values, compressed=True, era=era)
                 self.encoded = EncodedContents(number, body)
             return LocalPage(200, self.encoded.body)
 
@@ -211,7 +230,7 @@
             for change in self.changes
             if change.number > after and change.value is not None
         ]
-        body = encode_update(self.epoch, self.number, values)
+        body = encode_update(self.epoch, self.number, values, era=self.era)
         self.encoded_changes = EncodedChanges(after, self.number, body)
         return body
 
@@ -229,7 +248,8 @@
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
     ``relays`` returns the addresses of the gateways that relay now, the preferred one first.
-    ``wait`` blocks for the given number of seconds.
+    ``wait`` blocks for the given number of seconds. ``era`` is the latest era of the store that
+    was seen; a relay with a lower one has not yet seen a restore of the store, and is not read.
     """
 
     def __init__(
@@ -247,6 +267,7 @@
         self.wait = wait
         self.client: HttpClient | None = None
         self.epoch = ""
+        self.era: StoreEra | None = None
         self.startup_wait_over = False
         self.relay_retry_at = Millis(0.0)
 
@@ -257,14 +278,30 @@
             self._close_client()
             self.client = HttpClient(address, self.clock)
             reply = self._get({"compressed": 1}, READ_TIMEOUT)
-            if isinstance(reply, CatalogueUpdate):
+            if isinstance(reply, CatalogueUpdate) and not self._is_of_earlier_era(reply):
                 self.log.write(LogEvent.SOURCE, relay=address)
-                return Contents(reply.changes, reply.number)
+                self.era = reply.era
+                return Contents(reply.changes, reply.number, reply.era)
         if self.client is not None:
             self.log.write(LogEvent.SOURCE, relay=None)
         self._close_client()
         self.relay_retry_at = Millis(self.clock.now() + RELAY_RETRY_INTERVAL)
-        return self.platform.read()
+        contents = self.platform.read()
+        if isinstance(contents, Contents) and contents.era is not None:
+            self.era = contents.era
+        return contents
+
+    def _note_era(
+        self, answer: Changes | HistoryGone | Unavailable
+    ) -> Changes | HistoryGone | Unavailable:
+        """Remember the highest era seen in a watch, so that no relay with a lower one is read."""
+        if isinstance(answer, Changes) and answer.era is not None:
+            self.era = answer.era if self.era is None else max(self.era, answer.era)
+        return answer
+
+    def _is_of_earlier_era(self, update: CatalogueUpdate) -> bool:
+        """Return whether a relay has not seen the latest era; one of an earlier release has not."""
+        return self.era is not None and (update.era is None or update.era < self.era)
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them.
@@ -276,13 +313,13 @@
         if self.client is None:
             if self.relays() and self.clock.now() >= self.relay_retry_at:
                 return HistoryGone()
-            return self.platform.watch(after, wait)
+            return self._note_era(self.platform.watch(after, wait))
         if self.client.address not in self.relays():
             return HistoryGone()
         query = {"after": after, "epoch": self.epoch, "wait": int(wait)}
         reply = self._get(query, Millis(wait + WATCH_MARGIN))
         if isinstance(reply, CatalogueUpdate):
-            return Changes(reply.changes, reply.number)
+            return self._note_era(Changes(reply.changes, reply.number, reply.era))
         return HistoryGone()
 
     def _wait_for_relays(self) -> None:
--- a/src/masticgate/process/gateway/evacuation/_apply.py
+++ b/src/masticgate/process/gateway/evacuation/_apply.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from ...._ids import FailureDomainId
+from ...._ids import FailureDomainId, Millis
 from ....version.gateway import Change, DomainEvacuated, EvacuationEnded
 from .._log import EventLog, LogEvent
 from .._metrics import Metrics
@@ -32,7 +32,8 @@
 class EvacuationApplier:
     """Starts and ends evacuations; only the task that follows the catalogue uses it.
 
-    ``in_force`` has the evacuated domains.
+    ``in_force`` has the evacuated domains, and ``held_until`` those that a restored store may have
+    lost: they end at that time unless they are published again.
     """
 
     def __init__(
@@ -43,9 +44,11 @@
         self.log = log
         self.metrics = metrics
         self.in_force: set[FailureDomainId] = set()
+        self.held_until: dict[FailureDomainId, Millis] = {}
 
     def start(self, change: DomainEvacuated) -> None:
         """Evacuate a domain; a repeated publication changes and logs nothing."""
+        self.held_until.pop(change.domain, None)
         if not self.target.evacuate(change.domain):
             return
         self.in_force.add(change.domain)
@@ -55,6 +58,7 @@
 
     def end(self, change: EvacuationEnded, why: str = "removed") -> None:
         """End the evacuation of a domain, if it is evacuated; ``why`` is written to the log."""
+        self.held_until.pop(change.domain, None)
         if not self.target.end_evacuation(change.domain):
             return
         self.in_force.discard(change.domain)
@@ -62,11 +66,26 @@
         self.log.write(LogEvent.EVACUATION_ENDED, domain=change.domain, why=why)
         self._set_gauge()
 
-    def apply_all(self, changes: Iterable[Change]) -> None:
-        """End the evacuations that the whole catalogue does not list."""
+    def apply_all(self, changes: Iterable[Change], hold_until: Millis | None = None) -> None:
+        """End the evacuations that the whole catalogue does not list.
+
+        Those that are held, or are to be held until a time, stay in force.
+        """
         listed = {change.domain for change in changes if isinstance(change, DomainEvacuated)}
-        for domain in sorted(self.in_force - listed):
-            self.end(EvacuationEnded(domain), "not in the list")
+        for domain in sorted(self.in_force - listed - self.held_until.keys()):
+            if hold_until is None:
+                self.end(EvacuationEnded(domain), "not in the list")
+            else:
+                self.held_until[domain] = hold_until
+
+    def extend_holds(self, outage: Millis) -> None:
+        """Hold evacuations longer by a time in which nobody could publish them again."""
+        self.held_until = {d: Millis(until + outage) for d, until in self.held_until.items()}
+
+    def end_overdue(self, now: Millis) -> None:
+        """End the held evacuations that were not published again in time."""
+        for domain in sorted(d for d, until in self.held_until.items() if now >= until):
+            self.end(EvacuationEnded(domain), "not back in the list")
 
     def _set_gauge(self) -> None:
         self.metrics.set_gauge("domains_evacuated", len(self.in_force))
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
+from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId, StoreEra
 from ._routes import RouteTable
 
 PEER_SERVICE = ServiceId("\N{NO-BREAK SPACE}gateways")
@@ -122,18 +122,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Contents:
-    """The whole catalogue; every later change has a revision above ``revision``."""
+    """The whole catalogue; every later change has a revision above ``revision``.
+
+    Revisions are those of the store's ``era``, which is ``None`` if the source does not state it.
+    """
 
     changes: tuple[Change, ...]
     revision: Revision
+    era: StoreEra | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """The changes after the revision of the watch, in order and up to ``revision``."""
+    """The changes after the revision of the watch, in order and up to ``revision``.
+
+    If ``era`` is another one than that of the watch, changes may be missing.
+    """
 
     changes: tuple[Change, ...]
     revision: Revision
+    era: StoreEra | None = None
 
 
 @dataclass(frozen=True, slots=True)
