--- a/src/masticgate/connection/gateway/__init__.py
+++ b/src/masticgate/connection/gateway/__init__.py
@@ -30,6 +30,7 @@
 from ._protocol_violations import TrailingBytes as TrailingBytes
 from ._protocol_violations import UnrequestedBytes as UnrequestedBytes
 from ._searcher_load import Load as Load
+from ._searcher_notices import ColdReported as ColdReported
 from ._searcher_notices import Leaving as Leaving
 from ._searcher_notices import OthersLeaving as OthersLeaving
 from ._searcher_notices import PauseRequested as PauseRequested
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -19,11 +19,14 @@
     RouteId,
     SearcherId,
     ServiceId,
+    StoreEra,
 )
 from ...version.gateway import (
     MAX_COLD_TIME,
     MAX_SLOTS,
     Change,
+    DomainEvacuated,
+    EvacuationEnded,
     Idempotency,
     Limits,
     OneService,
@@ -63,6 +66,10 @@
             return {"listed": asdict(entry) | {"phase": entry.phase.value}}
         case SearcherUnlisted(searcher=searcher):
             return {"unlisted": searcher}
+        case DomainEvacuated(domain=domain):
+            return {"evacuated": domain}
+        case EvacuationEnded(domain=domain):
+            return {"evacuation_ended": domain}
         case UnreadableItem(key=key, detail=detail, searcher=searcher):
             return {"unreadable": [key, detail, searcher]}
 
@@ -72,19 +79,27 @@
     """The changes that another gateway relays in one response.
 
     ``number`` is the number of the last change, counted from the start of that gateway, and
-    ``epoch`` identifies this start.
+    ``epoch`` identifies this start. ``era`` is that of the store, if it states one.
     """
 
     epoch: str
     number: Revision
     changes: tuple[Change, ...]
+    era: StoreEra | None = None
 
 
 def encode_update(
-    epoch: str, number: int, changes: list[object], *, compressed: bool = False
+    epoch: str,
+    number: int,
+    changes: list[object],
+    *,
+    compressed: bool = False,
+    era: StoreEra | None = None,
 ) -> bytes:
     """Return the body of a response with ``changes``, each as :func:`encode_change` returns it."""
     value = {"epoch": epoch, "number": number, "changes": changes}
+    if era is not None:
+        value["era"] = era
     body = json.dumps(value, separators=(",", ":")).encode()
     return zlib.compress(body) if compressed else body
 
@@ -100,7 +115,9 @@
     try:
         fields = Fields.of("update", decode_json(_decompress(body)))
         changes = tuple(_decode_change(item) for item in fields.tables("changes"))
-        return CatalogueUpdate(fields.text("epoch"), Revision(fields.integer("number", 0)), changes)
+        era = StoreEra(fields.integer("era", 0)) if "era" in fields.values else None
+        number = Revision(fields.integer("number", 0))
+        return CatalogueUpdate(fields.text("epoch"), number, changes, era)
     except FieldError as error:
         raise InvalidCatalogueError(str(error)) from error
 
@@ -124,6 +141,11 @@
         "routes": [_encode_route(route) for route in table.routes],
         "services": {service.id: service.connections for service in table.services.values()},
         "limits": asdict(table.limits),
+        "cold": {
+            service.id: [service.cold_rate, service.cold_time]
+            for service in table.services.values()
+            if service.cold_rate
+        },
     }
 
 
@@ -151,6 +173,10 @@
             return SearcherListed(_decode_entry(fields.table("listed")))
         case ["unlisted"]:
             return SearcherUnlisted(_decode_searcher(fields, "unlisted"))
+        case ["evacuated"]:
+            return DomainEvacuated(FailureDomainId(fields.text("evacuated")))
+        case ["evacuation_ended"]:
+            return EvacuationEnded(FailureDomainId(fields.text("evacuation_ended")))
         case ["unreadable"]:
             return _decode_unreadable(fields)
         case _:
@@ -186,6 +212,7 @@
         phase=_decode_enum(fields, "phase", SearcherPhase),
         cold=Millis(fields.number("cold", maximum=MAX_COLD_TIME)),
         born=fields.integer("born", 0),
+        sequence=fields.integer("sequence", 0) if "sequence" in fields.values else 0,
     )
 
 
@@ -203,7 +230,9 @@
         ConfigurationVersion(fields.integer("version", 0)),
         tuple(_decode_route(route) for route in fields.tables("routes")),
         {
-            ServiceId(name): ServiceEntry(ServiceId(name), connections.integer(name, 0))
+            ServiceId(name): ServiceEntry(
+                ServiceId(name), connections.integer(name, 0), *_decode_cold(fields, name)
+            )
             for name in connections.values
         },
         Limits(
@@ -215,6 +244,18 @@
     )
 
 
+def _decode_cold(fields: Fields, service: str) -> tuple[float, Millis]:
+    """Return the bound for the cold searchers of a service; earlier releases do not state any."""
+    if "cold" not in fields.values or service not in fields.table("cold").values:
+        return 0.0, Millis(0.0)
+    match fields.table("cold").items(service):
+        case [rate, time]:
+            values = Fields(f"{fields.path}.cold", {"rate": rate, "time": time})
+            return values.number("rate"), Millis(values.number("time"))
+        case _:
+            raise fields.error("cold", "a rate and a time for each service")
+
+
 def _decode_route(fields: Fields) -> Route:
     return Route(
         id=RouteId(fields.text("id")),
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,14 +4,15 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from threading import Lock
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
+from ..._ids import Address, FailureDomainId, Millis, SearcherId, ServiceId
 from ...connection.gateway import (
     UNLIMITED_MEMORY,
+    ColdReported,
     HeaderNames,
     Leaving,
     Load,
@@ -24,8 +25,15 @@
     TaskStarter,
 )
 from ...request.gateway import Call, InFlightCall
-from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
-from ._choice import choose_replica, may_hedge_at_once
+from ...version.gateway import (
+    MAX_SEARCHERS,
+    PEER_SERVICE,
+    Route,
+    RouteTable,
+    SearcherEntry,
+    ServiceEntry,
+)
+from ._choice import choose_replica, may_hedge_at_once, usable_domains
 from ._connection_limits import max_connections
 from ._connections import Connections
 from ._dispatched_call import DispatchedCall
@@ -42,6 +50,7 @@
 from ._unserved import UnservedServices
 from ._violations import record_violation
 from ._warm_connections import WarmConnections
+from .searchers import ColdBound, ColdLimits, SenderKind
 
 RETRY_RESERVE = 1.0
 """The number of repeats in each budget that hedges may not spend, so that retries can."""
@@ -76,13 +85,15 @@
         self.log = log
         self.metrics = metrics
         self.lock = Lock()
-        self.listings = Listings(clock, log, self._max_connections)
+        self.cold_limits = ColdLimits(settings.seeds)
+        self.listings = Listings(clock, log, self._max_connections, self.cold_limits)
         self.services = self.listings.services
         self.replicas = self.listings.replicas
         self.connections = Connections(header_names, self, clock, starter, log, memory)
         self.tasks = self.connections.tasks
         self.accepted_connections: dict[ServiceId, int] = {}
         self.shard_services: set[ServiceId] = set()
+        self.services_with_cold_bound: dict[ServiceId, ServiceEntry] = {}
         self.shard_domains: dict[ServiceId, frozenset[FailureDomainId]] = {}
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
@@ -95,6 +106,7 @@
         with self.lock:
             self.settings = settings
             self.budgets.bounds = settings.repeats
+            self._apply_cold_bounds()
             self._apply_shares(self.shares)
 
     def now(self) -> Millis:
@@ -121,6 +133,7 @@
                     is_shard=call.service in self.shard_services,
                 )
                 if isinstance(replica, NotRun):
+                    self._count_cold_refusal(call.service)
                     return replica
                 idle = replica.idle.pop() if replica.idle else None
                 task = idle or self.connections.open(replica, call)
@@ -132,10 +145,12 @@
                     self.budgets.allows_early_hedge(call.service, now)
                 )
                 replica.speed.record_call(now)
+                replica.cold.record_sent(now)
             if idle is None or idle.dispatch(call):
                 break
             with self.lock:
                 replica.in_flight -= 1
+                replica.cold.withdraw()
         if call.repeat:
             self.metrics.count("repeats")
         else:
@@ -237,6 +252,7 @@
             if connected or task.opened_for_call:
                 return
             self.metrics.count("connections_failed")
+            self.listings.presume_cold(replica)
             if replica.record_failure(self.clock.now()):
                 self.outcomes.log_ejection(replica, "", "connect")
 
@@ -251,6 +267,8 @@
                     self.metrics.count("pauses_requested")
                     self.listings.pause(replica, duration)
                     self.unserved.update([replica.entry.service], self.clock.now())
+                case ColdReported(remaining=remaining):
+                    replica.set_cold(Millis(self.clock.now() + remaining))
                 case OthersLeaving(searchers=searchers):
                     for searcher in searchers:
                         known = self.replicas.get(searcher)
@@ -272,6 +290,10 @@
                 service.id: service.connections for service in table.services.values()
             }
             self.shard_services = table.shard_services()
+            self.services_with_cold_bound = {
+                service.id: service for service in table.services.values() if service.cold_rate
+            }
+            self._apply_cold_bounds()
             self.budgets.drop_empty(self.clock.now())
             self._apply_shares(self.shares)
             routes = {route.id for route in table.routes}
@@ -289,6 +311,27 @@
             self._apply_shares(shares)
         self.warm_up()
 
+    def record_senders(
+        self, seed: Address, kind: SenderKind, own: str | None, senders: Collection[str]
+    ) -> None:
+        """Record the gateways that a seed counts as senders, and the name of this one."""
+        with self.lock:
+            self.cold_limits.record(seed, kind, own, senders, self.clock.now())
+
+    def _apply_cold_bounds(self) -> None:
+        margin = self.settings.cold
+        bounds = {
+            service.id: ColdBound(service.cold_rate, margin.over, margin.slack, service.cold_time)
+            for service in self.services_with_cold_bound.values()
+        }
+        self.cold_limits.apply(self.settings.seeds, bounds, self.shard_services)
+
+    def _count_cold_refusal(self, service: ServiceId) -> None:
+        """Count a request that could not be sent since a searcher is cold; the lock is held."""
+        now = self.clock.now()
+        if any(replica.cold_wait(now) for replica in self.listings.of_service(service)):
+            self.metrics.count("cold_refused")
+
     def warm_up(self) -> None:
         """Open a connection to each searcher that is kept warm and has none.
 
@@ -313,8 +356,8 @@
 
     def remove_searcher(
         self, searcher: SearcherId, why: str, usable_time: Millis | None = None
-    ) -> None:
-        """Stop using a searcher; ``why`` is written to the log.
+    ) -> SearcherEntry | None:
+        """Stop using a searcher and return its last listing; ``why`` is written to the log.
 
         It is still used for ``usable_time`` if there is no other; the default is
         ``LAST_RESORT_SHARE`` of the ``drain`` setting.
@@ -323,8 +366,22 @@
             usable_time = Millis(self.settings.drain * LAST_RESORT_SHARE)
         with self.lock:
             replica = self.replicas.get(searcher)
-            if replica is not None:
-                self.listings.start_leaving(replica, why, usable_time)
+            if replica is None:
+                return None
+            self.listings.start_leaving(replica, why, usable_time)
+            return replica.entry
+
+    def evacuate(self, domain: FailureDomainId) -> bool:
+        """Send nothing to the searchers of a domain; return ``False`` if that is so already."""
+        with self.lock:
+            services = self.listings.evacuate(domain)
+            self.unserved.update(services or (), self.clock.now())
+        return services is not None
+
+    def end_evacuation(self, domain: FailureDomainId) -> bool:
+        """Use the searchers of a domain again; return whether it was evacuated."""
+        with self.lock:
+            return self.listings.evacuated.end(domain)
 
     def find_unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
         """Return the searchers that this gateway uses although they are not in ``listed``.
@@ -335,17 +392,13 @@
             return self.listings.find_unlisted(listed)
 
     def searcher_domains(self, services: Sequence[ServiceId]) -> list[set[FailureDomainId]]:
-        """Return the failure domains with usable searchers of each service."""
+        """Return the failure domains in which each service has usable searchers.
+
+        Gatherers in a domain whose searchers are withheld gather its shards from other domains.
+        """
         now = self.clock.now()
         with self.lock:
-            return [
-                {
-                    replica.entry.domain
-                    for replica in self.listings.of_service(service)
-                    if replica.is_listed and replica.is_usable(now)
-                }
-                for service in services
-            ]
+            return [usable_domains(self.listings.of_service(service), now) for service in services]
 
     def domains_of_shards(self) -> set[FailureDomainId]:
         """Return the failure domains that have listed searchers of shards."""
@@ -373,6 +426,9 @@
                 self.connections.expire_idle(replica, now, is_in_use)
             self.connections.close_stuck(now)
             self.outcomes.set_gauges(self.replicas.values(), now)
+            if self.cold_limits.bounds:
+                cold = sum(replica.cold.is_cold(now) for replica in self.replicas.values())
+                self.metrics.set_gauge("searchers_cold", cold)
             self.unserved.services.clear()
             if self.shares.keeps_warm:
                 self.unserved.update(self.shard_services, now)
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -8,12 +8,14 @@
 from threading import Event
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Millis, Revision, SearcherId
+from ..._ids import Millis, Revision, SearcherId, StoreEra
 from ...version.gateway import (
     CatalogueSource,
     Change,
     Changes,
     Contents,
+    DomainEvacuated,
+    EvacuationEnded,
     HistoryGone,
     PublishedConfiguration,
     RouteTable,
@@ -27,6 +29,8 @@
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from ._relay import CatalogueLog
+from .evacuation import EvacuationApplier
+from .store_view import StoreView
 
 WATCH_TIMEOUT = Millis(1_800.0)
 """How long one watch waits for changes.
@@ -73,6 +77,10 @@
 """
 
 
+MAX_LOGGED_ODDITIES = 100
+"""The number of items without a usable key that are logged once and not at each read."""
+
+
 class Follower:
     """Keeps the configuration and the fleet up to date; :meth:`run` is its task.
 
@@ -104,11 +112,14 @@
         self.table: RouteTable | None = None
         self.configuration_unreadable = False
         self.catalogue = CatalogueLog(self.age)
+        self.evacuations = EvacuationApplier(fleet, self.catalogue, log, metrics)
+        self.view = StoreView()
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
         self.recovered_at: Millis | None = None
         self.held_searchers: dict[SearcherId, Millis] = {}
+        self.logged_oddities: set[str] = set()
 
     def run(self) -> None:
         """Read the whole catalogue, then apply changes, until :meth:`stop` is called."""
@@ -118,6 +129,7 @@
                     self._record_contact()
                     self._apply_all(contents)
                     self.handle_contents()
+                    self.catalogue.begin_era(contents.era)
                     self._follow(contents.revision)
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
@@ -133,9 +145,10 @@
     def _follow(self, after: Revision) -> None:
         """Apply changes after a revision until the whole catalogue has to be read again.
 
-        That is the case if the source says so, if its revision is lower than ``after``, and while
-        there is no readable configuration. A source may cut a watch that waits, and is unavailable
-        only if it also cuts the short one that follows.
+        That is the case if the source says so, if its revision is lower than ``after``, if the
+        store has another era, whose revisions are others, and while there is no readable
+        configuration. A source may cut a watch that waits, and is unavailable only if it also cuts
+        the short one that follows.
         """
         reread_at = Millis(self.clock.now() + self.reread_backoff.next_delay())
         began, wait = self.clock.now(), WATCH_TIMEOUT
@@ -148,12 +161,16 @@
                     watch_was_cut = True
                     self.metrics.count("watches_cut")
                     continue
+                case Changes(era=era) if self.view.is_other_era(era):
+                    self._record_contact()
+                    self._prepare_reread(after, f"the store has era {era}", reread_at)
+                    return
                 case Changes(changes=changes, revision=revision) if revision >= after:
                     self._record_contact()
                     after = revision
                     for change in changes:
                         self._apply(change)
-                    self._remove_held()
+                    self._end_holds()
                     if not self._lacks_configuration():
                         self.reread_backoff.reset()
                         reread_at = self.clock.now()
@@ -187,6 +204,7 @@
     def _watch_wait(self, reread_at: Millis) -> Millis:
         """Return how long the next watch may wait before something else is due."""
         due = [self.clock.now() + WATCH_TIMEOUT, *self.held_searchers.values()]
+        due += self.evacuations.held_until.values()
         if self._lacks_configuration():
             due.append(reread_at)
         return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, min(due) - self.clock.now())))
@@ -199,6 +217,7 @@
             self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(outage))
             self.unavailable_since = None
             self.recovered_at = self.last_contact_at
+            self.evacuations.extend_holds(outage)
             for searcher in self.held_searchers:
                 self.held_searchers[searcher] = Millis(self.held_searchers[searcher] + outage)
 
@@ -216,14 +235,31 @@
         self.stopping.wait(wait / MILLIS_PER_SECOND)
 
     def _apply_all(self, contents: Contents) -> None:
+        holds_until = self._begin_era(contents.era)
         listed = set()
         for change in contents.changes:
             self._apply(change)
             if isinstance(change, SearcherListed):
                 listed.add(change.entry.id)
+        self.evacuations.apply_all(contents.changes, holds_until)
         for searcher in self.fleet.find_unlisted(listed):
             self._handle_unlisted(searcher, "not in the list")
 
+    def _begin_era(self, era: StoreEra | None) -> Millis | None:
+        """Record the store's era; after a restore, return the time until which losses are held.
+
+        What is missing may have been written since the copy from which the store was restored.
+        """
+        begun = self.view.begin(era)
+        if begun is None:
+            return None
+        self.log.write(LogEvent.STORE_ERA, before=begun.before, after=begun.after)
+        self.metrics.set_gauge("store_era", begun.after)
+        if begun.before is None:
+            return None
+        self.recovered_at = self.clock.now()
+        return Millis(self.recovered_at + RELIST_TIMEOUT)
+
     def _apply(self, change: Change) -> None:
         match change:
             case PublishedConfiguration(table=table):
@@ -232,24 +268,45 @@
             case SearcherListed(entry=entry) if not self.fleet.has_room(entry.id):
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=entry.id, detail="too many searchers")
+            case SearcherListed(entry=entry) if self.view.is_restored_departure(entry):
+                self.log.write(
+                    LogEvent.SEARCHER_IGNORED,
+                    searcher=entry.id,
+                    born=entry.born,
+                    phase=entry.phase.value,
+                )
             case SearcherListed(entry=entry):
                 # A read of everything would otherwise push all other changes out of the log, and
                 # the gateways that watch this one would have to read everything as well.
                 if not self.catalogue.lists(change):
                     self.catalogue.add(change)
                 self.held_searchers.pop(entry.id, None)
+                self.view.record_listing(entry)
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
                 self._handle_unlisted(searcher, "unlisted")
+            case DomainEvacuated():
+                self.evacuations.start(change)
+            case EvacuationEnded():
+                self.evacuations.end(change)
+            case UnreadableItem(key="", detail=detail) if not self._is_new_oddity(detail):
+                self.metrics.count("unreadable_items")
             case UnreadableItem(key=key, detail=detail, searcher=searcher):
                 self.catalogue.add(change)
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=key, detail=detail)
                 if searcher is not None:
-                    self.fleet.remove_searcher(searcher, "unreadable")
+                    self._remove_searcher(searcher, "unreadable")
                 elif key:
                     self.configuration_unreadable = True
 
+    def _is_new_oddity(self, detail: str) -> bool:
+        """Return whether an item without a usable key was not logged before."""
+        is_new = detail not in self.logged_oddities
+        if is_new and len(self.logged_oddities) < MAX_LOGGED_ODDITIES:
+            self.logged_oddities.add(detail)
+        return is_new
+
     def _apply_table(self, table: RouteTable) -> None:
         current = self.table
         if current is not None and table.version <= current.version:
@@ -284,13 +341,21 @@
                 self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
                 return
         self.catalogue.add(SearcherUnlisted(searcher))
-        self.fleet.remove_searcher(searcher, why)
+        self._remove_searcher(searcher, why)
+
+    def _remove_searcher(
+        self, searcher: SearcherId, why: str, usable_time: Millis | None = None
+    ) -> None:
+        entry = self.fleet.remove_searcher(searcher, why, usable_time)
+        if entry is not None:
+            self.view.record_departure(entry)
 
-    def _remove_held(self) -> None:
-        """Remove the held searchers whose listing has not returned in time."""
+    def _end_holds(self) -> None:
+        """Remove the held searchers and evacuations that have not returned in time."""
         now = self.clock.now()
         overdue = [searcher for searcher, until in self.held_searchers.items() if now >= until]
         for searcher in overdue:
             del self.held_searchers[searcher]
             self.catalogue.add(SearcherUnlisted(searcher))
-            self.fleet.remove_searcher(searcher, "not back in the list", Millis(0.0))
+            self._remove_searcher(searcher, "not back in the list", Millis(0.0))
+        self.evacuations.end_overdue(now)
--- a/src/masticgate/process/gateway/_heartbeat_codec.py
+++ b/src/masticgate/process/gateway/_heartbeat_codec.py
@@ -10,7 +10,7 @@
 from ..._ids import FailureDomainId, HostId, Millis
 from ...connection.gateway import parse_address, parse_number
 from ._gatherers import Gatherer, Member
-from ._membership import HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL, Heartbeat
+from ._membership import HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL, MAX_HEARTBEATS, Heartbeat
 from ._process_reports import EndedProcess, ProcessReport, decode_ended, encode_ended, encode_report
 
 HEARTBEAT_HOST = "heartbeat.gateway"
@@ -58,6 +58,7 @@
     is the number of running gateways, or ``None`` if it is invalid. ``gatherers`` is ``None`` if
     the sender knows them already, ``digest`` identifies them, and ``previous`` is ``None`` unless
     the heartbeat asked for it. ``slow`` is the undecoded field with the reports of slow searchers.
+    ``position`` is that of the sender among the gateways that the seed counts, and their number.
     """
 
     is_ready: bool
@@ -67,6 +68,7 @@
     digest: str
     previous: AnsweredPrevious | None
     slow: object = None
+    position: tuple[int, int] | None = None
 
 
 def encode_heartbeat(heartbeat: SentHeartbeat) -> dict[str, object]:
@@ -118,6 +120,7 @@
     known_digest: str,
     previous: AnsweredPrevious | None,
     slow: list[list[object]] | None,
+    position: tuple[int, int] | None,
     now: Millis,
 ) -> bytes:
     """Return the body of a reply to a heartbeat.
@@ -133,6 +136,8 @@
         "relays": is_relay,
         "members": members,
     }
+    if position is not None:
+        reply["position"] = list(position)
     if known_digest != digest:
         reply |= {"gatherers": named, "digest": digest}
     if previous is not None:
@@ -165,6 +170,7 @@
             AnsweredPrevious(decode_ended(reply["previous"], now)) if "previous" in reply else None
         ),
         slow=reply.get("slow"),
+        position=decode_position(reply.get("position")),
     )
 
 
@@ -178,6 +184,15 @@
     return frozenset(gatherers)
 
 
+def decode_position(value: object) -> tuple[int, int] | None:
+    """Return the position of this gateway among those that a seed counts, and their number."""
+    match value:
+        case [int(position), int(number)] if 0 <= position < number <= MAX_HEARTBEATS + 1:
+            return position, number
+        case _:
+            return None
+
+
 def digest_gatherers(gatherers: list[list[str]]) -> str:
     """Return a short text that differs for different gatherers, so that they are sent once."""
     return f"{crc32(repr(gatherers).encode()):x}"
--- a/src/masticgate/process/gateway/_outcomes.py
+++ b/src/masticgate/process/gateway/_outcomes.py
@@ -55,6 +55,8 @@
             case Lost(lacked_memory=lacked_memory) if call.cancelled or lacked_memory:
                 return
             case Answered() | Lost():
+                if isinstance(call.outcome, Lost) and not call.outcome.sent:
+                    self.listings.presume_cold(replica)
                 self._record_failure(replica, call, now)
 
     def record_overdue(self, replica: Replica, call: Call, now: Millis) -> None:
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -35,6 +35,7 @@
 from ._shares import GatewayShares
 from ._slow_reports import SlowReports
 from ._supervisor import Supervisor
+from .searchers import SETTLING_TIME, SenderKind
 from .startup import NamingPhase, NamingRule, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
@@ -169,6 +170,7 @@
             self.naming_rule.record_report(heartbeat.known_members)
             members = self.membership.count(heartbeat.received_at)
             self.naming_rule.record_heard(members, heartbeat.received_at)
+            position = self._position_of(host) if recorded else None
             previous = self.processes.find_before(host) if "previous" in query else None
         if before is None or before.member != heartbeat.member:
             self.naming_due.set()
@@ -182,6 +184,7 @@
             gatherers=self.names.named_by(own_address),
             known_digest=query.get("known", [""])[0],
             previous=AnsweredPrevious(previous) if "previous" in query else None,
+            position=position,
             slow=self.slow_reports.exchange(query["slow"][0]) if "slow" in query else None,
             now=self.clock.now(),
         )
@@ -286,8 +289,13 @@
         gatherers = self.names.gatherers if phase is NamingPhase.GROWING else ()
         in_use = {gatherer.address for gatherer in gatherers}
         chosen = choose_gatherers(members, domains, min(accepted, default=0), in_use)
-        named = (Gatherer(member.address, member.domain) for member in chosen[:MAX_NAMED_GATHERERS])
-        self.names.record(self.settings.peer_address, frozenset(named))
+        named = frozenset(
+            Gatherer(member.address, member.domain) for member in chosen[:MAX_NAMED_GATHERERS]
+        )
+        self.names.record(self.settings.peer_address, named)
+        with self.lock:
+            position = self._own_position()
+        self._record_senders(self.settings.peer_address, named, position)
 
     def _record_members(self, seed: Address, members: int) -> None:
         """Record how many gateways a seed has heard of; the lock is held."""
@@ -364,6 +372,7 @@
                 self.naming_rule.record_report(reply.members)
         if reply.gatherers is not None:
             self.names.record(seed, reply.gatherers, reply.digest)
+        self._record_senders(seed, self.names.named_by(seed), reply.position)
         if self.names.apply(self.settings.peer_address) or was_alone:
             self.update_gathering()
         self.slow_reports.apply_reply(reply.slow)
@@ -371,3 +380,30 @@
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
         return Member(settings.host, address, settings.domain, settings.capacity.gathering_rate)
+
+    def _is_settled(self) -> bool:
+        """Return whether this seed can have heard from every gateway since its start."""
+        return self.clock.now() - self.started_at >= SETTLING_TIME
+
+    def _record_senders(
+        self, seed: Address, named: frozenset[Gatherer], position: tuple[int, int] | None
+    ) -> None:
+        """Record the gateways by whose number a seed divides what cold searchers may be sent."""
+        own = str(self.settings.peer_address)
+        gatherers = {str(gatherer.address) for gatherer in named}
+        own_gatherer = own if own in gatherers else None
+        self.fleet.record_senders(seed, SenderKind.GATHERERS, own_gatherer, gatherers)
+        if position is not None:
+            senders = [str(number) for number in range(position[1])]
+            self.fleet.record_senders(seed, SenderKind.ALL, str(position[0]), senders)
+
+    def _own_position(self) -> tuple[int, int] | None:
+        """Return the position of this seed among the gateways that it counts."""
+        return (0, self.membership.position_count()) if self._is_settled() else None
+
+    def _position_of(self, host: HostId) -> tuple[int, int] | None:
+        """Return the position of another gateway among those that this seed counts."""
+        position = self.membership.positions.get(host)
+        if position is None or not self._is_settled():
+            return None
+        return position, self.membership.position_count()
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -5,7 +5,8 @@
 from ..._ids import Millis
 from ...connection.gateway import SearcherTask
 from ...version.gateway import SearcherEntry
-from .searchers import ConcurrencyLimit, Speed
+from .evacuation import EvacuatedDomains
+from .searchers import ColdGuard, ColdLimits, ConcurrencyLimit, Speed
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
@@ -45,6 +46,10 @@
 """The factor by which a searcher is expected to be slower right after its start."""
 
 
+EVACUATION_CHECK_TIME = Millis(1_000.0)
+"""The time after which an evacuation may have ended; how long it lasts is not known."""
+
+
 class ReplicaState(Enum):
     """How a gateway treats a searcher.
 
@@ -67,11 +72,24 @@
     of its attempts that were refused or failed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
-    when a hedge was due. Until ``paused_until``, the searcher wants no requests.
+    when a hedge was due. Until ``paused_until``, the searcher wants no requests. ``evacuated``
+    holds the failure domains that are evacuated. The searcher is cold until ``cold_until``, and
+    ``cold`` bounds what it gets meanwhile.
     """
 
-    def __init__(self, entry: SearcherEntry, max_connections: int, now: Millis) -> None:
+    def __init__(
+        self,
+        entry: SearcherEntry,
+        max_connections: int,
+        now: Millis,
+        evacuated: EvacuatedDomains | None = None,
+        cold_limits: ColdLimits | None = None,
+    ) -> None:
         self.entry = entry
+        self.evacuated = evacuated or EvacuatedDomains()
+        self.cold = ColdGuard(
+            entry.id, entry.service, cold_limits or ColdLimits(()), Millis(now + entry.cold)
+        )
         self.max_connections = max_connections
         self.state = ReplicaState.ACTIVE
         self.idle: list[SearcherTask] = []
@@ -94,7 +112,7 @@
 
     def is_usable(self, now: Millis) -> bool:
         """Return whether the searcher may be sent a request now."""
-        if self.is_paused(now):
+        if not self.accepts(now):
             return False
         match self.state:
             case ReplicaState.ACTIVE:
@@ -110,12 +128,39 @@
         """Return whether the searcher has asked for a pause that is not over."""
         return now < self.paused_until
 
+    def is_evacuated(self) -> bool:
+        """Return whether the searcher is in a failure domain that is evacuated."""
+        return self.evacuated.covers(self.entry)
+
+    def is_withheld(self, now: Millis) -> bool:
+        """Return whether the searcher gets nothing now, not even a connection."""
+        return self.is_paused(now) or self.is_evacuated()
+
+    def cold_wait(self, now: Millis) -> Millis:
+        """Return for how long the searcher gets nothing since it is cold."""
+        return self.cold.wait(now)
+
+    def set_cold(self, until: Millis) -> None:
+        """Treat the searcher as cold until a time; without a bound, its cost stays as it is."""
+        self.cold.until = until
+        if self.cold.is_bounded():
+            self.cold_until = until
+
+    def accepts(self, now: Millis) -> bool:
+        """Return whether anything may be sent to the searcher now, whatever its state is."""
+        return not self.is_withheld(now) and not self.cold_wait(now)
+
+    def withheld_time(self, now: Millis) -> Millis:
+        """Return how long the searcher gets nothing at least, or 0 if it may get something."""
+        evacuation = EVACUATION_CHECK_TIME if self.is_evacuated() else Millis(0.0)
+        return max(evacuation, Millis(self.paused_until - now), self.cold_wait(now))
+
     def abstains(self, now: Millis) -> bool:
-        """Return whether the searcher cannot be sent a request because it leaves or pauses.
+        """Return whether the searcher cannot be sent a request: it leaves or accepts nothing.
 
         An ejected searcher does not abstain, since a request may be tried there.
         """
-        return self.is_paused(now) or (not self.is_listed and not self.is_usable(now))
+        return not self.accepts(now) or (not self.is_listed and not self.is_usable(now))
 
     @property
     def is_listed(self) -> bool:
--- a/src/masticgate/process/gateway/_unserved.py
+++ b/src/masticgate/process/gateway/_unserved.py
@@ -35,17 +35,17 @@
     def retry_after(self, service: ServiceId, now: Millis) -> Millis | None:
         """Return when a searcher of ``service`` may accept a request again, in milliseconds.
 
-        The result is ``None`` unless all of them leave or want a pause, or there is none. It is
-        spread, so that refused callers do not return together.
+        The result is ``None`` unless all of them leave or accept nothing now, or there is none. It
+        is spread, so that refused callers do not return together.
         """
         if not self._abstain(service, now):
             return None
-        pauses = [
-            replica.paused_until - now
+        waits = [
+            replica.withheld_time(now)
             for replica in self.listings.of_service(service)
             if replica.is_listed
         ]
-        wait = min(pauses, default=NO_SEARCHER_WAIT)
+        wait = min(waits, default=NO_SEARCHER_WAIT)
         return Millis(wait * self.random.uniform(1.0, MAX_RETURN_SPREAD))
 
     def _abstain(self, service: ServiceId, now: Millis) -> bool:
--- a/src/masticgate/process/gateway/_warm_connections.py
+++ b/src/masticgate/process/gateway/_warm_connections.py
@@ -64,7 +64,7 @@
         active = [
             replica
             for replica in self.listings.of_service(service)
-            if replica.state is ReplicaState.ACTIVE and not replica.is_paused(now)
+            if replica.state is ReplicaState.ACTIVE and not replica.is_withheld(now)
         ]
         active.sort(
             key=lambda r: (
--- a/src/masticgate/process/gateway/searchers/__init__.py
+++ b/src/masticgate/process/gateway/searchers/__init__.py
@@ -1,5 +1,10 @@
-"""How fast each searcher is, and how many requests it handles well at the same time."""
+"""How fast each searcher is, how much it handles well, and how much a cold one may be sent."""
 
+from ._cold import SETTLING_TIME as SETTLING_TIME
+from ._cold import ColdBound as ColdBound
+from ._cold import ColdGuard as ColdGuard
+from ._cold import ColdLimits as ColdLimits
+from ._cold import SenderKind as SenderKind
 from ._limit import ConcurrencyLimit as ConcurrencyLimit
 from ._reports import MAX_SENT as MAX_SENT
 from ._reports import MIN_REPORTED_FACTOR as MIN_REPORTED_FACTOR
