Keep a connection to two searchers of each shard, and prefer idle connections

Cause: a hedge went to a searcher without an open connection, and opening one costs the searcher 6 ms; short queries then lack its answer at their objective. Change: gatherers keep a connection to a second searcher of each shard, and the choice counts the time to open a connection.

--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -16,6 +16,9 @@
 own domain.
 """
 
+OPENING_COST = 0.3
+"""Added to the cost of a searcher to which no connection is idle, for the time to open one."""
+
 MAX_GATHERER_FAILURE_RATE = 0.15
 """A gatherer with a higher failure rate is the last choice; one failure counts for about 1 s."""
 
@@ -138,8 +141,9 @@
 
     A hedge or retry is no probe, since an earlier attempt is late or failed already.
     """
-    in_other_domain = replica.entry.domain != own_domain
-    cost = replica.cost(now, may_probe=call.repeat is None) + (
-        CROSS_DOMAIN_COST if in_other_domain else 0.0
-    )
+    cost = replica.cost(now, may_probe=call.repeat is None)
+    if replica.entry.domain != own_domain:
+        cost += CROSS_DOMAIN_COST
+    if not replica.idle:
+        cost += OPENING_COST
     return replica.state is ReplicaState.LEAVING, cost
--- a/src/masticgate/process/gateway/_warm_connections.py
+++ b/src/masticgate/process/gateway/_warm_connections.py
@@ -9,8 +9,12 @@
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 
-WARM_SEARCHERS = 1
-"""The number of searchers of each shard to which a gatherer keeps a connection open."""
+WARM_SEARCHERS = 2
+"""The number of searchers of each shard to which a gatherer keeps a connection open.
+
+The second one is for hedges: a new connection costs a searcher as much time as half of a short
+request, and a hedge has to be answered before the objective.
+"""
 
 RENEWAL_WINDOW = Millis(20_000.0)
 """An expired idle connection is replaced if its searcher was sent a request within this time."""
