Relay: a seed that the store does not answer follows another seed

Cause: seeds read the store themselves and followed no relay.

Change: a seed leaves the store when a call fails and the last answer is 2 s old, and reads another seed's relay. It asks the store with one call every 3 s, and returns when that answers. A gateway that follows a relay does not relay: what it states in heartbeats, and the age that its own catalogue checks, are those of its own contact with the store, so that two seeds cannot keep an outdated state alive between them. A gateway whose catalogue is over 4 s old while a seed relays states that it cannot gather, and forwards its queries. The bound is above 2.6 s since a silent store is only noticed after 2.9 s; a seed that then finds a relay would be dropped and named again within 0.3 s. Without any seed that has contact, the last known state stays in force, as before. The decision is pure, in startup/_store_contact.py.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -81,7 +81,8 @@
     became available again to the time until which it stays in use. Further times in which the
     platform is unavailable extend it. ``configuration_unreadable`` says that the latest published
     configuration could not be decoded. ``handle_contents`` is called when the whole catalogue was
-    read and applied.
+    read and applied. ``platform_age`` returns the time since the platform itself last answered, if
+    ``source`` may be a relay.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         log: EventLog,
         metrics: Metrics,
         handle_contents: Callable[[], None] = lambda: None,
+        platform_age: Callable[[], Millis] | None = None,
     ) -> None:
         self.source = source
         self.fleet = fleet
@@ -103,7 +105,7 @@
         self.reread_backoff = Backoff(INITIAL_REREAD_DELAY, MAX_REREAD_DELAY)
         self.table: RouteTable | None = None
         self.configuration_unreadable = False
-        self.catalogue = CatalogueLog(self.age)
+        self.catalogue = CatalogueLog(platform_age or self.age)
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -1,8 +1,6 @@
 """The gateway process: how it starts, reloads its settings and stops."""
 
 import os
-import resource
-import sys
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -13,7 +11,7 @@
 from ...connection.gateway import CallerSettings, Handler, HeaderNames, Listener, peer_header_names
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, LocalPage, Reply, Request
-from ...version.gateway import CatalogueSource, Limits, PlatformSource, RouteTable
+from ...version.gateway import Limits, PlatformSource, RouteTable
 from ._allocator import limit_arenas
 from ._fleet import Fleet
 from ._follower import Follower
@@ -23,6 +21,7 @@
 from ._memory_plan import plan_connections, plan_memory
 from ._metrics import Metrics
 from ._peers import Peers
+from ._process_files import read_descriptor_limit
 from ._process_reports import ProcessReport
 from ._process_watch import ProcessWatch
 from ._relay import MAX_PLATFORM_AGE, RelayedSource
@@ -102,20 +101,28 @@
         self.process = ProcessWatch(settings.capacity, self.log, self.metrics, self._count_work)
         self.memory = ProcessMemory(plan_memory(settings.capacity, 0), self.log, self.metrics)
         self.memory_keeper = MemoryKeeper(self.memory, settings.capacity, self.metrics)
-        limits = plan_connections(settings.capacity, _descriptor_limit())
+        limits = plan_connections(settings.capacity, read_descriptor_limit())
         self.pool = TaskPool(limits.tasks, self.log, self.metrics)
         self.fleet = Fleet(
             settings, header_names, self.clock, self.pool, self.log, self.metrics, self.memory
         )
         self.platform = source
-        catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
+        self.source = RelayedSource(
+            source,
+            lambda: self.peers.find_relays(),
+            self.clock,
+            self.log,
+            Event().wait,
+            lambda: self.settings.is_seed,
+        )
         self.follower = Follower(
-            catalogue_source,
+            self.source,
             self.fleet,
             self.clock,
             self.log,
             self.metrics,
             lambda: self.peers.handle_catalogue(),
+            self.source.platform_age,
         )
         self.stopping = Event()
         self.stop_started_at: Millis | None = None
@@ -129,6 +136,7 @@
             self._is_ready,
             self._is_platform_reachable,
             self._report_process,
+            self.follower.age,
         )
         self.service = GatewayService(
             self.fleet,
@@ -210,7 +218,7 @@
 
     def _apply_capacity(self, capacity: HostCapacity) -> None:
         """Limit memory, connections and tasks by the capacity of the host."""
-        limits = plan_connections(capacity, _descriptor_limit())
+        limits = plan_connections(capacity, read_descriptor_limit())
         self.memory_keeper.apply(capacity)
         self.pool.max_tasks = limits.tasks
         self.callers.limit_connections(limits.callers)
@@ -300,15 +308,11 @@
         )
         return Listener(address, settings, self.pool, max_connections)
 
-    def _make_relayed_source(self, platform: PlatformSource) -> CatalogueSource:
-        wait = Event().wait
-        return RelayedSource(platform, lambda: self.peers.find_relays(), self.clock, self.log, wait)
-
     def _table(self) -> RouteTable | None:
         return self.follower.table
 
     def _is_platform_reachable(self) -> bool:
-        return self.follower.age() <= MAX_PLATFORM_AGE
+        return self.source.platform_age() <= MAX_PLATFORM_AGE
 
     def _limits(self) -> Limits:
         table = self.follower.table
@@ -389,9 +393,3 @@
             self.metrics.set_gauge("listeners_failed", len(self.listen_failures))
             self.metrics.set_gauge("tasks", threading.active_count())
             self.log.wake()
-
-
-def _descriptor_limit() -> int:
-    """Return how many descriptors the system lets this process open."""
-    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    return sys.maxsize if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -35,7 +35,7 @@
 from ._shares import GatewayShares
 from ._slow_reports import SlowReports
 from ._supervisor import Supervisor
-from .startup import NamingPhase, NamingRule, starting_interval
+from .startup import NamingPhase, NamingRule, is_outdated, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -63,9 +63,11 @@
     the gatherers that the seeds name. ``relay_domains`` maps each seed that relays the platform's
     catalogue to its failure domain. ``members`` is the number of running gateways, and
     ``exchanges`` maps each seed to the task that sends it heartbeats. ``report_process`` returns
-    what they say of this process. ``naming_rule`` says when this gateway names gatherers if it is a
-    seed, and ``naming_due`` is set when it may name others. ``members_by_seed`` is the number of
-    gateways that each seed states; of a seed that has just started, it is too low.
+    what they say of this process, and ``catalogue_age`` the time since the platform or a relay last
+    answered. ``was_outdated`` is the latest :meth:`is_outdated`. ``naming_rule`` says when this
+    gateway names gatherers if it is a seed, and ``naming_due`` is set when it may name others.
+    ``members_by_seed`` is the number of gateways that each seed states; of a seed that has just
+    started, it is too low.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         is_ready: Callable[[], bool],
         is_platform_reachable: Callable[[], bool],
         report_process: Callable[[], ProcessReport],
+        catalogue_age: Callable[[], Millis] = lambda: Millis(0.0),
     ) -> None:
         self.settings = settings
         self.fleet = fleet
@@ -87,6 +90,8 @@
         self.is_ready = is_ready
         self.is_platform_reachable = is_platform_reachable
         self.report_process = report_process
+        self.catalogue_age = catalogue_age
+        self.was_outdated = False
         self.lock = Lock()
         self.update_lock = Lock()
         self.started_at = clock.now()
@@ -221,16 +226,21 @@
     def find_relays(self) -> list[Address]:
         """Return the seeds that relay the catalogue, those in this gateway's domain first.
 
-        Return an empty list if this gateway is a seed, or if there are few gateways: each then
-        reads from the platform itself, which saves one hop of delay.
+        Return an empty list if there are few gateways: each then reads from the platform itself,
+        which saves one hop of delay. A seed uses the other seeds' relays only while the platform
+        does not answer it.
         """
         with self.lock:
-            if self.settings.is_seed or self.members < MIN_MEMBERS_TO_RELAY:
+            if self.members < MIN_MEMBERS_TO_RELAY:
                 return []
             relay_domains = dict(self.relay_domains)
         own_domain = self.settings.domain
         return sorted(relay_domains, key=lambda seed: (relay_domains[seed] != own_domain, seed))
 
+    def is_outdated(self) -> bool:
+        """Return whether other gateways have a newer catalogue, so that they gather instead."""
+        return is_outdated(self.catalogue_age(), others_relay=bool(self.find_relays()))
+
     def update_gathering(self) -> None:
         """Choose where queries are gathered, and apply this gateway's shares.
 
@@ -243,13 +253,18 @@
             self._update_gathering(table)
 
     def _update_gathering(self, table: RouteTable) -> None:
+        outdated = self.is_outdated()
+        if outdated != self.was_outdated:
+            self.was_outdated = outdated
+            self.hurry()
         if self.settings.is_seed:
             self._name_gatherers(table)
         self.names.apply(self.settings.peer_address)
         with self.lock:
             members = self.members
         gatherers = self.names.gatherers
-        is_gatherer = any(g.address == self.settings.peer_address for g in gatherers)
+        others = [g for g in gatherers if g.address != self.settings.peer_address]
+        is_gatherer = len(others) < len(gatherers) and not (outdated and others)
         chosen: Gathering = (
             GatherAtPeers() if gatherers and not is_gatherer else GatherHere(is_gatherer)
         )
@@ -277,7 +292,7 @@
             heard = self.membership.count(now)
             self._record_members(self.settings.peer_address, heard)
             members = self.membership.candidates(now)
-            if self.is_ready():
+            if self.is_ready() and not self.was_outdated:
                 members.append(self._own_member(self.settings.peer_address))
             self.naming_rule.record_heard(heard, now)
             phase = self.naming_rule.update(len(members), now, knows_shards=bool(domains))
@@ -335,7 +350,7 @@
     def make_heartbeat(self, seed: Address, interval: Millis) -> SentHeartbeat:
         """Return the next heartbeat to a seed, which another one follows after ``interval``."""
         address = self.settings.peer_address
-        can_gather = address is not None and self.is_ready()
+        can_gather = self.is_ready() and not self.is_outdated()
         return SentHeartbeat(
             self.settings.host,
             self.report_process(),
--- a/src/masticgate/process/gateway/_process_files.py
+++ b/src/masticgate/process/gateway/_process_files.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import resource
+import sys
 import threading
 from io import FileIO
 
@@ -31,6 +32,12 @@
     return pages * resource.getpagesize()
 
 
+def read_descriptor_limit() -> int:
+    """Return how many descriptors the system lets this process open."""
+    limit = _soft_limit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit is None else limit
+
+
 class ProcessFiles:
     """Reads the use of this process's resources, and its limits.
 
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from threading import Condition, Lock
 from time import monotonic
 from urllib.parse import parse_qs
@@ -39,6 +40,7 @@
     UnreadableItem,
 )
 from ._log import EventLog, LogEvent
+from .startup import StoreContact
 
 CATALOGUE_HOST = "catalogue.gateway"
 """The Host header by which a relay recognizes a read or a watch of the catalogue."""
@@ -62,6 +64,13 @@
 WATCH_MARGIN = Millis(500.0)
 """The timeout of a watch is its wait plus this margin."""
 
+SEED_WATCH_WAIT = Millis(1_000.0)
+"""The longest wait of a watch by a seed at another seed's relay.
+
+A call to a silent store takes 1 s between two watches. The catalogue is then at most 2.4 s old,
+with the pause of 0.4 s after changes.
+"""
+
 CONNECT_TIMEOUT = Millis(300.0)
 START_ATTEMPTS = 2
 """The number of times that a starting gateway waits for a relay before it reads the platform."""
@@ -108,12 +117,12 @@
     """The published catalogue and its latest changes, as JSON values for other gateways.
 
     ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch. ``table_change`` is the
-    latest change of the configuration. It is the only one with a value, since each configuration
-    replaces the one before and is large. ``encoded`` is the text that reads of the whole catalogue
-    share until it changes; ``encoding_lock`` is held while one is made, which takes many times the
-    memory of the text itself. ``encoded_changes`` is the text that was made last for a watch, since
-    most watches wait for the same change.
+    start. ``age`` returns the time since the platform itself last answered a read or watch of this
+    gateway. ``table_change`` is the latest change of the configuration. It is the only one with a
+    value, since each configuration replaces the one before and is large. ``encoded`` is the text
+    that reads of the whole catalogue share until it changes; ``encoding_lock`` is held while one is
+    made, which takes many times the memory of the text itself. ``encoded_changes`` is the text that
+    was made last for a watch, since most watches wait for the same change.
     """
 
     def __init__(self, age: Callable[[], Millis]) -> None:
@@ -209,8 +218,10 @@
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
-    ``relays`` returns the addresses of the gateways that relay now, the preferred one first.
-    ``wait`` blocks for the given number of seconds.
+    A seed reads it from the platform, and from another seed's relay while the platform does not
+    answer. ``relays`` returns the addresses of the gateways that relay now, the preferred one
+    first. ``wait`` blocks for the given number of seconds. ``client`` is set while a relay is
+    followed.
     """
 
     def __init__(
@@ -220,46 +231,94 @@
         clock: Clock,
         log: EventLog,
         wait: Callable[[float], object],
+        is_seed: Callable[[], bool] = lambda: False,
     ) -> None:
         self.platform = platform
         self.relays = relays
         self.clock = clock
         self.log = log
         self.wait = wait
+        self.is_seed = is_seed
+        self.contact = StoreContact()
         self.client: HttpClient | None = None
         self.epoch = ""
         self.startup_wait_over = False
         self.relay_retry_at = Millis(0.0)
 
+    def platform_age(self) -> Millis:
+        """Return the time since the platform itself last answered; any task may call this.
+
+        It is infinite while a relay is followed. Two gateways that followed each other would
+        otherwise keep an outdated catalogue alive.
+        """
+        return Millis(inf) if self.client is not None else self.contact.age(self.clock.now())
+
     def read(self) -> Contents | Unavailable:
-        """Return the whole catalogue from the first relay that responds, or from the platform."""
-        self._wait_for_relays()
+        """Return the whole catalogue from the first relay that responds, or from the platform.
+
+        A seed asks the platform first unless it is lost.
+        """
+        failure: Unavailable | None = None
+        if not self.is_seed():
+            self._wait_for_relays()
+        elif not self.contact.is_lost(self.clock.now()):
+            contents = self._read_platform()
+            if not (isinstance(contents, Unavailable) and self.contact.is_lost(self.clock.now())):
+                return contents
+            failure = contents
+        return self._read_relay() or failure or self._read_platform()
+
+    def _read_relay(self) -> Contents | None:
         for address in self.relays():
             self._close_client()
             self.client = HttpClient(address, self.clock)
             reply = self._get({"compressed": 1}, READ_TIMEOUT)
             if isinstance(reply, CatalogueUpdate):
                 self.log.write(LogEvent.SOURCE, relay=address)
+                self.contact.record_relay(self.clock.now())
                 return Contents(reply.changes, reply.number)
+        return None
+
+    def _read_platform(self) -> Contents | Unavailable:
         if self.client is not None:
             self.log.write(LogEvent.SOURCE, relay=None)
         self._close_client()
         self.relay_retry_at = Millis(self.clock.now() + RELAY_RETRY_INTERVAL)
-        return self.platform.read()
+        contents = self.platform.read()
+        self._record(contents)
+        return contents
+
+    def _record(self, answer: object) -> None:
+        """Record whether the platform answered."""
+        if isinstance(answer, Unavailable):
+            self.contact.record_failure(closed_by_source=answer.closed_by_source)
+        else:
+            self.contact.record_answer(self.clock.now())
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them.
 
         Return :class:`HistoryGone`, so that the caller reads the whole catalogue again, if the
         present relay fails, no longer relays or no longer has the changes, or if the platform is
-        the present source and a relay may be used again.
+        the present source and a relay may be used again. A seed leaves a relay as soon as the
+        platform answers, for which it asks now and then.
         """
+        now = self.clock.now()
         if self.client is None:
-            if self.relays() and self.clock.now() >= self.relay_retry_at:
+            may_leave = self.contact.is_lost(now) if self.is_seed() else now >= self.relay_retry_at
+            if may_leave and self.relays():
                 return HistoryGone()
-            return self.platform.watch(after, wait)
+            changes = self.platform.watch(after, wait)
+            self._record(changes)
+            return changes
         if self.client.address not in self.relays():
             return HistoryGone()
+        if self.is_seed():
+            wait = min(wait, SEED_WATCH_WAIT)
+            if self.contact.take_probe(now):
+                self._record(self.platform.read_table())
+                if not self.contact.is_lost(self.clock.now()):
+                    return HistoryGone()
         query = {"after": after, "epoch": self.epoch, "wait": int(wait)}
         reply = self._get(query, Millis(wait + WATCH_MARGIN))
         if isinstance(reply, CatalogueUpdate):
--- a/src/masticgate/process/gateway/startup/__init__.py
+++ b/src/masticgate/process/gateway/startup/__init__.py
@@ -8,3 +8,8 @@
 from ._naming_rule import NamingPhase as NamingPhase
 from ._naming_rule import NamingRule as NamingRule
 from ._pace import starting_interval as starting_interval
+from ._store_contact import LOST_AGE as LOST_AGE
+from ._store_contact import MAX_GATHERING_AGE as MAX_GATHERING_AGE
+from ._store_contact import PROBE_INTERVAL as PROBE_INTERVAL
+from ._store_contact import StoreContact as StoreContact
+from ._store_contact import is_outdated as is_outdated
