--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -53,10 +53,10 @@
 INITIAL_RETRY_DELAY = Millis(100.0)
 MAX_RETRY_DELAY = Millis(1_000.0)
 MAX_RETRY_DELAY_UNREADY = Millis(300.0)
-"""The upper bound on the retry delay while there is no configuration.
+"""The upper bound on the retry delay while there is no configuration, or no listings.
 
-It is shorter than ``MAX_RETRY_DELAY``, since a gateway without a configuration serves nothing and
-has to notice soon that the platform is available again.
+It is shorter than ``MAX_RETRY_DELAY``, since such a gateway serves little or nothing and has to
+notice soon that the platform is available again.
 """
 
 CHECK_WAIT = Millis(50.0)
@@ -88,8 +88,10 @@
     each searcher whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
     became available again to the time until which it stays in use. Further times in which the
     platform is unavailable extend it. ``configuration_unreadable`` says that the latest published
-    configuration could not be decoded. ``handle_contents`` is called when the whole catalogue was
-    read and applied.
+    configuration could not be decoded, and ``has_contents`` that the
+    whole catalogue was read once. ``handle_contents`` is called when the whole catalogue was
+    read and applied. ``platform_age`` returns the time since the platform itself last answered, if
+    ``source`` may be a relay.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         log: EventLog,
         metrics: Metrics,
         handle_contents: Callable[[], None] = lambda: None,
+        platform_age: Callable[[], Millis] | None = None,
     ) -> None:
         self.source = source
         self.fleet = fleet
@@ -111,7 +114,8 @@
         self.reread_backoff = Backoff(INITIAL_REREAD_DELAY, MAX_REREAD_DELAY)
         self.table: RouteTable | None = None
         self.configuration_unreadable = False
-        self.catalogue = CatalogueLog(self.age)
+        self.has_contents = False
+        self.catalogue = CatalogueLog(platform_age or self.age)
         self.evacuations = EvacuationApplier(fleet, self.catalogue, log, metrics)
         self.view = StoreView()
         self.stopping = Event()
@@ -128,12 +132,17 @@
                 case Contents() as contents:
                     self._record_contact()
                     self._apply_all(contents)
+                    self.has_contents = True
                     self.handle_contents()
                     self.catalogue.begin_era(contents.era)
                     self._follow(contents.revision)
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
 
+    def apply_early(self, published: PublishedConfiguration) -> None:
+        """Apply a configuration that the source read before the whole catalogue."""
+        self._apply(published)
+
     def stop(self) -> None:
         """Stop the task after its present call to the source."""
         self.stopping.set()
@@ -230,7 +239,7 @@
                 LogEvent.PLATFORM_LOST, detail=detail, version=version, age_ms=round(self.age())
             )
         wait = self.backoff.next_delay()
-        if self.table is None:
+        if self.table is None or not self.has_contents:
             wait = min(wait, MAX_RETRY_DELAY_UNREADY)
         self.stopping.wait(wait / MILLIS_PER_SECOND)
 
