Test the bound of cold searchers over time; log evacuations beyond their number

Cause: the property covered one moment only, and an evacuation beyond the 1,000 that are kept was ignored without a word.

Change: a simulation of gateways and seeds that restart and are partitioned checks the bound in every second; heartbeats and the header are tested through Peers and a whole gateway. The first evacuation beyond the bound is logged.

--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -87,15 +87,16 @@
     A domain whose searchers are evacuated, or cold, is one of them if another domain has a usable
     searcher: its gatherers send there, and their capacity is not lost with the searchers.
     """
-    listed = [replica for replica in known if replica.is_listed]
-    usable = {replica.entry.domain for replica in listed if replica.is_usable(now)}
-    if usable:
-        usable |= {
-            replica.entry.domain
-            for replica in listed
-            if replica.is_evacuated() or replica.cold_wait(now)
-        }
-    return usable
+    usable: set[FailureDomainId] = set()
+    spared: set[FailureDomainId] = set()
+    for replica in known:
+        if not replica.is_listed:
+            continue
+        if replica.is_usable(now):
+            usable.add(replica.entry.domain)
+        elif replica.is_evacuated() or replica.cold_wait(now):
+            spared.add(replica.entry.domain)
+    return usable | spared if usable else usable
 
 
 def _describe_known(known: Collection[Replica], now: Millis) -> str:
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -148,7 +148,7 @@
 
     def accepts(self, now: Millis) -> bool:
         """Return whether anything may be sent to the searcher now, whatever its state is."""
-        return not self.is_withheld(now) and not self.cold_wait(now)
+        return not self.is_withheld(now) and not self.cold.wait(now)
 
     def withheld_time(self, now: Millis) -> Millis:
         """Return how long the searcher gets nothing at least, or 0 if it may get something."""
--- a/src/masticgate/process/gateway/evacuation/_apply.py
+++ b/src/masticgate/process/gateway/evacuation/_apply.py
@@ -45,11 +45,16 @@
         self.metrics = metrics
         self.in_force: set[FailureDomainId] = set()
         self.held_until: dict[FailureDomainId, Millis] = {}
+        self.has_logged_excess = False
 
     def start(self, change: DomainEvacuated) -> None:
         """Evacuate a domain; a repeated publication changes and logs nothing."""
         self.held_until.pop(change.domain, None)
         if not self.target.evacuate(change.domain):
+            if change.domain not in self.in_force and not self.has_logged_excess:
+                self.has_logged_excess = True
+                detail = "too many evacuations"
+                self.log.write(LogEvent.UNREADABLE, key=change.domain, detail=detail)
             return
         self.in_force.add(change.domain)
         self.relay.add(DomainEvacuated(change.domain))
--- a/src/masticgate/process/gateway/evacuation/_domains.py
+++ b/src/masticgate/process/gateway/evacuation/_domains.py
@@ -19,7 +19,9 @@
 
     def covers(self, entry: SearcherEntry) -> bool:
         """Return whether the searcher of a listing is in an evacuated domain."""
-        return entry.domain in self.domains and entry.service != PEER_SERVICE
+        return bool(self.domains) and (
+            entry.domain in self.domains and entry.service != PEER_SERVICE
+        )
 
     def start(self, domain: FailureDomainId) -> bool:
         """Evacuate a domain; return ``False`` if it is already, or if there are too many."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -45,6 +45,7 @@
     missing_shards=b"X-Missing",
     leaving=b"x-leaving",
     pause=b"retry-after",
+    cold=b"x-cold",
 )
 
 
--- a/tests/gateway/test_cold_searchers.py
+++ b/tests/gateway/test_cold_searchers.py
@@ -35,6 +35,8 @@
 from tests.platform.test_node_file import TEXT
 
 from .fakes import HEADER_NAMES, answered, make_entry, make_fleet, make_request, make_route
+from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
+from .test_peers import OTHER_SEED, OWN, make_peers, send_heartbeat
 
 ORDERS = ServiceId("orders")
 SEARCHER = SearcherId("a")
@@ -247,6 +249,141 @@
         assert decode_position([2, 5]) == (2, 5)
 
 
+class SimulatedGateway:
+    """One gateway that sends to one cold searcher as early as it may; the first ones are seeds."""
+
+    def __init__(self, number: int, seeds, bound: ColdBound, now: float) -> None:
+        self.number = number
+        self.started_at = now
+        self.membership = Membership()
+        self.limits = limits_of(bound, seeds)
+        self.guard = guard_of(self.limits)
+        self.running_from = now
+
+    def hear(self, seed: "SimulatedGateway", now: float) -> None:
+        """Send a heartbeat to a seed, and record its reply as a gateway process does."""
+        own = HostId(f"g{self.number}")
+        if self is not seed:
+            seed.membership.record(own, Heartbeat(None, HEARTBEAT_INTERVAL, Millis(now)))
+        seed.membership.count(Millis(now))
+        if now - seed.started_at >= SETTLING_TIME:
+            position = 0 if self is seed else seed.membership.positions[own]
+            numbers = positions(seed.membership.position_count())
+            address = self.limits.seeds[seed.number]
+            self.limits.record(address, SenderKind.ALL, str(position), numbers, Millis(now))
+
+
+class TestOverTime:
+    """Gateways that start, stop and are partitioned, with their heartbeats to the seeds."""
+
+    STEP = 100.0
+    STEPS = 250
+    RESTART_TIME = 1_000.0
+
+    @settings(deadline=None, max_examples=25)
+    @given(
+        bounds,
+        st.integers(1, 4),
+        st.integers(0, 20),
+        st.lists(
+            st.tuples(
+                st.integers(20, STEPS - 1),
+                st.sampled_from(["restart", "partition", "heal"]),
+                st.integers(0, 23),
+            ),
+            max_size=4,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_bound_holds_while_gateways_restart_and_are_partitioned(
+        self, bound, seed_count, others, faults, random
+    ):
+        """Guard against shares that two gateways use at once after a change."""
+        seeds, count, arrivals = SEEDS[:seed_count], seed_count + others, []
+        gateways = [SimulatedGateway(number, seeds, bound, 0.0) for number in range(count)]
+        phases = [random.randrange(5) for _ in range(count)]
+        side = [0] * count
+        for step in range(self.STEPS):
+            now = step * self.STEP
+            for at, fault, target in faults:
+                if at == step and fault == "restart":
+                    number = target % count
+                    gateways[number] = SimulatedGateway(
+                        number, seeds, bound, now + self.RESTART_TIME
+                    )
+                elif at == step:
+                    side = [random.randrange(2) if fault == "partition" else 0 for _ in side]
+            for number, gateway in enumerate(gateways):
+                if now < gateway.running_from:
+                    continue
+                if step % 5 == phases[number]:
+                    for seed in gateways[:seed_count]:
+                        if side[seed.number] == side[number] and now >= seed.running_from:
+                            gateway.hear(seed, now)
+                while gateway.guard.wait(Millis(now)) <= 0:
+                    gateway.guard.record_sent(Millis(now))
+                    arrivals.append(now + random.uniform(0.0, CONNECT_MS))
+        assert most_in_a_second(arrivals) <= bound.per_s * bound.over + bound.slack
+
+
+class TestHeartbeats:
+    """The seeds number the gateways, which divide the bound by that."""
+
+    def make_seed(self):
+        """Return a seed that has run for a while, and its clock."""
+        clock = ManualClock()
+        seed = make_peers(clock)
+        seed.fleet.apply_settings(seed.settings)
+        clock.advance(SETTLING_TIME)
+        return seed, clock
+
+    def test_seed_replies_with_position_and_number(self):
+        seed, _ = self.make_seed()
+        assert send_heartbeat(seed, "g7")["position"] == [1, 2]
+        assert send_heartbeat(seed, "g8")["position"] == [2, 3]
+        assert send_heartbeat(seed, "g7")["position"] == [1, 3]
+
+    def test_seed_that_has_just_started_replies_with_none(self):
+        """Guard against shares of a seed that has heard of few gateways so far."""
+        assert "position" not in send_heartbeat(make_peers(ManualClock()), "g7")
+
+    def test_seed_counts_itself(self):
+        seed, _ = self.make_seed()
+        send_heartbeat(seed, "g7")
+        seed.update_gathering()
+        view = seed.fleet.cold_limits.views[OWN, SenderKind.ALL]
+        assert (view.own, set(view.senders)) == ("0", {"0", "1"})
+
+    def test_reply_is_recorded_with_named_gatherers(self):
+        peers = make_peers(ManualClock(), is_seed=False)
+        peers.fleet.apply_settings(peers.settings)
+        named = [[str(OWN), "z1"], ["127.0.1.2:1", "z1"]]
+        peers._record_reply(OTHER_SEED, {"position": [3, 9], "gatherers": named})
+        views = peers.fleet.cold_limits.views
+        assert views[OTHER_SEED, SenderKind.ALL].own == "3"
+        assert len(views[OTHER_SEED, SenderKind.ALL].senders) == 9
+        assert views[OTHER_SEED, SenderKind.GATHERERS].own == OWN
+        assert len(views[OTHER_SEED, SenderKind.GATHERERS].senders) == 2
+
+    @pytest.mark.parametrize("position", [None, "x", [5, 2]])
+    def test_reply_of_earlier_release_or_odd_one_gives_no_share(self, position):
+        peers = make_peers(ManualClock(), is_seed=False)
+        peers.fleet.apply_settings(peers.settings)
+        peers._record_reply(OTHER_SEED, {"members": 9, "position": position})
+        assert (OTHER_SEED, SenderKind.ALL) not in peers.fleet.cold_limits.views
+
+
+class TestWholeGateway:
+    def test_header_of_an_answer_makes_its_searcher_cold(self):
+        searcher = StandInSearcher(lambda head: reply_to(head, b"x", 200, b"X-Cold: 60000\r\n"))
+        with running_gateway([make_route()], {"orders": [searcher]}) as gateway:
+            caller = RawCaller(gateway)
+            caller.send(b"GET /a/x HTTP/1.1\r\nHost: host.example\r\nx-id: q1\r\n\r\n")
+            assert caller.read()[0] == 200
+            (replica,) = gateway.fleet.replicas.values()
+            assert replica.cold.until - gateway.clock.now() > 50_000.0
+
+
 def fleet_of(*entries, clock=None, rate=1.0, cold_time=0.0, seeds=(), target=None):
     """Return a fleet whose service tolerates ``rate`` requests a second at cold searchers."""
     clock = clock or ManualClock()
@@ -471,5 +608,5 @@
         assert "searchers_cold" not in fleet.metrics.gauges
 
     def test_header_names_of_deployment_without_header(self):
-        notices = decode_notices(200, {b"": b"250"}, HEADER_NAMES)
+        notices = decode_notices(200, {b"": b"250"}, replace(HEADER_NAMES, cold=b""))
         assert not any(isinstance(notice, ColdReported) for notice in notices)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -264,6 +264,12 @@
         assert [line["event"] for line in lines].count("domain_evacuated") == 1
         assert not follower.configuration_unreadable
 
+    def test_domains_beyond_the_bound_are_logged_once(self):
+        whole = [DomainEvacuated(FailureDomainId(f"z{n}")) for n in range(MAX_EVACUATIONS + 3)]
+        follower, _, _ = follow((0, contents(*whole)), (1, HistoryGone()), (1, contents(*whole)))
+        lines = [json.loads(line) for line in follower.log.queue]
+        assert [line["event"] for line in lines].count("unreadable") == 1
+
     def test_gauge_has_number_of_evacuated_domains(self):
         follower, _, _ = follow((0, contents(DomainEvacuated(Z1), DomainEvacuated(Z2))))
         assert follower.metrics.gauges["domains_evacuated"] == 2
