--- a/src/masticgate/connection/gateway/_body_buffer.py
+++ b/src/masticgate/connection/gateway/_body_buffer.py
@@ -4,6 +4,10 @@
 """Larger bodies are collected in one block, since many pieces would fragment the heap."""
 
 
+MAX_PIECES = 16
+"""So are bodies of more pieces: one of two bytes takes 56 bytes of memory, with its place."""
+
+
 class BodyBuffer:
     """The pieces of a small body, or one block for a larger one; ``size`` is the length so far."""
 
@@ -21,7 +25,7 @@
             self.block += piece
             return
         self.pieces.append(piece)
-        if self.size > MAX_PIECES_BYTES:
+        if self.size > MAX_PIECES_BYTES or len(self.pieces) > MAX_PIECES:
             self.block = bytearray().join(self.pieces)
             self.pieces.clear()
 
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -35,6 +35,14 @@
 REQUEST_OBJECT_BYTES = 800
 """The memory of one request, in addition to its headers and its body."""
 
+HELD_STEP_BYTES = 1_024
+"""The bytes of a body in chunks are held in steps of this size, ahead of their arrival.
+
+All connections share one budget. With one call to it for each chunk of one byte, they were
+waiting for its lock most of the time. The step is small, so that a small body stays within what
+its connection accounts for.
+"""
+
 MAX_NUMBER_DIGITS = 18
 """The maximum number of digits that a number in a header may have, so that it fits in 63 bits."""
 
@@ -167,7 +175,7 @@
         self.header_size = 0
         self.framing_size = 0
         self.cost = 0
-        self.body_is_held = False
+        self.held_body = 0
         self.target = b""
         self.headers: list[Header] = []
         self.body = BodyBuffer()
@@ -216,7 +224,7 @@
             if length > self.body_bytes:
                 self._refuse(TooLarge(413))
             cost += _body_cost(length)
-            self.body_is_held = True
+            self.held_body = length
         self._hold(cost)
         expect = find_header(self.headers, b"expect")
         self.expects_continue = expect is not None and expect.lower() == b"100-continue"
@@ -227,8 +235,10 @@
         size = self.body.size + len(body)
         if size > self.body_bytes:
             self._refuse(TooLarge(413))
-        elif not self.body_is_held:
-            self._hold(self.cost + _body_cost(size) - _body_cost(self.body.size))
+        elif size > self.held_body:
+            held = size + HELD_STEP_BYTES - 1
+            self._hold(self.cost + _body_cost(held) - _body_cost(self.held_body))
+            self.held_body = held
         if self.size_error is None:
             self.body.append(body)
 
