Close refused connections before new ones when there are too many

Where all other connections served or had been refused, a caller that had just connected lost its connection without an answer, for example after the requests of a crowd timed out together. A new connection now gives way last, for the first second.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -57,6 +57,9 @@
 Closing a connection with unread bytes resets it, and the caller may then lose the reply.
 """
 
+FIRST_REQUEST_TIME = Millis(1_000.0)
+"""The time in which the first request of a new connection may be on its way."""
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Handler = Callable[[Request, Inbox], Reply]
@@ -112,7 +115,8 @@
         self.connection = connection
         self.state = CallerState.IDLE
         self.is_first_request = True
-        self.state_changed_at = settings.clock.now()
+        self.opened_at = settings.clock.now()
+        self.state_changed_at = self.opened_at
         limits = settings.limits()
         self.memory = settings.memory
         holding = Holding(self.memory, MemoryUse.REQUESTS, ORDINARY_REQUEST_BYTES)
@@ -148,6 +152,12 @@
         self.memory.release(MemoryUse.CALLERS, CALLER_CONNECTION_BYTES)
         self.memory.release(MemoryUse.KERNEL, CALLER_KERNEL_BYTES)
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether the caller has hardly had the time to send its first request."""
+        age = self.clock.now() - self.opened_at
+        return self.state_changed_at == self.opened_at and age < FIRST_REQUEST_TIME
+
     @property
     def is_ending(self) -> bool:
         """Return whether the connection ends once its present request is served."""
--- a/src/masticgate/connection/gateway/_listener.py
+++ b/src/masticgate/connection/gateway/_listener.py
@@ -137,7 +137,8 @@
         """Return whether there is room for ``newest``; close other connections for it if needed.
 
         They are the idle or reading ones whose state changed the longest time ago, or else those
-        whose callers still send a request that was refused and might lose the reply.
+        whose callers still send a request that was refused and might lose the reply, or else new
+        ones. A crowd of refused callers does not cost an ordinary one its connection.
         """
         with self.lock:
             if len(self.connections) <= self.max_connections:
@@ -156,5 +157,5 @@
         return bool(waiting)
 
 
-def _closing_order(caller: CallerConnection) -> tuple[bool, Millis]:
-    return caller.state is CallerState.REFUSED, caller.state_changed_at
+def _closing_order(caller: CallerConnection) -> tuple[bool, bool, Millis]:
+    return caller.is_new, caller.state is CallerState.REFUSED, caller.state_changed_at
--- a/tests/gateway/test_connection_limit.py
+++ b/tests/gateway/test_connection_limit.py
@@ -92,6 +92,18 @@
         assert refused.recv(4_096).startswith(b"HTTP/1.1 413 ")
         assert limited.listener.count(CallerState.REFUSED) == 1
 
+    # Guards against an ordinary caller whose connection is closed without an answer, since callers
+    # that were refused and send on have all other connections (FAULT).
+    def test_closes_refused_request_before_new_connection(self, limited):
+        refused = limited.connect(TOO_LARGE, CallerState.REFUSED)
+        ordinary = limited.connect(b"", CallerState.IDLE)
+        newest = limited.connect(REQUEST, CallerState.SERVING)
+        limited.answer.set()
+        assert newest.recv(4_096).endswith(b"served")
+        assert refused.recv(4_096).startswith(b"HTTP/1.1 413 ")
+        ordinary.sendall(REQUEST)
+        assert ordinary.recv(4_096).endswith(b"served")
+
     def test_each_new_connection_closes_another_one(self, limited):
         idle = [limited.connect(b"", CallerState.IDLE) for _ in range(MAX_CONNECTIONS)]
         newest = [limited.connect_one_more() for _ in range(MAX_CONNECTIONS)]
