--- a/src/masticgate/process/gateway/_startup_progress.py
+++ b/src/masticgate/process/gateway/_startup_progress.py
@@ -25,8 +25,17 @@
     def record(self, step: StartupStep) -> None:
         """Record that this gateway has reached a step."""
         took = self.times.record(step, self.clock.now())
-        if took is not None:
-            self.metrics.set_gauge(f"startup_{step.value}_ms", round(took))
+        if took is None:
+            return
+        match step:
+            case StartupStep.CONFIGURATION:
+                self.metrics.set_gauge("startup_configuration_ms", round(took))
+            case StartupStep.LISTINGS:
+                self.metrics.set_gauge("startup_listings_ms", round(took))
+            case StartupStep.GATHERERS:
+                self.metrics.set_gauge("startup_gatherers_ms", round(took))
+            case StartupStep.FIRST_ANSWER:
+                self.metrics.set_gauge("startup_first_answer_ms", round(took))
 
     def has_reached(self, step: StartupStep) -> bool:
         """Return whether this gateway has reached a step."""
