Gateway: serve by the configuration before the listings are read

Change: that configuration is in force at once, and the gateway is ready. Until it has the listings it forwards each query over shards as one part to a gatherer, in any domain, since it cannot tell where the shards are. It refuses single-searcher requests as not run, and queries while it knows no gatherer. It does not state that it can gather, and takes no parts of other gateways. The configuration is read again only if the first call failed, which saves one call to the store for each gateway that waits twice. The gauges startup_*_ms show when a gateway reaches each step.

Measured: tests/gateway/test_early_configuration.py and test_relay.py pass; a query is answered completely through the gatherer while the listings are held back.

--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -49,10 +49,10 @@
 INITIAL_RETRY_DELAY = Millis(100.0)
 MAX_RETRY_DELAY = Millis(1_000.0)
 MAX_RETRY_DELAY_UNREADY = Millis(300.0)
-"""The upper bound on the retry delay while there is no configuration.
+"""The upper bound on the retry delay while there is no configuration, or no listings.
 
-It is shorter than ``MAX_RETRY_DELAY``, since a gateway without a configuration serves nothing and
-has to notice soon that the platform is available again.
+It is shorter than ``MAX_RETRY_DELAY``, since such a gateway serves little or nothing and has to
+notice soon that the platform is available again.
 """
 
 CHECK_WAIT = Millis(50.0)
@@ -80,7 +80,8 @@
     each searcher whose listing was missing or removed within ``RELIST_TIMEOUT`` after the platform
     became available again to the time until which it stays in use. Further times in which the
     platform is unavailable extend it. ``configuration_unreadable`` says that the latest published
-    configuration could not be decoded. ``handle_contents`` is called when the whole catalogue was
+    configuration could not be decoded, and ``has_contents`` that the
+    whole catalogue was read once. ``handle_contents`` is called when the whole catalogue was
     read and applied. ``platform_age`` returns the time since the platform itself last answered, if
     ``source`` may be a relay.
     """
@@ -105,6 +106,7 @@
         self.reread_backoff = Backoff(INITIAL_REREAD_DELAY, MAX_REREAD_DELAY)
         self.table: RouteTable | None = None
         self.configuration_unreadable = False
+        self.has_contents = False
         self.catalogue = CatalogueLog(platform_age or self.age)
         self.stopping = Event()
         self.unavailable_since: Millis | None = None
@@ -119,11 +121,16 @@
                 case Contents() as contents:
                     self._record_contact()
                     self._apply_all(contents)
+                    self.has_contents = True
                     self.handle_contents()
                     self._follow(contents.revision)
                 case Unavailable(detail=detail):
                     self._handle_unavailable(detail)
 
+    def apply_early(self, published: PublishedConfiguration) -> None:
+        """Apply a configuration that the source read before the whole catalogue."""
+        self._apply(published)
+
     def stop(self) -> None:
         """Stop the task after its present call to the source."""
         self.stopping.set()
@@ -213,7 +220,7 @@
                 LogEvent.PLATFORM_LOST, detail=detail, version=version, age_ms=round(self.age())
             )
         wait = self.backoff.next_delay()
-        if self.table is None:
+        if self.table is None or not self.has_contents:
             wait = min(wait, MAX_RETRY_DELAY_UNREADY)
         self.stopping.wait(wait / MILLIS_PER_SECOND)
 
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from ...connection.gateway import CallerSettings, Handler, HeaderNames, Listener, peer_header_names
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, LocalPage, Reply, Request
-from ...version.gateway import Limits, PlatformSource, RouteTable
+from ...version.gateway import Limits, PlatformSource, PublishedConfiguration
 from ._allocator import limit_arenas
 from ._fleet import Fleet
 from ._follower import Follower
@@ -114,6 +114,7 @@
             self.log,
             Event().wait,
             lambda: self.settings.is_seed,
+            self._handle_early_table,
         )
         self.follower = Follower(
             self.source,
@@ -132,8 +133,8 @@
             self.fleet,
             self.clock,
             self.log,
-            self._table,
-            self._is_ready,
+            lambda: self.follower.table,
+            lambda: self.follower.has_contents and self._is_ready(),
             self._is_platform_reachable,
             self._report_process,
             self.follower.age,
@@ -308,8 +309,10 @@
         )
         return Listener(address, settings, self.pool, max_connections)
 
-    def _table(self) -> RouteTable | None:
-        return self.follower.table
+    def _handle_early_table(self, published: PublishedConfiguration) -> None:
+        """Serve by a configuration whose listings are not read yet."""
+        self.follower.apply_early(published)
+        self.peers.update_gathering()
 
     def _is_platform_reachable(self) -> bool:
         return self.source.platform_age() <= MAX_PLATFORM_AGE
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -34,8 +34,9 @@
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
 from ._slow_reports import SlowReports
+from ._startup_progress import StartupProgress
 from ._supervisor import Supervisor
-from .startup import NamingPhase, NamingRule, is_outdated, starting_interval
+from .startup import NamingPhase, NamingRule, StartupStep, is_outdated, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -95,6 +96,7 @@
         self.lock = Lock()
         self.update_lock = Lock()
         self.started_at = clock.now()
+        self.startup = StartupProgress(clock, fleet.metrics)
         self.membership = Membership()
         self.names = GathererNames(fleet, log)
         self.slow_reports = SlowReports(fleet)
@@ -142,6 +144,7 @@
 
     def handle_catalogue(self) -> None:
         """Apply what is known to a catalogue that was read as a whole, and tell the seeds."""
+        self.startup.record(StartupStep.LISTINGS)
         self.hurry()
         self.update_gathering()
 
@@ -249,6 +252,7 @@
         table = self.current_table()
         if table is None:
             return
+        self.startup.record(StartupStep.CONFIGURATION)
         with self.update_lock:
             self._update_gathering(table)
 
@@ -263,6 +267,8 @@
         with self.lock:
             members = self.members
         gatherers = self.names.gatherers
+        if gatherers:
+            self.startup.record(StartupStep.GATHERERS)
         others = [g for g in gatherers if g.address != self.settings.peer_address]
         is_gatherer = len(others) < len(gatherers) and not (outdated and others)
         chosen: Gathering = (
--- a/src/masticgate/process/gateway/_permits.py
+++ b/src/masticgate/process/gateway/_permits.py
@@ -11,6 +11,20 @@
 """
 
 
+class NoPermits:
+    """Allows no query to be gathered here, while the gateway knows no searchers."""
+
+    def acquire(self) -> bool:
+        """Return ``False``."""
+        return False
+
+    def release(self) -> None:
+        """Do nothing, as no permit is ever taken."""
+
+    def record_part(self, *, again: bool) -> None:
+        """Do nothing, as no part is gathered here."""
+
+
 class OwnGatherings:
     """The permits for such queries; several tasks use them."""
 
--- a/src/masticgate/process/gateway/_planner.py
+++ b/src/masticgate/process/gateway/_planner.py
@@ -8,7 +8,7 @@
 
 from ..._ids import FailureDomainId
 from ...request.gateway import Part
-from ...version.gateway import Route
+from ...version.gateway import Route, Shards
 from ._rendezvous import rendezvous_weight
 
 Domains = Set[FailureDomainId]
@@ -61,6 +61,17 @@
     )
 
 
+def plan_whole(route: Route, shards: int, gatherer_domains: Domains, key: str) -> Part:
+    """Return all ``shards`` of a query as one part, for any of the gatherers.
+
+    A gateway that does not know the failure domains of the shards can forward no smaller parts. Any
+    domain of ``gatherer_domains`` is preferred, by ``key``, so that queries are spread over them.
+    """
+    domain = max(gatherer_domains, key=lambda domain: rendezvous_weight(key, domain))
+    assert isinstance(route.target, Shards)
+    return Part(tuple(range(shards)), max(1, route.target.min_answers), route, domain)
+
+
 def _best_domain(
     remaining: dict[int, Domains], gatherer_domains: Domains, key: str
 ) -> tuple[FailureDomainId, list[int]]:
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -221,7 +221,7 @@
     A seed reads it from the platform, and from another seed's relay while the platform does not
     answer. ``relays`` returns the addresses of the gateways that relay now, the preferred one
     first. ``wait`` blocks for the given number of seconds. ``client`` is set while a relay is
-    followed.
+    followed. ``handle_table`` is called with the configuration if it is read before the listings.
     """
 
     def __init__(
@@ -232,6 +232,7 @@
         log: EventLog,
         wait: Callable[[float], object],
         is_seed: Callable[[], bool] = lambda: False,
+        handle_table: Callable[[PublishedConfiguration], None] = lambda published: None,
     ) -> None:
         self.platform = platform
         self.relays = relays
@@ -239,6 +240,7 @@
         self.log = log
         self.wait = wait
         self.is_seed = is_seed
+        self.handle_table = handle_table
         self.contact = StoreContact()
         self.client: HttpClient | None = None
         self.epoch = ""
@@ -328,17 +330,19 @@
     def _wait_for_relays(self) -> None:
         """Wait for a relay after the start if a read from the platform may take many calls.
 
-        That depends on the number of services, which the configuration states.
+        That depends on the number of services, which the configuration states. It is in force while
+        this waits.
         """
         attempts = 0 if self.startup_wait_over else START_ATTEMPTS
         self.startup_wait_over = True
+        published: PublishedConfiguration | Unavailable | None = None
         for _ in range(attempts):
-            published = self.platform.read_table()
-            if (
-                isinstance(published, PublishedConfiguration)
-                and len(published.table.services) < MANY_SERVICES
-            ):
-                return
+            if not isinstance(published, PublishedConfiguration):
+                published = self.platform.read_table()
+                if isinstance(published, PublishedConfiguration):
+                    self.handle_table(published)
+                    if len(published.table.services) < MANY_SERVICES:
+                        return
             deadline = monotonic() + RELAY_WAIT_S
             while not self.relays() and monotonic() < deadline:
                 self.wait(RELAY_POLL_INTERVAL_S)
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -38,15 +38,10 @@
 from ._naming import GatherAtPeers, GatherHere, peer_route
 from ._network_times import NetworkTimes
 from ._peers import Peers
-from ._permits import OwnGatherings
-from ._planner import plan_parts
+from ._permits import NoPermits, OwnGatherings
+from ._planner import plan_parts, plan_whole
 from ._relay import CATALOGUE_HOST, CatalogueLog
-
-NO_CONFIGURATION_RETRY_AFTER = Millis(300.0)
-"""The time after which a starting gateway has usually read the configuration."""
-
-NO_GATHERER_RETRY_AFTER = Millis(100.0)
-"""The time after which a gateway may know of another gatherer, or gathers fewer queries itself."""
+from .startup import StartupStep
 
 STOPPING_RETRY_AFTER = Millis(50.0)
 """The time after which a caller refused by a stopping gateway should try another one."""
@@ -174,8 +169,7 @@
             failure = NotRun(Reason.BAD_REQUEST, Step.READ, detail="the request id is missing")
             return Refused(400, failure)
         if table is None:
-            failure = NotRun(Reason.NO_CONFIGURATION, Step.ROUTE)
-            return Refused(503, failure, NO_CONFIGURATION_RETRY_AFTER)
+            return self.peers.startup.refuse(StartupStep.CONFIGURATION)
         route = table.find_route(request.host, request.path)
         if route is None:
             failure = NotRun(Reason.UNKNOWN_SERVICE, Step.ROUTE, detail=f"version {table.version}")
@@ -197,7 +191,12 @@
                 return request.arrived_at + route.objective <= finish_at
 
     def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
+        has_listings = self.peers.startup.has_reached(StartupStep.LISTINGS)
         match route.target:
+            case Shards() as shards if not has_listings:
+                return self._gather_without_listings(request, route, shards, inbox)
+            case _ if not has_listings:
+                return self.peers.startup.refuse(StartupStep.LISTINGS)
             case Shards() as shards:
                 return self._gather(request, route, shards, inbox)
             case Split() as split:
@@ -223,14 +222,23 @@
             len(shards.services) - shards.min_answers,
             request.id,
         )
-        sender = PartSender(
-            request,
-            peer_route(route),
-            PEER_SERVICE,
-            self.fleet,
-            parse_missing_positions,
+        plan = GatherPlan(here, parts, self._part_sender(request, route), self.own_gatherings)
+        return run_gather(request, route, shards, self.fleet, inbox, plan)
+
+    def _part_sender(self, request: Request, route: Route) -> PartSender:
+        return PartSender(
+            request, peer_route(route), PEER_SERVICE, self.fleet, parse_missing_positions
         )
-        plan = GatherPlan(here, parts, sender, self.own_gatherings)
+
+    def _gather_without_listings(
+        self, request: Request, route: Route, shards: Shards, inbox: Inbox
+    ) -> Reply:
+        """Forward the whole query to a gatherer while this gateway knows no searchers yet."""
+        gatherer_domains = self.fleet.searcher_domains((PEER_SERVICE,))[0]
+        if not gatherer_domains:
+            return self.peers.startup.refuse(StartupStep.LISTINGS)
+        part = plan_whole(route, len(shards.services), gatherer_domains, request.id)
+        plan = GatherPlan((), (part,), self._part_sender(request, route), NoPermits())
         return run_gather(request, route, shards, self.fleet, inbox, plan)
 
     def _gather_without_gatherers(
@@ -242,8 +250,7 @@
         gathered in this way at the same time.
         """
         if not self.own_gatherings.acquire():
-            failure = NotRun(Reason.OVERLOAD, Step.FORWARD, detail="no gatherer is available")
-            return Refused(503, failure, NO_GATHERER_RETRY_AFTER)
+            return self.peers.startup.refuse_for_lack_of_gatherers()
         try:
             return run_gather(request, route, shards, self.fleet, inbox)
         finally:
@@ -258,6 +265,8 @@
         """
         duration = Millis(self.fleet.now() - request.arrived_at)
         outcome, detail = _describe_reply(reply)
+        if outcome == "whole":
+            self.peers.startup.record(StartupStep.FIRST_ANSWER)
         kind = "none" if isinstance(route, Refused) else f"rank{route.rank}"
         self.metrics.record_request(kind, outcome, duration)
         late = not isinstance(route, Refused) and duration > route.objective
--- a/src/masticgate/process/gateway/startup/__init__.py
+++ b/src/masticgate/process/gateway/startup/__init__.py
@@ -8,6 +8,8 @@
 from ._naming_rule import NamingPhase as NamingPhase
 from ._naming_rule import NamingRule as NamingRule
 from ._pace import starting_interval as starting_interval
+from ._progress import StartupStep as StartupStep
+from ._progress import StartupTimes as StartupTimes
 from ._store_contact import LOST_AGE as LOST_AGE
 from ._store_contact import MAX_GATHERING_AGE as MAX_GATHERING_AGE
 from ._store_contact import PROBE_INTERVAL as PROBE_INTERVAL
--- a/tests/gateway/loopback.py
+++ b/tests/gateway/loopback.py
@@ -188,19 +188,25 @@
 
 @contextmanager
 def running_gateway(
-    routes, searchers: dict[str, list[StandInSearcher]], *, version: int = 1, **settings
+    routes,
+    searchers: dict[str, list[StandInSearcher]],
+    *,
+    version: int = 1,
+    make_source=FixedSource,
+    **settings,
 ) -> Iterator[Gateway]:
     """Run a gateway in threads of this process, and yield it.
 
     ``searchers`` maps each service to its searchers, ``version`` is the version of the
-    configuration, and ``settings`` replaces fields of the gateway's settings.
+    configuration, ``make_source`` makes the source of the catalogue from the configuration and the
+    listings, and ``settings`` replaces fields of the gateway's settings.
     """
     entries = [
         replace(make_entry(f"{service}-{number}", service), address=searcher.address)
         for service, group in searchers.items()
         for number, searcher in enumerate(group)
     ]
-    source = FixedSource(make_table(*routes, version=version), entries)
+    source = make_source(make_table(*routes, version=version), entries)
     gateway = Gateway(replace(make_settings(), **settings), HEADER_NAMES, source)
     gateway.log.descriptor = -1
     # The slack for repeats grows from zero over the first 10 s, the window of the repeat budgets.
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -328,6 +328,24 @@
         source.read()
         assert platform.reads == 0
 
+    def test_starting_gateway_serves_by_configuration_while_it_waits(self):
+        """Guard against a wait of up to 800 ms without any configuration.
+
+        The configuration is read with one call, which the store prices.
+        """
+        source, platform, relays = make_source(lambda head: http_response(503, b""))
+        names = tuple(ServiceId(f"s{number}") for number in range(120))
+        platform.table = make_table(make_route(Shards(names, 3, 0.5)))
+        relays.clear()
+        events = []
+        read_table = platform.read_table
+        platform.read_table = lambda: events.append("call") or read_table()
+        source.handle_table = lambda published: events.append(published.table)
+        source.wait = lambda seconds: events.append("wait")
+        source.read()
+        assert events[:3] == ["call", platform.table, "wait"]
+        assert (events.count("call"), platform.reads) == (1, 1)
+
     def test_starting_gateway_without_configuration_waits_for_relay(self):
         source, platform, relays = make_source(
             lambda head: http_response(200, request_catalogue(make_catalogue()).body)
