Gateway: a starting gateway says when it will serve

Cause: a gateway without a configuration refused with a Retry-After of 300 ms, and one that knew no gatherer with 100 ms, whatever it knew of its own start. All callers that were refused together returned together.

Without seeds, or 5 s after the start, a query that is one too many is asked to wait 100 to 150 ms.

--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -250,7 +250,8 @@
         gathered in this way at the same time.
         """
         if not self.own_gatherings.acquire():
-            return self.peers.startup.refuse_for_lack_of_gatherers()
+            has_seeds = bool(self.fleet.settings.seeds)
+            return self.peers.startup.refuse_for_lack_of_gatherers(has_seeds=has_seeds)
         try:
             return run_gather(request, route, shards, self.fleet, inbox)
         finally:
