Let requests of several ranks wait for room at searchers

Cause: a call that finds all connections busy is refused at once, whatever its rank, although room often comes free before its deadline. Requests to one service wait in their inbox and are woken by a grant. It is enabled only by a configuration with more than one rank.

--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -13,7 +13,14 @@
 
 from ..._clock import Clock, remaining_poll_time
 from ..._ids import Millis
-from ...request.gateway import Answered, Call, CallerDisconnected, GatewayStopping
+from ...request.gateway import (
+    Answered,
+    Call,
+    CallerDisconnected,
+    Event,
+    GatewayStopping,
+    RoomGranted,
+)
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 
 ORDINARY_ANSWER_BYTES = 16_384
@@ -123,6 +130,7 @@
         self.wakeable_socket = wakeable_socket
         self.answers = Holding(memory, MemoryUse.ANSWERS, ORDINARY_ANSWER_BYTES)
         self.finished: deque[Call] = deque()
+        self.granted: deque[RoomGranted] = deque()
         self.batch_size = 1
         wakeable_socket.watch_for_close()
 
@@ -137,17 +145,25 @@
         if len(self.finished) >= self.batch_size or not _is_success(call):
             self.wakeable_socket.wake()
 
+    def grant(self, granted: RoomGranted) -> None:
+        """Wake the task, because there is room for a call of it; any task may call this."""
+        self.granted.append(granted)
+        if self.answers.closed:
+            self.granted.clear()
+        self.wakeable_socket.wake()
+
     def close(self) -> None:
         """Drop the answers and return their bytes; their caller has taken them, or never will."""
         self.answers.close()
         self.finished.clear()
+        self.granted.clear()
 
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
         self.batch_size = number
 
-    def wait(self, deadline: Millis) -> Call | CallerDisconnected | GatewayStopping | None:
-        """Return the next finished call, or ``None`` if there is none at ``deadline``.
+    def wait(self, deadline: Millis) -> Event | None:
+        """Return the next finished call or granted room, or ``None`` if there is none in time.
 
         If the caller closes its connection first, the result is ``CallerDisconnected``, and after
         :meth:`WakeableSocket.end_wait` it is ``GatewayStopping``.
@@ -157,6 +173,9 @@
             if self.finished:
                 self.wakeable_socket.waiting = False
                 return self.finished.popleft()
+            if self.granted:
+                self.wakeable_socket.waiting = False
+                return self.granted.popleft()
             if self.wakeable_socket.ending:
                 self.wakeable_socket.waiting = False
                 return GatewayStopping()
--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -28,10 +28,12 @@
     now: Millis,
     *,
     is_shard: bool,
+    needs_room: bool = False,
 ) -> Replica | NotRun:
     """Return the best of the ``known`` searchers that is not in ``tried``, or why there is none.
 
-    ``is_shard`` says whether the call is one of a query over many shards.
+    ``is_shard`` says whether the call is one of a query over many shards. If ``needs_room`` is set,
+    a searcher that can accept the call only to let it wait for long does not count.
     """
     untried = [replica for replica in known if replica.entry.id not in tried]
     usable = [replica for replica in untried if replica.is_usable(now)]
@@ -44,7 +46,11 @@
     if not usable:
         detail = _describe_known(known, now)
         return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service, detail)
-    free = [replica for replica in usable if replica.has_capacity()]
+    free = [
+        replica
+        for replica in usable
+        if (replica.has_room(now) if needs_room else replica.has_capacity())
+    ]
     if not free:
         return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "all connections are busy")
     if call.service == PEER_SERVICE:
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -33,9 +33,12 @@
     Answered,
     BodyFraming,
     Call,
+    Decision,
     Declined,
     InFlightCall,
     Lost,
+    Refuse,
+    Request,
 )
 from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
 from ._choice import choose_replica
@@ -49,6 +52,7 @@
 from ._replica import Replica, ReplicaState
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from .admission import Gate
 
 RETRY_RESERVE = 1.0
 """The number of repeats in each budget that hedges may not spend, so that retries can."""
@@ -144,6 +148,7 @@
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.hedge_delays = HedgeDelays()
+        self.gate = Gate(self.listings.of_service, self.hedge_delays, clock, metrics)
         self.unserved: set[ServiceId] = set()
         self.random = random.Random()
 
@@ -167,6 +172,8 @@
         """
         while True:
             with self.lock:
+                if not self.gate.may_send(call):
+                    return NotRun(Reason.OVERLOAD, Step.QUEUE, call.service, "others wait for room")
                 replica = choose_replica(
                     call,
                     self.listings.of_service(call.service),
@@ -174,6 +181,7 @@
                     self.settings.domain,
                     self.clock.now(),
                     is_shard=call.service in self.shard_services,
+                    needs_room=self.gate.limits(call),
                 )
                 if isinstance(replica, NotRun):
                     return replica
@@ -194,6 +202,28 @@
                 self.budgets.record_request(call.service, self.clock.now())
         return DispatchedCall(call, replica.entry.id, task)
 
+    def admit(self, call: Call) -> Decision:
+        """Decide about a call for which :meth:`send` found no searcher with room."""
+        with self.lock:
+            return self.gate.admit(call)
+
+    def leave(self, call: Call) -> None:
+        """Stop waiting for room for ``call``."""
+        with self.lock:
+            self.gate.leave(call)
+
+    def admit_query(
+        self, request: Request, route: Route, services: Sequence[ServiceId], needed: int
+    ) -> Refuse | None:
+        """Refuse a query if fewer than ``needed`` of ``services`` can serve it in time."""
+        with self.lock:
+            return self.gate.admit_query(request, route, services, needed)
+
+    def busy_retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
+        """Return when searchers that declined a request have room again, if that is known."""
+        with self.lock:
+            return self.gate.retry_after(route, service, deadline)
+
     def has_searcher(self, service: ServiceId, tried: set[SearcherId]) -> bool:
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         now = self.clock.now()
@@ -293,6 +323,7 @@
                 replica.load_reported_at = now
             if reusable:
                 self.connections.keep_idle(replica, task)
+            self.gate.record_outcome(call)
 
     def handle_close(self, task: SearcherTask, *, connected: bool) -> None:
         """Remove a closed connection from its searcher.
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -64,6 +64,13 @@
 LOAD_REPORT_TTL = Millis(300.0)
 """How long the load that a searcher reports is taken into account."""
 
+ROOM_PER_SLOT = 3
+"""The requests for each slot of a searcher for which it has room: one that runs and two that wait.
+
+A searcher that always has the next request loses no time between two, and the requests beyond that
+wait at the gateway, which orders them by rank.
+"""
+
 COLD_START_FACTOR = 1.6
 """The factor by which a searcher is expected to be slower right after its start."""
 
@@ -148,6 +155,21 @@
         """Return whether a connection is idle or another one may be opened."""
         return bool(self.idle) or self.connection_count < self.max_connections
 
+    def free_places(self, now: Millis) -> int:
+        """Return for how many more requests the searcher has room and connections.
+
+        The requests of other gateways count less the older the report of them is, since they end
+        meanwhile; after ``LOAD_REPORT_TTL``, only the calls of this gateway count.
+        """
+        connections = len(self.idle) + max(0, self.max_connections - self.connection_count)
+        freshness = max(0.0, 1.0 - (now - self.load_reported_at) / LOAD_REPORT_TTL)
+        load = self.in_flight + int(self.other_requests * freshness)
+        return max(0, min(connections, self.entry.slots * ROOM_PER_SLOT - load))
+
+    def has_room(self, now: Millis) -> bool:
+        """Return whether the searcher has room for another request."""
+        return self.free_places(now) > 0
+
     def cost(self, now: Millis) -> float:
         """Return the cost of a request at this searcher; the lowest cost is preferred.
 
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -145,6 +145,7 @@
         else:
             assert view.table is not None
             self.network_times.apply_table(view.table)
+            self.fleet.gate.apply_table(view.table)
             request = replace(request, network_time=self.network_times.estimate(route.id, request))
             reply = self._run(request, view.table, route, inbox)
         self._record_result(request, view, route, reply)
--- /dev/null
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -0,0 +1,253 @@
+"""Applies admission control to the calls for which no searcher has room.
+
+The fleet's lock guards the gate. The state is that of one gateway and lives as long as its process;
+no other gateway knows it.
+"""
+
+import random
+from collections.abc import Callable, Collection, Sequence
+
+from ...._clock import MILLIS_PER_SECOND, Clock
+from ...._ids import ConfigurationVersion, Millis, ServiceId
+from ....request.gateway import (
+    Answered,
+    Call,
+    Decision,
+    Lost,
+    Refuse,
+    Repeat,
+    Request,
+    RoomGranted,
+    RoomState,
+    Send,
+)
+from ....version.gateway import PEER_SERVICE, Route, RouteTable
+from .._hedge_delays import TYPICAL_PERCENTILE, HedgeDelays
+from .._metrics import Metrics
+from .._replica import Replica
+from ._decision import MAX_JITTER, Demand, Queue, decide, expected_wait, limit_retry_after
+from ._rate import FreeingRate
+from ._room import Room
+
+INITIAL_LATENCY_SHARE = 0.25
+"""The usual latency as a share of the route's objective while no latencies are known."""
+
+
+class ServiceQueue:
+    """The queue of one service and the rate at which it moves."""
+
+    def __init__(self, now: Millis) -> None:
+        self.room = Room()
+        self.rate = FreeingRate(now)
+
+
+class Gate:
+    """Lets requests wait for room at searchers, in the order of their ranks.
+
+    It is ``enabled`` while the configuration has more than one rank. Otherwise no request waits.
+    ``queues`` has the services at which a request has waited under the present configuration, and
+    ``waiting`` is the number of requests that wait now. ``of_service`` returns the searchers of a
+    service.
+    """
+
+    def __init__(
+        self,
+        of_service: Callable[[ServiceId], Collection[Replica]],
+        hedge_delays: HedgeDelays,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.of_service = of_service
+        self.hedge_delays = hedge_delays
+        self.clock = clock
+        self.metrics = metrics
+        self.random = random.Random()
+        self.enabled = False
+        self.version = ConfigurationVersion(0)
+        self.queues: dict[ServiceId, ServiceQueue] = {}
+        self.waiting = 0
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Enable the gate if the configuration ``table`` has more than one rank."""
+        if table.version <= self.version:
+            return
+        self.version = table.version
+        self.enabled = len({route.rank for route in table.routes}) > 1
+        self.queues = {
+            service: queue
+            for service, queue in self.queues.items()
+            if queue.room.queue or queue.room.reserved
+        }
+
+    def limits(self, call: Call) -> bool:
+        """Return whether ``call`` goes only to searchers with room.
+
+        A retry goes to any that accepts it: its request has had its turn before.
+        """
+        return self.enabled and call.service != PEER_SERVICE and call.repeat is not Repeat.RETRY
+
+    def may_send(self, call: Call) -> bool:
+        """Return whether it is the turn of ``call``, ending its reservation if it has one."""
+        queue = self.queues.get(call.service)
+        if queue is None or call.repeat is Repeat.RETRY:
+            return True
+        room = queue.room
+        if room.take_reservation(call):
+            return True
+        if not room.queue and not room.reserved:
+            return True
+        self._grant(call.service, queue)
+        if room.take_reservation(call):
+            return True
+        return not room.queue and self._free_places(call.service) > len(room.reserved)
+
+    def admit(self, call: Call) -> Decision:
+        """Decide about a call for which no searcher had room; it waits if the result says so."""
+        if not self.limits(call):
+            return Refuse(None, "all connections are busy")
+        now = self.clock.now()
+        queue = self.queues.setdefault(call.service, ServiceQueue(now))
+        self._enqueue(call, queue, now)
+        self._grant(call.service, queue, waker=call)
+        if id(call) in queue.room.reserved:
+            return Send()
+        ahead = queue.room.enqueue(call, now)
+        decision = decide(
+            self._demand(call.request, call.route, call.deadline),
+            self._describe(call.service, queue, ahead, call.route, now),
+            now,
+            self._jitter(),
+        )
+        match decision:
+            case Refuse():
+                self.metrics.count("admission_refused")
+                self._remove(call, queue)
+        return decision
+
+    def leave(self, call: Call) -> None:
+        """Stop waiting for room for ``call``; another request gets what it was granted."""
+        queue = self.queues.get(call.service)
+        if queue is not None and self._remove(call, queue):
+            self._grant(call.service, queue)
+
+    def record_outcome(self, call: Call) -> None:
+        """Grant the room that comes free as ``call`` has its outcome.
+
+        A searcher that declined a request, or that never received it, has not worked on it, so that
+        such an outcome does not count as capacity.
+        """
+        queue = self.queues.get(call.service)
+        if queue is None:
+            return
+        match call.outcome:
+            case Answered() | Lost(sent=True):
+                queue.rate.record_completion(self.clock.now())
+        self._grant(call.service, queue)
+
+    def admit_query(
+        self, request: Request, route: Route, services: Sequence[ServiceId], needed: int
+    ) -> Refuse | None:
+        """Refuse a query at once if fewer than ``needed`` of ``services`` can serve it in time."""
+        if not self.waiting:
+            return None
+        now = self.clock.now()
+        deadline = request.deadline(route)
+        demand = self._demand(request, route, deadline)
+        refusals: list[Refuse] = []
+        for service in services:
+            queue = self.queues.get(service)
+            if queue is None or not queue.room.queue:
+                continue
+            ahead = queue.room.count_ahead(route.rank, deadline)
+            description = self._describe(service, queue, ahead, route, now)
+            match decide(demand, description, now, self._jitter()):
+                case Refuse() as refusal:
+                    refusals.append(refusal)
+        if len(services) - len(refusals) >= needed or not refusals:
+            return None
+        self.metrics.count("admission_refused")
+        refusals.sort(key=lambda refusal: refusal.retry_after or 0.0)
+        decisive = refusals[min(len(refusals), needed - (len(services) - len(refusals))) - 1]
+        why = f"{len(refusals)} of {len(services)} shards have no room in time"
+        return Refuse(decisive.retry_after, why, decisive.room)
+
+    def retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
+        """Return when a caller that the searchers declined should return, if that is known."""
+        queue = self.queues.get(service)
+        if not self.enabled or queue is None:
+            return None
+        now = self.clock.now()
+        ahead = len(queue.room.queue)
+        wait = expected_wait(ahead, self._rate(service, queue, route, now))
+        return None if wait is None else limit_retry_after(wait, deadline, now, self._jitter())
+
+    def _enqueue(self, call: Call, queue: ServiceQueue, now: Millis) -> None:
+        before = len(queue.room.queue)
+        queue.room.enqueue(call, now)
+        self._update_waiting(queue, before, now)
+
+    def _remove(self, call: Call, queue: ServiceQueue) -> bool:
+        before = len(queue.room.queue)
+        removed = queue.room.remove(call)
+        self._update_waiting(queue, before, self.clock.now())
+        return removed
+
+    def _update_waiting(self, queue: ServiceQueue, before: int, now: Millis) -> None:
+        after = len(queue.room.queue)
+        if after == before:
+            return
+        self.waiting += after - before
+        self.metrics.set_gauge("admission_waiting", self.waiting)
+        queue.rate.set_busy(after > 0, now)
+
+    def _grant(self, service: ServiceId, queue: ServiceQueue, waker: Call | None = None) -> None:
+        """Grant the free places to waiting requests, and wake all of these but ``waker``."""
+        room = queue.room
+        if not room.queue:
+            return
+        before = len(room.queue)
+        places = self._free_places(service) - len(room.reserved)
+        for _ in range(min(places, before)):
+            call = room.grant()
+            self.metrics.count("admission_granted")
+            if call is not waker:
+                call.inbox.grant(RoomGranted(call))
+        self._update_waiting(queue, before, self.clock.now())
+
+    def _free_places(self, service: ServiceId) -> int:
+        now = self.clock.now()
+        return sum(r.free_places(now) for r in self.of_service(service) if r.is_usable(now))
+
+    def _demand(self, request: Request, route: Route, deadline: Millis) -> Demand:
+        objective_at = Millis(request.arrived_at + route.objective - request.network_time)
+        return Demand(deadline, objective_at, self._usual_latency(route))
+
+    def _usual_latency(self, route: Route) -> Millis:
+        window = self.hedge_delays.windows.get(route.id)
+        latency = None if window is None else window.percentile(TYPICAL_PERCENTILE)
+        return Millis(route.objective * INITIAL_LATENCY_SHARE) if latency is None else latency
+
+    def _describe(
+        self, service: ServiceId, queue: ServiceQueue, ahead: int, route: Route, now: Millis
+    ) -> Queue:
+        replicas = self.of_service(service)
+        reported_at = max((r.load_reported_at for r in replicas), default=Millis(0.0))
+        state = RoomState(
+            max(0, self._free_places(service) - len(queue.room.reserved) - len(queue.room.queue)),
+            sum(replica.in_flight for replica in replicas),
+            len(queue.room.queue),
+            Millis(now - reported_at) if reported_at else None,
+        )
+        return Queue(ahead, self._rate(service, queue, route, now), state)
+
+    def _rate(self, service: ServiceId, queue: ServiceQueue, route: Route, now: Millis) -> float:
+        """Return the rate at which room comes free; each running call is assumed to end as usual.
+
+        It is 0 if no call of this gateway is running and none has completed while others waited.
+        """
+        running = sum(replica.in_flight for replica in self.of_service(service))
+        expected = running / max(1.0, self._usual_latency(route)) * MILLIS_PER_SECOND
+        return queue.rate.per_second(expected, now)
+
+    def _jitter(self) -> float:
+        return self.random.uniform(1.0, MAX_JITTER)
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -1,11 +1,17 @@
 """Code and state for one request that a gateway serves: attempts, their outcomes, the reply."""
 
+from ._admission import Decision as Decision
+from ._admission import Refuse as Refuse
+from ._admission import RoomState as RoomState
+from ._admission import Send as Send
+from ._admission import Wait as Wait
 from ._attempts import Attempts as Attempts
 from ._exchange import Answered as Answered
 from ._exchange import BodyFraming as BodyFraming
 from ._exchange import Call as Call
 from ._exchange import CallerDisconnected as CallerDisconnected
 from ._exchange import Declined as Declined
+from ._exchange import Event as Event
 from ._exchange import GatewayStopping as GatewayStopping
 from ._exchange import Inbox as Inbox
 from ._exchange import InFlightCall as InFlightCall
@@ -15,6 +21,7 @@
 from ._exchange import ReceiveInfo as ReceiveInfo
 from ._exchange import Repeat as Repeat
 from ._exchange import Request as Request
+from ._exchange import RoomGranted as RoomGranted
 from ._exchange import UpstreamClient as UpstreamClient
 from ._forward import run_forward as run_forward
 from ._gather import GatherPlan as GatherPlan
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -9,6 +9,7 @@
 from ..._failures import NotRun, Reason, Step, describe_failure
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Idempotency, Route
+from ._admission import Refuse, Send, Wait
 from ._exchange import (
     Answered,
     Call,
@@ -18,6 +19,7 @@
     Lost,
     Repeat,
     Request,
+    RoomGranted,
     UpstreamClient,
 )
 
@@ -33,6 +35,11 @@
     ``failure`` is the latest failure of an attempt, or why none could be sent. Its type is
     ``NotRun`` even if the request may have run; only :attr:`may_have_run` says that.
     ``repeat_failure`` says why the budget or the upstream client last refused a repeat.
+
+    ``waiting_call`` is the call that waits for room at a searcher, if one does, and ``recheck_at``
+    is when it is asked about again. ``waited`` is the time for which calls have waited, and
+    ``refusal`` is set if one was refused for lack of room. ``declined_retry_after`` is
+    the time in milliseconds after which one that declined the request wants it again.
     """
 
     def __init__(
@@ -60,6 +67,12 @@
         self.repeat_failure: NotRun | None = None
         self.hedged = False
         self.cancelled_after_start = False
+        self.waiting_call: Call | None = None
+        self.waiting_since = Millis(0.0)
+        self.recheck_at = Millis(0.0)
+        self.waited = Millis(0.0)
+        self.refusal: Refuse | None = None
+        self.declined_retry_after: Millis | None = None
 
     @property
     def pending(self) -> bool:
@@ -84,16 +97,52 @@
         """
         return self.possibly_ran or self.cancelled_after_start
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether an attempt waits for room at a searcher."""
+        return self.waiting_call is not None
+
+    @property
+    def unfinished(self) -> bool:
+        """Return whether an attempt has no outcome yet or waits to be sent."""
+        return self.pending or self.is_waiting
+
     def send_first(self) -> bool:
-        """Send the first attempt; return ``False`` if no searcher can accept it."""
+        """Send the first attempt; return ``False`` if no searcher can accept it.
+
+        In that case it may wait for room.
+        """
         return self._send(None)
 
+    def handle_grant(self, granted: RoomGranted) -> bool:
+        """Send the call that waits, if there is room for it now.
+
+        Return ``False`` if ``granted`` is not for this call. It is also ignored if the call was
+        sent meanwhile.
+        """
+        call = self.waiting_call
+        if call is None or granted.call is not call:
+            return False
+        self._dispatch(call)
+        return True
+
+    def recheck_room(self) -> None:
+        """Ask again about the call that waits, if that is due."""
+        if self.waiting_call is not None and self.upstream.now() >= self.recheck_at:
+            self._wait_for_room(self.waiting_call)
+
+    def stop_waiting(self) -> None:
+        """End the wait for room; the call that waits is not sent."""
+        if self.waiting_call is not None:
+            self.upstream.leave(self.waiting_call)
+            self._end_wait()
+
     def send_hedge(self) -> bool:
         """Send a hedge, if the deadline, the route's limit and the budget allow it.
 
         Return whether it was sent. Only one hedge is tried; later calls return ``False``.
         """
-        if self.hedged:
+        if self.hedged or self.is_waiting:
             return False
         self.hedged = True
         for in_flight_call in self.in_flight_calls.values():
@@ -110,8 +159,9 @@
             case Answered() as answer:
                 self.reached_searcher = self.possibly_ran = True
                 self._record_answer(answer)
-            case Declined(searcher=searcher, reason=reason):
+            case Declined(searcher=searcher, reason=reason, retry_after=retry_after):
                 self.reached_searcher = True
+                self.declined_retry_after = retry_after
                 self.failure = NotRun(reason, Step.UPSTREAM, searcher)
             case Lost(searcher=searcher, sent=sent, detail=detail):
                 self.reached_searcher = self.reached_searcher or sent
@@ -141,6 +191,8 @@
 
     def describe_missing_answer(self) -> str:
         """Return a short text that says why the service has not answered."""
+        if self.is_waiting:
+            return f"{self.service}: waits for room since {self._waiting_time():.0f} ms"
         if not self.in_flight_calls:
             return (
                 f"{self.service}: {describe_failure(self.failure)}, "
@@ -154,6 +206,7 @@
 
     def cancel(self) -> None:
         """Cancel every attempt without an outcome; one that has not been sent never will be."""
+        self.stop_waiting()
         for in_flight_call in self.in_flight_calls.values():
             in_flight_call.cancel()
         self.cancelled_after_start = self.cancelled_after_start or self.pending_started
@@ -207,14 +260,48 @@
 
     def _send(self, repeat: Repeat | None) -> bool:
         call = Call(self.request, self.route, self.service, self.deadline, self.inbox, repeat)
+        return self._dispatch(call)
+
+    def _dispatch(self, call: Call, *, may_wait: bool = True) -> bool:
+        """Send ``call``, or let it wait if it is no repeat and no searcher has room for it."""
         in_flight_call = self.upstream.send(call, self.tried)
         if isinstance(in_flight_call, NotRun):
-            if repeat:
+            if call.repeat:
                 self.repeat_failure = in_flight_call
-            else:
-                self.failure = in_flight_call
+                return False
+            self.failure = in_flight_call
+            if may_wait and in_flight_call.reason is Reason.OVERLOAD:
+                return self._wait_for_room(call)
+            self._end_wait()
             return False
+        self._end_wait()
         self.attempt_count += 1
         self.tried.add(in_flight_call.searcher)
         self.in_flight_calls[id(call)] = in_flight_call
         return True
+
+    def _wait_for_room(self, call: Call) -> bool:
+        """Do with ``call`` what admission control decides; return whether it was sent."""
+        match self.upstream.admit(call):
+            case Send():
+                return self._dispatch(call, may_wait=False)
+            case Wait(until=until):
+                if not self.is_waiting:
+                    self.waiting_since = self.upstream.now()
+                self.waiting_call = call
+                self.recheck_at = until
+            case Refuse(room=None):
+                self._end_wait()
+            case Refuse(why=why) as refusal:
+                self._end_wait()
+                self.refusal = refusal
+                self.failure = NotRun(Reason.OVERLOAD, Step.ADMISSION, self.service, why)
+        return False
+
+    def _waiting_time(self) -> Millis:
+        return Millis(self.upstream.now() - self.waiting_since)
+
+    def _end_wait(self) -> None:
+        if self.waiting_call is not None:
+            self.waiting_call = None
+            self.waited = Millis(self.waited + self._waiting_time())
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -19,6 +19,7 @@
     ServiceId,
 )
 from ...version.gateway import Route
+from ._admission import Decision, Refuse
 
 Header = tuple[bytes, bytes]
 
@@ -143,10 +144,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Declined:
-    """The searcher reported that it did not run the request."""
+    """The searcher reported that it did not run the request.
+
+    ``retry_after`` is when it wants the request again, in milliseconds, if it said so.
+    """
 
     searcher: SearcherId
     reason: Reason
+    retry_after: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,8 +211,19 @@
     outcome: Outcome | None = field(default=None)
 
 
+@dataclass(frozen=True, slots=True)
+class RoomGranted:
+    """Room came free for ``call``, which waited for it; it is kept until the call is sent."""
+
+    call: Call
+
+
+Event = Call | RoomGranted | CallerDisconnected | GatewayStopping
+"""What the wait of a request ends with."""
+
+
 class Inbox(Protocol):
-    """Queue on which the task of one request waits for outcomes of its calls.
+    """Queue on which the task of one request waits for outcomes of its calls, and for room.
 
     The wait also ends if the caller closes its connection, or when the gateway is about to end.
     """
@@ -216,6 +232,10 @@
         """Add a call that has an outcome; any task may call this."""
         ...
 
+    def grant(self, granted: RoomGranted) -> None:
+        """Wake the waiting task, because there is room for a call; any task may call this."""
+        ...
+
     def set_batch_size(self, number: int) -> None:
         """Wake the waiting task only once ``number`` calls, or one without success, have finished.
 
@@ -223,8 +243,8 @@
         """
         ...
 
-    def wait(self, deadline: Millis) -> Call | CallerDisconnected | GatewayStopping | None:
-        """Return the next finished call, or ``None`` if none has finished at ``deadline``."""
+    def wait(self, deadline: Millis) -> Event | None:
+        """Return the next finished call or granted room, or ``None`` at ``deadline``."""
         ...
 
 
@@ -253,7 +273,34 @@
     def send(self, call: Call, tried: set[SearcherId]) -> InFlightCall | NotRun:
         """Send ``call`` to a searcher of its service that is not in ``tried``.
 
-        Return ``NotRun`` if no searcher can accept it.
+        Return ``NotRun`` if no searcher can accept it, with the reason ``OVERLOAD`` if one will
+        once it has room.
+        """
+        ...
+
+    def admit(self, call: Call) -> Decision:
+        """Decide about a call for which :meth:`send` found no searcher with room.
+
+        If the result is ``Wait``, the inbox of the call gets a ``RoomGranted`` when it may be sent.
+        A call that waits is asked about again at the time that ``Wait`` states, until it is sent or
+        :meth:`leave` is called.
+        """
+        ...
+
+    def leave(self, call: Call) -> None:
+        """Stop waiting for room for ``call``, which is not sent."""
+        ...
+
+    def admit_query(
+        self, request: Request, route: Route, services: Sequence[ServiceId], needed: int
+    ) -> Refuse | None:
+        """Refuse a query if fewer than ``needed`` of ``services`` can serve it in time."""
+        ...
+
+    def busy_retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
+        """Return when searchers that declined a request have room again, if that is known.
+
+        The result is in milliseconds and varies; it is at most a third of the time left.
         """
         ...
 
--- a/src/masticgate/request/gateway/_reply.py
+++ b/src/masticgate/request/gateway/_reply.py
@@ -4,6 +4,7 @@
 
 from ..._failures import NotRun, Unknown
 from ..._ids import Millis, SearcherId
+from ._admission import RoomState
 from ._exchange import Answered
 
 
@@ -11,11 +12,13 @@
 class Relayed:
     """A searcher's answer, relayed unchanged.
 
-    ``attempts_summary`` describes the attempts at the request, for the log.
+    ``attempts_summary`` describes the attempts at the request, and ``waited`` is how long it waited
+    for room at a searcher, both for the log.
     """
 
     answer: Answered
     attempts_summary: str = field(default="", compare=False)
+    waited: Millis = field(default=Millis(0.0), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +33,8 @@
     The other fields are for the log: ``gatherers`` describes the parts that other gateways
     gathered, ``missing_causes`` says why some of the shards are missing, and ``irregular_parts``
     describes how some irregular answers were received. An answer is irregular if only the end of
-    the connection marked its end, or if other answers were skipped before it.
+    the connection marked its end, or if other answers were skipped before it. ``waited`` is the
+    longest time for which a shard waited for room at its searchers.
     """
 
     stamps: tuple[str, ...]
@@ -41,18 +45,23 @@
     missing_causes: tuple[str, ...] = field(default=(), compare=False)
     irregular_parts: tuple[str, ...] = field(default=(), compare=False)
     leaving: tuple[SearcherId, ...] = field(default=(), compare=False)
+    waited: Millis = field(default=Millis(0.0), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Refused:
     """The request did not run and never will.
 
-    ``retry_after`` is how many milliseconds the caller should wait before it tries again.
+    ``retry_after`` is how many milliseconds the caller should wait before it tries again. For the
+    log, ``waited`` is how long the request waited for room, and ``room`` is the state at which it
+    was refused, if it was for lack of room.
     """
 
     status: int
     failure: NotRun
     retry_after: Millis | None = None
+    waited: Millis = field(default=Millis(0.0), compare=False)
+    room: RoomState | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -22,7 +22,15 @@
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
 from masticgate.process.gateway._task_pool import TaskPool
-from masticgate.request.gateway import Answered, Call, CallerDisconnected, Declined, Lost, Request
+from masticgate.request.gateway import (
+    Answered,
+    Call,
+    CallerDisconnected,
+    Declined,
+    Lost,
+    Refuse,
+    Request,
+)
 from masticgate.version.gateway import (
     Idempotency,
     Limits,
@@ -223,6 +231,18 @@
             self.events.append((self.now() + delay, len(self.sent_calls), call))
         return sent_call
 
+    def admit(self, call):
+        return Refuse(None, "no gate")
+
+    def leave(self, call):
+        raise AssertionError("no call waits")
+
+    def admit_query(self, request, route, services, needed):
+        return None
+
+    def busy_retry_after(self, route, service, deadline):
+        return None
+
     def record_overdue(self, call):
         call.call.overdue = True
 
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -568,6 +568,12 @@
     def retry_after(self, service):
         return None
 
+    def admit_query(self, request, route, services, needed):
+        return None
+
+    def busy_retry_after(self, route, service, deadline):
+        return None
+
     def allow_hedge(self, service):
         return False
 
