Let the shards of a query wait for room, and refuse a query as a whole

Cause: a shard whose searchers are full is missing from the answer although room comes free in time, and a query whose shards cannot serve it in time still loads the others. A query that all searchers declined was answered 502 or 504 although it has not run. Change: shards wait in the same queues as other requests, a query is refused before its fan-out if too few shards can serve it in time, and a gatherer states the time to try again. A query that no searcher may have run is answered 503. The log lines state rank, wait and room. _gather.py is split.

--- a/src/masticgate/connection/gateway/_encoding.py
+++ b/src/masticgate/connection/gateway/_encoding.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from ..._clock import MILLIS_PER_SECOND
-from ..._failures import describe_failure
+from ..._failures import NotRun, Reason, Step, describe_failure
 from ..._ids import Millis, RequestId, SearcherId
 from ...request.gateway import (
     Answered,
@@ -29,7 +29,7 @@
 from ._parser import end_to_end_headers, find_header
 from ._part_codec import encode_part
 from ._positions import decode_positions, encode_positions
-from ._searcher_notices import encode_leaving_searchers
+from ._searcher_notices import NO_ROOM, encode_leaving_searchers
 
 SMALL_BODY_BYTES = 16_384
 """A body up to this size is copied behind its head, so that both are sent at once."""
@@ -51,6 +51,8 @@
     """
     extra_headers = [(header_names.request_id, request_id.encode("latin-1"))]
     match reply:
+        case Refused(failure=NotRun(reason=Reason.OVERLOAD, step=Step.ADMISSION)):
+            extra_headers.append((header_names.not_run, NO_ROOM))
         case Refused():
             extra_headers.append((header_names.not_run, b"1"))
         case Merged(missing_positions=missing, leaving=leaving):
--- a/src/masticgate/connection/gateway/_searcher_notices.py
+++ b/src/masticgate/connection/gateway/_searcher_notices.py
@@ -24,6 +24,12 @@
 MAX_PAUSE = Millis(3_600_000.0)
 """The longest pause; a searcher that asks for a longer one gets this."""
 
+NO_ROOM = b"no-room"
+"""Between gateways: the value that marks a part as not run because its searchers have no room.
+
+Any other value of the same header marks it as not run for another reason.
+"""
+
 MAX_LEAVING_SEARCHERS = 32
 """The number of searchers that one reply of a gatherer may say to leave."""
 
@@ -78,6 +84,13 @@
     return Millis(min(MAX_PAUSE, float(text) * MILLIS_PER_SECOND))
 
 
+def decode_retry_after(headers_by_name: Mapping[bytes, bytes], names: HeaderNames) -> Millis | None:
+    """Return when a gatherer that refused a part for lack of room wants it again, if it did."""
+    if headers_by_name.get(names.not_run) != NO_ROOM:
+        return None
+    return decode_pause(headers_by_name.get(b"retry-after", b""))
+
+
 def encode_leaving_searchers(searchers: Iterable[SearcherId]) -> bytes:
     """Return the value of the header by which a gatherer passes on which searchers leave."""
     passed_on = islice(searchers, MAX_LEAVING_SEARCHERS)
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -25,7 +25,7 @@
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 from ._parser import Oversized, parse_number
 from ._response_parser import ParsedResponse, ResponseParser
-from ._searcher_notices import Leaving, SearcherNotice, decode_notices, decode_pause
+from ._searcher_notices import Leaving, SearcherNotice, decode_notices, decode_retry_after
 
 CONNECT_TIMEOUT = Millis(300.0)
 """The time limit for opening a connection, many times the round trip within a region.
@@ -415,7 +415,7 @@
         if response.status == 421:
             return Declined(self.searcher, Reason.NO_SEARCHER)
         if self.header_names.not_run in response.headers_by_name:
-            retry_after = decode_pause(response.headers_by_name.get(b"retry-after", b""))
+            retry_after = decode_retry_after(response.headers_by_name, self.header_names)
             return Declined(self.searcher, Reason.SEARCHER_SHED, retry_after)
         stamp = response.headers_by_name.get(self.header_names.stamp, b"").decode("latin-1")
         latency = Millis(self.clock.now() - self.started_at)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -162,6 +162,7 @@
         meanwhile; after ``LOAD_REPORT_TTL``, only the calls of this gateway count.
         """
         connections = len(self.idle) + max(0, self.max_connections - self.connection_count)
+        connections = max(connections, int(self.has_capacity()))
         freshness = max(0.0, 1.0 - (now - self.load_reported_at) / LOAD_REPORT_TTL)
         load = self.in_flight + int(self.other_requests * freshness)
         return max(0, min(connections, self.entry.slots * ROOM_PER_SLOT - load))
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -164,8 +164,11 @@
         part = request.part
         if part is None or not isinstance(part.route.target, Shards) or not self.peers.is_ready():
             return Refused(503, NotRun(Reason.NO_CONFIGURATION, Step.FORWARD, detail="not ready"))
+        view = self.view()
+        if view.table is not None:
+            self.fleet.gate.apply_table(view.table)
         reply = run_gather(request, part.route, part.route.target, self.fleet, inbox)
-        self._record_result(request, self.view(), part.route, reply)
+        self._record_result(request, view, part.route, reply)
         return reply
 
     def _find_route(self, request: Request, table: RouteTable | None) -> Route | Refused:
@@ -277,9 +280,32 @@
             network_ms=round(request.network_time),
             version=version,
             beliefs_age_ms=round(view.age),
+            **_describe_wait(route, reply),
         )
 
 
+def _describe_wait(route: Route | Refused, reply: Reply) -> dict[str, object]:
+    """Return the fields of the log line that say how a request waited, or why it was refused."""
+    fields: dict[str, object] = {} if isinstance(route, Refused) else {"rank": route.rank}
+    match reply:
+        case Relayed(waited=waited) | Merged(waited=waited) | Refused(waited=waited) if waited:
+            fields["waited_ms"] = round(waited, 1)
+    match reply:
+        case Refused(failure=failure, retry_after=retry_after, room=room):
+            fields["why"] = failure.reason.value
+            if retry_after is not None:
+                fields["retry_after_ms"] = round(retry_after)
+            if room is not None:
+                age = None if room.report_age is None else round(room.report_age)
+                fields["room"] = {
+                    "free": room.free,
+                    "running": room.running,
+                    "waiting": room.waiting,
+                    "report_age_ms": age,
+                }
+    return fields
+
+
 def _is_regular(reply: Reply) -> bool:
     """Return whether all answers in the reply are regular; ``True`` if it has none."""
     match reply:
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -24,8 +24,8 @@
 from ._exchange import RoomGranted as RoomGranted
 from ._exchange import UpstreamClient as UpstreamClient
 from ._forward import run_forward as run_forward
-from ._gather import GatherPlan as GatherPlan
 from ._gather import run_gather as run_gather
+from ._gather_plan import GatherPlan as GatherPlan
 from ._parts import PartSender as PartSender
 from ._reply import Abandoned as Abandoned
 from ._reply import Failed as Failed
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -39,7 +39,7 @@
     ``waiting_call`` is the call that waits for room at a searcher, if one does, and ``recheck_at``
     is when it is asked about again. ``waited`` is the time for which calls have waited, and
     ``refusal`` is set if one was refused for lack of room. ``declined_retry_after`` is
-    the time in milliseconds after which one that declined the request wants it again.
+    what a gatherer that had no room for the request stated as the time to try again.
     """
 
     def __init__(
@@ -107,6 +107,14 @@
         """Return whether an attempt has no outcome yet or waits to be sent."""
         return self.pending or self.is_waiting
 
+    @property
+    def retry_after(self) -> Millis | None:
+        """Return when a request that was refused for lack of room may be tried again.
+
+        It is in milliseconds; the refusal may be that of a gatherer.
+        """
+        return self.declined_retry_after if self.refusal is None else self.refusal.retry_after
+
     def send_first(self) -> bool:
         """Send the first attempt; return ``False`` if no searcher can accept it.
 
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -146,7 +146,8 @@
 class Declined:
     """The searcher reported that it did not run the request.
 
-    ``retry_after`` is when it wants the request again, in milliseconds, if it said so.
+    If it is a gatherer whose searchers have no room for the request, ``retry_after`` is the time in
+    milliseconds after which they may have.
     """
 
     searcher: SearcherId
--- a/src/masticgate/request/gateway/_forward.py
+++ b/src/masticgate/request/gateway/_forward.py
@@ -50,7 +50,11 @@
     did not run, for example while the connection to the first one is still opening. While no
     searcher has room, the request waits for its turn if it can still be served in time.
     """
-    return _Forward(request, route, service, upstream, inbox).run()
+    forward = _Forward(request, route, service, upstream, inbox)
+    try:
+        return forward.run()
+    finally:
+        forward.attempts.stop_waiting()
 
 
 class _Forward:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -6,10 +6,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
-from heapq import nlargest
-from itertools import islice
-from typing import Protocol
+from dataclasses import replace
 
 from ..._failures import NotRun, Reason, Step, Unknown
 from ..._ids import Millis, SearcherId, ServiceId
@@ -21,16 +18,16 @@
     CallerDisconnected,
     GatewayStopping,
     Inbox,
-    Part,
     Request,
+    RoomGranted,
     UpstreamClient,
 )
+from ._gather_log import describe_irregular, describe_missing
+from ._gather_plan import GatherPlan
 from ._parts import PartAttempts, PartSender
+from ._records import merge_records
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
 
-RECORD_BYTES = 16
-"""Size of one record in a body; a shorter remainder at the end of the body is ignored."""
-
 ANSWER_MARGIN = Millis(5.0)
 """Milliseconds of the route's objective that are reserved for merging and writing the answer.
 
@@ -40,9 +37,6 @@
 MIN_ANSWER_TIME = Millis(5.0)
 """Shortest wait for the answers of shards in milliseconds, whatever the objective."""
 
-MAX_LOGGED_SHARDS = 4
-"""The maximum number of missing shards, and of irregular answers, described in a log line."""
-
 RETRY_AFTER = Millis(30.0)
 """Time in milliseconds after which a refused caller should try again.
 
@@ -50,37 +44,6 @@
 """
 
 
-class Permits(Protocol):
-    """Bounds the queries whose shards a gateway gathers although others should."""
-
-    def acquire(self) -> bool:
-        """Take a permit for one query, until :meth:`release`; return ``False`` if there is none."""
-        ...
-
-    def release(self) -> None:
-        """Return one permit."""
-        ...
-
-    def record_part(self, *, again: bool) -> None:
-        """Record a part that is gathered here, ``again`` if its gatherer was lost on the way."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class GatherPlan:
-    """Where the shards of a query are gathered.
-
-    ``here`` has the positions of those that this gateway sends the query to itself, and ``parts``
-    those that other gateways gather. ``sender`` forwards parts; it may be ``None`` if there are
-    none. A part that no gatherer accepts is gathered here if there is one of ``permits``.
-    """
-
-    here: tuple[int, ...]
-    parts: tuple[Part, ...] = ()
-    sender: PartSender | None = None
-    permits: Permits | None = None
-
-
 def run_gather(
     request: Request,
     route: Route,
@@ -101,6 +64,7 @@
     try:
         return gather.run()
     finally:
+        gather.stop_waiting()
         gather.release_permit()
 
 
@@ -111,8 +75,9 @@
     that ``min_answers`` shards have answered. ``unanswered`` maps the position of each shard that
     is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
     have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
-    ``closed_attempts`` are those that are over. ``unavailable`` holds the shards that did not
-    answer to their gatherers and have not been sent the query here.
+    ``closed_attempts`` are those that are over, and ``queued`` those that wait for room at the
+    searchers of their shards. ``unavailable`` holds the shards that did not answer to their
+    gatherers and have not been sent the query here.
     """
 
     def __init__(
@@ -142,6 +107,7 @@
         self.answers: list[Answered] = []
         self.answered: set[int] = set()
         self.closed_attempts: list[Attempts | PartAttempts] = []
+        self.queued: list[Attempts] = []
         self.unavailable: set[int] = set()
         self.gatherers: list[str] = []
         self.has_permit = False
@@ -167,6 +133,8 @@
                     return Abandoned()
                 case GatewayStopping():
                     self.deadline = self.upstream.now()
+                case RoomGranted() as granted:
+                    self._handle_grant(granted)
                 case Call() as call:
                     self._handle_call(call)
                 case None:
@@ -174,14 +142,22 @@
         return self._build_reply()
 
     def _refuse_unservable(self) -> Reply | None:
-        """Refuse the query at once if too many shards to gather here have no searcher for it."""
+        """Refuse the query at once if too many shards to gather here cannot serve it in time.
+
+        Their searchers leave, want a pause, or have no room before the query's deadline.
+        """
         services = [self.shards.services[position] for position in self.plan.here]
         unservable = self.upstream.unservable(services)
-        if not unservable or len(self.positions) - len(unservable) >= self.min_answers:
+        if unservable and len(self.positions) - len(unservable) < self.min_answers:
+            detail = f"{len(unservable)} shards without a searcher that accepts queries"
+            failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, unservable[0], detail)
+            return Refused(503, failure, self._retry_after(unservable, len(self.positions)))
+        needed = self.min_answers - (len(self.positions) - len(services))
+        refusal = self.upstream.admit_query(self.request, self.route, services, needed)
+        if refusal is None:
             return None
-        detail = f"{len(unservable)} shards without a searcher that accepts queries"
-        failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, unservable[0], detail)
-        return Refused(503, failure, self._retry_after(unservable, len(self.positions)))
+        failure = NotRun(Reason.OVERLOAD, Step.ADMISSION, detail=refusal.why)
+        return Refused(503, failure, refusal.retry_after, room=refusal.room)
 
     def _retry_after(self, missing: Sequence[ServiceId], reachable: int) -> Millis:
         """Return when enough of the ``missing`` shards may have a searcher again.
@@ -216,15 +192,35 @@
             )
             self.unanswered[position] = attempts
             attempts.send_first()
+            self._note_wait(attempts)
+
+    def _note_wait(self, attempts: Attempts) -> None:
+        """Add the attempts for a shard to ``queued`` if they wait for room."""
+        if attempts.is_waiting and attempts not in self.queued:
+            self.queued.append(attempts)
+
+    def _handle_grant(self, granted: RoomGranted) -> None:
+        """Send the query to a shard whose searchers have room for it now."""
+        if any(attempts.handle_grant(granted) for attempts in self.queued):
+            self.queued = [attempts for attempts in self.queued if attempts.is_waiting]
+
+    def stop_waiting(self) -> None:
+        """End the wait for room at each shard."""
+        for attempts in self.queued:
+            attempts.stop_waiting()
 
     def _waiting(self) -> Iterable[Attempts | PartAttempts]:
         """Return the attempts for the shards and parts without an answer."""
         yield from self.unanswered.values()
         yield from self.parts
 
+    def _has_unfinished(self) -> bool:
+        """Return whether a call is in flight or waits for room."""
+        return bool(self.queued) or any(attempts.pending for attempts in self._waiting())
+
     def _is_finished(self) -> bool:
         now = self.upstream.now()
-        if now >= self.deadline or not any(attempts.pending for attempts in self._waiting()):
+        if now >= self.deadline or not self._has_unfinished():
             return True
         return now >= self.answer_at and len(self.answered) >= self.min_answers
 
@@ -245,7 +241,7 @@
         ]
         self.unavailable.difference_update(positions)
         self._send_to_shards(positions)
-        return any(attempts.pending for attempts in self._waiting())
+        return self._has_unfinished()
 
     def _next_wake_up(self) -> Millis:
         times = [self.deadline]
@@ -253,6 +249,7 @@
             times.append(self.answer_at)
         if self.hedge_at is not None:
             times.append(self.hedge_at)
+        times.extend(attempts.recheck_at for attempts in self.queued)
         return min(times)
 
     def _handle_call(self, call: Call) -> None:
@@ -273,6 +270,7 @@
                 self.answers.append(shard.answer)
             elif not shard.pending:
                 shard.retry()
+                self._note_wait(shard)
             return
 
     def _handle_part(self, attempts: PartAttempts) -> None:
@@ -293,17 +291,25 @@
         self.gatherers.append(answer.describe())
 
     def _handle_time(self) -> None:
-        """Hedge slow shards, and replace parts whose connections are still opening, once due."""
+        """Hedge slow shards, and replace parts whose connections are still opening, once due.
+
+        Ask again about shards that have had no room.
+        """
         now = self.upstream.now()
+        if self.queued:
+            for attempts in self.queued:
+                attempts.recheck_room()
+            self.queued = [attempts for attempts in self.queued if attempts.is_waiting]
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
             for shard in self.unanswered.values():
                 if shard.pending:
                     shard.send_hedge()
-                elif not shard.attempt_count:
+                elif not shard.attempt_count and not shard.is_waiting:
                     shard.send_first()
-            for attempts in self.parts:
-                attempts.replace_unsent()
+                    self._note_wait(shard)
+            for part in self.parts:
+                part.replace_unsent()
 
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
@@ -341,50 +347,42 @@
             return self._build_failure()
         stamps = tuple(stamp for answer in self.answers for stamp in answer.stamp.split(", "))
         records = merge_records((answer.body for answer in self.answers), self.shards.top)
-        irregular_answers = (
-            answer for answer in self.answers if not answer.receive_info.is_regular
-        )
-        irregular_parts = tuple(
-            f"{a.searcher}: {a.receive_info}" for a in islice(irregular_answers, MAX_LOGGED_SHARDS)
-        )
         return Merged(
             stamps,
             len(missing),
             records,
             missing,
             tuple(self.gatherers),
-            self._describe_missing(missing),
-            irregular_parts,
+            describe_missing(missing, self.shards, self.unanswered, self.parts, self.unavailable),
+            describe_irregular(self.answers),
             tuple(self.leaving),
+            self._waited(),
         )
 
+    def _waited(self) -> Millis:
+        """Return the longest time for which a shard waited for room."""
+        shards = (*self.unanswered.values(), *self.closed_attempts)
+        return max((a.waited for a in shards if isinstance(a, Attempts)), default=Millis(0.0))
+
     def _missing_retry_after(self) -> Millis:
+        """Return when the query may be tried again, as its refused parts and shards have stated."""
+        everything = (*self._waiting(), *self.closed_attempts)
+        stated = [a.retry_after for a in everything if a.retry_after is not None]
+        if stated:
+            return max(stated)
         missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
         return self._retry_after(missing, len(self.positions)) if missing else RETRY_AFTER
 
-    def _describe_missing(self, missing: Sequence[int]) -> tuple[str, ...]:
-        causes = [
-            self.unanswered[position].describe_missing_answer()
-            for position in missing
-            if position in self.unanswered
-        ]
-        causes += [attempts.describe_missing_answer() for attempts in self.parts]
-        causes += [
-            f"{self.shards.services[position]}: not answered to its gatherer"
-            for position in missing
-            if position in self.unavailable
-        ]
-        return tuple(causes[:MAX_LOGGED_SHARDS])
-
     def _build_failure(self) -> Reply:
         detail = f"{len(self.answered)} of {len(self.positions)} shards answered"
         everything = (*self._waiting(), *self.closed_attempts)
-        if not any(attempts.started for attempts in everything):
+        if not any(attempts.may_have_run for attempts in everything):
             first = next((attempts.failure for attempts in everything), None)
             reason = Reason.OVERLOAD if first is None else first.reason
             step = Step.FORWARD if first is None else first.step
             peer = "" if first is None else first.peer
-            return Refused(503, NotRun(reason, step, peer, detail), self._missing_retry_after())
+            retry_after = self._missing_retry_after()
+            return Refused(503, NotRun(reason, step, peer, detail), retry_after, self._waited())
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
@@ -395,13 +393,3 @@
     if request.part is not None:
         return min(len(request.part.positions), max(1, request.part.least))
     return shards.min_answers
-
-
-def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
-    """Return the greatest ``top`` records of all bodies, greatest first."""
-    records = (
-        body[start : start + RECORD_BYTES]
-        for body in bodies
-        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-    )
-    return b"".join(nlargest(top, records))
--- a/src/masticgate/request/gateway/_parts.py
+++ b/src/masticgate/request/gateway/_parts.py
@@ -67,6 +67,11 @@
         """Whether a gatherer may have sent the part to searchers."""
         return self.attempts.may_have_run
 
+    @property
+    def retry_after(self) -> Millis | None:
+        """When the last gatherer that refused the part wants it again, if it stated that."""
+        return self.attempts.retry_after
+
     @property
     def failure(self) -> NotRun:
         """The latest failure of an attempt."""
