Admission: requests that are late anyway come last; spread bounded returns

Cause: in the order of deadlines alone, a burst makes all requests late, and callers whose Retry-After was cut at a third of their time all returned at the same moment. Tests run gateways in simulated time.

--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -64,11 +64,12 @@
 LOAD_REPORT_TTL = Millis(300.0)
 """How long the load that a searcher reports is taken into account."""
 
-ROOM_PER_SLOT = 3
-"""The requests for each slot of a searcher for which it has room: one that runs and two that wait.
+ROOM_PER_SLOT = 2
+"""The requests for each slot of a searcher for which it has room: one that runs and one that waits.
 
 A searcher that always has the next request loses no time between two, and the requests beyond that
-wait at the gateway, which orders them by rank.
+wait at the gateway, which orders them by rank. With 3, urgent requests met their objective less
+often behind others in the queue of the searcher.
 """
 
 COLD_START_FACTOR = 1.6
--- a/src/masticgate/process/gateway/admission/_decision.py
+++ b/src/masticgate/process/gateway/admission/_decision.py
@@ -17,6 +17,12 @@
 MAX_RETRY_SHARE = 1 / 3
 """The largest part of a caller's remaining time after which it is told to return."""
 
+MIN_RETRY_AFTER = Millis(10.0)
+"""The shortest time after which a caller is told to return, also if it has little time left.
+
+Without it, a caller whose time runs out would return ever sooner, and each return costs work.
+"""
+
 RECHECK_INTERVAL = Millis(25.0)
 """How long the first request waits before it looks for room again without being woken.
 
@@ -83,6 +89,9 @@
 
 
 def limit_retry_after(wait: Millis, deadline: Millis, now: Millis, jitter: float) -> Millis:
-    """Return after which time a caller should try again if room is expected after ``wait``."""
-    remaining = max(0.0, deadline - now)
-    return Millis(min(wait * jitter, remaining * MAX_RETRY_SHARE))
+    """Return after which time a caller should try again if room is expected after ``wait``.
+
+    The upper bound varies too. Otherwise all callers that it applies to would return together.
+    """
+    longest = max(0.0, deadline - now) * MAX_RETRY_SHARE * jitter / MAX_JITTER
+    return Millis(max(MIN_RETRY_AFTER, min(wait * jitter, longest)))
--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -107,13 +107,14 @@
             return Refuse(None, "all connections are busy")
         now = self.clock.now()
         queue = self.queues.setdefault(call.service, ServiceQueue(now))
-        self._enqueue(call, queue, now)
+        demand = self._demand(call.request, call.route, call.deadline)
+        self._enqueue(call, queue, demand, now)
         self._grant(call.service, queue, waker=call)
         if id(call) in queue.room.reserved:
             return Send()
-        ahead = queue.room.enqueue(call, now)
+        ahead = queue.room.count_ahead(call, now)
         decision = decide(
-            self._demand(call.request, call.route, call.deadline),
+            demand,
             self._describe(call.service, queue, ahead, call.route, now),
             now,
             self._jitter(),
@@ -158,7 +159,7 @@
             queue = self.queues.get(service)
             if queue is None or not queue.room.queue:
                 continue
-            ahead = queue.room.count_ahead(route.rank, deadline)
+            ahead = queue.room.count_ahead_of_new(route.rank, deadline, now)
             description = self._describe(service, queue, ahead, route, now)
             match decide(demand, description, now, self._jitter()):
                 case Refuse() as refusal:
@@ -181,9 +182,9 @@
         wait = expected_wait(ahead, self._rate(service, queue, route, now))
         return None if wait is None else limit_retry_after(wait, deadline, now, self._jitter())
 
-    def _enqueue(self, call: Call, queue: ServiceQueue, now: Millis) -> None:
+    def _enqueue(self, call: Call, queue: ServiceQueue, demand: Demand, now: Millis) -> None:
         before = len(queue.room.queue)
-        queue.room.enqueue(call, now)
+        queue.room.enqueue(call, Millis(demand.objective_at - demand.latency))
         self._update_waiting(queue, before, now)
 
     def _remove(self, call: Call, queue: ServiceQueue) -> bool:
@@ -208,7 +209,7 @@
         before = len(room.queue)
         places = self._free_places(service) - len(room.reserved)
         for _ in range(min(places, before)):
-            call = room.grant()
+            call = room.grant(self.clock.now())
             self.metrics.count("admission_granted")
             if call is not waker:
                 call.inbox.grant(RoomGranted(call))
