--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -24,7 +24,7 @@
     SearcherTask,
     TaskStarter,
 )
-from ...request.gateway import Call, InFlightCall
+from ...request.gateway import Call, Decision, InFlightCall, Refuse, Request
 from ...version.gateway import (
     MAX_SEARCHERS,
     PEER_SERVICE,
@@ -50,6 +50,7 @@
 from ._unserved import UnservedServices
 from ._violations import record_violation
 from ._warm_connections import WarmConnections
+from .admission import Gate
 from .searchers import ColdBound, ColdLimits, SenderKind
 
 RETRY_RESERVE = 1.0
@@ -100,6 +101,7 @@
         self.hedge_delays = HedgeDelays()
         self.outcomes = Outcomes(self.hedge_delays, self.listings, log, metrics)
         self.unserved = UnservedServices(self.listings)
+        self.gate = Gate(self.listings.of_service, self.hedge_delays, clock, metrics)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings, also to existing budgets for repeats."""
@@ -123,6 +125,8 @@
         while True:
             now = self.clock.now()
             with self.lock:
+                if not self.gate.may_send(call):
+                    return NotRun(Reason.OVERLOAD, Step.QUEUE, call.service, "others wait for room")
                 known = self.listings.of_service(call.service)
                 replica = choose_replica(
                     call,
@@ -131,6 +135,7 @@
                     self.settings.domain,
                     now,
                     is_shard=call.service in self.shard_services,
+                    needs_room=self.gate.limits(call),
                 )
                 if isinstance(replica, NotRun):
                     self._count_cold_refusal(call.service)
@@ -158,6 +163,28 @@
                 self.budgets.record_request(call.service, self.clock.now())
         return DispatchedCall(call, replica.entry.id, task)
 
+    def admit(self, call: Call) -> Decision:
+        """Decide about a call for which :meth:`send` found no searcher with room."""
+        with self.lock:
+            return self.gate.admit(call)
+
+    def leave(self, call: Call) -> None:
+        """Stop waiting for room for ``call``."""
+        with self.lock:
+            self.gate.leave(call)
+
+    def admit_query(
+        self, request: Request, route: Route, services: Sequence[ServiceId], needed: int
+    ) -> Refuse | None:
+        """Refuse a query if fewer than ``needed`` of ``services`` can serve it in time."""
+        with self.lock:
+            return self.gate.admit_query(request, route, services, needed)
+
+    def busy_retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
+        """Return when searchers that declined a request have room again, if that is known."""
+        with self.lock:
+            return self.gate.retry_after(route, service, deadline)
+
     def has_searcher(self, service: ServiceId, tried: set[SearcherId]) -> bool:
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         now = self.clock.now()
@@ -240,6 +267,7 @@
             self.outcomes.record(replica, call, load, now)
             if reusable:
                 self.connections.keep_idle(replica, task)
+            self.gate.record_outcome(call)
 
     def handle_close(self, task: SearcherTask, *, connected: bool) -> None:
         """Remove a closed connection from its searcher.
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -42,6 +42,14 @@
 LOAD_REPORT_TTL = Millis(300.0)
 """How long the load that a searcher reports is taken into account."""
 
+ROOM_PER_SLOT = 2
+"""The requests for each slot of a searcher for which it has room: one that runs and one that waits.
+
+A searcher that always has the next request loses no time between two, and the requests beyond that
+wait at the gateway, which orders them by rank. With 3, urgent requests met their objective less
+often behind others in the queue of the searcher.
+"""
+
 COLD_START_FACTOR = 1.6
 """The factor by which a searcher is expected to be slower right after its start."""
 
@@ -176,9 +184,22 @@
         is_fresh = now - self.load_reported_at < LOAD_REPORT_TTL
         return self.in_flight + (self.other_requests if is_fresh else 0)
 
+    def free_places(self, now: Millis) -> int:
+        """Return for how many more requests the searcher has room and connections.
+
+        The requests of other gateways count less the older the report of them is, since they end
+        meanwhile; after ``LOAD_REPORT_TTL``, only the calls of this gateway count.
+        """
+        connections = len(self.idle) + max(0, self.max_connections - self.connection_count)
+        connections = max(connections, int(self.has_capacity()))
+        freshness = max(0.0, 1.0 - (now - self.load_reported_at) / LOAD_REPORT_TTL)
+        load = self.in_flight + int(self.other_requests * freshness)
+        places = min(int(self.limit.value(now)), self.entry.slots * ROOM_PER_SLOT)
+        return max(0, min(connections, places - load))
+
     def has_room(self, now: Millis) -> bool:
-        """Return whether the searcher handles another request well, by its concurrency limit."""
-        return self.in_progress(now) + 1 <= self.limit.value(now)
+        """Return whether the searcher has room for another request."""
+        return self.free_places(now) > 0
 
     def cost(self, now: Millis, *, may_probe: bool = True) -> float:
         """Return the cost of a request at this searcher; the lowest cost is preferred.
