--- a/tests/gateway/test_cold_searchers.py
+++ b/tests/gateway/test_cold_searchers.py
@@ -36,7 +36,7 @@
 
 from .fakes import HEADER_NAMES, answered, make_entry, make_fleet, make_request, make_route
 from .loopback import RawCaller, StandInSearcher, reply_to, running_gateway
-from .test_peers import OTHER_SEED, OWN, make_peers, send_heartbeat
+from .test_peers import OTHER_SEED, OWN, make_peers, record_reply, send_heartbeat
 
 ORDERS = ServiceId("orders")
 SEARCHER = SearcherId("a")
@@ -358,7 +358,7 @@
         peers = make_peers(ManualClock(), is_seed=False)
         peers.fleet.apply_settings(peers.settings)
         named = [[str(OWN), "z1"], ["127.0.1.2:1", "z1"]]
-        peers._record_reply(OTHER_SEED, {"position": [3, 9], "gatherers": named})
+        record_reply(peers, {"position": [3, 9], "gatherers": named})
         views = peers.fleet.cold_limits.views
         assert views[OTHER_SEED, SenderKind.ALL].own == "3"
         assert len(views[OTHER_SEED, SenderKind.ALL].senders) == 9
@@ -369,7 +369,7 @@
     def test_reply_of_earlier_release_or_odd_one_gives_no_share(self, position):
         peers = make_peers(ManualClock(), is_seed=False)
         peers.fleet.apply_settings(peers.settings)
-        peers._record_reply(OTHER_SEED, {"members": 9, "position": position})
+        record_reply(peers, {"members": 9, "position": position})
         assert (OTHER_SEED, SenderKind.ALL) not in peers.fleet.cold_limits.views
 
 
