--- a/src/masticgate/connection/gateway/_response_parser.py
+++ b/src/masticgate/connection/gateway/_response_parser.py
@@ -33,6 +33,9 @@
 A shorter part of a status line at the end of a body may belong to the body.
 """
 
+STATUSES = frozenset(range(100, 600)) - {101}
+"""The statuses that a response may have; 101 answers only a request for another protocol."""
+
 HTTP_VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
 CUT_ENDINGS = tuple(version[:size] for version in HTTP_VERSIONS for size in range(1, 9))
 """The beginnings of a status line that are too short to be recognized by themselves."""
@@ -79,6 +82,10 @@
     """A response begins within another one that is incomplete."""
 
 
+class InvalidStatusError(Exception):
+    """A response has a status that HTTP does not have."""
+
+
 class ResponseParser:
     """Collects complete responses in ``ready`` from the bytes that one server sends.
 
@@ -188,7 +195,13 @@
         self.headers_by_name[key] = value
 
     def on_headers_complete(self) -> None:
-        """Record whether the headers state where the response ends."""
+        """Check the status, and record whether the headers state where the response ends.
+
+        :raises InvalidStatusError: the status is none of ``STATUSES``.
+        """
+        status = self.parser.get_status_code()
+        if status not in STATUSES:
+            raise InvalidStatusError(f"invalid status {status:03}")
         self.in_body = True
         self.has_framing_header = (
             b"content-length" in self.headers_by_name
