--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -397,6 +397,7 @@
                 service.id: service.connections for service in table.services.values()
             }
             self.shard_services = table.shard_services()
+            self.gate.apply_table(table)
             self.budgets.drop_empty(self.clock.now())
             self._apply_shares(self.shares)
             routes = {route.id for route in table.routes}
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -145,7 +145,6 @@
         else:
             assert view.table is not None
             self.network_times.apply_table(view.table)
-            self.fleet.gate.apply_table(view.table)
             request = replace(request, network_time=self.network_times.estimate(route.id, request))
             reply = self._run(request, view.table, route, inbox)
         self._record_result(request, view, route, reply)
@@ -164,11 +163,8 @@
         part = request.part
         if part is None or not isinstance(part.route.target, Shards) or not self.peers.is_ready():
             return Refused(503, NotRun(Reason.NO_CONFIGURATION, Step.FORWARD, detail="not ready"))
-        view = self.view()
-        if view.table is not None:
-            self.fleet.gate.apply_table(view.table)
         reply = run_gather(request, part.route, part.route.target, self.fleet, inbox)
-        self._record_result(request, view, part.route, reply)
+        self._record_result(request, self.view(), part.route, reply)
         return reply
 
     def _find_route(self, request: Request, table: RouteTable | None) -> Route | Refused:
--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from ...._clock import MILLIS_PER_SECOND, Clock
-from ...._ids import ConfigurationVersion, Millis, ServiceId
+from ...._ids import Millis, ServiceId
 from ....request.gateway import (
     Answered,
     Call,
@@ -63,15 +63,11 @@
         self.metrics = metrics
         self.random = random.Random()
         self.enabled = False
-        self.version = ConfigurationVersion(0)
         self.queues: dict[ServiceId, ServiceQueue] = {}
         self.waiting = 0
 
     def apply_table(self, table: RouteTable) -> None:
         """Enable the gate if the configuration ``table`` has more than one rank."""
-        if table.version <= self.version:
-            return
-        self.version = table.version
         self.enabled = len({route.rank for route in table.routes}) > 1
         self.queues = {
             service: queue
@@ -104,6 +100,7 @@
     def admit(self, call: Call) -> Decision:
         """Decide about a call for which no searcher had room; it waits if the result says so."""
         if not self.limits(call):
+            self.leave(call)
             return Refuse(None, "all connections are busy")
         now = self.clock.now()
         queue = self.queues.setdefault(call.service, ServiceQueue(now))
--- a/tests/gateway/simulated_site.py
+++ b/tests/gateway/simulated_site.py
@@ -121,7 +121,6 @@
         entry = replace(table.services[ORDERS], connections=connections)
         table = replace(table, services={ORDERS: entry})
         self.fleet.apply_table(table)
-        self.fleet.gate.apply_table(table)
         self.fleet.apply_shares(replace(self.fleet.shares, gateways=gateways))
         for searcher in searchers:
             self.fleet.apply_listing(make_entry(searcher.id))
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,5 +1,7 @@
 """Tests for admission control: which requests are sent, wait or are refused, by rank."""
 
+import socket
+import threading
 from dataclasses import replace
 
 import pytest
@@ -7,9 +9,12 @@
 from hypothesis import strategies as st
 
 from masticgate import Millis, NotRun, Reason, ServiceId, Step
+from masticgate._clock import SystemClock
 from masticgate.connection.gateway import peer_header_names
 from masticgate.connection.gateway._encoding import encode_peer_reply
+from masticgate.connection.gateway._inbox import RequestInbox, WakeableSocket
 from masticgate.connection.gateway._searcher_notices import decode_retry_after
+from masticgate.process.gateway._service import _describe_wait
 from masticgate.process.gateway.admission._decision import (
     MAX_JITTER,
     MIN_RETRY_AFTER,
@@ -27,6 +32,7 @@
     Refuse,
     Refused,
     Relayed,
+    RoomGranted,
     RoomState,
     Send,
     Wait,
@@ -39,8 +45,10 @@
 from .fakes import (
     HEADER_NAMES,
     ScriptedUpstream,
+    answered,
     make_request,
     make_route,
+    make_table,
 )
 from .simulated_site import (
     ORDERS,
@@ -202,6 +210,17 @@
         site.simulation.run()
         assert all(isinstance(inbox.result.reply, Relayed) for inbox in started)
 
+    def test_waiting_request_leaves_the_queue_when_a_configuration_has_one_rank(self):
+        """Guards against a queue that no grant empties once the gate is disabled."""
+        site = Site()
+        site.fill()
+        attempts = make_waiting_attempts(site)
+        site.gateways[0].fleet.apply_table(make_table(STANDARD, version=2))
+        site.simulation.clock.advance(Millis(30.0))
+        attempts.recheck_room()
+        assert not attempts.is_waiting and not site.gate.waiting
+        assert not site.gate.queues[ORDERS].room.queue
+
     def test_connections_alone_bound_the_calls(self):
         site = Site(routes=(STANDARD,), connections=8)
         assert all(site.start().result.reply is None for _ in range(8))
@@ -439,6 +458,48 @@
         assert site.ran(waiting) == 0 and not site.gate.waiting
 
 
+class TestWakeUp:
+    """The inbox of a connection, on which the task of a request sleeps."""
+
+    def test_grant_wakes_the_task_whatever_the_batch_size(self):
+        """Guards against room that stays unused until a whole batch of calls has finished."""
+        near, far = socket.socketpair()
+        clock = SystemClock()
+        wakeable = WakeableSocket(near, clock)
+        inbox = RequestInbox(wakeable)
+        inbox.set_batch_size(90)
+        granted = RoomGranted(waiting_call(URGENT))
+        timer = threading.Timer(0.05, inbox.grant, (granted,))
+        timer.start()
+        started_at = clock.now()
+        assert inbox.wait(Millis(started_at + 5_000.0)) is granted
+        assert clock.now() - started_at < 2_500.0
+        timer.join()
+        inbox.close()
+        inbox.grant(granted)
+        assert not inbox.granted
+        wakeable.close()
+        far.close()
+
+
+class TestLogFields:
+    """Guards against a refusal that an operator cannot explain."""
+
+    def test_refusal_states_room_and_time_to_return(self):
+        failure = NotRun(Reason.OVERLOAD, Step.ADMISSION, "orders", "no room")
+        refused = Refused(503, failure, Millis(70.4), Millis(12.0), RoomState(0, 4, 3, Millis(8.0)))
+        assert _describe_wait(URGENT, refused) == {
+            "rank": 0,
+            "waited_ms": 12.0,
+            "why": "overload",
+            "retry_after_ms": 70,
+            "room": {"free": 0, "running": 4, "waiting": 3, "report_age_ms": 8},
+        }
+
+    def test_ordinary_answer_states_its_rank_only(self):
+        assert _describe_wait(STANDARD, Relayed(answered("s1"))) == {"rank": 1}
+
+
 class TestBurst:
     """A burst of one kind of request, at gateways that do not know each other."""
 
