--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -322,6 +322,7 @@
                 service.id: service for service in table.services.values() if service.cold_rate
             }
             self._apply_cold_bounds()
+            self.gate.apply_table(table)
             self.budgets.drop_empty(self.clock.now())
             self._apply_shares(self.shares)
             routes = {route.id for route in table.routes}
