Gateway: a query's reply merges all answers that are ready

The loop of a query ended as soon as its objective had passed and enough shards had answered. At that time the task wakes with all answers since the last wake-up in its inbox, handled one of them, and ended: of several hedges that were answered in time, all but one were left out whenever one shard was still missing. Past the objective, the task was woken only when all shards had answered, also if fewer were missing from the least answer.

Both tests of TestReadyAnswers failed before the change (2 ready answers left out; a reply held from 120 to 300 ms) and pass. test_hedging.py, test_gather.py, test_gathering_at_peers.py and test_whole_gateway.py pass.

--- /dev/null
+++ b/src/masticgate/request/gateway/_answer_times.py
@@ -0,0 +1,36 @@
+"""When a query over many shards is answered, and how many answers its task waits for.
+
+Load scenario: some of the shards are late, and an answer without them earns more than a late one.
+"""
+
+from ..._ids import Millis
+from ...version.gateway import Route
+from ._exchange import Request
+
+ANSWER_MARGIN = Millis(5.0)
+"""Milliseconds of the route's objective that are reserved for merging and writing the answer.
+
+The time on the network between caller and gateway is reserved in addition.
+"""
+
+MIN_ANSWER_TIME = Millis(5.0)
+"""Shortest wait for the answers of shards in milliseconds, whatever the objective."""
+
+
+def answer_time(request: Request, route: Route) -> Millis:
+    """Return the time at which a query is answered without the missing shards."""
+    remaining = route.objective - request.network_time - ANSWER_MARGIN
+    at = Millis(request.arrived_at + max(MIN_ANSWER_TIME, remaining))
+    return min(request.deadline(route), at)
+
+
+def batch_size(waiting: int, parts: int, needed: int, *, is_past_objective: bool) -> int:
+    """Return how many calls have to finish before a query may be answered.
+
+    ``waiting`` is the number of shards and parts with an attempt in flight, and ``parts`` that of
+    the parts. ``needed`` is the number of shards that are missing from the least acceptable answer,
+    which is sent as soon as it is complete if the objective has passed.
+    """
+    if not is_past_objective:
+        return waiting
+    return 1 if parts else min(waiting, max(1, needed))
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -14,6 +14,7 @@
 from ..._failures import NotRun, Reason, Step, Unknown
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route, Shards
+from ._answer_times import answer_time, batch_size
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -31,15 +32,6 @@
 RECORD_BYTES = 16
 """Size of one record in a body; a shorter remainder at the end of the body is ignored."""
 
-ANSWER_MARGIN = Millis(5.0)
-"""Milliseconds of the route's objective that are reserved for merging and writing the answer.
-
-The time on the network between caller and gateway is reserved in addition.
-"""
-
-MIN_ANSWER_TIME = Millis(5.0)
-"""Shortest wait for the answers of shards in milliseconds, whatever the objective."""
-
 MAX_LOGGED_SHARDS = 4
 """The maximum number of missing shards, and of irregular answers, described in a log line."""
 
@@ -131,9 +123,7 @@
         self.inbox = inbox
         self.plan = plan
         self.deadline = request.deadline(route)
-        remaining = route.objective - request.network_time - ANSWER_MARGIN
-        answer_time = Millis(max(MIN_ANSWER_TIME, remaining))
-        self.answer_at = min(self.deadline, Millis(request.arrived_at + answer_time))
+        self.answer_at = answer_time(request, route)
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
         self.min_answers = _min_answers(request, shards)
         self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
@@ -151,7 +141,8 @@
         """Send the query to all shards, wait for their answers, and return the reply.
 
         The wait ends when no attempt for an unanswered shard is in flight or the deadline has
-        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered.
+        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered. Answers
+        that have arrived by then are merged.
         """
         refusal = self._refuse_unservable()
         if refusal is not None:
@@ -159,19 +150,21 @@
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
-        while not self._is_finished() or self._retry_unavailable():
-            self.inbox.set_batch_size(sum(attempts.pending for attempts in self._waiting()))
-            match self.inbox.wait(self._next_wake_up()):
+        while True:
+            finished = self._is_finished() and not self._retry_unavailable()
+            self.inbox.set_batch_size(self._batch_size())
+            match self.inbox.wait(self.upstream.now() if finished else self._next_wake_up()):
                 case CallerDisconnected():
                     self._cancel()
                     return Abandoned()
-                case GatewayStopping():
-                    self.deadline = self.upstream.now()
                 case Call() as call:
                     self._handle_call(call)
+                case _ if finished:
+                    return self._build_reply()
+                case GatewayStopping():
+                    self.deadline = self.upstream.now()
                 case None:
                     self._handle_time()
-        return self._build_reply()
 
     def _refuse_unservable(self) -> Reply | None:
         """Refuse the query at once if too many shards to gather here have no searcher for it."""
@@ -222,6 +215,12 @@
         yield from self.unanswered.values()
         yield from self.parts
 
+    def _batch_size(self) -> int:
+        waiting = sum(attempts.pending for attempts in self._waiting())
+        needed = self.min_answers - len(self.answered)
+        is_past_objective = self.upstream.now() >= self.answer_at
+        return batch_size(waiting, len(self.parts), needed, is_past_objective=is_past_objective)
+
     def _is_finished(self) -> bool:
         now = self.upstream.now()
         if now >= self.deadline or not any(attempts.pending for attempts in self._waiting()):
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -134,3 +134,47 @@
         assert send_and_finish(fleet, 10.0).searcher == "near"
         last = send_and_finish(fleet, 10.0)
         assert (last.searcher, last.call.likely_late) == ("near", False)
+
+
+class BatchingUpstream(ScriptedUpstream):
+    """A scripted client that wakes the task of a query only for a batch, as ``RequestInbox``."""
+
+    def __init__(self, plans, repeats=100):
+        super().__init__(plans, repeats)
+        self.batch_size = 1
+        self.ready = []
+
+    def set_batch_size(self, number):
+        self.batch_size = number
+
+    def wait(self, deadline):
+        while not self.ready or len(self.ready) < self.batch_size:
+            event = super().wait(deadline)
+            if event is None:
+                break
+            self.ready.append(event)
+            if not event.outcome.is_success:
+                break
+        return self.ready.pop(0) if self.ready else None
+
+
+class TestReadyAnswers:
+    """Guards against answers that are ready but left out, or held back."""
+
+    def test_all_answers_that_are_ready_at_the_objective_are_merged(self):
+        """The load: one of three hedged shards has only slow searchers."""
+        late = [(300, record(1)), (300, record(1))]
+        plans = {"a": [(5, record(1))], "b": late}
+        plans |= {name: [(300, record(2)), (30, record(2))] for name in "cd"}
+        script = BatchingUpstream(plans)
+        reply = run_gather(*gather_arguments(script))
+        assert isinstance(reply, Merged) and reply.missing_positions == (1,)
+        assert script.now() == 95.0
+
+    def test_past_the_objective_the_reply_waits_for_no_more_than_the_minimum(self):
+        """The load: three of four shards are late, and half of them have to answer."""
+        plans = {"a": [(5, record(1))], "b": [(120, record(2))]}
+        plans |= {name: [(300, record(3))] for name in "cd"}
+        script = BatchingUpstream(plans, repeats=0)
+        reply = run_gather(*gather_arguments(script))
+        assert isinstance(reply, Merged) and script.now() == 120.0
