Gateway: hedges by the time that is left, and a second hedge

A shard was hedged once, at one time after the arrival of the query. A part counts as received 9 ms before it arrives, so that a gatherer hedged calls of 10 ms of work before most could be answered, and for a hedge that was late or refused too there was no further attempt.

HedgeSchedule counts the age of an attempt from its own sending, hedges earlier if the hedge could not be answered before answer_at otherwise, and sends a second hedge to the third searcher. A shard of which only late attempts are left is retried at once after a refusal. Less urgent hedges use at most 75 or 50 % of a budget, and a quarter of it a second. A call is recorded as overdue again at each hedge, since an early hedge alone is no evidence. The inbox of test_response_matching.py returns None when nothing is finished, as its protocol says, and fails on a real wait.

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -23,7 +23,7 @@
     SearcherTask,
     TaskStarter,
 )
-from ...request.gateway import Call, InFlightCall
+from ...request.gateway import Call, InFlightCall, Urgency
 from ...version.gateway import MAX_SEARCHERS, PEER_SERVICE, Route, RouteTable, SearcherEntry
 from ._choice import choose_replica, may_hedge_at_once
 from ._connection_limits import max_connections
@@ -43,9 +43,6 @@
 from ._violations import record_violation
 from ._warm_connections import WarmConnections
 
-RETRY_RESERVE = 1.0
-"""The number of repeats in each budget that hedges may not spend, so that retries can."""
-
 
 class Fleet:
     """All searchers that the platform lists, and the gatherers; one lock guards their state.
@@ -176,8 +173,7 @@
         """Prefer other searchers while the one of ``call`` has not answered it."""
         with self.lock:
             replica = self.replicas.get(call.searcher)
-            if replica is not None and not call.call.overdue and call.call.outcome is None:
-                call.call.overdue = True
+            if replica is not None and call.call.outcome is None:
                 self.outcomes.record_overdue(replica, call.call, self.clock.now())
 
     def hedge_delay(self, route: Route) -> Millis:
@@ -185,13 +181,15 @@
         with self.lock:
             return self.hedge_delays.delay(route)
 
-    def allow_hedge(self, service: ServiceId) -> bool:
-        """Spend one repeat from the budget of ``service``, unless only the reserve is left.
+    def second_answer_time(self, route: Route) -> Millis | None:
+        """Return the time in which most hedges on ``route`` are answered, if it is known."""
+        with self.lock:
+            return self.hedge_delays.second_answer_time(route.id)
 
-        Return whether the hedge is allowed. The reserve is kept for retries.
-        """
+    def allow_hedge(self, service: ServiceId, urgency: Urgency = Urgency.DECISIVE) -> bool:
+        """Spend one repeat for a hedge, if ``urgency`` allows it; return whether it is allowed."""
         with self.lock:
-            return self.budgets.spend(service, self.clock.now(), RETRY_RESERVE)
+            return self.budgets.spend_hedge(service, self.clock.now(), urgency)
 
     def allow_retry(self, service: ServiceId, *, possibly_ran: bool = True) -> bool:
         """Spend one repeat from the budget of ``service`` after an attempt that failed.
--- a/src/masticgate/process/gateway/_hedge_delays.py
+++ b/src/masticgate/process/gateway/_hedge_delays.py
@@ -31,6 +31,13 @@
 """The percentile of a route's latencies to which a single latency is compared."""
 
 
+SECOND_ANSWER_PERCENTILE = 75.0
+"""The percentile of a route's latencies that is the upper bound on most answers to hedges.
+
+It is the latency of a slow searcher only if a quarter of the answers are those of slow searchers.
+"""
+
+
 def peer_route_id(route: RouteId) -> RouteId:
     """Return the id of the route by which parts of queries on ``route`` go to gatherers."""
     return RouteId(f"{PEER_SERVICE}/{route}")
@@ -52,6 +59,11 @@
         delay = min(percentile * HEDGE_DELAY_FACTOR, median * MAX_MEDIAN_FACTOR)
         return Millis(min(delay, route.objective * MAX_DELAY_SHARE))
 
+    def second_answer_time(self, route: RouteId) -> Millis | None:
+        """Return the time in which most hedges are answered, or ``None`` while it is not known."""
+        window = self.windows.get(route)
+        return window.percentile(SECOND_ANSWER_PERCENTILE) if window is not None else None
+
     def usual_latency(self, route: RouteId) -> Millis | None:
         """Return the median latency of a route, or ``None`` while it is not known."""
         window = self.windows.get(route)
--- a/src/masticgate/process/gateway/_outcomes.py
+++ b/src/masticgate/process/gateway/_outcomes.py
@@ -58,8 +58,9 @@
                 self._record_failure(replica, call, now)
 
     def record_overdue(self, replica: Replica, call: Call, now: Millis) -> None:
-        """Record that a call has no answer when a hedge is due."""
-        replica.overdue += 1
+        """Record that a call has no answer when a hedge is due; it may be recorded again later."""
+        replica.overdue += not call.overdue
+        call.overdue = True
         usual = self.hedge_delays.usual_latency(call.route.id)
         if usual is not None:
             ratio = (now - call.sent_at) / usual
--- a/src/masticgate/process/gateway/_repeat_budgets.py
+++ b/src/masticgate/process/gateway/_repeat_budgets.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from ..._ids import FailureDomainId, Millis, ServiceId
+from ...request.gateway import Urgency, may_hedge
 from ...version.gateway import PEER_SERVICE
 from ._repeat_window import RepeatWindow
 from ._settings import RepeatBounds
@@ -12,6 +13,9 @@
 """The part of a budget that early hedges may use; the rest is for calls that are overdue or failed.
 """
 
+RETRY_RESERVE = 1.0
+"""The number of repeats in each budget that hedges may not spend, so that retries can."""
+
 ShardDomains = Mapping[ServiceId, frozenset[FailureDomainId]]
 
 
@@ -41,9 +45,14 @@
         """Record an attempt that is not a repeat."""
         self.window(service).record_request(now)
 
-    def spend(self, service: ServiceId, now: Millis, reserve: float = 0.0) -> bool:
-        """Spend one repeat, or return ``False`` if less than ``reserve`` would remain."""
-        return self.window(service).spend(now, reserve)
+    def spend(self, service: ServiceId, now: Millis) -> bool:
+        """Spend one repeat, or return ``False`` if none remains."""
+        return self.window(service).spend(now)
+
+    def spend_hedge(self, service: ServiceId, now: Millis, urgency: Urgency) -> bool:
+        """Spend one repeat for a hedge, or return ``False`` if its urgency is too low."""
+        window = self.window(service)
+        return may_hedge(urgency, window.use(now), RETRY_RESERVE) and window.spend(now)
 
     def allows_early_hedge(self, service: ServiceId, now: Millis) -> bool:
         """Return whether a hedge may be sent before the first attempt is overdue."""
--- a/src/masticgate/process/gateway/_repeat_window.py
+++ b/src/masticgate/process/gateway/_repeat_window.py
@@ -1,8 +1,11 @@
 """A sliding window that bounds one gateway's hedges and retries for one service."""
 
 from collections import deque
+from itertools import takewhile
 
+from ..._clock import MILLIS_PER_SECOND
 from ..._ids import Millis
+from ...request.gateway import BudgetUse
 from ._settings import RepeatBounds
 
 BUCKETS_PER_WINDOW = 10
@@ -40,14 +43,20 @@
             self._expire(now)
             self.requests.append((bucket, 1))
 
-    def spend(self, now: Millis, reserve: float) -> bool:
-        """Spend one repeat, or return ``False`` if less than ``reserve`` would remain."""
+    def spend(self, now: Millis) -> bool:
+        """Spend one repeat, or return ``False`` if none remains."""
         self._expire(now)
-        if len(self.repeats) + 1 + reserve > self._max_repeats(now):
+        if len(self.repeats) + 1 > self._max_repeats(now):
             return False
         self.repeats.append(now)
         return True
 
+    def use(self, now: Millis) -> BudgetUse:
+        """Return the use of the budget."""
+        self._expire(now)
+        recent = takewhile(lambda at: now - at < MILLIS_PER_SECOND, reversed(self.repeats))
+        return BudgetUse(self._max_repeats(now), len(self.repeats), sum(1 for _ in recent))
+
     def used_share(self, now: Millis) -> float:
         """Return the part of the allowed repeats that were sent within the window."""
         self._expire(now)
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -19,6 +19,9 @@
 from ._forward import run_forward as run_forward
 from ._gather import GatherPlan as GatherPlan
 from ._gather import run_gather as run_gather
+from ._hedging import BudgetUse as BudgetUse
+from ._hedging import Urgency as Urgency
+from ._hedging import may_hedge as may_hedge
 from ._parts import PartSender as PartSender
 from ._reply import Abandoned as Abandoned
 from ._reply import Failed as Failed
--- a/src/masticgate/request/gateway/_answer_times.py
+++ b/src/masticgate/request/gateway/_answer_times.py
@@ -4,7 +4,7 @@
 """
 
 from ..._ids import Millis
-from ...version.gateway import Route
+from ...version.gateway import Route, Shards
 from ._exchange import Request
 
 ANSWER_MARGIN = Millis(5.0)
@@ -34,3 +34,10 @@
     if not is_past_objective:
         return waiting
     return 1 if parts else min(waiting, max(1, needed))
+
+
+def least_answers(request: Request, shards: Shards) -> int:
+    """Return the number of shards that have to answer."""
+    if request.part is not None:
+        return min(len(request.part.positions), max(1, request.part.least))
+    return shards.min_answers
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -20,6 +20,7 @@
     Request,
     UpstreamClient,
 )
+from ._hedging import MAX_HEDGES, Urgency
 
 
 class Attempts:
@@ -32,7 +33,8 @@
 
     ``failure`` is the latest failure of an attempt, or why none could be sent. Its type is
     ``NotRun`` even if the request may have run; only :attr:`may_have_run` says that.
-    ``repeat_failure`` says why the budget or the upstream client last refused a repeat.
+    ``repeat_failure`` says why the budget or the upstream client last refused a repeat. ``hedges``
+    counts the hedges that were tried, and ``sent_at`` is the time of the latest attempt.
     """
 
     def __init__(
@@ -58,7 +60,8 @@
         self.failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, service)
         self.answer: Answered | None = None
         self.repeat_failure: NotRun | None = None
-        self.hedged = False
+        self.hedges = 0
+        self.sent_at = Millis(0.0)
         self.cancelled_after_start = False
 
     @property
@@ -84,6 +87,18 @@
         """
         return self.possibly_ran or self.cancelled_after_start
 
+    @property
+    def only_late_pending(self) -> bool:
+        """Return whether every attempt in flight is likely late; there may be none."""
+        return all(c.call.overdue or c.call.likely_late for c in self.in_flight_calls.values())
+
+    @property
+    def may_hedge(self) -> bool:
+        """Return whether an attempt is in flight, and the route and the query allow a hedge."""
+        return (
+            self.pending and self.hedges < MAX_HEDGES and self.attempt_count < self.route.attempts
+        )
+
     def send_first(self) -> bool:
         """Send the first attempt; return ``False`` if no searcher can accept it.
 
@@ -94,24 +109,24 @@
         self._hedge_if_likely_late()
         return True
 
-    def send_hedge(self) -> bool:
+    def send_hedge(self, urgency: Urgency = Urgency.DECISIVE, max_hedges: int = 1) -> bool:
         """Send a hedge, if the deadline, the route's limit and the budget allow it.
 
-        Return whether it was sent. Only one hedge is tried; later calls return ``False``.
+        Return whether it was sent. No more than ``max_hedges`` are tried.
         """
         for in_flight_call in self.in_flight_calls.values():
             if in_flight_call.call.started:
                 self.upstream.record_overdue(in_flight_call)
-        if self.hedged:
+        if self.hedges >= max_hedges:
             return False
-        self.hedged = True
-        return self._repeat(Repeat.HEDGE)
+        self.hedges += 1
+        return self._repeat(Repeat.HEDGE, urgency)
 
     def _hedge_if_likely_late(self) -> None:
         """Send an early hedge, which is not a sign that the first attempt is overdue."""
         is_idempotent = self.route.kind is Idempotency.IDEMPOTENT
         if is_idempotent and any(c.call.likely_late for c in self.in_flight_calls.values()):
-            self.hedged = self.pending_started and self._repeat(Repeat.HEDGE)
+            self.hedges = int(self.pending_started and self._repeat(Repeat.HEDGE))
 
     def handle_outcome(self, call: Call) -> bool:
         """Record the outcome of ``call``; return ``False`` if it is not an attempt in flight."""
@@ -178,7 +193,7 @@
             reason, detail = Reason.SEARCHER_ERROR, f"status {answer.status}"
             self.failure = NotRun(reason, Step.UPSTREAM, answer.searcher, detail)
 
-    def _repeat(self, kind: Repeat) -> bool:
+    def _repeat(self, kind: Repeat, urgency: Urgency = Urgency.DECISIVE) -> bool:
         """Send the request again, if the deadline, the route's limit and the budget allow it.
 
         If no searcher can have received it so far, the new attempt replaces the one in flight and
@@ -195,7 +210,7 @@
                 return False
         match kind:
             case Repeat.HEDGE:
-                allowed = self.upstream.allow_hedge(self.service)
+                allowed = self.upstream.allow_hedge(self.service, urgency)
             case Repeat.RETRY:
                 allowed = self.upstream.allow_retry(
                     self.service, possibly_ran=self.may_have_run or self.pending_started
@@ -227,6 +242,7 @@
                 self.failure = in_flight_call
             return False
         self.attempt_count += 1
+        self.sent_at = self.upstream.now()
         self.tried.add(in_flight_call.searcher)
         self.in_flight_calls[id(call)] = in_flight_call
         return True
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -19,6 +19,7 @@
     ServiceId,
 )
 from ...version.gateway import Route
+from ._hedging import Urgency
 
 Header = tuple[bytes, bytes]
 
@@ -292,10 +293,14 @@
         """Return how long after its arrival a request on ``route`` is hedged."""
         ...
 
-    def allow_hedge(self, service: ServiceId) -> bool:
+    def second_answer_time(self, route: Route) -> Millis | None:
+        """Return the time that a hedge on ``route`` needs for its answer, if it is known."""
+        ...
+
+    def allow_hedge(self, service: ServiceId, urgency: Urgency) -> bool:
         """Return whether a hedge may be sent, and if so, spend a repeat of the service's budget.
 
-        A hedge may not use the part of the budget that is reserved for retries.
+        The ``urgency`` determines the part of the budget that the hedge may use.
         """
         ...
 
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -7,14 +7,13 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
-from heapq import nlargest
 from itertools import islice
 from typing import Protocol
 
 from ..._failures import NotRun, Reason, Step, Unknown
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route, Shards
-from ._answer_times import answer_time, batch_size
+from ._answer_times import answer_time, batch_size, least_answers
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -26,12 +25,11 @@
     Request,
     UpstreamClient,
 )
+from ._hedging import MAX_HEDGES, HedgeSchedule, hedge_urgency
 from ._parts import PartAttempts, PartSender
+from ._records import merge_records as merge_records
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
 
-RECORD_BYTES = 16
-"""Size of one record in a body; a shorter remainder at the end of the body is ignored."""
-
 MAX_LOGGED_SHARDS = 4
 """The maximum number of missing shards, and of irregular answers, described in a log line."""
 
@@ -125,8 +123,9 @@
         self.deadline = request.deadline(route)
         self.answer_at = answer_time(request, route)
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
-        self.min_answers = _min_answers(request, shards)
-        self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
+        self.min_answers = least_answers(request, shards)
+        delay, second_time = upstream.hedge_delay(route), upstream.second_answer_time(route)
+        self.hedging = HedgeSchedule(delay, second_time, self.answer_at)
         self.unanswered: dict[int, Attempts] = {}
         self.parts: list[PartAttempts] = []
         self.answers: list[Answered] = []
@@ -147,6 +146,7 @@
         refusal = self._refuse_unservable()
         if refusal is not None:
             return refusal
+        self.hedging.record_sent(self.upstream.now())
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
@@ -250,8 +250,8 @@
         times = [self.deadline]
         if self.upstream.now() < self.answer_at:
             times.append(self.answer_at)
-        if self.hedge_at is not None:
-            times.append(self.hedge_at)
+        if self.hedging.due_at is not None:
+            times.append(self.hedging.due_at)
         return min(times)
 
     def _handle_call(self, call: Call) -> None:
@@ -270,8 +270,8 @@
                 self.answered.add(position)
                 self.closed_attempts.append(shard)
                 self.answers.append(shard.answer)
-            elif not shard.pending:
-                shard.retry()
+            elif shard.only_late_pending and self._is_useful() and shard.retry():
+                self.hedging.record_sent(shard.sent_at)
             return
 
     def _handle_part(self, attempts: PartAttempts) -> None:
@@ -294,15 +294,19 @@
     def _handle_time(self) -> None:
         """Hedge slow shards, and replace parts whose connections are still opening, once due."""
         now = self.upstream.now()
-        if self.hedge_at is not None and now >= self.hedge_at:
-            self.hedge_at = None
-            for shard in self.unanswered.values():
-                if shard.pending:
-                    shard.send_hedge()
-                elif not shard.attempt_count:
-                    shard.send_first()
-            for attempts in self.parts:
-                attempts.replace_unsent()
+        if not self.hedging.is_due(now):
+            return
+        for attempts in self.parts:
+            attempts.replace_unsent()
+        for shard in self.unanswered.values():
+            if not shard.attempt_count:
+                shard.send_first()
+            elif shard.pending and self.hedging.hedge_time(shard.sent_at) <= now:
+                urgency = hedge_urgency(len(self.unanswered), len(self.positions), shard.hedges)
+                max_hedges = MAX_HEDGES if self._is_useful() else shard.hedges
+                shard.send_hedge(urgency, max_hedges)
+        late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
+        self.hedging.schedule(late, now)
 
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
@@ -321,9 +325,14 @@
             if not self.has_permit:
                 return
             self.plan.permits.record_part(again=attempts.may_have_run)
-        self.hedge_at = Millis(self.upstream.now() + self.upstream.hedge_delay(self.route))
+        self.hedging.record_sent(self.upstream.now())
         self._send_to_shards(positions)
 
+    def _is_useful(self) -> bool:
+        """Return whether the answer to an attempt that is sent now may still be merged."""
+        is_below_minimum = len(self.answered) < self.min_answers
+        return self.hedging.is_useful(self.upstream.now(), is_below_minimum=is_below_minimum)
+
     def _may_ask_again(self, position: int) -> bool:
         """Return whether a shard can have no more searchers than the route allows for a query."""
         service = self.shards.services[position]
@@ -387,20 +396,3 @@
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
-
-
-def _min_answers(request: Request, shards: Shards) -> int:
-    """Return the number of shards that have to answer."""
-    if request.part is not None:
-        return min(len(request.part.positions), max(1, request.part.least))
-    return shards.min_answers
-
-
-def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
-    """Return the greatest ``top`` records of all bodies, greatest first."""
-    records = (
-        body[start : start + RECORD_BYTES]
-        for body in bodies
-        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-    )
-    return b"".join(nlargest(top, records))
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -241,7 +241,10 @@
     def hedge_delay(self, route):
         return self.hedge
 
-    def allow_hedge(self, service):
+    def second_answer_time(self, route):
+        return None
+
+    def allow_hedge(self, service, urgency):
         return self._spend()
 
     def allow_retry(self, service, *, possibly_ran=True):
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -2,6 +2,7 @@
 
 from masticgate import ManualClock, Millis, ServiceId
 from masticgate.request.gateway import Call, Merged, Relayed, Repeat, run_forward, run_gather
+from masticgate.request.gateway._hedging import BudgetUse, HedgeSchedule, Urgency, may_hedge
 from masticgate.version.gateway import Idempotency, Shards
 
 from .fakes import (
@@ -178,3 +179,74 @@
         script = BatchingUpstream(plans, repeats=0)
         reply = run_gather(*gather_arguments(script))
         assert isinstance(reply, Merged) and script.now() == 120.0
+
+
+class TestHedgeSchedule:
+    def test_next_hedges_are_never_due_in_the_past(self):
+        """Guards against a task that wakes again and again for a hedge that it may not send."""
+        schedule = HedgeSchedule(Millis(20.0), None, Millis(95.0))
+        schedule.record_sent(Millis(0.0))
+        assert schedule.is_due(Millis(20.0))
+        schedule.schedule([Millis(0.0), Millis(15.0)], Millis(20.0))
+        assert schedule.due_at == 35.0
+        schedule.schedule([Millis(0.0)], Millis(20.0))
+        assert schedule.due_at is None
+
+    def test_hedge_leaves_time_for_its_answer(self):
+        """The load: a kind of query with little time, and a pause of one searcher."""
+        schedule = HedgeSchedule(Millis(30.0), Millis(16.0), Millis(38.0))
+        assert schedule.hedge_time(Millis(0.0)) == 18.0
+        schedule = HedgeSchedule(Millis(30.0), Millis(16.0), Millis(25.0))
+        assert schedule.hedge_time(Millis(0.0)) == 16.0
+
+    def test_kind_with_much_time_is_hedged_as_before(self):
+        schedule = HedgeSchedule(Millis(54.0), Millis(40.0), Millis(223.0))
+        assert schedule.hedge_time(Millis(9.0)) == 63.0
+
+
+class TestHedgeBudget:
+    def test_less_urgent_hedges_leave_a_part_of_the_budget(self):
+        """Guards against a slow phase that uses up the budget for decisive hedges and retries."""
+        allowed = {
+            urgency: sum(may_hedge(urgency, BudgetUse(40.0, used, 0), 1.0) for used in range(41))
+            for urgency in Urgency
+        }
+        assert allowed == {Urgency.DECISIVE: 39, Urgency.ORDINARY: 29, Urgency.SECOND: 19}
+
+    def test_less_urgent_hedges_are_spread_over_the_window(self):
+        """Guards against a budget that is used up in the first second of a slow phase of 8 s."""
+        use = BudgetUse(40.0, 10, 10)
+        assert not may_hedge(Urgency.ORDINARY, use, 1.0)
+        assert may_hedge(Urgency.DECISIVE, use, 1.0)
+        assert may_hedge(Urgency.ORDINARY, BudgetUse(40.0, 10, 9), 1.0)
+
+
+class TestSecondHedge:
+    def test_third_searcher_is_tried_when_the_first_hedge_is_late(self):
+        plans = {"a": [(5, record(1))], "b": [(300, record(2)), (300, record(2)), (5, record(2))]}
+        script = ScriptedUpstream(plans)
+        services = tuple(ServiceId(name) for name in plans)
+        route = make_route(Shards(services, 3, 0.5), attempts=3)
+        reply = run_gather(make_request(), route, route.target, script, script)
+        assert isinstance(reply, Merged) and reply.missing == 0
+        assert script.now() == 45.0
+
+    def test_refused_hedge_of_late_shard_is_replaced_at_once(self):
+        """Guards against a shard that waits for a late searcher after its hedge was refused."""
+        plans = {"a": [(5, record(1))], "b": [(300, record(2)), (2, "declined"), (5, record(2))]}
+        script = ScriptedUpstream(plans)
+        services = tuple(ServiceId(name) for name in plans)
+        route = make_route(Shards(services, 3, 0.5), attempts=3)
+        reply = run_gather(make_request(), route, route.target, script, script)
+        assert isinstance(reply, Merged) and reply.missing == 0
+        assert script.now() == 27.0
+
+    def test_no_hedge_is_sent_that_cannot_be_answered_in_time(self):
+        plans = {"a": [(5, record(1))], "b": [(300, record(2))] * 3}
+        script = ScriptedUpstream(plans)
+        script.second_answer_time = lambda route: Millis(60.0)
+        services = tuple(ServiceId(name) for name in plans)
+        route = make_route(Shards(services, 3, 0.5), attempts=3)
+        script.hedge = Millis(70.0)
+        run_gather(make_request(), route, route.target, script, script)
+        assert len([sent for sent in script.sent_calls if sent.call.service == "b"]) == 1
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -568,7 +568,10 @@
     def retry_after(self, service):
         return None
 
-    def allow_hedge(self, service):
+    def second_answer_time(self, route):
+        return None
+
+    def allow_hedge(self, service, urgency):
         return False
 
     def allow_retry(self, service, *, possibly_ran=True):
@@ -581,6 +584,9 @@
         pass
 
     def wait(self, deadline):
+        if not self.finished:
+            assert deadline <= self.now(), "waits although no call is in flight"
+            return None
         return self.finished.pop(0)
 
 
