--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -11,6 +11,7 @@
 from ..._failures import NotRun, Reason, Step, Unknown
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route, Shards
+from ._answer_times import answer_time, batch_size, least_answers
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -24,19 +25,11 @@
 )
 from ._gather_log import describe_irregular, describe_missing
 from ._gather_plan import GatherPlan
+from ._hedging import MAX_HEDGES, HedgeSchedule, hedge_urgency
 from ._parts import PartAttempts, PartSender
 from ._records import merge_records
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
 
-ANSWER_MARGIN = Millis(5.0)
-"""Milliseconds of the route's objective that are reserved for merging and writing the answer.
-
-The time on the network between caller and gateway is reserved in addition.
-"""
-
-MIN_ANSWER_TIME = Millis(5.0)
-"""Shortest wait for the answers of shards in milliseconds, whatever the objective."""
-
 RETRY_AFTER = Millis(30.0)
 """Time in milliseconds after which a refused caller should try again.
 
@@ -96,12 +89,11 @@
         self.inbox = inbox
         self.plan = plan
         self.deadline = request.deadline(route)
-        remaining = route.objective - request.network_time - ANSWER_MARGIN
-        answer_time = Millis(max(MIN_ANSWER_TIME, remaining))
-        self.answer_at = min(self.deadline, Millis(request.arrived_at + answer_time))
+        self.answer_at = answer_time(request, route)
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
-        self.min_answers = _min_answers(request, shards)
-        self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
+        self.min_answers = least_answers(request, shards)
+        delay, second_time = upstream.hedge_delay(route), upstream.second_answer_time(route)
+        self.hedging = HedgeSchedule(delay, second_time, self.answer_at)
         self.unanswered: dict[int, Attempts] = {}
         self.parts: list[PartAttempts] = []
         self.answers: list[Answered] = []
@@ -117,29 +109,33 @@
         """Send the query to all shards, wait for their answers, and return the reply.
 
         The wait ends when no attempt for an unanswered shard is in flight or the deadline has
-        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered.
+        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered. Answers
+        that have arrived by then are merged.
         """
         refusal = self._refuse_unservable()
         if refusal is not None:
             return refusal
+        self.hedging.record_sent(self.upstream.now())
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
-        while not self._is_finished() or self._retry_unavailable():
-            self.inbox.set_batch_size(sum(attempts.pending for attempts in self._waiting()))
-            match self.inbox.wait(self._next_wake_up()):
+        while True:
+            finished = self._is_finished() and not self._retry_unavailable()
+            self.inbox.set_batch_size(self._batch_size())
+            match self.inbox.wait(self.upstream.now() if finished else self._next_wake_up()):
                 case CallerDisconnected():
                     self._cancel()
                     return Abandoned()
+                case Call() as call:
+                    self._handle_call(call)
+                case _ if finished:
+                    return self._build_reply()
                 case GatewayStopping():
                     self.deadline = self.upstream.now()
                 case RoomGranted() as granted:
                     self._handle_grant(granted)
-                case Call() as call:
-                    self._handle_call(call)
                 case None:
                     self._handle_time()
-        return self._build_reply()
 
     def _refuse_unservable(self) -> Reply | None:
         """Refuse the query at once if too many shards to gather here cannot serve it in time.
@@ -202,7 +198,14 @@
     def _handle_grant(self, granted: RoomGranted) -> None:
         """Send the query to a shard whose searchers have room for it now."""
         if any(attempts.handle_grant(granted) for attempts in self.queued):
-            self.queued = [attempts for attempts in self.queued if attempts.is_waiting]
+            self._drop_sent(self.upstream.now())
+
+    def _drop_sent(self, now: Millis) -> None:
+        """Keep those of ``queued`` that still wait, and schedule the hedges of the others."""
+        waiting = [attempts for attempts in self.queued if attempts.is_waiting]
+        if len(waiting) < len(self.queued):
+            self.hedging.record_sent(now)
+        self.queued = waiting
 
     def stop_waiting(self) -> None:
         """End the wait for room at each shard."""
@@ -218,6 +221,12 @@
         """Return whether a call is in flight or waits for room."""
         return bool(self.queued) or any(attempts.pending for attempts in self._waiting())
 
+    def _batch_size(self) -> int:
+        waiting = sum(attempts.pending for attempts in self._waiting())
+        needed = self.min_answers - len(self.answered)
+        is_past_objective = self.upstream.now() >= self.answer_at
+        return batch_size(waiting, len(self.parts), needed, is_past_objective=is_past_objective)
+
     def _is_finished(self) -> bool:
         now = self.upstream.now()
         if now >= self.deadline or not self._has_unfinished():
@@ -247,8 +256,8 @@
         times = [self.deadline]
         if self.upstream.now() < self.answer_at:
             times.append(self.answer_at)
-        if self.hedge_at is not None:
-            times.append(self.hedge_at)
+        if self.hedging.due_at is not None:
+            times.append(self.hedging.due_at)
         times.extend(attempts.recheck_at for attempts in self.queued)
         return min(times)
 
@@ -268,8 +277,9 @@
                 self.answered.add(position)
                 self.closed_attempts.append(shard)
                 self.answers.append(shard.answer)
-            elif not shard.pending:
-                shard.retry()
+            elif shard.only_late_pending and self._is_useful():
+                if shard.retry():
+                    self.hedging.record_sent(self.upstream.now())
                 self._note_wait(shard)
             return
 
@@ -297,19 +307,24 @@
         """
         now = self.upstream.now()
         if self.queued:
-            for attempts in self.queued:
-                attempts.recheck_room()
-            self.queued = [attempts for attempts in self.queued if attempts.is_waiting]
-        if self.hedge_at is not None and now >= self.hedge_at:
-            self.hedge_at = None
-            for shard in self.unanswered.values():
-                if shard.pending:
-                    shard.send_hedge()
-                elif not shard.attempt_count and not shard.is_waiting:
+            for waiting in self.queued:
+                waiting.recheck_room()
+            self._drop_sent(now)
+        if not self.hedging.is_due(now):
+            return
+        for attempts in self.parts:
+            attempts.replace_unsent()
+        for shard in self.unanswered.values():
+            if not shard.attempt_count:
+                if not shard.is_waiting:
                     shard.send_first()
                     self._note_wait(shard)
-            for part in self.parts:
-                part.replace_unsent()
+            elif shard.pending and self.hedging.hedge_time(shard.sent_at) <= now:
+                urgency = hedge_urgency(len(self.unanswered), len(self.positions), shard.hedges)
+                max_hedges = MAX_HEDGES if self._is_useful() else shard.hedges
+                shard.send_hedge(urgency, max_hedges)
+        late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
+        self.hedging.schedule(late, now)
 
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
@@ -328,9 +343,14 @@
             if not self.has_permit:
                 return
             self.plan.permits.record_part(again=attempts.may_have_run)
-        self.hedge_at = Millis(self.upstream.now() + self.upstream.hedge_delay(self.route))
+        self.hedging.record_sent(self.upstream.now())
         self._send_to_shards(positions)
 
+    def _is_useful(self) -> bool:
+        """Return whether the answer to an attempt that is sent now may still be merged."""
+        is_below_minimum = len(self.answered) < self.min_answers
+        return self.hedging.is_useful(self.upstream.now(), is_below_minimum=is_below_minimum)
+
     def _may_ask_again(self, position: int) -> bool:
         """Return whether a shard can have no more searchers than the route allows for a query."""
         service = self.shards.services[position]
@@ -386,10 +406,3 @@
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
-
-
-def _min_answers(request: Request, shards: Shards) -> int:
-    """Return the number of shards that have to answer."""
-    if request.part is not None:
-        return min(len(request.part.positions), max(1, request.part.least))
-    return shards.min_answers
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -18,7 +18,7 @@
     Refused,
     run_gather,
 )
-from masticgate.request.gateway._gather import merge_records
+from masticgate.request.gateway._records import merge_records
 from masticgate.version.gateway import Shards
 
 from .fakes import PartAnswer, ScriptedUpstream, SlowConnect, make_request, make_route
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -574,7 +574,10 @@
     def busy_retry_after(self, route, service, deadline):
         return None
 
-    def allow_hedge(self, service):
+    def second_answer_time(self, route):
+        return None
+
+    def allow_hedge(self, service, urgency):
         return False
 
     def allow_retry(self, service, *, possibly_ran=True):
@@ -587,6 +590,9 @@
         pass
 
     def wait(self, deadline):
+        if not self.finished:
+            assert deadline <= self.now(), "waits although no call is in flight"
+            return None
         return self.finished.pop(0)
 
 
