Gateway: two hedges at the last chance, and lost shards are known at once

A hedge for a kind of query with little time is sent so late that a second one would be late. One of few late shards is then hedged at both other searchers at once. A query whose shards are lost beyond its minimum waited for the others before it failed; it now fails at once, with 502, or 503 if nothing was sent. A part that lost more shards than its least number was a 502, although the other parts may suffice; it is now answered without them. GatherPlan moves to _gather_plan.py.

--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -17,8 +17,8 @@
 from ._exchange import Request as Request
 from ._exchange import UpstreamClient as UpstreamClient
 from ._forward import run_forward as run_forward
-from ._gather import GatherPlan as GatherPlan
 from ._gather import run_gather as run_gather
+from ._gather_plan import GatherPlan as GatherPlan
 from ._hedging import BudgetUse as BudgetUse
 from ._hedging import Urgency as Urgency
 from ._hedging import may_hedge as may_hedge
--- a/src/masticgate/request/gateway/_answer_times.py
+++ b/src/masticgate/request/gateway/_answer_times.py
@@ -3,6 +3,8 @@
 Load scenario: some of the shards are late, and an answer without them earns more than a late one.
 """
 
+from collections.abc import Iterable
+
 from ..._ids import Millis
 from ...version.gateway import Route, Shards
 from ._exchange import Request
@@ -16,6 +18,12 @@
 MIN_ANSWER_TIME = Millis(5.0)
 """Shortest wait for the answers of shards in milliseconds, whatever the objective."""
 
+RETRY_AFTER = Millis(30.0)
+"""Time in milliseconds after which a refused caller should try again.
+
+By then the next change of the catalogue of searchers may have arrived.
+"""
+
 
 def answer_time(request: Request, route: Route) -> Millis:
     """Return the time at which a query is answered without the missing shards."""
@@ -41,3 +49,12 @@
     if request.part is not None:
         return min(len(request.part.positions), max(1, request.part.least))
     return shards.min_answers
+
+
+def retry_after(waits: Iterable[Millis | None], needed: int) -> Millis:
+    """Return when ``needed`` of the missing shards may have a searcher again.
+
+    ``waits`` has for each of them when it may have one, or ``None`` if that is not known.
+    """
+    times = sorted(wait or RETRY_AFTER for wait in waits)
+    return times[min(len(times), max(1, needed)) - 1]
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -6,14 +6,13 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from itertools import islice
-from typing import Protocol
 
 from ..._failures import NotRun, Reason, Step, Unknown
 from ..._ids import Millis, SearcherId, ServiceId
 from ...version.gateway import Route, Shards
-from ._answer_times import answer_time, batch_size, least_answers
+from ._answer_times import RETRY_AFTER, answer_time, batch_size, least_answers, retry_after
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -21,11 +20,11 @@
     CallerDisconnected,
     GatewayStopping,
     Inbox,
-    Part,
     Request,
     UpstreamClient,
 )
-from ._hedging import MAX_HEDGES, HedgeSchedule, hedge_urgency
+from ._gather_plan import GatherPlan
+from ._hedging import MAX_HEDGES, HedgeSchedule, Urgency, hedge_urgency
 from ._parts import PartAttempts, PartSender
 from ._records import merge_records as merge_records
 from ._reply import Abandoned, Failed, Merged, Refused, Reply
@@ -33,43 +32,6 @@
 MAX_LOGGED_SHARDS = 4
 """The maximum number of missing shards, and of irregular answers, described in a log line."""
 
-RETRY_AFTER = Millis(30.0)
-"""Time in milliseconds after which a refused caller should try again.
-
-By then the next change of the catalogue of searchers may have arrived.
-"""
-
-
-class Permits(Protocol):
-    """Bounds the queries whose shards a gateway gathers although others should."""
-
-    def acquire(self) -> bool:
-        """Take a permit for one query, until :meth:`release`; return ``False`` if there is none."""
-        ...
-
-    def release(self) -> None:
-        """Return one permit."""
-        ...
-
-    def record_part(self, *, again: bool) -> None:
-        """Record a part that is gathered here, ``again`` if its gatherer was lost on the way."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class GatherPlan:
-    """Where the shards of a query are gathered.
-
-    ``here`` has the positions of those that this gateway sends the query to itself, and ``parts``
-    those that other gateways gather. ``sender`` forwards parts; it may be ``None`` if there are
-    none. A part that no gatherer accepts is gathered here if there is one of ``permits``.
-    """
-
-    here: tuple[int, ...]
-    parts: tuple[Part, ...] = ()
-    sender: PartSender | None = None
-    permits: Permits | None = None
-
 
 def run_gather(
     request: Request,
@@ -102,7 +64,8 @@
     is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
     have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
     ``closed_attempts`` are those that are over. ``unavailable`` holds the shards that did not
-    answer to their gatherers and have not been sent the query here.
+    answer to their gatherers and have not been sent the query here. ``lost_count`` counts those
+    gathered here whose attempts have all failed.
     """
 
     def __init__(
@@ -123,6 +86,7 @@
         self.deadline = request.deadline(route)
         self.answer_at = answer_time(request, route)
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
+        self.is_part = request.part is not None
         self.min_answers = least_answers(request, shards)
         delay, second_time = upstream.hedge_delay(route), upstream.second_answer_time(route)
         self.hedging = HedgeSchedule(delay, second_time, self.answer_at)
@@ -132,6 +96,7 @@
         self.answered: set[int] = set()
         self.closed_attempts: list[Attempts | PartAttempts] = []
         self.unavailable: set[int] = set()
+        self.lost_count = 0
         self.gatherers: list[str] = []
         self.has_permit = False
         self.leaving: list[SearcherId] = []
@@ -151,7 +116,9 @@
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
         while True:
-            finished = self._is_finished() and not self._retry_unavailable()
+            finished = self._is_hopeless() or (
+                self._is_finished() and not self._retry_unavailable()
+            )
             self.inbox.set_batch_size(self._batch_size())
             match self.inbox.wait(self.upstream.now() if finished else self._next_wake_up()):
                 case CallerDisconnected():
@@ -181,9 +148,8 @@
 
         ``reachable`` counts all shards of the query, the missing ones included.
         """
-        waits = sorted(self.upstream.retry_after(service) or RETRY_AFTER for service in missing)
-        needed = self.min_answers - (reachable - len(missing))
-        return waits[min(len(waits), max(1, needed)) - 1]
+        waits = [self.upstream.retry_after(service) for service in missing]
+        return retry_after(waits, self.min_answers - (reachable - len(missing)))
 
     def release_permit(self) -> None:
         """Return the permit to gather parts here, if one was taken."""
@@ -272,8 +238,24 @@
                 self.answers.append(shard.answer)
             elif shard.only_late_pending and self._is_useful() and shard.retry():
                 self.hedging.record_sent(shard.sent_at)
+            elif not shard.pending:
+                self._record_lost_shard()
             return
 
+    def _record_lost_shard(self) -> None:
+        """Record that a shard cannot answer.
+
+        A part is answered without it, as the answers of other parts may suffice for the query.
+        """
+        self.lost_count += 1
+        if self.is_part:
+            reachable = max(1, len(self.positions) - self.lost_count)
+            self.min_answers = min(self.min_answers, reachable)
+
+    def _is_hopeless(self) -> bool:
+        """Return whether too many shards are lost, whatever the others answer."""
+        return len(self.positions) - self.lost_count < self.min_answers
+
     def _handle_part(self, attempts: PartAttempts) -> None:
         """Take over the answer of a part, or gather it here if its gatherer is lost."""
         if attempts.pending:
@@ -302,12 +284,17 @@
             if not shard.attempt_count:
                 shard.send_first()
             elif shard.pending and self.hedging.hedge_time(shard.sent_at) <= now:
-                urgency = hedge_urgency(len(self.unanswered), len(self.positions), shard.hedges)
-                max_hedges = MAX_HEDGES if self._is_useful() else shard.hedges
-                shard.send_hedge(urgency, max_hedges)
+                self._hedge(shard, now)
         late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
         self.hedging.schedule(late, now)
 
+    def _hedge(self, shard: Attempts, now: Millis) -> None:
+        """Hedge a late shard, twice if it is one of few and a second hedge would be late."""
+        urgency = hedge_urgency(len(self.unanswered), len(self.positions), shard.hedges)
+        is_sent = shard.send_hedge(urgency, MAX_HEDGES if self._is_useful() else shard.hedges)
+        if is_sent and urgency is Urgency.DECISIVE and self.hedging.is_last_chance(now):
+            shard.send_hedge(Urgency.SECOND, MAX_HEDGES)
+
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
 
--- a/src/masticgate/request/gateway/_hedging.py
+++ b/src/masticgate/request/gateway/_hedging.py
@@ -119,6 +119,12 @@
             delay = min(delay, Millis(max(self.answer_time, latest)))
         return Millis(sent_at + delay)
 
+    def is_last_chance(self, now: Millis) -> bool:
+        """Return whether a second hedge would be too late if it waited for one that is sent now."""
+        if self.answer_time is None:
+            return False
+        return self.hedge_time(now) + self.answer_time > self.answer_at
+
     def record_sent(self, now: Millis) -> None:
         """Schedule the hedges of attempts that are sent now."""
         at = self.hedge_time(now)
--- a/tests/gateway/shard_models.py
+++ b/tests/gateway/shard_models.py
@@ -234,8 +234,8 @@
         self.clock.current = Millis(max(until, self.now()))
 
 
-class PresentRule(World):
-    """The rule before: each shard is hedged once, at one time for each query."""
+class OneHedge(World):
+    """The rule before: each shard is hedged once, at an age that ignores the time that is left."""
 
     def second_answer_time(self, route):
         return None
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -1,7 +1,20 @@
 """Guard against answers that are late for want of an early hedge, and against needless hedges."""
 
+from dataclasses import replace
+
+import pytest
+
 from masticgate import ManualClock, Millis, ServiceId
-from masticgate.request.gateway import Call, Merged, Relayed, Repeat, run_forward, run_gather
+from masticgate.request.gateway import (
+    Call,
+    Failed,
+    Merged,
+    Part,
+    Relayed,
+    Repeat,
+    run_forward,
+    run_gather,
+)
 from masticgate.request.gateway._hedging import BudgetUse, HedgeSchedule, Urgency, may_hedge
 from masticgate.version.gateway import Idempotency, Shards
 
@@ -14,6 +27,7 @@
     make_request,
     make_route,
 )
+from .shard_models import LONG, SHORT, OneHedge, Trouble, World, run_model
 from .test_gather import record
 
 ORDERS = ServiceId("orders")
@@ -250,3 +264,77 @@
         script.hedge = Millis(70.0)
         run_gather(make_request(), route, route.target, script, script)
         assert len([sent for sent in script.sent_calls if sent.call.service == "b"]) == 1
+
+
+class TestLostShards:
+    def test_query_fails_at_once_if_too_many_shards_are_lost(self):
+        """The load: all searchers of a shard that the answer needs refuse; the rest is slow."""
+        plans = {"a": [(90, record(1))], "b": [(2, "declined"), (2, "declined")]}
+        script = ScriptedUpstream(plans)
+        services = tuple(ServiceId(name) for name in plans)
+        route = make_route(Shards(services, 3, 1.0))
+        reply = run_gather(make_request(), route, route.target, script, script)
+        assert isinstance(reply, Failed) and reply.status == 502
+        assert script.now() == 4.0
+
+    def test_part_is_answered_without_lost_shards_below_its_least_number(self):
+        """Guards against a part that is lost for the one shard too many that has no searcher."""
+        plans = {"a": [(5, record(1))], "b": [(2, "declined"), (2, "declined")]}
+        script = ScriptedUpstream(plans)
+        services = tuple(ServiceId(name) for name in plans)
+        route = make_route(Shards(services, 3, 1.0))
+        request = replace(make_request(), part=Part((0, 1), 2, route))
+        reply = run_gather(request, route, route.target, script, script)
+        assert isinstance(reply, Merged) and reply.missing_positions == (1,)
+        assert script.now() == 5.0
+
+
+SEEDS = (11, 12, 13, 14)
+CALM = Trouble()
+PAUSES = Trouble(pause=200.0)
+SLOW = Trouble(slow=0.15, pause=200.0)
+VERY_SLOW = Trouble(slow=0.3, pause=200.0)
+SLOW_SHARD = Trouble(slow_shards=1)
+
+
+def run_seeds(kind, trouble, world_type=World, **settings):
+    """Return the mean result over the fixed seeds."""
+    results = [
+        run_model((kind,), trouble, seed=seed, world_type=world_type, **settings) for seed in SEEDS
+    ]
+    return {
+        name: sum(getattr(result, name) for result in results) / len(results)
+        for name in ("whole", "benefit", "repeat_ratio", "most_repeats")
+    }
+
+
+@pytest.mark.parametrize("kind", [LONG, SHORT], ids=["long", "short"])
+class TestModel:
+    """Queries over 90 shards, compared with one hedge for each shard at a fixed age."""
+
+    def test_repeats_are_rare_without_slow_searchers(self, kind):
+        """The load: all searchers are equal. Repeats use at most a tenth of the ratio of 0.2."""
+        result = run_seeds(kind, CALM)
+        assert result["whole"] == 1.0 and result["repeat_ratio"] <= 0.02
+
+    @pytest.mark.parametrize("trouble", [PAUSES, SLOW], ids=["pauses", "15 % slow"])
+    def test_more_answers_are_whole_beside_pauses_and_slow_searchers(self, kind, trouble):
+        """The load: pauses of 200 ms every 4.5 s, alone or beside 15 % slow by 8 for 8 s."""
+        present, new = run_seeds(kind, trouble, OneHedge), run_seeds(kind, trouble)
+        assert new["whole"] >= present["whole"] and new["benefit"] >= present["benefit"]
+
+    def test_benefit_is_higher_while_most_shards_have_a_slow_searcher(self, kind):
+        """The load: 30 % of the searchers are slow by 8 for 8 s; all three of a few shards are."""
+        assert (
+            run_seeds(kind, VERY_SLOW)["benefit"] > run_seeds(kind, VERY_SLOW, OneHedge)["benefit"]
+        )
+
+    def test_shard_whose_searchers_are_all_slow_costs_only_itself(self, kind):
+        """Guards against the loss of further shards; one of 90 is worth 0.022 of the benefit."""
+        assert run_seeds(kind, SLOW_SHARD)["benefit"] >= (89 / 90) ** 2
+
+    def test_answers_stay_in_time_with_an_exhausted_budget(self, kind):
+        """The load: 15 % slow, and a budget of 0.17 of the requests without slack."""
+        result = run_seeds(kind, SLOW, slack=0.0)
+        present = run_seeds(kind, SLOW, OneHedge, slack=0.0)
+        assert result["benefit"] >= present["benefit"] - 0.01
