--- a/src/masticgate/request/gateway/_gather_plan.py
+++ b/src/masticgate/request/gateway/_gather_plan.py
@@ -1,4 +1,4 @@
-"""Where the shards of a query are gathered: here, or by other gateways."""
+"""Where the shards of a query are gathered: by this gateway, or in parts by others."""
 
 from dataclasses import dataclass
 from typing import Protocol
