Admission: vary the time to return of requests that searchers declined

Cause: callers of declined requests were all told to return after 50 ms, also short ones of 10 ms. Change: with several ranks they get half the usual latency, at most 50 ms, with jitter by 1.0 to 1.5 and at most a third of their time.

--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -29,6 +29,15 @@
 from ._rate import FreeingRate
 from ._room import Room
 
+DECLINED_WAIT_SHARE = 0.5
+"""The share of the usual latency after which searchers that declined a request may have room.
+
+If they are full, one of their requests ends after about half the running time of a request.
+"""
+
+MAX_DECLINED_WAIT = Millis(50.0)
+"""The upper bound on that time, since one of many searchers has room much sooner."""
+
 INITIAL_LATENCY_SHARE = 0.25
 """The usual latency as a share of the route's objective while no latencies are known."""
 
@@ -171,13 +180,17 @@
 
     def retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
         """Return when a caller that the searchers declined should return, if that is known."""
-        queue = self.queues.get(service)
-        if not self.enabled or queue is None:
+        if not self.enabled:
             return None
         now = self.clock.now()
-        ahead = len(queue.room.queue)
-        wait = expected_wait(ahead, self._rate(service, queue, route, now))
-        return None if wait is None else limit_retry_after(wait, deadline, now, self._jitter())
+        queue = self.queues.get(service)
+        wait = None
+        if queue is not None and queue.room.queue:
+            wait = expected_wait(len(queue.room.queue), self._rate(service, queue, route, now))
+        if wait is None:
+            latency = self._usual_latency(route)
+            wait = Millis(min(MAX_DECLINED_WAIT, latency * DECLINED_WAIT_SHARE))
+        return limit_retry_after(wait, deadline, now, self._jitter())
 
     def _enqueue(self, call: Call, queue: ServiceQueue, demand: Demand, now: Millis) -> None:
         before = len(queue.room.queue)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -298,15 +298,21 @@
         assert (retry_after(80.0, 1.0), retry_after(80.0, 1.5)) == (80.0, 120.0)
         assert (retry_after(9e9, 1.0), retry_after(9e9, 1.5)) == (200.0, 300.0)
 
-    def test_declined_request_states_when_searchers_have_room(self):
+    @pytest.mark.parametrize("waiting", [0, 1])
+    def test_declined_request_states_when_searchers_have_room(self, waiting):
         """Guards against callers that all return after the same fixed 50 ms."""
         site = Site()
         site.fill()
-        site.start()
-        route, deadline = STANDARD, Millis(site.now + 1_515.0)
-        waits = {site.gateways[0].busy_retry_after(route, ORDERS, deadline) for _ in range(20)}
+        for _ in range(waiting):
+            site.start()
+        deadline = Millis(site.now + 1_515.0)
+        waits = {site.gateways[0].busy_retry_after(STANDARD, ORDERS, deadline) for _ in range(20)}
         assert len(waits) > 10 and max(waits) <= 505.0
 
+    def test_declined_request_of_one_rank_gets_the_time_of_before(self):
+        site = Site(routes=(STANDARD,))
+        assert site.gateways[0].busy_retry_after(STANDARD, ORDERS, Millis(9_000.0)) is None
+
 
 class TestRate:
     """Guards against refusals by a rate that does not follow the searchers."""
