Admission: no hedge and no replaced connection while all searchers are full

Cause: a hedge spent one of the budget for repeats though no searcher had room for it, and an attempt whose connection was still opening was given up for a place in the queue. Change: Fleet.is_full and Fleet.has_searcher ask the gate; both are as before with one rank.

--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -219,6 +219,11 @@
         with self.lock:
             return self.gate.admit_query(request, route, services, needed)
 
+    def is_full(self, service: ServiceId) -> bool:
+        """Return whether no searcher of ``service`` has room that nobody waits for."""
+        with self.lock:
+            return not self.gate.has_room(service, self.listings.of_service(service))
+
     def busy_retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
         """Return when searchers that declined a request have room again, if that is known."""
         with self.lock:
@@ -228,10 +233,9 @@
         """Return whether a searcher of ``service`` that is not in ``tried`` could accept a call."""
         now = self.clock.now()
         with self.lock:
-            return any(
-                replica.is_usable(now) and replica.has_capacity()
-                for replica in self.listings.of_service(service)
-                if replica.entry.id not in tried
+            others = [r for r in self.listings.of_service(service) if r.entry.id not in tried]
+            return any(r.is_usable(now) and r.has_capacity() for r in others) and (
+                self.gate.has_room(service, others)
             )
 
     def unservable(self, services: Sequence[ServiceId]) -> list[ServiceId]:
--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -91,6 +91,16 @@
         """
         return self.enabled and call.service != PEER_SERVICE and call.repeat is not Repeat.RETRY
 
+    def has_room(self, service: ServiceId, replicas: Collection[Replica]) -> bool:
+        """Return whether one of ``replicas`` of ``service`` has room that nobody waits for."""
+        if not self.enabled or service == PEER_SERVICE:
+            return True
+        queue = self.queues.get(service)
+        if queue is not None and (queue.room.queue or queue.room.reserved):
+            return False
+        now = self.clock.now()
+        return any(replica.is_usable(now) and replica.has_room(now) for replica in replicas)
+
     def may_send(self, call: Call) -> bool:
         """Return whether it is the turn of ``call``, ending its reservation if it has one."""
         queue = self.queues.get(call.service)
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -242,6 +242,10 @@
                 return self._send(None)
             if self.route.kind is not Idempotency.IDEMPOTENT:
                 return False
+        if kind is Repeat.HEDGE and self.upstream.is_full(self.service):
+            # It could not be sent, and the budget would be spent in vain.
+            self.repeat_failure = NotRun(Reason.OVERLOAD, Step.CONNECT, self.service, "no room")
+            return False
         match kind:
             case Repeat.HEDGE:
                 allowed = self.upstream.allow_hedge(self.service)
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -298,6 +298,13 @@
         """Refuse a query if fewer than ``needed`` of ``services`` can serve it in time."""
         ...
 
+    def is_full(self, service: ServiceId) -> bool:
+        """Return whether no searcher of ``service`` has room that nobody waits for.
+
+        It is never full if the configuration has one rank.
+        """
+        ...
+
     def busy_retry_after(self, route: Route, service: ServiceId, deadline: Millis) -> Millis | None:
         """Return when searchers that declined a request have room again, if that is known.
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -196,6 +196,23 @@
         newer.cancel()
         assert not site.gate.queues[ORDERS].room.reserved and not site.gate.waiting
 
+    def test_attempt_that_still_connects_is_kept_if_no_other_searcher_has_room(self):
+        """Guards against giving up a connection that opens slowly for a place in the queue."""
+        site = Site(searchers=2)
+        fleet = site.gateways[0].fleet
+        assert fleet.has_searcher(ORDERS, {"s0"})
+        fleet.replicas["s1"].in_flight = 4
+        assert fleet.replicas["s1"].has_capacity()
+        assert not fleet.has_searcher(ORDERS, {"s0"})
+
+    def test_hedge_that_cannot_be_sent_does_not_use_the_budget(self):
+        """Guards against retries that are refused in a burst for hedges that were never sent."""
+        script = ScriptedUpstream({"orders": [(300, b"slow"), (5, b"hedge")]}, repeats=1)
+        script.is_full = lambda service: True
+        reply = run_forward(make_request(), make_route(), ORDERS, script, script)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"slow"
+        assert script.repeats == 1 and "no room" in reply.attempts_summary
+
 
 class TestOneRank:
     """A deployment with one rank is served as before."""
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -571,6 +571,9 @@
     def admit_query(self, request, route, services, needed):
         return None
 
+    def is_full(self, service):
+        return False
+
     def busy_retry_after(self, route, service, deadline):
         return None
 
