--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -196,6 +196,23 @@
         newer.cancel()
         assert not site.gate.queues[ORDERS].room.reserved and not site.gate.waiting
 
+    def test_attempt_that_still_connects_is_kept_if_no_other_searcher_has_room(self):
+        """Guards against giving up a connection that opens slowly for a place in the queue."""
+        site = Site(searchers=2)
+        fleet = site.gateways[0].fleet
+        assert fleet.has_searcher(ORDERS, {"s0"})
+        fleet.replicas["s1"].in_flight = 4
+        assert fleet.replicas["s1"].has_capacity()
+        assert not fleet.has_searcher(ORDERS, {"s0"})
+
+    def test_hedge_that_cannot_be_sent_does_not_use_the_budget(self):
+        """Guards against retries that are refused in a burst for hedges that were never sent."""
+        script = ScriptedUpstream({"orders": [(300, b"slow"), (5, b"hedge")]}, repeats=1)
+        script.is_full = lambda service: True
+        reply = run_forward(make_request(), make_route(), ORDERS, script, script)
+        assert isinstance(reply, Relayed) and reply.answer.body == b"slow"
+        assert script.repeats == 1 and "no room" in reply.attempts_summary
+
 
 class TestOneRank:
     """A deployment with one rank is served as before."""
@@ -298,15 +315,21 @@
         assert (retry_after(80.0, 1.0), retry_after(80.0, 1.5)) == (80.0, 120.0)
         assert (retry_after(9e9, 1.0), retry_after(9e9, 1.5)) == (200.0, 300.0)
 
-    def test_declined_request_states_when_searchers_have_room(self):
+    @pytest.mark.parametrize("waiting", [0, 1])
+    def test_declined_request_states_when_searchers_have_room(self, waiting):
         """Guards against callers that all return after the same fixed 50 ms."""
         site = Site()
         site.fill()
-        site.start()
-        route, deadline = STANDARD, Millis(site.now + 1_515.0)
-        waits = {site.gateways[0].busy_retry_after(route, ORDERS, deadline) for _ in range(20)}
+        for _ in range(waiting):
+            site.start()
+        deadline = Millis(site.now + 1_515.0)
+        waits = {site.gateways[0].busy_retry_after(STANDARD, ORDERS, deadline) for _ in range(20)}
         assert len(waits) > 10 and max(waits) <= 505.0
 
+    def test_declined_request_of_one_rank_gets_the_time_of_before(self):
+        site = Site(routes=(STANDARD,))
+        assert site.gateways[0].busy_retry_after(STANDARD, ORDERS, Millis(9_000.0)) is None
+
 
 class TestRate:
     """Guards against refusals by a rate that does not follow the searchers."""
