Count the time to open a connection for hedges and retries only

A test of the exhausted budget showed that first attempts otherwise keep to searchers whose connections are idle.

--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -17,7 +17,10 @@
 """
 
 OPENING_COST = 0.3
-"""Added to the cost of a searcher to which no connection is idle, for the time to open one."""
+"""Added to the cost of a searcher to which no connection is idle, for the time to open one.
+
+It counts for hedges and retries, which have little time left.
+"""
 
 MAX_GATHERER_FAILURE_RATE = 0.15
 """A gatherer with a higher failure rate is the last choice; one failure counts for about 1 s."""
@@ -151,6 +154,6 @@
     cost = replica.cost(now, may_probe=call.repeat is None)
     if replica.entry.domain != own_domain:
         cost += CROSS_DOMAIN_COST
-    if not replica.idle:
+    if call.repeat is not None and not replica.idle:
         cost += OPENING_COST
     return replica.state is ReplicaState.LEAVING, cost
