--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -151,10 +151,7 @@
             )
 
     def unservable(self, services: Sequence[ServiceId]) -> list[ServiceId]:
-        """Return those of ``services`` that have no searcher to send to.
-
-        All of their searchers leave or want a pause, or there is none.
-        """
+        """Return those of ``services`` whose searchers all leave or pause, or that have none."""
         if not self.unserved.services:
             return []
         with self.lock:
@@ -189,7 +186,9 @@
     def allow_hedge(self, service: ServiceId, urgency: Urgency = Urgency.DECISIVE) -> bool:
         """Spend one repeat for a hedge, if ``urgency`` allows it; return whether it is allowed."""
         with self.lock:
-            return self.budgets.spend_hedge(service, self.clock.now(), urgency)
+            allowed = self.budgets.spend_hedge(service, self.clock.now(), urgency)
+        self.metrics.count("hedges_allowed" if allowed else "hedges_denied")
+        return allowed
 
     def allow_retry(self, service: ServiceId, *, possibly_ran: bool = True) -> bool:
         """Spend one repeat from the budget of ``service`` after an attempt that failed.
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -283,7 +283,7 @@
         for shard in self.unanswered.values():
             if not shard.attempt_count:
                 shard.send_first()
-            elif shard.pending and self.hedging.hedge_time(shard.sent_at) <= now:
+            elif shard.pending and self.hedging.is_late(shard.sent_at, now):
                 self._hedge(shard, now)
         late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
         self.hedging.schedule(late, now)
--- a/src/masticgate/request/gateway/_hedging.py
+++ b/src/masticgate/request/gateway/_hedging.py
@@ -43,12 +43,19 @@
 """The number of less urgent hedges that are allowed in one second, however small the budget is."""
 
 
+WAVE_SPREAD = Millis(2.0)
+"""Hedges that are due within this time of each other are sent together.
+
+The first attempts of a query are sent over some milliseconds; its task need not wake for each.
+"""
+
+
 class Urgency(Enum):
     """How much depends on a hedge.
 
-    A ``DECISIVE`` one is sent for one of the few shards without which the answer is not whole, or
-    is below its minimum. An ``ORDINARY`` one is sent for one of many, and a ``SECOND`` one after
-    another hedge that may still be answered.
+    A ``DECISIVE`` one is sent for one of the few shards without which the answer is not whole. An
+    ``ORDINARY`` one is sent for one of many, and a ``SECOND`` one after another hedge that may
+    still be answered.
     """
 
     DECISIVE = "decisive"
@@ -125,6 +132,10 @@
             return False
         return self.hedge_time(now) + self.answer_time > self.answer_at
 
+    def is_late(self, sent_at: Millis, now: Millis) -> bool:
+        """Return whether an attempt that was sent at ``sent_at`` is hedged now."""
+        return self.hedge_time(sent_at) <= now + WAVE_SPREAD
+
     def record_sent(self, now: Millis) -> None:
         """Schedule the hedges of attempts that are sent now."""
         at = self.hedge_time(now)
@@ -140,8 +151,8 @@
         Hedges that were due before are not tried again, so that ``due_at`` is never in the past and
         the task of the query never wakes without need.
         """
-        times = (self.hedge_time(sent_at) for sent_at in sent_times)
-        self.due_at = min((at for at in times if at > now), default=None)
+        times = (self.hedge_time(at) for at in sent_times if not self.is_late(at, now))
+        self.due_at = min(times, default=None)
 
     def is_useful(self, now: Millis, *, is_below_minimum: bool) -> bool:
         """Return whether the answer to an attempt that is sent now may still be merged.
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -206,6 +206,14 @@
         schedule.schedule([Millis(0.0)], Millis(20.0))
         assert schedule.due_at is None
 
+    def test_attempts_sent_shortly_after_each_other_are_hedged_together(self):
+        """Guards against a wake-up for each of 90 shards."""
+        schedule = HedgeSchedule(Millis(20.0), None, Millis(95.0))
+        assert schedule.is_late(Millis(1.5), Millis(20.0))
+        assert not schedule.is_late(Millis(2.5), Millis(20.0))
+        schedule.schedule([Millis(1.5), Millis(2.5)], Millis(20.0))
+        assert schedule.due_at == 22.5
+
     def test_hedge_leaves_time_for_its_answer(self):
         """The load: a kind of query with little time, and a pause of one searcher."""
         schedule = HedgeSchedule(Millis(30.0), Millis(16.0), Millis(38.0))
