--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -333,7 +333,7 @@
                 if not shard.is_waiting:
                     shard.send_first()
                     self._note_wait(shard)
-            elif shard.pending and self.hedging.hedge_time(shard.sent_at) <= now:
+            elif shard.pending and self.hedging.is_late(shard.sent_at, now):
                 self._hedge(shard, now)
         late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
         self.hedging.schedule(late, now)
