--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -224,6 +224,7 @@
             members = self.membership.count(heartbeat.received_at)
             named = self.named.get(self.settings.peer_address or Address(""), frozenset())
         if not recorded:
+            self.fleet.metrics.count("heartbeats_ignored")
             self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
         gatherers = sorted([gatherer.address, gatherer.domain] for gatherer in named)
         digest = digest_gatherers(gatherers)
--- a/tests/gateway/test_query.py
+++ b/tests/gateway/test_query.py
@@ -33,3 +33,4 @@
         request = Request(RequestId(""), b"GET", target, HEARTBEAT_HOST, (), b"", None, Millis(0.0))
         peers.handle_heartbeat(request)
         assert HostId("g7") not in peers.membership.heartbeats
+        assert peers.fleet.metrics.counters["heartbeats_ignored"] == 1
