--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from threading import Event, Lock
 from time import sleep
-from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._fields import is_name
@@ -30,6 +29,7 @@
 from ._naming import GatherAtPeers, GathererNames, GatherHere, Gathering
 from ._previous_processes import PreviousEndQuestion, ProcessHistory
 from ._process_reports import ProcessReport, decode_report
+from ._query import parse_query
 from ._seed_exchange import SeedExchange
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
@@ -167,7 +167,7 @@
 
         The reply names the gatherers, unless the heartbeat says that its sender knows them.
         """
-        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        query = parse_query(request.target)
         heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
         self._record_process(host, query)
@@ -183,6 +183,7 @@
         if before is None or before.member != heartbeat.member:
             self.naming_due.set()
         if not recorded:
+            self.fleet.metrics.count("heartbeats_ignored")
             self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
         reply = encode_reply(
             self.settings.domain,
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -12,7 +12,6 @@
 from threading import Condition, Lock
 from time import monotonic
 from typing import Any
-from urllib.parse import parse_qs
 
 from ..._clock import MILLIS_PER_SECOND, Clock
 from ..._ids import Address, Millis, Revision, StoreEra
@@ -43,6 +42,7 @@
     UnreadableItem,
 )
 from ._log import EventLog, LogEvent
+from ._query import parse_query
 from .startup import StoreContact
 
 CATALOGUE_HOST = "catalogue.gateway"
@@ -193,7 +193,7 @@
 
         A watch blocks until there is a change or its wait is over.
         """
-        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        query = parse_query(request.target)
         after = parse_number(query.get("after", [""])[0].encode())
         if self.age() > MAX_PLATFORM_AGE:
             return LocalPage(503, b"the platform is unavailable")
