--- a/tests/gateway/test_query.py
+++ b/tests/gateway/test_query.py
@@ -2,7 +2,7 @@
 
 from masticgate import HostId, ManualClock, Millis
 from masticgate._ids import RequestId
-from masticgate.process.gateway._peers import HEARTBEAT_HOST
+from masticgate.process.gateway._heartbeat_codec import HEARTBEAT_HOST
 from masticgate.process.gateway._query import MAX_FIELDS, parse_query
 from masticgate.request.gateway import Request
 
