--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -233,7 +233,10 @@
         """Spend one repeat for a hedge, if ``urgency`` allows it; return whether it is allowed."""
         with self.lock:
             allowed = self.budgets.spend_hedge(service, self.clock.now(), urgency)
-        self.metrics.count("hedges_allowed" if allowed else "hedges_denied")
+        if allowed:
+            self.metrics.count("hedges_allowed")
+        else:
+            self.metrics.count("hedges_denied")
         return allowed
 
     def allow_retry(self, service: ServiceId, *, possibly_ran: bool = True) -> bool:
