Admission: leave the queue with every call, and refuse what no searcher accepts

A starting seed without a configuration looked 50 times a second whether it can name gatherers. Each is tested in test_admission.py, but for the last.

--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -58,6 +58,10 @@
 """A log line quotes at most this much of a name that is invalid."""
 
 
+NO_TABLE_WAIT = Millis(100.0)
+"""How long a seed without a configuration waits before it looks again whether it can name."""
+
+
 class Peers:
     """The state of the other gateways, as far as this gateway knows it.
 
@@ -130,6 +134,9 @@
                 wait = self.naming_rule.time_to_change(self.clock.now())
             if wait is None:
                 return
+            if self.current_table() is None:
+                # Nothing can be named before the configuration is read.
+                wait = max(wait, NO_TABLE_WAIT)
             self.naming_due.wait(wait / MILLIS_PER_SECOND)
             sleep(MIN_NAMING_INTERVAL / MILLIS_PER_SECOND)
             self.naming_due.clear()
--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -24,7 +24,7 @@
 from ....version.gateway import PEER_SERVICE, Route, RouteTable
 from .._hedge_delays import TYPICAL_PERCENTILE, HedgeDelays
 from .._metrics import Metrics
-from .._replica import Replica
+from .._replica import Replica, ReplicaState
 from ._decision import MAX_JITTER, Demand, Queue, decide, expected_wait, limit_retry_after
 from ._rate import FreeingRate
 from ._room import Room
@@ -122,6 +122,9 @@
             self.leave(call)
             return Refuse(None, "all connections are busy")
         now = self.clock.now()
+        if not self._find_candidates(call.service, now):
+            self.leave(call)
+            return Refuse(None, "no searcher accepts requests")
         queue = self.queues.setdefault(call.service, ServiceQueue(now))
         demand = self._demand(call.request, call.route, call.deadline)
         self._enqueue(call, queue, demand, now)
@@ -237,7 +240,18 @@
 
     def _free_places(self, service: ServiceId) -> int:
         now = self.clock.now()
-        return sum(r.free_places(now) for r in self.of_service(service) if r.is_usable(now))
+        candidates = self._find_candidates(service, now)
+        return sum(_places_of(replica, now) for replica in candidates)
+
+    def _find_candidates(self, service: ServiceId, now: Millis) -> list[Replica]:
+        """Return the searchers that may be sent a call: the ejected ones if there is no other."""
+        known = self.of_service(service)
+        usable = [replica for replica in known if replica.is_usable(now)]
+        return usable or [
+            replica
+            for replica in known
+            if replica.state is ReplicaState.EJECTED and replica.accepts(now)
+        ]
 
     def _demand(self, request: Request, route: Route, deadline: Millis) -> Demand:
         objective_at = Millis(request.arrived_at + route.objective - request.network_time)
@@ -272,3 +286,10 @@
 
     def _jitter(self) -> float:
         return self.random.uniform(1.0, MAX_JITTER)
+
+
+def _places_of(replica: Replica, now: Millis) -> int:
+    """Return the free places of a searcher; one that is due for a probe has one."""
+    places = replica.free_places(now)
+    is_probe = replica.state is ReplicaState.EJECTED and replica.is_usable(now)
+    return min(1, places) if is_probe else places
--- a/src/masticgate/request/gateway/_attempts.py
+++ b/src/masticgate/request/gateway/_attempts.py
@@ -150,12 +150,19 @@
         call = self.waiting_call
         if call is None or granted.call is not call:
             return False
-        self._dispatch(call)
+        if self.upstream.now() >= self.deadline:
+            self.stop_waiting()
+        else:
+            self._dispatch(call)
         return True
 
     def recheck_room(self) -> None:
         """Ask again about the call that waits, if that is due."""
-        if self.waiting_call is not None and self.upstream.now() >= self.recheck_at:
+        if self.waiting_call is None or self.upstream.now() < self.recheck_at:
+            return
+        if self.upstream.now() >= self.deadline:
+            self.stop_waiting()
+        else:
             self._wait_for_room(self.waiting_call)
 
     def stop_waiting(self) -> None:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -207,7 +207,7 @@
 
     def stop_waiting(self) -> None:
         """End the wait for room at each shard."""
-        for attempts in self.queued:
+        for attempts in (*self.queued, *self.unanswered.values()):
             attempts.stop_waiting()
 
     def _waiting(self) -> Iterable[Attempts | PartAttempts]:
@@ -344,6 +344,8 @@
         is_sent = shard.send_hedge(urgency, MAX_HEDGES if self._is_useful() else shard.hedges)
         if is_sent and urgency is Urgency.DECISIVE and self.hedging.is_last_chance(now):
             shard.send_hedge(Urgency.SECOND, MAX_HEDGES)
+        # A hedge that replaces an attempt whose connection is still opening may have to wait.
+        self._note_wait(shard)
 
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
@@ -412,10 +414,18 @@
         missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
         return self._retry_after(missing, len(self.positions)) if missing else RETRY_AFTER
 
+    def _counts_as_sent(self, attempts: Attempts | PartAttempts) -> bool:
+        """Return whether the query must not be refused because of some attempts.
+
+        A refused part is sent to another gatherer at no cost to the budget for repeats, to which
+        requests that searchers declined count as well.
+        """
+        return attempts.started if self.is_part else attempts.may_have_run
+
     def _build_failure(self) -> Reply:
         detail = f"{len(self.answered)} of {len(self.positions)} shards answered"
         everything = (*self._waiting(), *self.closed_attempts)
-        if not any(attempts.may_have_run for attempts in everything):
+        if not any(self._counts_as_sent(attempts) for attempts in everything):
             first = next((attempts.failure for attempts in everything), None)
             reason = Reason.OVERLOAD if first is None else first.reason
             step = Step.FORWARD if first is None else first.step
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -18,6 +18,7 @@
 from masticgate.process.gateway.admission._decision import (
     MAX_JITTER,
     MIN_RETRY_AFTER,
+    RECHECK_INTERVAL,
     Demand,
     Queue,
     decide,
@@ -29,6 +30,8 @@
     Abandoned,
     Call,
     Failed,
+    Merged,
+    Part,
     Refuse,
     Refused,
     Relayed,
@@ -45,6 +48,7 @@
 from .fakes import (
     HEADER_NAMES,
     ScriptedUpstream,
+    SlowConnect,
     answered,
     make_request,
     make_route,
@@ -464,6 +468,52 @@
     return attempts
 
 
+class TestDeadline:
+    """Guards against calls that are sent when nobody waits for their answer any more."""
+
+    def test_room_found_after_the_deadline_is_not_used(self):
+        site = Site()
+        site.fill()
+        attempts = make_waiting_attempts(site, URGENT)
+        site.gateways[0].fleet.replicas["s0"].in_flight = 0
+        site.simulation.clock.current = Millis(attempts.deadline + 1.0)
+        attempts.recheck_room()
+        assert not attempts.pending and not attempts.is_waiting
+
+    def test_room_granted_after_the_deadline_is_not_used(self):
+        site = Site()
+        site.fill()
+        attempts = make_waiting_attempts(site, URGENT)
+        site.make_room()
+        site.simulation.clock.current = Millis(attempts.deadline + 30.0)
+        assert attempts.handle_grant(attempts.inbox.granted[0])
+        assert not attempts.pending and not attempts.is_waiting
+        assert not site.gate.queues[ORDERS].room.reserved
+
+
+class TestUnusableSearchers:
+    """Guards against requests that wait although no searcher can be sent any."""
+
+    def test_new_request_is_refused_at_once_although_another_waits(self):
+        site = Site()
+        site.fill()
+        site.start(STANDARD)
+        replica = site.gateways[0].fleet.replicas["s0"]
+        replica.pause(Millis(site.now + 60_000.0))
+        replica.in_flight = 0
+        reply = site.start(STANDARD).result.reply
+        assert isinstance(reply, Refused) and reply.status == 503
+
+    def test_waiting_request_is_refused_when_it_looks_again(self):
+        site = Site()
+        site.fill()
+        waiting = site.start(STANDARD)
+        replica = site.gateways[0].fleet.replicas["s0"]
+        replica.pause(Millis(site.now + 60_000.0))
+        site.advance(RECHECK_INTERVAL + 1.0)
+        assert isinstance(waiting.result.reply, Refused)
+
+
 class TestGatewayStops:
     """Guards against a gateway that ends with requests that wait."""
 
@@ -671,6 +721,37 @@
         assert reply.missing == 1 and [call.service for call in left] == ["b"]
         assert "waits for room" in reply.missing_causes[0]
 
+    def test_shard_whose_hedge_waits_leaves_the_queue(self):
+        """Guards against a place that stays reserved for a call that nobody sends."""
+        script = ScriptedUpstream({"a": [(60, b"")], "b": [(100, SlowConnect(b"x")), (5, b"")]})
+        send, calls, queued, left = script.send, [], [], []
+
+        def send_but_once(call, tried):
+            calls.append(call)
+            if [c.service for c in calls].count("b") > 1:
+                return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service)
+            return send(call, tried)
+
+        def admit(call):
+            queued.append(call)
+            return Wait(Millis(script.now() + 25.0))
+
+        script.send, script.admit, script.leave = send_but_once, admit, left.append
+        script.has_searcher = lambda service, tried: service == "b"
+        shards = Shards((ServiceId("a"), ServiceId("b")), 1, 0.5)
+        reply = run_gather(make_request(), make_route(shards), shards, script, script)
+        assert isinstance(reply, Merged) and queued
+        assert set(map(id, left)) == set(map(id, queued))
+
+    def test_refusal_of_a_part_counts_what_searchers_declined(self):
+        """Guards against repeats at another gatherer that the budget does not know of."""
+        script = ScriptedUpstream({"a": [(5, "declined"), (5, "declined")]})
+        shards = Shards((ServiceId("a"),), 1, 1.0)
+        route = make_route(shards)
+        request = replace(make_request(), part=Part((0,), 1, route))
+        reply = run_gather(request, route, shards, script, script)
+        assert isinstance(reply, Failed)
+
     def test_gate_refuses_query_only_if_too_many_shards_lack_room(self):
         site = Site()
         site.searchers[0].slowdown = 5.0
