--- a/src/masticgate/platform/_configuration.py
+++ b/src/masticgate/platform/_configuration.py
@@ -37,16 +37,20 @@
     :raises FieldError: a field is missing or has an invalid value.
     """
     fields = Fields.of("config", value)
-    services = [_decode_service(service) for service in fields.tables("services")]
+    services = [decode_service(service) for service in fields.tables("services")]
     return RouteTable(
         ConfigurationVersion(fields.integer("version", 0)),
-        tuple(_decode_route(route) for route in fields.tables("routes")),
+        tuple(decode_route(route) for route in fields.tables("routes")),
         {service.id: service for service in services},
         _decode_limits(fields.table("limits")),
     )
 
 
-def _decode_service(fields: Fields) -> ServiceEntry:
+def decode_service(fields: Fields) -> ServiceEntry:
+    """Return the service that one entry describes.
+
+    :raises FieldError: a field is missing or has an invalid value.
+    """
     return ServiceEntry(
         ServiceId(fields.text("name")),
         int(fields.number("maxConnections", 16.0)),
@@ -55,7 +59,11 @@
     )
 
 
-def _decode_route(fields: Fields) -> Route:
+def decode_route(fields: Fields) -> Route:
+    """Return the route that one entry describes.
+
+    :raises FieldError: a field is missing or has an invalid value.
+    """
     return Route(
         id=RouteId(fields.text("name")),
         host=fields.text("hostname"),
--- a/src/masticgate/process/_command_check.py
+++ b/src/masticgate/process/_command_check.py
@@ -1,4 +1,4 @@
-"""``masticgate check``: validates the operators' text, which configures a deployment."""
+"""``masticgate check``: validates the operators' text or a configuration of gateways."""
 
 from pathlib import Path
 
@@ -7,6 +7,7 @@
 from .._ids import Revision
 from ..version import Accepted, Configuration, Refused, accept_text, compare_configurations
 from ._exit_codes import ExitCode
+from ._gateway_check import is_gateway_configuration, read_file, report_configuration
 
 
 @click.command()
@@ -14,13 +15,22 @@
 @click.option(
     "--against",
     type=click.Path(exists=True, dir_okay=False, path_type=Path),
-    help="The text in force, to show what TEXT would change.",
+    help="The text or configuration in force, to show what TEXT would change.",
 )
-def check(text: Path, against: Path | None) -> None:
-    """Validate the operators' TEXT by the same rules as a host.
+@click.option(
+    "--json", "as_json", is_flag=True, help="Print the findings as a list; for a configuration."
+)
+def check(text: Path, against: Path | None, as_json: bool) -> None:
+    """Validate the operators' TEXT, or a configuration of gateways, by the rules of a host.
 
-    Exit status 0: hosts accept it; 5: hosts refuse it or the text given by --against.
+    Exit status of a text 0: hosts accept it; 5: hosts refuse it or the text given by --against.
+    Exit status of a configuration 0: no faults; 1: faults; 2: a file cannot be read.
     """
+    data = read_file(text)
+    if is_gateway_configuration(data):
+        report_configuration(text, data, against, as_json)
+    if as_json:
+        raise click.UsageError("--json is only for a configuration of gateways")
     configuration = _accept(text)
     services = sum(bool(s.searchers) for s in configuration.services.values())
     searchers = sum(len(s.searchers) for s in configuration.services.values())
