--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -25,10 +25,10 @@
     UnreadableItem,
 )
 from .._backoff import Backoff
+from ._catalogue_log import CatalogueLog
 from ._fleet import Fleet
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
-from ._relay import CatalogueLog
 from .evacuation import EvacuationApplier
 from .store_view import StoreView
 
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -13,6 +13,7 @@
 from ...request.gateway import Inbox, LocalPage, Reply, Request
 from ...version.gateway import Limits, PlatformSource, PublishedConfiguration
 from ._allocator import limit_arenas
+from ._catalogue_log import MAX_PLATFORM_AGE
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
@@ -24,7 +25,7 @@
 from ._process_files import read_descriptor_limit
 from ._process_reports import ProcessReport
 from ._process_watch import ProcessWatch
-from ._relay import MAX_PLATFORM_AGE, RelayedSource
+from ._relay import RelayedSource
 from ._service import GatewayService, GatewayView
 from ._settings import GatewaySettings, HostCapacity
 from ._supervisor import Supervisor
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -31,6 +31,7 @@
     Shards,
     Split,
 )
+from ._catalogue_log import CATALOGUE_HOST, CatalogueLog
 from ._fleet import Fleet
 from ._heartbeat_codec import HEARTBEAT_HOST
 from ._log import EventLog, LogEvent
@@ -40,7 +41,6 @@
 from ._peers import Peers
 from ._permits import NoPermits, OwnGatherings
 from ._planner import plan_parts, plan_whole
-from ._relay import CATALOGUE_HOST, CatalogueLog
 from .startup import StartupStep
 
 STOPPING_RETRY_AFTER = Millis(50.0)
--- a/tests/gateway/test_cold_searchers.py
+++ b/tests/gateway/test_cold_searchers.py
@@ -19,9 +19,9 @@
 from masticgate.platform._names import HEADER_NAMES as PLATFORM_HEADER_NAMES
 from masticgate.platform._node_file import read_node_file
 from masticgate.process.gateway import PublishedConfiguration, SearcherListed
+from masticgate.process.gateway._catalogue_log import CatalogueLog
 from masticgate.process.gateway._heartbeat_codec import decode_position
 from masticgate.process.gateway._membership import HEARTBEAT_INTERVAL, Heartbeat, Membership
-from masticgate.process.gateway._relay import CatalogueLog
 from masticgate.process.gateway.searchers import ColdBound, ColdGuard, ColdLimits, SenderKind
 from masticgate.process.gateway.searchers._cold import (
     COUNT_MEMORY,
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -22,8 +22,8 @@
     Unavailable,
     UnreadableItem,
 )
+from masticgate.process.gateway._catalogue_log import CatalogueLog
 from masticgate.process.gateway._log import LogEvent
-from masticgate.process.gateway._relay import CatalogueLog
 from masticgate.process.gateway.evacuation import MAX_EVACUATIONS, EvacuatedDomains
 from masticgate.request.gateway import Call, Lost, Refused, Repeat, run_forward
 from masticgate.version.gateway import PEER_SERVICE, Shards
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -27,10 +27,11 @@
     SearcherUnlisted,
     Unavailable,
     UnreadableItem,
-    _relay,
+    _catalogue_log,
 )
+from masticgate.process.gateway._catalogue_log import CatalogueLog
 from masticgate.process.gateway._log import EventLog
-from masticgate.process.gateway._relay import CatalogueLog, RelayedSource
+from masticgate.process.gateway._relay import RelayedSource
 from masticgate.request.gateway import Request
 from masticgate.version.gateway import Idempotency, Shards, Split, WeightedService
 
@@ -155,7 +156,7 @@
         def read():
             bodies.append(request_catalogue(catalogue, "compressed=1").body)
 
-        monkeypatch.setattr(_relay, "encode_update", encode)
+        monkeypatch.setattr(_catalogue_log, "encode_update", encode)
         readers = [Thread(target=read) for _ in range(8)]
         for reader in readers:
             reader.start()
--- a/tests/gateway/test_store_contact.py
+++ b/tests/gateway/test_store_contact.py
@@ -19,11 +19,12 @@
     Unavailable,
     _relay,
 )
+from masticgate.process.gateway._catalogue_log import MAX_PLATFORM_AGE, CatalogueLog
 from masticgate.process.gateway._gatherers import Gatherer
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._naming import GatherAtPeers, GatherHere
 from masticgate.process.gateway._peers import Peers
-from masticgate.process.gateway._relay import MAX_PLATFORM_AGE, CatalogueLog, RelayedSource
+from masticgate.process.gateway._relay import RelayedSource
 from masticgate.process.gateway.startup import (
     LOST_AGE,
     MAX_GATHERING_AGE,
--- a/tests/gateway/test_store_era.py
+++ b/tests/gateway/test_store_era.py
@@ -24,8 +24,9 @@
     SearcherUnlisted,
     Unavailable,
 )
+from masticgate.process.gateway._catalogue_log import CatalogueLog
 from masticgate.process.gateway._log import EventLog
-from masticgate.process.gateway._relay import CatalogueLog, RelayedSource
+from masticgate.process.gateway._relay import RelayedSource
 from masticgate.process.gateway.store_view import MAX_DEPARTURES, EraBegun, StoreView
 from masticgate.version.gateway import Change
 from tests.platform.test_items import CONFIG, ENTRY
