--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -14,6 +14,7 @@
 from ..._ids import Address, FailureDomainId, HostId, Millis
 from ...request.gateway import LocalPage, Request
 from ...version.gateway import RouteTable
+from ._cold_senders import ColdSenders
 from ._fleet import Fleet
 from ._gatherers import Gatherer, Member, choose_gatherers
 from ._heartbeat_codec import (
@@ -36,7 +37,6 @@
 from ._slow_reports import SlowReports
 from ._startup_progress import StartupProgress
 from ._supervisor import Supervisor
-from .searchers import SETTLING_TIME, SenderKind
 from .startup import NamingPhase, NamingRule, StartupStep, is_outdated, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
@@ -99,6 +99,7 @@
         self.started_at = clock.now()
         self.startup = StartupProgress(clock, fleet.metrics)
         self.membership = Membership()
+        self.cold_senders = ColdSenders(self.membership, fleet, clock)
         self.names = GathererNames(fleet, log)
         self.slow_reports = SlowReports(fleet)
         self.relay_domains: dict[Address, FailureDomainId] = {}
@@ -178,7 +179,7 @@
             self.naming_rule.record_report(heartbeat.known_members)
             members = self.membership.count(heartbeat.received_at)
             self.naming_rule.record_heard(members, heartbeat.received_at)
-            position = self._position_of(host) if recorded else None
+            position = self.cold_senders.position_of(host) if recorded else None
             previous = self.processes.find_before(host) if "previous" in query else None
         if before is None or before.member != heartbeat.member:
             self.naming_due.set()
@@ -219,16 +220,8 @@
         with self.lock:
             seeds = set(self.settings.seeds) - {self.settings.peer_address}
             conclusion = self.previous_end.conclude(seeds, now)
-        if conclusion is None:
-            return
-        ended = conclusion.ended
-        fields = ended.log_fields(now) if ended is not None else {}
-        self.log.write(
-            LogEvent.PREVIOUS_END,
-            known=ended is not None,
-            seeds_answered=conclusion.answered,
-            **fields,
-        )
+        if conclusion is not None:
+            self.log.write(LogEvent.PREVIOUS_END, **conclusion.log_fields(now))
 
     def find_relays(self) -> list[Address]:
         """Return the seeds that relay the catalogue, those in this gateway's domain first.
@@ -316,8 +309,9 @@
         )
         self.names.record(self.settings.peer_address, named)
         with self.lock:
-            position = self._own_position()
-        self._record_senders(self.settings.peer_address, named, position)
+            position = self.cold_senders.own_position()
+        own_address = self.settings.peer_address
+        self.cold_senders.record(own_address, own_address, named, position)
 
     def _record_members(self, seed: Address, members: int) -> None:
         """Record how many gateways a seed has heard of; the lock is held."""
@@ -394,7 +388,8 @@
                 self.naming_rule.record_report(reply.members)
         if reply.gatherers is not None:
             self.names.record(seed, reply.gatherers, reply.digest)
-        self._record_senders(seed, self.names.named_by(seed), reply.position)
+        own_address, named = self.settings.peer_address, self.names.named_by(seed)
+        self.cold_senders.record(seed, own_address, named, reply.position)
         if self.names.apply(self.settings.peer_address) or was_alone:
             self.update_gathering()
         self.slow_reports.apply_reply(reply.slow)
@@ -402,30 +397,3 @@
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
         return Member(settings.host, address, settings.domain, settings.capacity.gathering_rate)
-
-    def _is_settled(self) -> bool:
-        """Return whether this seed can have heard from every gateway since its start."""
-        return self.clock.now() - self.started_at >= SETTLING_TIME
-
-    def _record_senders(
-        self, seed: Address, named: frozenset[Gatherer], position: tuple[int, int] | None
-    ) -> None:
-        """Record the gateways by whose number a seed divides what cold searchers may be sent."""
-        own = str(self.settings.peer_address)
-        gatherers = {str(gatherer.address) for gatherer in named}
-        own_gatherer = own if own in gatherers else None
-        self.fleet.record_senders(seed, SenderKind.GATHERERS, own_gatherer, gatherers)
-        if position is not None:
-            senders = [str(number) for number in range(position[1])]
-            self.fleet.record_senders(seed, SenderKind.ALL, str(position[0]), senders)
-
-    def _own_position(self) -> tuple[int, int] | None:
-        """Return the position of this seed among the gateways that it counts."""
-        return (0, self.membership.position_count()) if self._is_settled() else None
-
-    def _position_of(self, host: HostId) -> tuple[int, int] | None:
-        """Return the position of another gateway among those that this seed counts."""
-        position = self.membership.positions.get(host)
-        if position is None or not self._is_settled():
-            return None
-        return position, self.membership.position_count()
--- a/src/masticgate/process/gateway/_previous_processes.py
+++ b/src/masticgate/process/gateway/_previous_processes.py
@@ -81,6 +81,12 @@
     ended: EndedProcess | None
     answered: int
 
+    def log_fields(self, now: Millis) -> dict[str, object]:
+        """Return the fields of a log line that state this."""
+        known = self.ended is not None
+        fields = self.ended.log_fields(now) if self.ended is not None else {}
+        return {"known": known, "seeds_answered": self.answered, **fields}
+
 
 class PreviousEndQuestion:
     """Asks the seeds how this host's process before ended; a lock of its user guards it."""
