--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -4,12 +4,11 @@
 earlier attempt has no response yet, or a retry, which is sent after an attempt failed.
 """
 
-from collections.abc import Collection, Sequence
-from threading import Lock
+from collections.abc import Sequence
 
 from ..._clock import Clock
 from ..._failures import NotRun, Reason, Step
-from ..._ids import Address, FailureDomainId, Millis, SearcherId, ServiceId
+from ..._ids import FailureDomainId, Millis, SearcherId, ServiceId
 from ...connection.gateway import (
     UNLIMITED_MEMORY,
     ColdReported,
@@ -26,35 +25,29 @@
 )
 from ...request.gateway import Call, Decision, InFlightCall, Refuse, Request, Urgency
 from ...version.gateway import (
-    MAX_SEARCHERS,
     PEER_SERVICE,
     Route,
     RouteTable,
-    SearcherEntry,
-    ServiceEntry,
 )
-from ._choice import choose_replica, may_hedge_at_once, usable_domains
+from ._choice import choose_replica, may_hedge_at_once
 from ._connection_limits import max_connections
 from ._connections import Connections
 from ._dispatched_call import DispatchedCall
 from ._hedge_delays import HedgeDelays
 from ._hedge_delays import peer_route_id as peer_route_id
-from ._listings import LAST_RESORT_SHARE, Listings
+from ._known_searchers import KnownSearchers
 from ._log import EventLog
 from ._metrics import Metrics
 from ._outcomes import Outcomes
 from ._repeat_budgets import RepeatBudgets
-from ._replica import Replica
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
-from ._unserved import UnservedServices
 from ._violations import record_violation
 from ._warm_connections import WarmConnections
 from .admission import Gate
-from .searchers import ColdBound, ColdLimits, SenderKind
 
 
-class Fleet:
+class Fleet(KnownSearchers):
     """All searchers that the platform lists, and the gatherers; one lock guards their state.
 
     A gatherer is a gateway that sends parts of queries to the searchers of some shards for this
@@ -63,9 +56,8 @@
     :meth:`record_violation`.
 
     ``accepted_connections`` maps each service to the number of connections that one of its
-    searchers accepts from all gateways together. ``services`` and ``replicas`` are those of
-    ``listings``, and ``tasks`` those of ``connections``. ``outcomes``
-    updates searchers by the outcomes of calls.
+    searchers accepts from all gateways together. ``tasks`` are those of ``connections``.
+    ``outcomes`` updates searchers by the outcomes of calls.
     """
 
     def __init__(
@@ -78,26 +70,15 @@
         metrics: Metrics,
         memory: MemoryBudget = UNLIMITED_MEMORY,
     ) -> None:
-        self.settings = settings
-        self.clock = clock
-        self.log = log
-        self.metrics = metrics
-        self.lock = Lock()
-        self.cold_limits = ColdLimits(settings.seeds)
-        self.listings = Listings(clock, log, self._max_connections, self.cold_limits)
-        self.services = self.listings.services
-        self.replicas = self.listings.replicas
+        super().__init__(settings, clock, log, metrics, self._max_connections)
         self.connections = Connections(header_names, self, clock, starter, log, memory)
         self.tasks = self.connections.tasks
         self.accepted_connections: dict[ServiceId, int] = {}
-        self.shard_services: set[ServiceId] = set()
-        self.services_with_cold_bound: dict[ServiceId, ServiceEntry] = {}
         self.shard_domains: dict[ServiceId, frozenset[FailureDomainId]] = {}
         self.shares = GatewayShares(1, (), settings.domain, False)
         self.budgets = RepeatBudgets(settings.repeats, self.shares, clock.now())
         self.hedge_delays = HedgeDelays()
         self.outcomes = Outcomes(self.hedge_delays, self.listings, log, metrics)
-        self.unserved = UnservedServices(self.listings)
         self.gate = Gate(self.listings.of_service, self.hedge_delays, clock, metrics)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -196,22 +177,6 @@
                 self.gate.has_room(service, others)
             )
 
-    def unservable(self, services: Sequence[ServiceId]) -> list[ServiceId]:
-        """Return those of ``services`` whose searchers all leave or pause, or that have none."""
-        if not self.unserved.services:
-            return []
-        with self.lock:
-            return self.unserved.find(services, self.clock.now())
-
-    def retry_after(self, service: ServiceId) -> Millis | None:
-        """Return when a searcher of ``service`` may accept a request again, in milliseconds.
-
-        The result is ``None`` unless all of them leave or want a pause, or there is none. It is
-        spread, so that refused callers do not return together.
-        """
-        with self.lock:
-            return self.unserved.retry_after(service, self.clock.now())
-
     def record_overdue(self, call: InFlightCall) -> None:
         """Prefer other searchers while the one of ``call`` has not answered it."""
         with self.lock:
@@ -307,10 +272,6 @@
                         if known is not None:
                             self._record_departure(known, f"{replica.entry.id} says so")
 
-    def _record_departure(self, replica: Replica, why: str) -> None:
-        self.listings.record_departure(replica, why, self.settings.drain)
-        self.unserved.update([replica.entry.service], self.clock.now())
-
     def record_violation(self, task: SearcherTask, violation: ProtocolViolation) -> None:
         """Log and count bytes that do not belong to the response to a call."""
         record_violation(task, violation, self.log, self.metrics)
@@ -344,27 +305,6 @@
             self._apply_shares(shares)
         self.warm_up()
 
-    def record_senders(
-        self, seed: Address, kind: SenderKind, own: str | None, senders: Collection[str]
-    ) -> None:
-        """Record the gateways that a seed counts as senders, and the name of this one."""
-        with self.lock:
-            self.cold_limits.record(seed, kind, own, senders, self.clock.now())
-
-    def _apply_cold_bounds(self) -> None:
-        margin = self.settings.cold
-        bounds = {
-            service.id: ColdBound(service.cold_rate, margin.over, margin.slack, service.cold_time)
-            for service in self.services_with_cold_bound.values()
-        }
-        self.cold_limits.apply(self.settings.seeds, bounds, self.shard_services)
-
-    def _count_cold_refusal(self, service: ServiceId) -> None:
-        """Count a request that could not be sent since a searcher is cold; the lock is held."""
-        now = self.clock.now()
-        if any(replica.cold_wait(now) for replica in self.listings.of_service(service)):
-            self.metrics.count("cold_refused")
-
     def warm_up(self) -> None:
         """Open a connection to each searcher that is kept warm and has none.
 
@@ -374,77 +314,6 @@
             for replica in self._warm_connections().find_missing(self.clock.now()):
                 self.connections.open(replica)
 
-    def has_room(self, searcher: SearcherId) -> bool:
-        """Return whether a listing of ``searcher`` can be applied.
-
-        That is the case if the searcher is known, or the number of searchers is below its bound.
-        """
-        with self.lock:
-            return searcher in self.replicas or len(self.replicas) < MAX_SEARCHERS
-
-    def apply_listing(self, entry: SearcherEntry) -> None:
-        """Apply the present listing of a searcher, unless it is outdated."""
-        with self.lock:
-            self.listings.apply(entry, self.settings.drain)
-
-    def remove_searcher(
-        self, searcher: SearcherId, why: str, usable_time: Millis | None = None
-    ) -> SearcherEntry | None:
-        """Stop using a searcher and return its last listing; ``why`` is written to the log.
-
-        It is still used for ``usable_time`` if there is no other; the default is
-        ``LAST_RESORT_SHARE`` of the ``drain`` setting.
-        """
-        if usable_time is None:
-            usable_time = Millis(self.settings.drain * LAST_RESORT_SHARE)
-        with self.lock:
-            replica = self.replicas.get(searcher)
-            if replica is None:
-                return None
-            self.listings.start_leaving(replica, why, usable_time)
-            return replica.entry
-
-    def evacuate(self, domain: FailureDomainId) -> bool:
-        """Send nothing to the searchers of a domain; return ``False`` if that is so already."""
-        with self.lock:
-            services = self.listings.evacuate(domain)
-            self.unserved.update(services or (), self.clock.now())
-        return services is not None
-
-    def end_evacuation(self, domain: FailureDomainId) -> bool:
-        """Use the searchers of a domain again; return whether it was evacuated."""
-        with self.lock:
-            return self.listings.evacuated.end(domain)
-
-    def find_unlisted(self, listed: set[SearcherId]) -> set[SearcherId]:
-        """Return the searchers that this gateway uses although they are not in ``listed``.
-
-        Gatherers are left out, since the platform does not list them.
-        """
-        with self.lock:
-            return self.listings.find_unlisted(listed)
-
-    def searcher_domains(self, services: Sequence[ServiceId]) -> list[set[FailureDomainId]]:
-        """Return the failure domains in which each service has usable searchers.
-
-        Gatherers in a domain whose searchers are withheld gather its shards from other domains.
-        """
-        now = self.clock.now()
-        with self.lock:
-            return [usable_domains(self.listings.of_service(service), now) for service in services]
-
-    def domains_of_shards(self) -> set[FailureDomainId]:
-        """Return the failure domains that have listed searchers of shards."""
-        with self.lock:
-            return set[FailureDomainId]().union(
-                *self.listings.domains(self.shard_services).values()
-            )
-
-    def searcher_count(self, service: ServiceId) -> int:
-        """Return the number of searchers of a service that are listed or about to leave."""
-        with self.lock:
-            return len(self.listings.of_service(service))
-
     def maintain(self) -> None:
         """Do the regular maintenance of searchers and connections.
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -11,7 +11,7 @@
     SearcherUnlisted,
     Unavailable,
     UnreadableItem,
-    _fleet,
+    _known_searchers,
 )
 from masticgate.process.gateway._follower import Follower
 from masticgate.process.gateway._log import EventLog
@@ -302,7 +302,7 @@
 
     def test_listings_without_end_are_applied_up_to_a_number(self, monkeypatch):
         """Guard against listings of another writer that take all memory."""
-        monkeypatch.setattr(_fleet, "MAX_SEARCHERS", 100)
+        monkeypatch.setattr(_known_searchers, "MAX_SEARCHERS", 100)
         flood = [SearcherListed(make_entry(f"flood-{number}")) for number in range(300)]
         follower, fleet, _ = follow(
             (0, contents(SearcherListed(make_entry("a")))),
