--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -5,13 +5,13 @@
 part of the shards; it merges their records, and this gateway merges the parts.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import replace
 
-from ..._failures import NotRun, Reason, Step, Unknown
-from ..._ids import Millis, SearcherId, ServiceId
+from ..._failures import Reason, Step, Unknown
+from ..._ids import Millis, SearcherId
 from ...version.gateway import Route, Shards
-from ._answer_times import RETRY_AFTER, answer_time, batch_size, least_answers, retry_after
+from ._answer_times import answer_time, batch_size, least_answers
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -25,10 +25,11 @@
 )
 from ._gather_log import describe_irregular, describe_missing
 from ._gather_plan import GatherPlan
+from ._gather_refusal import longest_wait, refuse_unsent, refuse_unservable
 from ._hedging import MAX_HEDGES, HedgeSchedule, Urgency, hedge_urgency
 from ._parts import PartAttempts, PartSender
 from ._records import merge_records
-from ._reply import Abandoned, Failed, Merged, Refused, Reply
+from ._reply import Abandoned, Failed, Merged, Reply
 
 
 def run_gather(
@@ -109,7 +110,10 @@
         passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered. Answers
         that have arrived by then are merged.
         """
-        refusal = self._refuse_unservable()
+        services = [self.shards.services[position] for position in self.plan.here]
+        refusal = refuse_unservable(
+            self.request, self.route, services, self.upstream, len(self.positions), self.min_answers
+        )
         if refusal is not None:
             return refusal
         self.hedging.record_sent(self.upstream.now())
@@ -136,32 +140,6 @@
                 case None:
                     self._handle_time()
 
-    def _refuse_unservable(self) -> Reply | None:
-        """Refuse the query at once if too many shards to gather here cannot serve it in time.
-
-        Their searchers leave, want a pause, or have no room before the query's deadline.
-        """
-        services = [self.shards.services[position] for position in self.plan.here]
-        unservable = self.upstream.unservable(services)
-        if unservable and len(self.positions) - len(unservable) < self.min_answers:
-            detail = f"{len(unservable)} shards without a searcher that accepts queries"
-            failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, unservable[0], detail)
-            return Refused(503, failure, self._retry_after(unservable, len(self.positions)))
-        needed = self.min_answers - (len(self.positions) - len(services))
-        refusal = self.upstream.admit_query(self.request, self.route, services, needed)
-        if refusal is None:
-            return None
-        failure = NotRun(Reason.OVERLOAD, Step.ADMISSION, detail=refusal.why)
-        return Refused(503, failure, refusal.retry_after, room=refusal.room)
-
-    def _retry_after(self, missing: Sequence[ServiceId], reachable: int) -> Millis:
-        """Return when enough of the ``missing`` shards may have a searcher again.
-
-        ``reachable`` counts all shards of the query, the missing ones included.
-        """
-        waits = [self.upstream.retry_after(service) for service in missing]
-        return retry_after(waits, self.min_answers - (reachable - len(missing)))
-
     def release_permit(self) -> None:
         """Return the permit to gather parts here, if one was taken."""
         if self.has_permit and self.plan.permits is not None:
@@ -395,33 +373,17 @@
             describe_missing(missing, self.shards, self.unanswered, self.parts, self.unavailable),
             describe_irregular(self.answers),
             tuple(self.leaving),
-            self._waited(),
+            longest_wait((*self.unanswered.values(), *self.closed_attempts)),
         )
 
-    def _waited(self) -> Millis:
-        """Return the longest time for which a shard waited for room."""
-        shards = (*self.unanswered.values(), *self.closed_attempts)
-        return max((a.waited for a in shards if isinstance(a, Attempts)), default=Millis(0.0))
-
-    def _missing_retry_after(self) -> Millis:
-        """Return when the query may be tried again, as its refused parts and shards have stated."""
-        everything = (*self._waiting(), *self.closed_attempts)
-        stated = [a.retry_after for a in everything if a.retry_after is not None]
-        if stated:
-            return max(stated)
-        missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
-        return self._retry_after(missing, len(self.positions)) if missing else RETRY_AFTER
-
     def _build_failure(self) -> Reply:
         detail = f"{len(self.answered)} of {len(self.positions)} shards answered"
         everything = (*self._waiting(), *self.closed_attempts)
         if not any(attempts.may_have_run for attempts in everything):
-            first = next((attempts.failure for attempts in everything), None)
-            reason = Reason.OVERLOAD if first is None else first.reason
-            step = Step.FORWARD if first is None else first.step
-            peer = "" if first is None else first.peer
-            retry_after = self._missing_retry_after()
-            return Refused(503, NotRun(reason, step, peer, detail), retry_after, self._waited())
+            missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
+            return refuse_unsent(
+                everything, missing, self.upstream, len(self.positions), self.min_answers, detail
+            )
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
