--- a/tests/gateway/test_invalid_statuses.py
+++ b/tests/gateway/test_invalid_statuses.py
@@ -20,6 +20,7 @@
 )
 from masticgate.platform._store import PlatformStore
 from masticgate.process.gateway import Contents, Unavailable
+from masticgate.process.gateway._seed_exchange import SeedExchange
 from masticgate.request.gateway import Answered, Lost
 from masticgate.version.gateway import Idempotency, Shards
 
@@ -231,4 +232,5 @@
         server = StandInSearcher(lambda head: respond(line, b"", reply))
         peers = make_peers(SystemClock(), is_seed=False)
         client = HttpClient(server.address, SystemClock())
-        assert peers._exchange_heartbeat(OTHER_SEED, client, Millis(500.0)) is None
+        exchange = SeedExchange(OTHER_SEED, peers, SystemClock())
+        assert exchange._exchange(client, Millis(500.0)) is None
