--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -37,7 +37,14 @@
 from ._slow_reports import SlowReports
 from ._startup_progress import StartupProgress
 from ._supervisor import Supervisor
-from .startup import NamingPhase, NamingRule, StartupStep, is_outdated, starting_interval
+from .startup import (
+    NO_TABLE_WAIT,
+    NamingPhase,
+    NamingRule,
+    StartupStep,
+    is_outdated,
+    starting_interval,
+)
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -58,10 +65,6 @@
 """A log line quotes at most this much of a name that is invalid."""
 
 
-NO_TABLE_WAIT = Millis(100.0)
-"""How long a seed without a configuration waits before it looks again whether it can name."""
-
-
 class Peers:
     """The state of the other gateways, as far as this gateway knows it.
 
@@ -135,9 +138,7 @@
                 wait = self.naming_rule.time_to_change(self.clock.now())
             if wait is None:
                 return
-            if self.current_table() is None:
-                # Nothing can be named before the configuration is read.
-                wait = max(wait, NO_TABLE_WAIT)
+            wait = wait if self.current_table() is not None else max(wait, NO_TABLE_WAIT)
             self.naming_due.wait(wait / MILLIS_PER_SECOND)
             sleep(MIN_NAMING_INTERVAL / MILLIS_PER_SECOND)
             self.naming_due.clear()
--- a/src/masticgate/process/gateway/startup/_naming_rule.py
+++ b/src/masticgate/process/gateway/startup/_naming_rule.py
@@ -8,6 +8,9 @@
 
 from ...._ids import Millis
 
+NO_TABLE_WAIT = Millis(100.0)
+"""How long a seed without a configuration waits before it looks again whether it can name."""
+
 NAMING_LIMIT = Millis(1_500.0)
 """A seed names gatherers after this time whatever it knows, such as when it hears of nobody."""
 
