--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -37,14 +37,7 @@
 from ._slow_reports import SlowReports
 from ._startup_progress import StartupProgress
 from ._supervisor import Supervisor
-from .startup import (
-    NO_TABLE_WAIT,
-    NamingPhase,
-    NamingRule,
-    StartupStep,
-    is_outdated,
-    starting_interval,
-)
+from .startup import NamingPhase, NamingRule, StartupStep, is_outdated, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -135,10 +128,10 @@
         """
         while True:
             with self.lock:
-                wait = self.naming_rule.time_to_change(self.clock.now())
+                has_table = self.current_table() is not None
+                wait = self.naming_rule.time_to_change(self.clock.now(), has_table=has_table)
             if wait is None:
                 return
-            wait = wait if self.current_table() is not None else max(wait, NO_TABLE_WAIT)
             self.naming_due.wait(wait / MILLIS_PER_SECOND)
             sleep(MIN_NAMING_INTERVAL / MILLIS_PER_SECOND)
             self.naming_due.clear()
--- a/src/masticgate/process/gateway/startup/__init__.py
+++ b/src/masticgate/process/gateway/startup/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from ._naming_rule import NAMING_LIMIT as NAMING_LIMIT
-from ._naming_rule import NO_TABLE_WAIT as NO_TABLE_WAIT
 from ._naming_rule import NamingPhase as NamingPhase
 from ._naming_rule import NamingRule as NamingRule
 from ._pace import STARTUP_TIME as STARTUP_TIME
--- a/src/masticgate/process/gateway/startup/_naming_rule.py
+++ b/src/masticgate/process/gateway/startup/_naming_rule.py
@@ -100,8 +100,11 @@
             self.phase = NamingPhase.SETTLED
         return self.phase
 
-    def time_to_change(self, now: Millis) -> Millis | None:
-        """Return after which time the phase may change without another heartbeat, if ever."""
+    def time_to_change(self, now: Millis, *, has_table: bool = True) -> Millis | None:
+        """Return after which time the phase may change without another heartbeat, if ever.
+
+        Without a configuration, nothing can be named, so that there is no hurry.
+        """
         match self.phase:
             case NamingPhase.HEARING:
                 due = self.started_at + NAMING_LIMIT
@@ -111,7 +114,7 @@
                 due = self.grew_at + SETTLE_TIME
             case NamingPhase.SETTLED:
                 return None
-        return Millis(max(0.0, due - now))
+        return Millis(max(0.0 if has_table else NO_TABLE_WAIT, due - now))
 
     def _knows_enough(self, able: int, now: Millis) -> bool:
         return (
