Report ready only once the listings are read

Cause: a gateway serves queries by the configuration before it has the listings, and was reported ready then, so that callers were sent to it whose single-searcher requests it refused. All crowds of untrusted clients failed at their first request for it. Change: the readiness check waits for the listings. Queries are forwarded before, for callers that come anyway.

--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -28,6 +28,7 @@
 from ._relay import RelayedSource
 from ._service import GatewayService, GatewayView
 from ._settings import GatewaySettings, HostCapacity
+from ._stop_shares import ACCEPT_GRACE_SHARE, FINISH_GRACE_SHARE, REPLY_GRACE_SHARE
 from ._supervisor import Supervisor
 from ._task_pool import TaskPool
 from ._uncaught import UncaughtErrors
@@ -51,24 +52,6 @@
 PAUSE_THRESHOLD = Millis(1_500.0)
 """If two rounds of maintenance start further apart than this, the process was paused."""
 
-ACCEPT_GRACE_SHARE = 0.45
-"""The share of the grace time during which a stopping gateway still accepts connections.
-
-It is long enough for two failed readiness checks, after which no more callers connect.
-"""
-
-FINISH_GRACE_SHARE = 0.92
-"""The share of the grace time after which a gateway no longer waits for requests in progress.
-
-A searcher may be at work until the last sixth of the grace time; its answer has to be passed on.
-"""
-
-REPLY_GRACE_SHARE = 0.96
-"""The share of the grace time until which the last replies are sent.
-
-The rest is for the last log lines.
-"""
-
 STOP_POLL_INTERVAL_S = 0.05
 """The interval at which a stopping gateway checks for requests in progress."""
 
@@ -135,7 +118,7 @@
             self.clock,
             self.log,
             lambda: self.follower.table,
-            lambda: self.follower.has_contents and self._is_ready(),
+            self._has_listings,
             self._is_platform_reachable,
             self._report_process,
             self.follower.age,
@@ -330,8 +313,14 @@
         listening = not any(listener.failure for listener in self.required_listeners)
         return self.follower.table is not None and listening and not self.stopping.is_set()
 
+    def _has_listings(self) -> bool:
+        """Return whether it also knows the searchers, without which it only forwards queries."""
+        return self._is_ready() and self.follower.has_contents
+
     def _ready_page(self, request: Request, inbox: Inbox) -> Reply:
-        return LocalPage(200, b"ready\n") if self._is_ready() else LocalPage(503, b"not ready\n")
+        return (
+            LocalPage(200, b"ready\n") if self._has_listings() else LocalPage(503, b"not ready\n")
+        )
 
     def _metrics_page(self, request: Request, inbox: Inbox) -> Reply:
         return LocalPage(200, self.metrics.render())
@@ -387,8 +376,8 @@
             self.fleet.maintain()
             self.memory_keeper.maintain()
             self._log_listen_failures()
-            if self._is_ready() != self.was_ready:
-                self.was_ready = self._is_ready()
+            if self._has_listings() != self.was_ready:
+                self.was_ready = self._has_listings()
                 self.log.write(LogEvent.READY, ready=self.was_ready)
             self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
             self.metrics.set_gauge("connections_limit", self.callers.max_connections)
