--- a/src/masticgate/connection/gateway/_searcher_notices.py
+++ b/src/masticgate/connection/gateway/_searcher_notices.py
@@ -13,6 +13,7 @@
 from ..._clock import MILLIS_PER_SECOND
 from ..._fields import is_header_text
 from ..._ids import Millis, SearcherId
+from ...version.gateway import MAX_COLD_TIME
 from ._header_names import HeaderNames
 
 UNAVAILABLE = 503
@@ -21,9 +22,18 @@
 SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 """Matches the seconds of a ``Retry-After`` header."""
 
+MILLISECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+"""Matches the time for which a searcher stays cold."""
+
 MAX_PAUSE = Millis(3_600_000.0)
 """The longest pause; a searcher that asks for a longer one gets this."""
 
+NO_ROOM = b"no-room"
+"""Between gateways: the value that marks a part as not run because its searchers have no room.
+
+Any other value of the same header marks it as not run for another reason.
+"""
+
 MAX_LEAVING_SEARCHERS = 32
 """The number of searchers that one reply of a gatherer may say to leave."""
 
@@ -47,7 +57,14 @@
     searchers: tuple[SearcherId, ...]
 
 
-SearcherNotice = Leaving | PauseRequested | OthersLeaving
+@dataclass(frozen=True, slots=True)
+class ColdReported:
+    """The searcher says for how many milliseconds it stays cold; 0 means that it is not."""
+
+    remaining: Millis
+
+
+SearcherNotice = Leaving | PauseRequested | OthersLeaving | ColdReported
 
 
 def decode_notices(
@@ -63,9 +80,20 @@
     searchers = decode_leaving_searchers(headers_by_name.get(names.leaving_searchers, b""))
     if searchers:
         notices.append(OthersLeaving(searchers))
+    cold = decode_cold(headers_by_name.get(names.cold, b"") if names.cold else b"")
+    if cold is not None:
+        notices.append(ColdReported(cold))
     return notices
 
 
+def decode_cold(value: bytes) -> Millis | None:
+    """Return the time in milliseconds that a searcher says it stays cold, or ``None``."""
+    text = value.strip()
+    if not MILLISECONDS.fullmatch(text):
+        return None
+    return min(MAX_COLD_TIME, Millis(float(text)))
+
+
 def decode_pause(value: bytes) -> Millis | None:
     """Return the pause that the value of a ``Retry-After`` header asks for, in milliseconds.
 
@@ -78,6 +106,13 @@
     return Millis(min(MAX_PAUSE, float(text) * MILLIS_PER_SECOND))
 
 
+def decode_retry_after(headers_by_name: Mapping[bytes, bytes], names: HeaderNames) -> Millis | None:
+    """Return when a gatherer that refused a part for lack of room wants it again, if it did."""
+    if headers_by_name.get(names.not_run) != NO_ROOM:
+        return None
+    return decode_pause(headers_by_name.get(b"retry-after", b""))
+
+
 def encode_leaving_searchers(searchers: Iterable[SearcherId]) -> bytes:
     """Return the value of the header by which a gatherer passes on which searchers leave."""
     passed_on = islice(searchers, MAX_LEAVING_SEARCHERS)
--- a/src/masticgate/platform/_names.py
+++ b/src/masticgate/platform/_names.py
@@ -16,8 +16,16 @@
     missing_shards=b"X-Masticgate-Missing-Parts",
     leaving=b"server-leaving",
     pause=b"retry-after",
+    # The remaining time in milliseconds for which the searcher is cold.
+    cold=b"x-masticgate-cold-ms",
 )
 
 CONFIGURATION_KEY = "op/config"
 SEARCHERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
+"""The prefix of the keys that evacuate a failure domain, whose name follows it."""
+
+STORE_ERA_HEADER = b"store-era"
+"""The header of the store's responses with a number that rises when it is restored from a copy."""
+
 ALL_KEYS_PREFIX = ""
--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -12,8 +12,14 @@
 CROSS_DOMAIN_COST = 0.8
 """Added to the cost of a searcher in another failure domain, for its round trip and traffic.
 
-It exceeds the cost that one late answer adds, so that a single late answer of a searcher in the
-gateway's own domain does not move requests to another domain.
+It exceeds what the ordinary variation of latencies adds to the cost of a searcher in the gateway's
+own domain.
+"""
+
+OPENING_COST = 0.3
+"""Added to the cost of a searcher to which no connection is idle, for the time to open one.
+
+It counts for hedges and retries, which have little time left.
 """
 
 MAX_GATHERER_FAILURE_RATE = 0.15
@@ -28,10 +34,12 @@
     now: Millis,
     *,
     is_shard: bool,
+    needs_room: bool = False,
 ) -> Replica | NotRun:
     """Return the best of the ``known`` searchers that is not in ``tried``, or why there is none.
 
-    ``is_shard`` says whether the call is one of a query over many shards.
+    ``is_shard`` says whether the call is one of a query over many shards. If ``needs_room`` is set,
+    a searcher that can accept the call only to let it wait for long does not count.
     """
     untried = [replica for replica in known if replica.entry.id not in tried]
     usable = [replica for replica in untried if replica.is_usable(now)]
@@ -39,26 +47,78 @@
         usable = [
             replica
             for replica in untried
-            if replica.state is ReplicaState.EJECTED and not replica.is_paused(now)
+            if replica.state is ReplicaState.EJECTED and replica.accepts(now)
         ]
     if not usable:
         detail = _describe_known(known, now)
         return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service, detail)
-    free = [replica for replica in usable if replica.has_capacity()]
+    free = [
+        replica
+        for replica in usable
+        if (replica.has_room(now) if needs_room else replica.has_capacity())
+    ]
     if not free:
         return NotRun(Reason.OVERLOAD, Step.CONNECT, call.service, "all connections are busy")
     if call.service == PEER_SERVICE:
         return min(free, key=lambda replica: _gatherer_sort_key(replica, call, now))
-    return min(free, key=lambda replica: _searcher_sort_key(replica, own_domain, now))
+    with_room = [replica for replica in free if replica.has_room(now)]
+    return min(
+        with_room or free, key=lambda replica: _searcher_sort_key(replica, call, own_domain, now)
+    )
+
+
+def may_hedge_at_once(
+    call: Call,
+    chosen: Replica,
+    known: Collection[Replica],
+    tried: Set[SearcherId],
+    now: Millis,
+) -> bool:
+    """Return whether ``chosen`` may well answer late, and the call may be hedged at once for that.
+
+    That takes another searcher with a free slot, so that early hedges stop under load.
+    """
+    if call.service == PEER_SERVICE or not chosen.speed.is_doubtful(now):
+        return False
+    return any(
+        replica is not chosen
+        and replica.entry.id not in tried
+        and replica.is_usable(now)
+        and replica.has_capacity()
+        and replica.in_progress(now) < replica.entry.slots
+        for replica in known
+    )
+
+
+def usable_domains(known: Collection[Replica], now: Millis) -> set[FailureDomainId]:
+    """Return the failure domains whose gatherers can gather from one of the ``known`` searchers.
+
+    A domain whose searchers are evacuated, or cold, is one of them if another domain has a usable
+    searcher: its gatherers send there, and their capacity is not lost with the searchers.
+    """
+    usable: set[FailureDomainId] = set()
+    spared: set[FailureDomainId] = set()
+    for replica in known:
+        if not replica.is_listed:
+            continue
+        if replica.is_usable(now):
+            usable.add(replica.entry.domain)
+        elif replica.is_evacuated() or replica.cold_wait(now):
+            spared.add(replica.entry.domain)
+    return usable | spared if usable else usable
 
 
 def _describe_known(known: Collection[Replica], now: Millis) -> str:
-    """Return how many searchers are known, and how many of them leave or pause."""
+    """Return how many searchers are known, and how many of them leave or are withheld."""
     leaving = sum(not replica.is_listed for replica in known)
     paused = sum(replica.is_paused(now) for replica in known)
+    cold = sum(replica.cold_wait(now) > 0 for replica in known)
+    evacuated = sum(replica.is_evacuated() for replica in known)
     counts = [f"{len(known)} searchers known"]
     counts += [f"{leaving} leave"] if leaving else []
     counts += [f"{paused} paused"] if paused else []
+    counts += [f"{evacuated} evacuated"] if evacuated else []
+    counts += [f"{cold} cold"] if cold else []
     return ", ".join(counts)
 
 
@@ -85,8 +145,15 @@
 
 
 def _searcher_sort_key(
-    replica: Replica, own_domain: FailureDomainId, now: Millis
+    replica: Replica, call: Call, own_domain: FailureDomainId, now: Millis
 ) -> tuple[bool, float]:
-    in_other_domain = replica.entry.domain != own_domain
-    cost = replica.cost(now) + (CROSS_DOMAIN_COST if in_other_domain else 0.0)
+    """Return the key of a searcher; the lowest one is chosen.
+
+    A hedge or retry is no probe, since an earlier attempt is late or failed already.
+    """
+    cost = replica.cost(now, may_probe=call.repeat is None)
+    if replica.entry.domain != own_domain:
+        cost += CROSS_DOMAIN_COST
+    if call.repeat is not None and not replica.idle:
+        cost += OPENING_COST
     return replica.state is ReplicaState.LEAVING, cost
--- a/src/masticgate/process/gateway/_gateway.py
+++ b/src/masticgate/process/gateway/_gateway.py
@@ -1,8 +1,6 @@
 """The gateway process: how it starts, reloads its settings and stops."""
 
 import os
-import resource
-import sys
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -13,8 +11,9 @@
 from ...connection.gateway import CallerSettings, Handler, HeaderNames, Listener, peer_header_names
 from ...connection.gateway._caller import CallerState
 from ...request.gateway import Inbox, LocalPage, Reply, Request
-from ...version.gateway import CatalogueSource, Limits, PlatformSource, RouteTable
+from ...version.gateway import Limits, PlatformSource, PublishedConfiguration
 from ._allocator import limit_arenas
+from ._catalogue_log import MAX_PLATFORM_AGE
 from ._fleet import Fleet
 from ._follower import Follower
 from ._log import EventLog, LogEvent
@@ -23,11 +22,13 @@
 from ._memory_plan import plan_connections, plan_memory
 from ._metrics import Metrics
 from ._peers import Peers
+from ._process_files import read_descriptor_limit
 from ._process_reports import ProcessReport
 from ._process_watch import ProcessWatch
-from ._relay import MAX_PLATFORM_AGE, RelayedSource
+from ._relay import RelayedSource
 from ._service import GatewayService, GatewayView
 from ._settings import GatewaySettings, HostCapacity
+from ._stop_shares import ACCEPT_GRACE_SHARE, FINISH_GRACE_SHARE, REPLY_GRACE_SHARE
 from ._supervisor import Supervisor
 from ._task_pool import TaskPool
 from ._uncaught import UncaughtErrors
@@ -51,24 +52,6 @@
 PAUSE_THRESHOLD = Millis(1_500.0)
 """If two rounds of maintenance start further apart than this, the process was paused."""
 
-ACCEPT_GRACE_SHARE = 0.45
-"""The share of the grace time during which a stopping gateway still accepts connections.
-
-It is long enough for two failed readiness checks, after which no more callers connect.
-"""
-
-FINISH_GRACE_SHARE = 0.92
-"""The share of the grace time after which a gateway no longer waits for requests in progress.
-
-A searcher may be at work until the last sixth of the grace time; its answer has to be passed on.
-"""
-
-REPLY_GRACE_SHARE = 0.96
-"""The share of the grace time until which the last replies are sent.
-
-The rest is for the last log lines.
-"""
-
 STOP_POLL_INTERVAL_S = 0.05
 """The interval at which a stopping gateway checks for requests in progress."""
 
@@ -102,14 +85,30 @@
         self.process = ProcessWatch(settings.capacity, self.log, self.metrics, self._count_work)
         self.memory = ProcessMemory(plan_memory(settings.capacity, 0), self.log, self.metrics)
         self.memory_keeper = MemoryKeeper(self.memory, settings.capacity, self.metrics)
-        limits = plan_connections(settings.capacity, _descriptor_limit())
+        limits = plan_connections(settings.capacity, read_descriptor_limit())
         self.pool = TaskPool(limits.tasks, self.log, self.metrics)
         self.fleet = Fleet(
             settings, header_names, self.clock, self.pool, self.log, self.metrics, self.memory
         )
         self.platform = source
-        catalogue_source = self._make_relayed_source(source) if not settings.is_seed else source
-        self.follower = Follower(catalogue_source, self.fleet, self.clock, self.log, self.metrics)
+        self.source = RelayedSource(
+            source,
+            lambda: self.peers.find_relays(),
+            self.clock,
+            self.log,
+            Event().wait,
+            lambda: self.settings.is_seed,
+            self._handle_early_table,
+        )
+        self.follower = Follower(
+            self.source,
+            self.fleet,
+            self.clock,
+            self.log,
+            self.metrics,
+            lambda: self.peers.handle_catalogue(),
+            self.source.platform_age,
+        )
         self.stopping = Event()
         self.stop_started_at: Millis | None = None
         self.finish_at: Millis | None = None
@@ -118,11 +117,11 @@
             self.fleet,
             self.clock,
             self.log,
-            self._table,
-            self._is_ready,
+            lambda: self.follower.table,
+            self._has_listings,
             self._is_platform_reachable,
             self._report_process,
-            self.stopping,
+            self.follower.age,
         )
         self.service = GatewayService(
             self.fleet,
@@ -204,7 +203,7 @@
 
     def _apply_capacity(self, capacity: HostCapacity) -> None:
         """Limit memory, connections and tasks by the capacity of the host."""
-        limits = plan_connections(capacity, _descriptor_limit())
+        limits = plan_connections(capacity, read_descriptor_limit())
         self.memory_keeper.apply(capacity)
         self.pool.max_tasks = limits.tasks
         self.callers.limit_connections(limits.callers)
@@ -231,6 +230,7 @@
         grace = self.settings.grace
         self.finish_at = Millis(started_at + grace * FINISH_GRACE_SHARE)
         self.stopping.set()
+        self.peers.hurry()
         serving = self.callers.count(CallerState.SERVING)
         self.log.write(LogEvent.STOPPING, serving=serving, **self._read_process())
         self.log.wake()
@@ -293,15 +293,13 @@
         )
         return Listener(address, settings, self.pool, max_connections)
 
-    def _make_relayed_source(self, platform: PlatformSource) -> CatalogueSource:
-        wait = Event().wait
-        return RelayedSource(platform, lambda: self.peers.find_relays(), self.clock, self.log, wait)
-
-    def _table(self) -> RouteTable | None:
-        return self.follower.table
+    def _handle_early_table(self, published: PublishedConfiguration) -> None:
+        """Serve by a configuration whose listings are not read yet."""
+        self.follower.apply_early(published)
+        self.peers.update_gathering()
 
     def _is_platform_reachable(self) -> bool:
-        return self.follower.age() <= MAX_PLATFORM_AGE
+        return self.source.platform_age() <= MAX_PLATFORM_AGE
 
     def _limits(self) -> Limits:
         table = self.follower.table
@@ -315,8 +313,14 @@
         listening = not any(listener.failure for listener in self.required_listeners)
         return self.follower.table is not None and listening and not self.stopping.is_set()
 
+    def _has_listings(self) -> bool:
+        """Return whether it also knows the searchers, without which it only forwards queries."""
+        return self._is_ready() and self.follower.has_contents
+
     def _ready_page(self, request: Request, inbox: Inbox) -> Reply:
-        return LocalPage(200, b"ready\n") if self._is_ready() else LocalPage(503, b"not ready\n")
+        return (
+            LocalPage(200, b"ready\n") if self._has_listings() else LocalPage(503, b"not ready\n")
+        )
 
     def _metrics_page(self, request: Request, inbox: Inbox) -> Reply:
         return LocalPage(200, self.metrics.render())
@@ -372,8 +376,8 @@
             self.fleet.maintain()
             self.memory_keeper.maintain()
             self._log_listen_failures()
-            if self._is_ready() != self.was_ready:
-                self.was_ready = self._is_ready()
+            if self._has_listings() != self.was_ready:
+                self.was_ready = self._has_listings()
                 self.log.write(LogEvent.READY, ready=self.was_ready)
             self.metrics.set_gauge("beliefs_age_ms", self.follower.age())
             self.metrics.set_gauge("connections_limit", self.callers.max_connections)
@@ -382,9 +386,3 @@
             self.metrics.set_gauge("listeners_failed", len(self.listen_failures))
             self.metrics.set_gauge("tasks", threading.active_count())
             self.log.wake()
-
-
-def _descriptor_limit() -> int:
-    """Return how many descriptors the system lets this process open."""
-    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    return sys.maxsize if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/src/masticgate/process/gateway/_peers.py
+++ b/src/masticgate/process/gateway/_peers.py
@@ -5,76 +5,39 @@
 name. The seeds name the gatherers, to which all gateways forward parts of their queries.
 """
 
-import json
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from functools import partial
-from math import isfinite
 from threading import Event, Lock
 from time import sleep
-from urllib.parse import parse_qs
-from zlib import crc32
 
 from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._fields import FieldError, decode_json, is_name
-from ..._ids import Address, FailureDomainId, HostId, Millis, SearcherId
-from ...connection.gateway import GetTimeouts, HttpClient, HttpResponse, parse_address
+from ..._fields import is_name
+from ..._ids import Address, FailureDomainId, HostId, Millis
 from ...request.gateway import LocalPage, Request
-from ...version.gateway import (
-    PEER_SERVICE,
-    Idempotency,
-    OneService,
-    Route,
-    RouteTable,
-    SearcherEntry,
-    SearcherPhase,
+from ...version.gateway import RouteTable
+from ._cold_senders import ColdSenders
+from ._fleet import Fleet
+from ._gatherers import Gatherer, Member, choose_gatherers
+from ._heartbeat_codec import (
+    MAX_NAMED_GATHERERS,
+    AnsweredPrevious,
+    HeartbeatReply,
+    SentHeartbeat,
+    decode_heartbeat,
+    encode_reply,
 )
-from ._fleet import Fleet, peer_route_id
-from ._gatherers import Member, choose_gatherers
 from ._log import EventLog, LogEvent
-from ._membership import (
-    HEARTBEAT_INTERVAL,
-    MAX_HEARTBEAT_INTERVAL,
-    Heartbeat,
-    Membership,
-    heartbeat_interval,
-)
+from ._membership import HEARTBEAT_INTERVAL, Membership, heartbeat_interval
+from ._naming import GatherAtPeers, GathererNames, GatherHere, Gathering
 from ._previous_processes import PreviousEndQuestion, ProcessHistory
-from ._process_reports import (
-    ProcessReport,
-    decode_ended,
-    decode_report,
-    encode_ended,
-    encode_report,
-)
+from ._process_reports import ProcessReport, decode_report
+from ._query import parse_query
+from ._seed_exchange import SeedExchange
 from ._settings import GatewaySettings
 from ._shares import GatewayShares
+from ._slow_reports import SlowReports
+from ._startup_progress import StartupProgress
 from ._supervisor import Supervisor
-
-HEARTBEAT_HOST = "heartbeat.gateway"
-"""The Host header by which a gateway recognizes a heartbeat."""
-
-FIRST_HEARTBEAT_DELAY = Millis(50.0)
-HEARTBEAT_RETRY_INTERVAL = Millis(250.0)
-"""The interval between heartbeats to a seed that does not respond or is not ready.
-
-It is short, so that a starting gateway soon finds the seeds.
-"""
-
-QUICK_RETRIES = 20
-"""After this many missed heartbeats in a row, the retry interval is that of other heartbeats."""
-
-HEARTBEAT_TIMEOUTS = GetTimeouts(Millis(400.0), Millis(400.0))
-"""The timeouts for the connection to a seed, and for its reply to a heartbeat."""
-
-MAX_MISSED_HEARTBEATS = 2
-"""A seed no longer counts as a relay after this many missed heartbeats in a row.
-
-A seed that replies that it is not ready is dropped at once.
-"""
-
-NAMING_DELAY = Millis(1_500.0)
-"""A starting seed names no gatherers before it can have heard from every gateway."""
+from .startup import NamingPhase, NamingRule, StartupStep, is_outdated, starting_interval
 
 WARM_UP_DELAY = Millis(4_000.0)
 """How long a starting gateway waits for the names of the gatherers before it warms up connections.
@@ -88,73 +51,25 @@
 The catalogue is the configuration and the listings of the searchers.
 """
 
-MAX_MEMBERS = 1_000_000
-"""A larger number of members in a reply to a heartbeat is ignored."""
-
-MAX_NAMED_GATHERERS = 1_000
-"""The number of gatherers that a seed names, and that are accepted in one reply to a heartbeat."""
+MIN_NAMING_INTERVAL = Millis(20.0)
+"""The time between two choices of gatherers, at least, while heartbeats arrive at a high rate."""
 
 MAX_LOGGED_CHARACTERS = 100
 """A log line quotes at most this much of a name that is invalid."""
 
-PEER_SLOTS = 64
-"""The number of parts that a gatherer is assumed to run at the same time."""
-
-PEER_ATTEMPTS = 3
-"""The number of gatherers to which one part may be sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class GatherHere:
-    """This gateway gathers shards of its queries itself.
-
-    ``is_gatherer`` says whether it was chosen for that, and then it gathers those in its domain;
-    otherwise it knows of no gatherer, and gathers all.
-    """
-
-    is_gatherer: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class GatherAtPeers:
-    """This gateway forwards all parts of its queries to gatherers."""
-
-
-Gathering = GatherHere | GatherAtPeers
-
-
-@dataclass(frozen=True, slots=True)
-class Gatherer:
-    """A gateway that gathers parts of queries for others, as a seed names it."""
-
-    address: Address
-    domain: FailureDomainId
-
-
-def peer_route(route: Route) -> Route:
-    """Return the route by which parts of queries on ``route`` are forwarded to gatherers.
-
-    It is not idempotent, so that a part is forwarded again only if it did not run.
-    """
-    return replace(
-        route,
-        id=peer_route_id(route.id),
-        kind=Idempotency.NON_IDEMPOTENT,
-        target=OneService(PEER_SERVICE),
-        attempts=PEER_ATTEMPTS,
-    )
-
 
 class Peers:
     """The state of the other gateways, as far as this gateway knows it.
 
-    ``membership`` holds the heartbeats that this gateway receives if it is a seed. ``named`` maps
-    each seed that responds to the gatherers that it names, ``digests`` to the digest of their
-    names, and ``gatherers`` holds all of them; the last ones stay in use while no seed names any.
-    ``relay_domains`` maps each seed that relays the platform's catalogue to its failure domain.
-    ``members`` is the number of running gateways, and ``heard_seeds`` are the seeds to which
-    heartbeats are sent. ``report_process`` returns what they say of this process, and the next ones
-    are sent at once when ``stopping`` is set.
+    ``membership`` holds the heartbeats that this gateway receives if it is a seed, and ``names``
+    the gatherers that the seeds name. ``relay_domains`` maps each seed that relays the platform's
+    catalogue to its failure domain. ``members`` is the number of running gateways, and
+    ``exchanges`` maps each seed to the task that sends it heartbeats. ``report_process`` returns
+    what they say of this process, and ``catalogue_age`` the time since the platform or a relay last
+    answered. ``was_outdated`` is the latest :meth:`is_outdated`. ``naming_rule`` says when this
+    gateway names gatherers if it is a seed, and ``naming_due`` is set when it may name others.
+    ``members_by_seed`` is the number of gateways that each seed states; of a seed that has just
+    started, it is too low.
     """
 
     def __init__(
@@ -167,7 +82,7 @@
         is_ready: Callable[[], bool],
         is_platform_reachable: Callable[[], bool],
         report_process: Callable[[], ProcessReport],
-        stopping: Event,
+        catalogue_age: Callable[[], Millis] = lambda: Millis(0.0),
     ) -> None:
         self.settings = settings
         self.fleet = fleet
@@ -177,25 +92,65 @@
         self.is_ready = is_ready
         self.is_platform_reachable = is_platform_reachable
         self.report_process = report_process
-        self.stopping = stopping
+        self.catalogue_age = catalogue_age
+        self.was_outdated = False
         self.lock = Lock()
-        self.apply_lock = Lock()
+        self.update_lock = Lock()
         self.started_at = clock.now()
+        self.startup = StartupProgress(clock, fleet.metrics)
         self.membership = Membership()
-        self.named: dict[Address, frozenset[Gatherer]] = {}
-        self.digests: dict[Address, str] = {}
-        self.gatherers: frozenset[Gatherer] = frozenset()
+        self.cold_senders = ColdSenders(self.membership, fleet, clock)
+        self.names = GathererNames(fleet, log)
+        self.slow_reports = SlowReports(fleet)
         self.relay_domains: dict[Address, FailureDomainId] = {}
         self.members = 1
+        self.members_by_seed: dict[Address, int] = {}
+        self.naming_rule = NamingRule(clock.now())
+        self.naming_due = Event()
         self.gathering: Gathering = GatherHere()
-        self.heard_seeds: set[Address] = set()
+        self.exchanges: dict[Address, SeedExchange] = {}
         self.processes = ProcessHistory()
         self.previous_end = PreviousEndQuestion(clock.now())
 
     def start(self, supervisor: Supervisor) -> None:
-        """Start a heartbeat task for each seed except this gateway."""
+        """Start a heartbeat task for each seed except this gateway.
+
+        If it is a seed itself, start the task that names gatherers as soon as enough is known.
+        """
+        if self.settings.is_seed:
+            supervisor.start(self.run_naming)
         self.apply_settings(self.settings, supervisor)
 
+    def run_naming(self) -> None:
+        """Name gatherers when what is known of the gateways changes, until all have started.
+
+        Later changes are applied by the regular calls of :meth:`update_gathering`.
+        """
+        while True:
+            with self.lock:
+                has_table = self.current_table() is not None
+                wait = self.naming_rule.time_to_change(self.clock.now(), has_table=has_table)
+            if wait is None:
+                return
+            self.naming_due.wait(wait / MILLIS_PER_SECOND)
+            sleep(MIN_NAMING_INTERVAL / MILLIS_PER_SECOND)
+            self.naming_due.clear()
+            self.update_gathering()
+
+    def hurry(self) -> None:
+        """Send the next heartbeats at once, since the readiness of this gateway has changed."""
+        with self.lock:
+            exchanges = list(self.exchanges.values())
+        for exchange in exchanges:
+            exchange.hurry()
+        self.naming_due.set()
+
+    def handle_catalogue(self) -> None:
+        """Apply what is known to a catalogue that was read as a whole, and tell the seeds."""
+        self.startup.record(StartupStep.LISTINGS)
+        self.hurry()
+        self.update_gathering()
+
     def apply_settings(self, settings: GatewaySettings, supervisor: Supervisor) -> None:
         """Apply changed settings: start a heartbeat task for each seed that has none.
 
@@ -204,42 +159,47 @@
         self.settings = settings
         for seed in settings.seeds:
             with self.lock:
-                is_new = seed != settings.peer_address and seed not in self.heard_seeds
-                if is_new:
-                    self.heard_seeds.add(seed)
-            if is_new:
-                supervisor.start(partial(self._run_heartbeats, seed))
+                if seed == settings.peer_address or seed in self.exchanges:
+                    continue
+                exchange = self.exchanges[seed] = SeedExchange(seed, self, self.clock)
+            supervisor.start(exchange.run)
 
     def handle_heartbeat(self, request: Request) -> LocalPage:
         """Record a heartbeat, and return this gateway's state and the number of gateways.
 
         The reply names the gatherers, unless the heartbeat says that its sender knows them.
         """
-        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        query = parse_query(request.target)
         heartbeat = decode_heartbeat(query, self.clock.now())
         host = HostId(query.get("host", [""])[0])
         self._record_process(host, query)
+        own_address = self.settings.peer_address or Address("")
         with self.lock:
+            before = self.membership.heartbeats.get(host)
             recorded = is_name(host) and self.membership.record(host, heartbeat)
+            self.naming_rule.record_report(heartbeat.known_members)
             members = self.membership.count(heartbeat.received_at)
-            named = self.named.get(self.settings.peer_address or Address(""), frozenset())
+            self.naming_rule.record_heard(members, heartbeat.received_at)
+            position = self.cold_senders.position_of(host) if recorded else None
+            previous = self.processes.find_before(host) if "previous" in query else None
+        if before is None or before.member != heartbeat.member:
+            self.naming_due.set()
         if not recorded:
+            self.fleet.metrics.count("heartbeats_ignored")
             self.log.write(LogEvent.HEARTBEAT_IGNORED, peer=host[:MAX_LOGGED_CHARACTERS])
-        gatherers = sorted([gatherer.address, gatherer.domain] for gatherer in named)
-        digest = digest_gatherers(gatherers)
-        reply: dict[str, object] = {
-            "domain": self.settings.domain,
-            "ready": self.is_ready(),
-            "relays": self.is_ready() and self.is_platform_reachable(),
-            "members": members,
-        }
-        if query.get("known", [""])[0] != digest:
-            reply |= {"gatherers": gatherers, "digest": digest}
-        if "previous" in query:
-            with self.lock:
-                before = self.processes.find_before(host)
-            reply["previous"] = encode_ended(before, self.clock.now())
-        return LocalPage(200, json.dumps(reply, separators=(",", ":")).encode())
+        reply = encode_reply(
+            self.settings.domain,
+            is_ready=self.is_ready(),
+            is_relay=self.is_ready() and self.is_platform_reachable(),
+            members=members,
+            gatherers=self.names.named_by(own_address),
+            known_digest=query.get("known", [""])[0],
+            previous=AnsweredPrevious(previous) if "previous" in query else None,
+            position=position,
+            slow=self.slow_reports.exchange(query["slow"][0]) if "slow" in query else None,
+            now=self.clock.now(),
+        )
+        return LocalPage(200, reply)
 
     def _record_process(self, host: HostId, query: dict[str, list[str]]) -> None:
         """Record what a heartbeat says of its process; log one that came after an unknown end."""
@@ -261,41 +221,54 @@
         with self.lock:
             seeds = set(self.settings.seeds) - {self.settings.peer_address}
             conclusion = self.previous_end.conclude(seeds, now)
-        if conclusion is None:
-            return
-        ended = conclusion.ended
-        fields = ended.log_fields(now) if ended is not None else {}
-        self.log.write(
-            LogEvent.PREVIOUS_END,
-            known=ended is not None,
-            seeds_answered=conclusion.answered,
-            **fields,
-        )
+        if conclusion is not None:
+            self.log.write(LogEvent.PREVIOUS_END, **conclusion.log_fields(now))
 
     def find_relays(self) -> list[Address]:
         """Return the seeds that relay the catalogue, those in this gateway's domain first.
 
-        Return an empty list if this gateway is a seed, or if there are few gateways: each then
-        reads from the platform itself, which saves one hop of delay.
+        Return an empty list if there are few gateways: each then reads from the platform itself,
+        which saves one hop of delay. A seed uses the other seeds' relays only while the platform
+        does not answer it.
         """
         with self.lock:
-            if self.settings.is_seed or self.members < MIN_MEMBERS_TO_RELAY:
+            if self.members < MIN_MEMBERS_TO_RELAY:
                 return []
             relay_domains = dict(self.relay_domains)
         own_domain = self.settings.domain
         return sorted(relay_domains, key=lambda seed: (relay_domains[seed] != own_domain, seed))
 
+    def is_outdated(self) -> bool:
+        """Return whether other gateways have a newer catalogue, so that they gather instead."""
+        return is_outdated(self.catalogue_age(), others_relay=bool(self.find_relays()))
+
     def update_gathering(self) -> None:
-        """Choose where queries are gathered, and apply this gateway's shares; called regularly."""
+        """Choose where queries are gathered, and apply this gateway's shares.
+
+        It is called regularly, and when this gateway learns of other gatherers.
+        """
         table = self.current_table()
         if table is None:
             return
+        self.startup.record(StartupStep.CONFIGURATION)
+        with self.update_lock:
+            self._update_gathering(table)
+
+    def _update_gathering(self, table: RouteTable) -> None:
+        outdated = self.is_outdated()
+        if outdated != self.was_outdated:
+            self.was_outdated = outdated
+            self.hurry()
         if self.settings.is_seed:
             self._name_gatherers(table)
-        self._apply_gatherers()
+        self.names.apply(self.settings.peer_address)
         with self.lock:
-            members, gatherers = self.members, self.gatherers
-        is_gatherer = any(g.address == self.settings.peer_address for g in gatherers)
+            members = self.members
+        gatherers = self.names.gatherers
+        if gatherers:
+            self.startup.record(StartupStep.GATHERERS)
+        others = [g for g in gatherers if g.address != self.settings.peer_address]
+        is_gatherer = len(others) < len(gatherers) and not (outdated and others)
         chosen: Gathering = (
             GatherAtPeers() if gatherers and not is_gatherer else GatherHere(is_gatherer)
         )
@@ -318,34 +291,33 @@
         accepted = [table.services[name].connections for name in shards if name in table.services]
         domains = self.fleet.domains_of_shards()
         with self.lock:
-            self.members = self.membership.count(now)
-            if now - self.started_at < NAMING_DELAY or self.settings.peer_address is None:
+            if self.settings.peer_address is None:
                 return
+            heard = self.membership.count(now)
+            self._record_members(self.settings.peer_address, heard)
             members = self.membership.candidates(now)
-            if self.is_ready():
+            if self.is_ready() and not self.was_outdated:
                 members.append(self._own_member(self.settings.peer_address))
-            chosen = choose_gatherers(members, domains, min(accepted, default=0))
-            chosen = chosen[:MAX_NAMED_GATHERERS]
-            self.named[self.settings.peer_address] = frozenset(
-                Gatherer(member.address, member.domain) for member in chosen
-            )
+            self.naming_rule.record_heard(heard, now)
+            phase = self.naming_rule.update(len(members), now, knows_shards=bool(domains))
+        if phase is NamingPhase.HEARING:
+            return
+        gatherers = self.names.gatherers if phase is NamingPhase.GROWING else ()
+        in_use = {gatherer.address for gatherer in gatherers}
+        chosen = choose_gatherers(members, domains, min(accepted, default=0), in_use)
+        named = frozenset(
+            Gatherer(member.address, member.domain) for member in chosen[:MAX_NAMED_GATHERERS]
+        )
+        self.names.record(self.settings.peer_address, named)
+        with self.lock:
+            position = self.cold_senders.own_position()
+        own_address = self.settings.peer_address
+        self.cold_senders.record(own_address, own_address, named, position)
 
-    def _apply_gatherers(self) -> None:
-        """Send queries to the gatherers that the seeds name now, and no longer to others."""
-        with self.apply_lock:
-            with self.lock:
-                named = frozenset[Gatherer]().union(*self.named.values())
-            if not named:
-                return
-            for gatherer in self.gatherers - named:
-                self.log.write(LogEvent.GATHERER_LOST, peer=gatherer.address)
-                self.fleet.remove_searcher(_peer_id(gatherer.address), "not named by a seed")
-            for gatherer in named - self.gatherers:
-                self.log.write(LogEvent.GATHERER_FOUND, peer=gatherer.address)
-            for gatherer in named:
-                if gatherer.address != self.settings.peer_address:
-                    self.fleet.apply_listing(_gatherer_entry(gatherer))
-            self.gatherers = named
+    def _record_members(self, seed: Address, members: int) -> None:
+        """Record how many gateways a seed has heard of; the lock is held."""
+        self.members_by_seed[seed] = members
+        self.members = max(self.members_by_seed.values())
 
     def _gathers_for_lack_of_seeds(self) -> bool:
         """Return whether no seed is there to name gatherers, in a system of a few gateways."""
@@ -353,54 +325,31 @@
             self.clock.now() - self.started_at > WARM_UP_DELAY
         )
 
-    def _run_heartbeats(self, seed: Address) -> None:
-        """Send heartbeats to one seed until the process ends, or it is no seed any more.
-
-        The seed names gatherers, and may relay the catalogue, while it replies that it is ready.
-        """
-        client = HttpClient(seed, self.clock)
-        misses = MAX_MISSED_HEARTBEATS
-        wait = FIRST_HEARTBEAT_DELAY
-        while self._is_seed(seed):
-            self._wait_for_next_heartbeat(wait)
-            wait = self._next_interval(misses)
-            reply = self._exchange_heartbeat(seed, client, wait)
-            if reply is not None and reply.get("ready") is True:
-                misses = 0
-                self._record_reply(seed, reply)
-                continue
-            misses += 1
-            if reply is not None or misses >= MAX_MISSED_HEARTBEATS:
-                misses = max(misses, MAX_MISSED_HEARTBEATS)
-                with self.lock:
-                    self._forget_seed(seed)
-        client.close()
-
-    def _wait_for_next_heartbeat(self, interval: Millis) -> None:
-        """Wait for ``interval``, or until the gateway begins to stop, of which the seeds learn."""
-        if self.stopping.is_set():
-            sleep(interval / MILLIS_PER_SECOND)
-        else:
-            self.stopping.wait(interval / MILLIS_PER_SECOND)
-
-    def _is_seed(self, seed: Address) -> bool:
+    def is_seed(self, address: Address) -> bool:
         """Return whether the settings name a seed; if they do not, forget it."""
         with self.lock:
-            if seed in self.settings.seeds:
+            if address in self.settings.seeds:
                 return True
-            self.heard_seeds.discard(seed)
-            self._forget_seed(seed)
-            return False
-
-    def _forget_seed(self, seed: Address) -> None:
-        self.relay_domains.pop(seed, None)
-        self.named.pop(seed, None)
-        self.digests.pop(seed, None)
-
-    def _next_interval(self, misses: int) -> Millis:
-        if MAX_MISSED_HEARTBEATS <= misses < MAX_MISSED_HEARTBEATS + QUICK_RETRIES:
-            return HEARTBEAT_RETRY_INTERVAL
-        if not self.gatherers:
+            self.exchanges.pop(address, None)
+        self.forget_seed(address)
+        return False
+
+    def forget_seed(self, seed: Address) -> None:
+        """Forget what a seed stated that is not ready, or does not respond any more."""
+        with self.lock:
+            self.relay_domains.pop(seed, None)
+            self.members_by_seed.pop(seed, None)
+        self.names.forget(seed)
+
+    def starting_interval(self, *, has_replied: bool) -> Millis | None:
+        """Return the interval between heartbeats while this gateway starts, ``None`` after that."""
+        age = Millis(self.clock.now() - self.started_at)
+        knows_gatherers = bool(self.names.gatherers)
+        return starting_interval(age, has_replied=has_replied, knows_gatherers=knows_gatherers)
+
+    def usual_interval(self) -> Millis:
+        """Return the interval between heartbeats to a seed that responds."""
+        if not self.names.gatherers:
             return HEARTBEAT_INTERVAL
         match self.gathering:
             case GatherHere(is_gatherer=is_gatherer):
@@ -408,109 +357,44 @@
             case GatherAtPeers():
                 return heartbeat_interval(self.members, is_gatherer=False)
 
-    def _exchange_heartbeat(
-        self, seed: Address, client: HttpClient, interval: Millis
-    ) -> dict[str, object] | None:
-        """Send one heartbeat; return the decoded reply, or ``None`` if there is no valid one.
+    def make_heartbeat(self, seed: Address, interval: Millis) -> SentHeartbeat:
+        """Return the next heartbeat to a seed, which another one follows after ``interval``."""
+        address = self.settings.peer_address
+        can_gather = self.is_ready() and not self.is_outdated()
+        return SentHeartbeat(
+            self.settings.host,
+            self.report_process(),
+            self._own_member(address) if address is not None and can_gather else None,
+            max(interval, HEARTBEAT_INTERVAL),
+            self.names.digests.get(seed),
+            self.previous_end.is_open,
+            self.members if self.members > 1 else 0,
+            self.slow_reports.encode_own() if isinstance(self.gathering, GatherHere) else None,
+        )
 
-        The next heartbeat follows after ``interval``.
-        """
-        query = self._make_heartbeat(seed, interval)
-        response = client.get(HEARTBEAT_HOST, "/", query, HEARTBEAT_TIMEOUTS)
-        if not isinstance(response, HttpResponse):
-            client.close()
-            return None
-        try:
-            reply = decode_json(response.body)
-        except FieldError:
-            return None
-        if not isinstance(reply, dict):
-            return None
-        if "previous" in query and "previous" in reply:
-            ended = decode_ended(reply["previous"], self.clock.now())
-            with self.lock:
-                self.previous_end.record(seed, ended)
-        return reply
-
-    def _make_heartbeat(self, seed: Address, interval: Millis) -> dict[str, object]:
-        """Return the query of a heartbeat to ``seed``."""
-        query: dict[str, object] = {
-            "host": self.settings.host,
-            "process": encode_report(self.report_process()),
-        }
-        if self.previous_end.is_open:
-            query["previous"] = 1
-        if seed in self.digests:
-            query["known"] = self.digests[seed]
-        if self.settings.peer_address is not None and self.is_ready():
-            own = self._own_member(self.settings.peer_address)
-            query |= {"peer": own.address, "domain": own.domain, "rate": round(own.rate, 1)}
-            query["interval"] = round(interval)
-        return query
+    def record_reply(self, seed: Address, reply: HeartbeatReply) -> None:
+        """Record the reply of a seed, and use the gatherers that it names if it is ready."""
+        with self.lock:
+            if reply.previous is not None and self.previous_end.is_open:
+                self.previous_end.record(seed, reply.previous.ended)
+            if not reply.is_ready:
+                return
+            if reply.relay_domain is not None:
+                self.relay_domains[seed] = reply.relay_domain
+            else:
+                self.relay_domains.pop(seed, None)
+            was_alone = self.members == 1
+            if reply.members is not None:
+                self._record_members(seed, reply.members)
+                self.naming_rule.record_report(reply.members)
+        if reply.gatherers is not None:
+            self.names.record(seed, reply.gatherers, reply.digest)
+        own_address, named = self.settings.peer_address, self.names.named_by(seed)
+        self.cold_senders.record(seed, own_address, named, reply.position)
+        if self.names.apply(self.settings.peer_address) or was_alone:
+            self.update_gathering()
+        self.slow_reports.apply_reply(reply.slow)
 
     def _own_member(self, address: Address) -> Member:
         settings = self.settings
         return Member(settings.host, address, settings.domain, settings.capacity.gathering_rate)
-
-    def _record_reply(self, seed: Address, reply: dict[str, object]) -> None:
-        members, domain, digest = (reply.get(name) for name in ("members", "domain", "digest"))
-        with self.lock:
-            if reply.get("relays") is True and is_name(domain):
-                self.relay_domains[seed] = FailureDomainId(str(domain))
-            else:
-                self.relay_domains.pop(seed, None)
-            if isinstance(members, int) and 0 < members <= MAX_MEMBERS:
-                self.members = members
-            if "gatherers" in reply:
-                self.named[seed] = decode_gatherers(reply["gatherers"])
-                self.digests[seed] = str(digest) if is_name(digest) else ""
-        self._apply_gatherers()
-
-
-def decode_heartbeat(query: dict[str, list[str]], now: Millis) -> Heartbeat:
-    """Return the heartbeat that a query states; one that is invalid states no member."""
-    unknown = Heartbeat(None, HEARTBEAT_INTERVAL, now)
-    try:
-        host, domain = HostId(query["host"][0]), FailureDomainId(query["domain"][0])
-        address = parse_address(query["peer"][0])
-        rate, interval = float(query["rate"][0]), Millis(float(query["interval"][0]))
-    except (KeyError, ValueError):
-        return unknown
-    if address is None or not (0.0 < interval <= MAX_HEARTBEAT_INTERVAL and isfinite(rate)):
-        return unknown
-    if not (is_name(host) and is_name(domain)):
-        return unknown
-    return Heartbeat(Member(host, address, domain, rate), interval, now)
-
-
-def decode_gatherers(value: object) -> frozenset[Gatherer]:
-    """Return the gatherers that a reply to a heartbeat names; invalid ones are left out."""
-    gatherers = set()
-    for item in value[:MAX_NAMED_GATHERERS] if isinstance(value, list) else ():
-        match item:
-            case [text, str(domain)] if (address := parse_address(text)) and is_name(domain):
-                gatherers.add(Gatherer(address, FailureDomainId(domain)))
-    return frozenset(gatherers)
-
-
-def digest_gatherers(gatherers: list[list[str]]) -> str:
-    """Return a short text that differs for different gatherers, so that they are sent once."""
-    return f"{crc32(repr(gatherers).encode()):x}"
-
-
-def _peer_id(address: Address) -> SearcherId:
-    return SearcherId(f"{PEER_SERVICE}/{address}")
-
-
-def _gatherer_entry(gatherer: Gatherer) -> SearcherEntry:
-    """Return a listing for a gatherer, so that the fleet can treat it as a searcher."""
-    return SearcherEntry(
-        _peer_id(gatherer.address),
-        PEER_SERVICE,
-        gatherer.address,
-        gatherer.domain,
-        PEER_SLOTS,
-        SearcherPhase.READY,
-        Millis(0.0),
-        0,
-    )
--- a/src/masticgate/process/gateway/_relay.py
+++ b/src/masticgate/process/gateway/_relay.py
@@ -1,19 +1,15 @@
 """Relays the platform's catalogue between gateways, so that only a few read from the platform.
 
 The catalogue is the configuration and the listings of the searchers. A relay keeps the catalogue
-and its latest changes, and serves them to the other gateways over HTTP.
+and its latest changes in a ``CatalogueLog``, and serves them to the other gateways over HTTP.
 """
 
-import random
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from threading import Condition, Lock
+from math import inf
 from time import monotonic
-from urllib.parse import parse_qs
 
-from ..._clock import MILLIS_PER_SECOND, Clock
-from ..._ids import Address, Millis, Revision
+from ..._clock import Clock
+from ..._ids import Address, Millis, Revision, StoreEra
 from ...connection.gateway import (
     CatalogueUpdate,
     GetTimeouts,
@@ -21,39 +17,18 @@
     HttpResponse,
     InvalidCatalogueError,
     decode_changes,
-    encode_change,
-    encode_update,
-    parse_number,
 )
-from ...request.gateway import LocalPage, Request
 from ...version.gateway import (
-    Change,
     Changes,
     Contents,
     HistoryGone,
     PlatformSource,
     PublishedConfiguration,
-    SearcherListed,
-    SearcherUnlisted,
     Unavailable,
-    UnreadableItem,
 )
+from ._catalogue_log import CATALOGUE_HOST
 from ._log import EventLog, LogEvent
-
-CATALOGUE_HOST = "catalogue.gateway"
-"""The Host header by which a relay recognizes a read or a watch of the catalogue."""
-
-MAX_CHANGES = 2_000
-"""The number of changes that a relay keeps.
-
-A gateway that is further behind has to read the whole catalogue.
-"""
-
-MAX_WATCH_WAIT = Millis(5_000.0)
-"""The upper bound on the wait that a watch may request."""
-
-MAX_PLATFORM_AGE = Millis(2_600.0)
-"""A relay serves nothing once its last successful read or watch is older than this."""
+from .startup import StoreContact
 
 RELAY_RETRY_INTERVAL = Millis(3_000.0)
 """How long a gateway watches the platform itself before it switches to a relay again."""
@@ -62,6 +37,13 @@
 WATCH_MARGIN = Millis(500.0)
 """The timeout of a watch is its wait plus this margin."""
 
+SEED_WATCH_WAIT = Millis(1_000.0)
+"""The longest wait of a watch by a seed at another seed's relay.
+
+A call to a silent store takes 1 s between two watches. The catalogue is then at most 2.4 s old,
+with the pause of 0.4 s after changes.
+"""
+
 CONNECT_TIMEOUT = Millis(300.0)
 START_ATTEMPTS = 2
 """The number of times that a starting gateway waits for a relay before it reads the platform."""
@@ -76,141 +58,16 @@
 A read of the catalogue from the platform then takes only a few calls.
 """
 
-HTTP_GONE = 410
-
-
-@dataclass(slots=True)
-class LoggedChange:
-    """One change as a JSON value, or ``None`` if a later change has replaced it."""
-
-    number: int
-    value: object | None
-
-
-@dataclass(frozen=True, slots=True)
-class EncodedContents:
-    """The compressed text of the whole catalogue as of one change."""
-
-    number: int
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class EncodedChanges:
-    """The text of the changes after ``after``, up to and including ``number``."""
-
-    after: int
-    number: int
-    body: bytes
-
-
-class CatalogueLog:
-    """The published catalogue and its latest changes, as JSON values for other gateways.
-
-    ``number`` counts the changes since the start of this gateway, and ``epoch`` identifies that
-    start. ``age`` returns the time since the last successful read or watch. ``table_change`` is the
-    latest change of the configuration. It is the only one with a value, since each configuration
-    replaces the one before and is large. ``encoded`` is the text that reads of the whole catalogue
-    share until it changes; ``encoding_lock`` is held while one is made, which takes many times the
-    memory of the text itself. ``encoded_changes`` is the text that was made last for a watch, since
-    most watches wait for the same change.
-    """
-
-    def __init__(self, age: Callable[[], Millis]) -> None:
-        self.age = age
-        self.changed = Condition()
-        self.epoch = f"{random.getrandbits(48):x}"
-        self.number = 0
-        self.state: dict[str, object] = {}
-        self.changes: deque[LoggedChange] = deque(maxlen=MAX_CHANGES)
-        self.table_change = LoggedChange(0, None)
-        self.encoding_lock = Lock()
-        self.encoded: EncodedContents | None = None
-        self.encoded_changes: EncodedChanges | None = None
-
-    def add(self, change: Change) -> None:
-        """Apply one published change, and wake the watches that wait for it."""
-        value = encode_change(change)
-        with self.changed:
-            self.number += 1
-            logged = LoggedChange(self.number, value)
-            match change:
-                case PublishedConfiguration():
-                    self.state["table"] = value
-                    self.table_change.value = None
-                    self.table_change = logged
-                case SearcherListed(entry=entry):
-                    self.state[f"searcher {entry.id}"] = value
-                case SearcherUnlisted(searcher=searcher) | UnreadableItem(searcher=searcher):
-                    self.state.pop(f"searcher {searcher}", None)
-            self.changes.append(logged)
-            self.changed.notify_all()
-
-    def lists(self, listing: SearcherListed) -> bool:
-        """Return whether the catalogue has this listing already, so that it is no change."""
-        with self.changed:
-            return bool(self.state.get(f"searcher {listing.entry.id}") == encode_change(listing))
-
-    def handle_request(self, request: Request) -> LocalPage:
-        """Return the reply to a read or a watch.
-
-        A watch blocks until there is a change or its wait is over.
-        """
-        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
-        after = parse_number(query.get("after", [""])[0].encode())
-        if self.age() > MAX_PLATFORM_AGE:
-            return LocalPage(503, b"the platform is unavailable")
-        compressed = query.get("compressed", ["0"])[0] == "1"
-        if after is None:
-            return self._reply_with_contents(compressed=compressed)
-        wait = parse_number(query.get("wait", ["0"])[0].encode())
-        if query.get("epoch", [""])[0] != self.epoch or wait is None:
-            return LocalPage(HTTP_GONE, b"this gateway has restarted")
-        return self._reply_with_changes(after, min(MAX_WATCH_WAIT, Millis(float(wait))))
-
-    def _reply_with_contents(self, *, compressed: bool) -> LocalPage:
-        with self.encoding_lock:
-            with self.changed:
-                if "table" not in self.state:
-                    return LocalPage(503, b"no configuration")
-                number, values = self.number, list(self.state.values())
-            if not compressed:
-                return LocalPage(200, encode_update(self.epoch, number, values))
-            if self.encoded is None or self.encoded.number != number:
-                body = encode_update(self.epoch, number, values, compressed=True)
-                self.encoded = EncodedContents(number, body)
-            return LocalPage(200, self.encoded.body)
-
-    def _reply_with_changes(self, after: int, wait: Millis) -> LocalPage:
-        deadline = monotonic() + wait / MILLIS_PER_SECOND
-        with self.changed:
-            while self.number <= after and (remaining := deadline - monotonic()) > 0:
-                self.changed.wait(remaining)
-            if self.age() > MAX_PLATFORM_AGE:
-                return LocalPage(503, b"the platform is unavailable")
-            if self.changes and after + 1 < self.changes[0].number:
-                return LocalPage(HTTP_GONE, b"the changes are no longer available")
-            return LocalPage(200, self._encode_changes(after))
-
-    def _encode_changes(self, after: int) -> bytes:
-        known = self.encoded_changes
-        if known is not None and (known.after, known.number) == (after, self.number):
-            return known.body
-        values = [
-            change.value
-            for change in self.changes
-            if change.number > after and change.value is not None
-        ]
-        body = encode_update(self.epoch, self.number, values)
-        self.encoded_changes = EncodedChanges(after, self.number, body)
-        return body
-
 
 class RelayedSource:
     """Reads the catalogue from a relay while there is one, and from the platform otherwise.
 
-    ``relays`` returns the addresses of the gateways that relay now, the preferred one first.
-    ``wait`` blocks for the given number of seconds.
+    A seed reads it from the platform, and from another seed's relay while the platform does not
+    answer. ``relays`` returns the addresses of the gateways that relay now, the preferred one
+    first. ``wait`` blocks for the given number of seconds. ``client`` is set while a relay is
+    followed. ``handle_table`` is called with the configuration if it is read before the listings.
+    ``era`` is the latest era of the store that was seen; a relay with a lower one has not yet seen
+    a restore of the store, and is not read.
     """
 
     def __init__(
@@ -220,66 +77,134 @@
         clock: Clock,
         log: EventLog,
         wait: Callable[[float], object],
+        is_seed: Callable[[], bool] = lambda: False,
+        handle_table: Callable[[PublishedConfiguration], None] = lambda published: None,
     ) -> None:
         self.platform = platform
         self.relays = relays
         self.clock = clock
         self.log = log
         self.wait = wait
+        self.is_seed = is_seed
+        self.handle_table = handle_table
+        self.contact = StoreContact()
         self.client: HttpClient | None = None
         self.epoch = ""
+        self.era: StoreEra | None = None
         self.startup_wait_over = False
         self.relay_retry_at = Millis(0.0)
 
+    def platform_age(self) -> Millis:
+        """Return the time since the platform itself last answered; any task may call this.
+
+        It is infinite while a relay is followed. Two gateways that followed each other would
+        otherwise keep an outdated catalogue alive.
+        """
+        return Millis(inf) if self.client is not None else self.contact.age(self.clock.now())
+
     def read(self) -> Contents | Unavailable:
-        """Return the whole catalogue from the first relay that responds, or from the platform."""
-        self._wait_for_relays()
+        """Return the whole catalogue from the first relay that responds, or from the platform.
+
+        A seed asks the platform first unless it is lost.
+        """
+        failure: Unavailable | None = None
+        if not self.is_seed():
+            self._wait_for_relays()
+        elif not self.contact.is_lost(self.clock.now()):
+            contents = self._read_platform()
+            if not (isinstance(contents, Unavailable) and self.contact.is_lost(self.clock.now())):
+                return contents
+            failure = contents
+        return self._read_relay() or failure or self._read_platform()
+
+    def _read_relay(self) -> Contents | None:
         for address in self.relays():
             self._close_client()
             self.client = HttpClient(address, self.clock)
             reply = self._get({"compressed": 1}, READ_TIMEOUT)
-            if isinstance(reply, CatalogueUpdate):
+            if isinstance(reply, CatalogueUpdate) and not self._is_of_earlier_era(reply):
                 self.log.write(LogEvent.SOURCE, relay=address)
-                return Contents(reply.changes, reply.number)
+                self.contact.record_relay(self.clock.now())
+                self.era = reply.era
+                return Contents(reply.changes, reply.number, reply.era)
+        return None
+
+    def _read_platform(self) -> Contents | Unavailable:
         if self.client is not None:
             self.log.write(LogEvent.SOURCE, relay=None)
         self._close_client()
         self.relay_retry_at = Millis(self.clock.now() + RELAY_RETRY_INTERVAL)
-        return self.platform.read()
+        contents = self.platform.read()
+        self._record(contents)
+        if isinstance(contents, Contents) and contents.era is not None:
+            self.era = contents.era
+        return contents
+
+    def _note_era(
+        self, answer: Changes | HistoryGone | Unavailable
+    ) -> Changes | HistoryGone | Unavailable:
+        """Remember the highest era seen in a watch, so that no relay with a lower one is read."""
+        if isinstance(answer, Changes) and answer.era is not None:
+            self.era = answer.era if self.era is None else max(self.era, answer.era)
+        return answer
+
+    def _is_of_earlier_era(self, update: CatalogueUpdate) -> bool:
+        """Return whether a relay has not seen the latest era; one of an earlier release has not."""
+        return self.era is not None and (update.era is None or update.era < self.era)
+
+    def _record(self, answer: object) -> None:
+        """Record whether the platform answered."""
+        if isinstance(answer, Unavailable):
+            self.contact.record_failure(closed_by_source=answer.closed_by_source)
+        else:
+            self.contact.record_answer(self.clock.now())
 
     def watch(self, after: Revision, wait: Millis) -> Changes | HistoryGone | Unavailable:
         """Wait at most ``wait`` for changes after the revision ``after``, and return them.
 
         Return :class:`HistoryGone`, so that the caller reads the whole catalogue again, if the
         present relay fails, no longer relays or no longer has the changes, or if the platform is
-        the present source and a relay may be used again.
+        the present source and a relay may be used again. A seed leaves a relay as soon as the
+        platform answers, for which it asks now and then.
         """
+        now = self.clock.now()
         if self.client is None:
-            if self.relays() and self.clock.now() >= self.relay_retry_at:
+            may_leave = self.contact.is_lost(now) if self.is_seed() else now >= self.relay_retry_at
+            if may_leave and self.relays():
                 return HistoryGone()
-            return self.platform.watch(after, wait)
+            changes = self.platform.watch(after, wait)
+            self._record(changes)
+            return self._note_era(changes)
         if self.client.address not in self.relays():
             return HistoryGone()
+        if self.is_seed():
+            wait = min(wait, SEED_WATCH_WAIT)
+            if self.contact.take_probe(now):
+                self._record(self.platform.read_table())
+                if not self.contact.is_lost(self.clock.now()):
+                    return HistoryGone()
         query = {"after": after, "epoch": self.epoch, "wait": int(wait)}
         reply = self._get(query, Millis(wait + WATCH_MARGIN))
         if isinstance(reply, CatalogueUpdate):
-            return Changes(reply.changes, reply.number)
+            return self._note_era(Changes(reply.changes, reply.number, reply.era))
         return HistoryGone()
 
     def _wait_for_relays(self) -> None:
         """Wait for a relay after the start if a read from the platform may take many calls.
 
-        That depends on the number of services, which the configuration states.
+        That depends on the number of services, which the configuration states. It is in force while
+        this waits.
         """
         attempts = 0 if self.startup_wait_over else START_ATTEMPTS
         self.startup_wait_over = True
+        published: PublishedConfiguration | Unavailable | None = None
         for _ in range(attempts):
-            published = self.platform.read_table()
-            if (
-                isinstance(published, PublishedConfiguration)
-                and len(published.table.services) < MANY_SERVICES
-            ):
-                return
+            if not isinstance(published, PublishedConfiguration):
+                published = self.platform.read_table()
+                if isinstance(published, PublishedConfiguration):
+                    self.handle_table(published)
+                    if len(published.table.services) < MANY_SERVICES:
+                        return
             deadline = monotonic() + RELAY_WAIT_S
             while not self.relays() and monotonic() < deadline:
                 self.wait(RELAY_POLL_INTERVAL_S)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -5,6 +5,8 @@
 from ..._ids import Millis
 from ...connection.gateway import SearcherTask
 from ...version.gateway import SearcherEntry
+from .evacuation import EvacuatedDomains
+from .searchers import ColdGuard, ColdLimits, ConcurrencyLimit, Speed
 
 FAILURES_TO_EJECT = 2
 """The number of consecutive failures after which a searcher is ejected."""
@@ -15,30 +17,6 @@
 MAX_EJECTION_TIME = Millis(4_000.0)
 """The upper bound on the duration of an ejection."""
 
-LATENCY_RATIO_WEIGHT = 0.15
-"""The weight of the latest answer in the smoothed latency ratio."""
-
-SLOW_LATENCY_RATIO = 1.3
-"""A searcher with a higher smoothed ratio may be slow, and not only have paused once."""
-
-SLOW_RATIO_WEIGHT = 0.4
-"""The weight of a late answer of such a searcher.
-
-Two late answers in a row then outweigh that another searcher is in another failure domain.
-"""
-
-MAX_LATENCY_RATIO = 4.0
-"""The bound on the latency ratio of one answer.
-
-It keeps a single pause of a searcher from diverting later requests to others.
-"""
-
-LATENCY_RATIO_TTL = Millis(2_000.0)
-"""How long the latency ratio of an idle searcher counts after its last answer.
-
-After that, a ratio over 1 counts as 1.
-"""
-
 FAILURE_RATE_WEIGHT = 0.2
 """The weight of the latest attempt in the smoothed failure rate."""
 
@@ -64,10 +42,22 @@
 LOAD_REPORT_TTL = Millis(300.0)
 """How long the load that a searcher reports is taken into account."""
 
+ROOM_PER_SLOT = 2
+"""The requests for each slot of a searcher for which it has room: one that runs and one that waits.
+
+A searcher that always has the next request loses no time between two, and the requests beyond that
+wait at the gateway, which orders them by rank. With 3, urgent requests met their objective less
+often behind others in the queue of the searcher.
+"""
+
 COLD_START_FACTOR = 1.6
 """The factor by which a searcher is expected to be slower right after its start."""
 
 
+EVACUATION_CHECK_TIME = Millis(1_000.0)
+"""The time after which an evacuation may have ended; how long it lasts is not known."""
+
+
 class ReplicaState(Enum):
     """How a gateway treats a searcher.
 
@@ -85,15 +75,29 @@
 class Replica:
     """One searcher and the connections to it; the fleet's lock guards it.
 
-    ``latency_ratio`` is its latency relative to the usual latency of the same route, and
-    ``failure_rate`` is the share of its attempts that were refused or failed; both are smoothed.
+    ``speed`` estimates its latency relative to the usual latency of the same route, ``limit``
+    bounds the requests that it should have in progress, and ``failure_rate`` is the smoothed share
+    of its attempts that were refused or failed.
     ``other_requests`` is the number of requests at the searcher that this gateway did not send, by
     the searcher's latest report, and ``overdue`` the number of calls in flight that had no answer
-    when a hedge was due. Until ``paused_until``, the searcher wants no requests.
+    when a hedge was due. Until ``paused_until``, the searcher wants no requests. ``evacuated``
+    holds the failure domains that are evacuated. The searcher is cold until ``cold_until``, and
+    ``cold`` bounds what it gets meanwhile.
     """
 
-    def __init__(self, entry: SearcherEntry, max_connections: int, now: Millis) -> None:
+    def __init__(
+        self,
+        entry: SearcherEntry,
+        max_connections: int,
+        now: Millis,
+        evacuated: EvacuatedDomains | None = None,
+        cold_limits: ColdLimits | None = None,
+    ) -> None:
         self.entry = entry
+        self.evacuated = evacuated or EvacuatedDomains()
+        self.cold = ColdGuard(
+            entry.id, entry.service, cold_limits or ColdLimits(()), Millis(now + entry.cold)
+        )
         self.max_connections = max_connections
         self.state = ReplicaState.ACTIVE
         self.idle: list[SearcherTask] = []
@@ -102,8 +106,8 @@
         self.overdue = 0
         self.last_used_at = now
         self.cold_until = Millis(now + entry.cold)
-        self.latency_ratio = 1.0
-        self.latency_ratio_updated_at = Millis(0.0)
+        self.speed = Speed()
+        self.limit = ConcurrencyLimit(entry.slots)
         self.failure_rate = 0.0
         self.failure_rate_updated_at = now
         self.other_requests = 0
@@ -116,7 +120,7 @@
 
     def is_usable(self, now: Millis) -> bool:
         """Return whether the searcher may be sent a request now."""
-        if self.is_paused(now):
+        if not self.accepts(now):
             return False
         match self.state:
             case ReplicaState.ACTIVE:
@@ -132,12 +136,39 @@
         """Return whether the searcher has asked for a pause that is not over."""
         return now < self.paused_until
 
+    def is_evacuated(self) -> bool:
+        """Return whether the searcher is in a failure domain that is evacuated."""
+        return self.evacuated.covers(self.entry)
+
+    def is_withheld(self, now: Millis) -> bool:
+        """Return whether the searcher gets nothing now, not even a connection."""
+        return self.is_paused(now) or self.is_evacuated()
+
+    def cold_wait(self, now: Millis) -> Millis:
+        """Return for how long the searcher gets nothing since it is cold."""
+        return self.cold.wait(now)
+
+    def set_cold(self, until: Millis) -> None:
+        """Treat the searcher as cold until a time; without a bound, its cost stays as it is."""
+        self.cold.until = until
+        if self.cold.is_bounded():
+            self.cold_until = until
+
+    def accepts(self, now: Millis) -> bool:
+        """Return whether anything may be sent to the searcher now, whatever its state is."""
+        return not self.is_withheld(now) and not self.cold.wait(now)
+
+    def withheld_time(self, now: Millis) -> Millis:
+        """Return how long the searcher gets nothing at least, or 0 if it may get something."""
+        evacuation = EVACUATION_CHECK_TIME if self.is_evacuated() else Millis(0.0)
+        return max(evacuation, Millis(self.paused_until - now), self.cold_wait(now))
+
     def abstains(self, now: Millis) -> bool:
-        """Return whether the searcher cannot be sent a request because it leaves or pauses.
+        """Return whether the searcher cannot be sent a request: it leaves or accepts nothing.
 
         An ejected searcher does not abstain, since a request may be tried there.
         """
-        return self.is_paused(now) or (not self.is_listed and not self.is_usable(now))
+        return not self.accepts(now) or (not self.is_listed and not self.is_usable(now))
 
     @property
     def is_listed(self) -> bool:
@@ -148,20 +179,39 @@
         """Return whether a connection is idle or another one may be opened."""
         return bool(self.idle) or self.connection_count < self.max_connections
 
-    def cost(self, now: Millis) -> float:
+    def in_progress(self, now: Millis) -> int:
+        """Return the number of requests at the searcher, as far as this gateway knows."""
+        is_fresh = now - self.load_reported_at < LOAD_REPORT_TTL
+        return self.in_flight + (self.other_requests if is_fresh else 0)
+
+    def free_places(self, now: Millis) -> int:
+        """Return for how many more requests the searcher has room and connections.
+
+        The requests of other gateways count less the older the report of them is, since they end
+        meanwhile; after ``LOAD_REPORT_TTL``, only the calls of this gateway count.
+        """
+        connections = len(self.idle) + max(0, self.max_connections - self.connection_count)
+        connections = max(connections, int(self.has_capacity()))
+        freshness = max(0.0, 1.0 - (now - self.load_reported_at) / LOAD_REPORT_TTL)
+        load = self.in_flight + int(self.other_requests * freshness)
+        places = min(int(self.limit.value(now)), self.entry.slots * ROOM_PER_SLOT)
+        return max(0, min(connections, places - load))
+
+    def has_room(self, now: Millis) -> bool:
+        """Return whether the searcher has room for another request."""
+        return self.free_places(now) > 0
+
+    def cost(self, now: Millis, *, may_probe: bool = True) -> float:
         """Return the cost of a request at this searcher; the lowest cost is preferred.
 
-        It grows with the searcher's latency, its load and its failure rate.
+        It grows with the searcher's latency, its load and its failure rate. ``may_probe`` says
+        whether the request may find out if the searcher is still slow.
         """
-        latency_ratio = self.latency_ratio
-        if self.in_flight == 0 and now - self.latency_ratio_updated_at > LATENCY_RATIO_TTL:
-            latency_ratio = min(latency_ratio, 1.0)
+        factor = self.speed.factor(now, may_probe=may_probe)
         if now < self.cold_until:
-            latency_ratio *= COLD_START_FACTOR
-        other_requests = self.other_requests if now - self.load_reported_at < LOAD_REPORT_TTL else 0
-        load_per_slot = (self.in_flight + other_requests) / self.entry.slots
+            factor *= COLD_START_FACTOR
         return (
-            latency_ratio * (1.0 + load_per_slot)
+            factor * (1.0 + self.in_progress(now) / self.entry.slots)
             + OVERDUE_COST * self.overdue
             + FAILURE_COST * self.current_failure_rate(now)
         )
@@ -184,17 +234,10 @@
         self.failure_rate = failure_rate + FAILURE_RATE_WEIGHT * (failed - failure_rate)
         self.failure_rate_updated_at = now
 
-    def record_success(self, ratio: float, now: Millis) -> bool:
-        """Record an answer; return ``True`` if it ends an ejection.
-
-        ``ratio`` is its latency relative to the usual latency of the route.
-        """
+    def record_success(self, now: Millis) -> bool:
+        """Record an answer; return ``True`` if it ends an ejection."""
         self.consecutive_failures = 0
         self._update_failure_rate(0.0, now)
-        is_slow = ratio > self.latency_ratio > SLOW_LATENCY_RATIO
-        weight = SLOW_RATIO_WEIGHT if is_slow else LATENCY_RATIO_WEIGHT
-        self.latency_ratio += weight * (min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio)
-        self.latency_ratio_updated_at = now
         if self.state is not ReplicaState.EJECTED:
             return False
         self.state = ReplicaState.ACTIVE
--- a/src/masticgate/process/gateway/_service.py
+++ b/src/masticgate/process/gateway/_service.py
@@ -31,20 +31,17 @@
     Shards,
     Split,
 )
+from ._catalogue_log import CATALOGUE_HOST, CatalogueLog
 from ._fleet import Fleet
+from ._heartbeat_codec import HEARTBEAT_HOST
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
+from ._naming import GatherAtPeers, GatherHere, peer_route
 from ._network_times import NetworkTimes
-from ._peers import HEARTBEAT_HOST, GatherAtPeers, GatherHere, Peers, peer_route
-from ._permits import OwnGatherings
-from ._planner import plan_parts
-from ._relay import CATALOGUE_HOST, CatalogueLog
-
-NO_CONFIGURATION_RETRY_AFTER = Millis(300.0)
-"""The time after which a starting gateway has usually read the configuration."""
-
-NO_GATHERER_RETRY_AFTER = Millis(100.0)
-"""The time after which a gateway may know of another gatherer, or gathers fewer queries itself."""
+from ._peers import Peers
+from ._permits import NoPermits, OwnGatherings
+from ._planner import plan_parts, plan_whole
+from .startup import StartupStep
 
 STOPPING_RETRY_AFTER = Millis(50.0)
 """The time after which a caller refused by a stopping gateway should try another one."""
@@ -172,8 +169,7 @@
             failure = NotRun(Reason.BAD_REQUEST, Step.READ, detail="the request id is missing")
             return Refused(400, failure)
         if table is None:
-            failure = NotRun(Reason.NO_CONFIGURATION, Step.ROUTE)
-            return Refused(503, failure, NO_CONFIGURATION_RETRY_AFTER)
+            return self.peers.startup.refuse(StartupStep.CONFIGURATION)
         route = table.find_route(request.host, request.path)
         if route is None:
             failure = NotRun(Reason.UNKNOWN_SERVICE, Step.ROUTE, detail=f"version {table.version}")
@@ -195,7 +191,12 @@
                 return request.arrived_at + route.objective <= finish_at
 
     def _run(self, request: Request, table: RouteTable, route: Route, inbox: Inbox) -> Reply:
+        has_listings = self.peers.startup.has_reached(StartupStep.LISTINGS)
         match route.target:
+            case Shards() as shards if not has_listings:
+                return self._gather_without_listings(request, route, shards, inbox)
+            case _ if not has_listings:
+                return self.peers.startup.refuse(StartupStep.LISTINGS)
             case Shards() as shards:
                 return self._gather(request, route, shards, inbox)
             case Split() as split:
@@ -221,14 +222,23 @@
             len(shards.services) - shards.min_answers,
             request.id,
         )
-        sender = PartSender(
-            request,
-            peer_route(route),
-            PEER_SERVICE,
-            self.fleet,
-            parse_missing_positions,
+        plan = GatherPlan(here, parts, self._part_sender(request, route), self.own_gatherings)
+        return run_gather(request, route, shards, self.fleet, inbox, plan)
+
+    def _part_sender(self, request: Request, route: Route) -> PartSender:
+        return PartSender(
+            request, peer_route(route), PEER_SERVICE, self.fleet, parse_missing_positions
         )
-        plan = GatherPlan(here, parts, sender, self.own_gatherings)
+
+    def _gather_without_listings(
+        self, request: Request, route: Route, shards: Shards, inbox: Inbox
+    ) -> Reply:
+        """Forward the whole query to a gatherer while this gateway knows no searchers yet."""
+        gatherer_domains = self.fleet.searcher_domains((PEER_SERVICE,))[0]
+        if not gatherer_domains:
+            return self.peers.startup.refuse(StartupStep.LISTINGS)
+        part = plan_whole(route, len(shards.services), gatherer_domains, request.id)
+        plan = GatherPlan((), (part,), self._part_sender(request, route), NoPermits())
         return run_gather(request, route, shards, self.fleet, inbox, plan)
 
     def _gather_without_gatherers(
@@ -240,8 +250,8 @@
         gathered in this way at the same time.
         """
         if not self.own_gatherings.acquire():
-            failure = NotRun(Reason.OVERLOAD, Step.FORWARD, detail="no gatherer is available")
-            return Refused(503, failure, NO_GATHERER_RETRY_AFTER)
+            has_seeds = bool(self.fleet.settings.seeds)
+            return self.peers.startup.refuse_for_lack_of_gatherers(has_seeds=has_seeds)
         try:
             return run_gather(request, route, shards, self.fleet, inbox)
         finally:
@@ -256,6 +266,8 @@
         """
         duration = Millis(self.fleet.now() - request.arrived_at)
         outcome, detail = _describe_reply(reply)
+        if outcome == "whole":
+            self.peers.startup.record(StartupStep.FIRST_ANSWER)
         kind = "none" if isinstance(route, Refused) else f"rank{route.rank}"
         self.metrics.record_request(kind, outcome, duration)
         late = not isinstance(route, Refused) and duration > route.objective
@@ -276,9 +288,32 @@
             network_ms=round(request.network_time),
             version=version,
             beliefs_age_ms=round(view.age),
+            **_describe_wait(route, reply),
         )
 
 
+def _describe_wait(route: Route | Refused, reply: Reply) -> dict[str, object]:
+    """Return the fields of the log line that say how a request waited, or why it was refused."""
+    fields: dict[str, object] = {} if isinstance(route, Refused) else {"rank": route.rank}
+    match reply:
+        case Relayed(waited=waited) | Merged(waited=waited) | Refused(waited=waited) if waited:
+            fields["waited_ms"] = round(waited, 1)
+    match reply:
+        case Refused(failure=failure, retry_after=retry_after, room=room):
+            fields["why"] = failure.reason.value
+            if retry_after is not None:
+                fields["retry_after_ms"] = round(retry_after)
+            if room is not None:
+                age = None if room.report_age is None else round(room.report_age)
+                fields["room"] = {
+                    "free": room.free,
+                    "running": room.running,
+                    "waiting": room.waiting,
+                    "report_age_ms": age,
+                }
+    return fields
+
+
 def _is_regular(reply: Reply) -> bool:
     """Return whether all answers in the reply are regular; ``True`` if it has none."""
     match reply:
--- a/src/masticgate/request/gateway/_gather.py
+++ b/src/masticgate/request/gateway/_gather.py
@@ -5,15 +5,13 @@
 part of the shards; it merges their records, and this gateway merges the parts.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
-from heapq import nlargest
-from itertools import islice
-from typing import Protocol
-
-from ..._failures import NotRun, Reason, Step, Unknown
-from ..._ids import Millis, SearcherId, ServiceId
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ..._failures import Reason, Step, Unknown
+from ..._ids import Millis, SearcherId
 from ...version.gateway import Route, Shards
+from ._answer_times import answer_time, batch_size, least_answers
 from ._attempts import Attempts
 from ._exchange import (
     Answered,
@@ -21,64 +19,17 @@
     CallerDisconnected,
     GatewayStopping,
     Inbox,
-    Part,
     Request,
+    RoomGranted,
     UpstreamClient,
 )
+from ._gather_log import describe_irregular, describe_missing
+from ._gather_plan import GatherPlan
+from ._gather_refusal import longest_wait, refuse_unsent, refuse_unservable
+from ._hedging import MAX_HEDGES, HedgeSchedule, Urgency, hedge_urgency
 from ._parts import PartAttempts, PartSender
-from ._reply import Abandoned, Failed, Merged, Refused, Reply
-
-RECORD_BYTES = 16
-"""Size of one record in a body; a shorter remainder at the end of the body is ignored."""
-
-ANSWER_MARGIN = Millis(5.0)
-"""Milliseconds of the route's objective that are reserved for merging and writing the answer.
-
-The time on the network between caller and gateway is reserved in addition.
-"""
-
-MIN_ANSWER_TIME = Millis(5.0)
-"""Shortest wait for the answers of shards in milliseconds, whatever the objective."""
-
-MAX_LOGGED_SHARDS = 4
-"""The maximum number of missing shards, and of irregular answers, described in a log line."""
-
-RETRY_AFTER = Millis(30.0)
-"""Time in milliseconds after which a refused caller should try again.
-
-By then the next change of the catalogue of searchers may have arrived.
-"""
-
-
-class Permits(Protocol):
-    """Bounds the queries whose shards a gateway gathers although others should."""
-
-    def acquire(self) -> bool:
-        """Take a permit for one query, until :meth:`release`; return ``False`` if there is none."""
-        ...
-
-    def release(self) -> None:
-        """Return one permit."""
-        ...
-
-    def record_part(self, *, again: bool) -> None:
-        """Record a part that is gathered here, ``again`` if its gatherer was lost on the way."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class GatherPlan:
-    """Where the shards of a query are gathered.
-
-    ``here`` has the positions of those that this gateway sends the query to itself, and ``parts``
-    those that other gateways gather. ``sender`` forwards parts; it may be ``None`` if there are
-    none. A part that no gatherer accepts is gathered here if there is one of ``permits``.
-    """
-
-    here: tuple[int, ...]
-    parts: tuple[Part, ...] = ()
-    sender: PartSender | None = None
-    permits: Permits | None = None
+from ._records import merge_records
+from ._reply import Abandoned, Failed, Merged, Reply
 
 
 def run_gather(
@@ -101,6 +52,7 @@
     try:
         return gather.run()
     finally:
+        gather.stop_waiting()
         gather.release_permit()
 
 
@@ -111,8 +63,10 @@
     that ``min_answers`` shards have answered. ``unanswered`` maps the position of each shard that
     is gathered here, and has not answered, to its attempts. ``parts`` are those that other gateways
     have not answered yet, and ``answers`` are the merged parts and the answers of single shards.
-    ``closed_attempts`` are those that are over. ``unavailable`` holds the shards that did not
-    answer to their gatherers and have not been sent the query here.
+    ``closed_attempts`` are those that are over, and ``queued`` those that wait for room at the
+    searchers of their shards. ``unavailable`` holds the shards that did not answer to their
+    gatherers and have not been sent the query here. ``lost_count`` counts those gathered here whose
+    attempts have all failed.
     """
 
     def __init__(
@@ -131,18 +85,20 @@
         self.inbox = inbox
         self.plan = plan
         self.deadline = request.deadline(route)
-        remaining = route.objective - request.network_time - ANSWER_MARGIN
-        answer_time = Millis(max(MIN_ANSWER_TIME, remaining))
-        self.answer_at = min(self.deadline, Millis(request.arrived_at + answer_time))
+        self.answer_at = answer_time(request, route)
         self.positions = set(plan.here).union(*(part.positions for part in plan.parts))
-        self.min_answers = _min_answers(request, shards)
-        self.hedge_at: Millis | None = Millis(request.arrived_at + upstream.hedge_delay(route))
+        self.is_part = request.part is not None
+        self.min_answers = least_answers(request, shards)
+        delay, second_time = upstream.hedge_delay(route), upstream.second_answer_time(route)
+        self.hedging = HedgeSchedule(delay, second_time, self.answer_at)
         self.unanswered: dict[int, Attempts] = {}
         self.parts: list[PartAttempts] = []
         self.answers: list[Answered] = []
         self.answered: set[int] = set()
         self.closed_attempts: list[Attempts | PartAttempts] = []
+        self.queued: list[Attempts] = []
         self.unavailable: set[int] = set()
+        self.lost_count = 0
         self.gatherers: list[str] = []
         self.has_permit = False
         self.leaving: list[SearcherId] = []
@@ -151,46 +107,38 @@
         """Send the query to all shards, wait for their answers, and return the reply.
 
         The wait ends when no attempt for an unanswered shard is in flight or the deadline has
-        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered.
+        passed, and from ``answer_at`` on as soon as ``min_answers`` shards have answered. Answers
+        that have arrived by then are merged.
         """
-        refusal = self._refuse_unservable()
+        services = [self.shards.services[position] for position in self.plan.here]
+        refusal = refuse_unservable(
+            self.request, self.route, services, self.upstream, len(self.positions), self.min_answers
+        )
         if refusal is not None:
             return refusal
+        self.hedging.record_sent(self.upstream.now())
         if self.plan.sender is not None:
             self._forward_parts(self.plan.sender)
         self._send_to_shards(self.plan.here)
-        while not self._is_finished() or self._retry_unavailable():
-            self.inbox.set_batch_size(sum(attempts.pending for attempts in self._waiting()))
-            match self.inbox.wait(self._next_wake_up()):
+        while True:
+            finished = self._is_hopeless() or (
+                self._is_finished() and not self._retry_unavailable()
+            )
+            self.inbox.set_batch_size(self._batch_size())
+            match self.inbox.wait(self.upstream.now() if finished else self._next_wake_up()):
                 case CallerDisconnected():
                     self._cancel()
                     return Abandoned()
-                case GatewayStopping():
-                    self.deadline = self.upstream.now()
                 case Call() as call:
                     self._handle_call(call)
+                case _ if finished:
+                    return self._build_reply()
+                case GatewayStopping():
+                    self.deadline = self.upstream.now()
+                case RoomGranted() as granted:
+                    self._handle_grant(granted)
                 case None:
                     self._handle_time()
-        return self._build_reply()
-
-    def _refuse_unservable(self) -> Reply | None:
-        """Refuse the query at once if too many shards to gather here have no searcher for it."""
-        services = [self.shards.services[position] for position in self.plan.here]
-        unservable = self.upstream.unservable(services)
-        if not unservable or len(self.positions) - len(unservable) >= self.min_answers:
-            return None
-        detail = f"{len(unservable)} shards without a searcher that accepts queries"
-        failure = NotRun(Reason.NO_SEARCHER, Step.ROUTE, unservable[0], detail)
-        return Refused(503, failure, self._retry_after(unservable, len(self.positions)))
-
-    def _retry_after(self, missing: Sequence[ServiceId], reachable: int) -> Millis:
-        """Return when enough of the ``missing`` shards may have a searcher again.
-
-        ``reachable`` counts all shards of the query, the missing ones included.
-        """
-        waits = sorted(self.upstream.retry_after(service) or RETRY_AFTER for service in missing)
-        needed = self.min_answers - (reachable - len(missing))
-        return waits[min(len(waits), max(1, needed)) - 1]
 
     def release_permit(self) -> None:
         """Return the permit to gather parts here, if one was taken."""
@@ -216,15 +164,48 @@
             )
             self.unanswered[position] = attempts
             attempts.send_first()
+            self._note_wait(attempts)
+
+    def _note_wait(self, attempts: Attempts) -> None:
+        """Add the attempts for a shard to ``queued`` if they wait for room."""
+        if attempts.is_waiting and attempts not in self.queued:
+            self.queued.append(attempts)
+
+    def _handle_grant(self, granted: RoomGranted) -> None:
+        """Send the query to a shard whose searchers have room for it now."""
+        if any(attempts.handle_grant(granted) for attempts in self.queued):
+            self._drop_sent(self.upstream.now())
+
+    def _drop_sent(self, now: Millis) -> None:
+        """Keep those of ``queued`` that still wait, and schedule the hedges of the others."""
+        waiting = [attempts for attempts in self.queued if attempts.is_waiting]
+        if len(waiting) < len(self.queued):
+            self.hedging.record_sent(now)
+        self.queued = waiting
+
+    def stop_waiting(self) -> None:
+        """End the wait for room at each shard."""
+        for attempts in (*self.queued, *self.unanswered.values()):
+            attempts.stop_waiting()
 
     def _waiting(self) -> Iterable[Attempts | PartAttempts]:
         """Return the attempts for the shards and parts without an answer."""
         yield from self.unanswered.values()
         yield from self.parts
 
+    def _has_unfinished(self) -> bool:
+        """Return whether a call is in flight or waits for room."""
+        return bool(self.queued) or any(attempts.pending for attempts in self._waiting())
+
+    def _batch_size(self) -> int:
+        waiting = sum(attempts.pending for attempts in self._waiting())
+        needed = self.min_answers - len(self.answered)
+        is_past_objective = self.upstream.now() >= self.answer_at
+        return batch_size(waiting, len(self.parts), needed, is_past_objective=is_past_objective)
+
     def _is_finished(self) -> bool:
         now = self.upstream.now()
-        if now >= self.deadline or not any(attempts.pending for attempts in self._waiting()):
+        if now >= self.deadline or not self._has_unfinished():
             return True
         return now >= self.answer_at and len(self.answered) >= self.min_answers
 
@@ -245,14 +226,15 @@
         ]
         self.unavailable.difference_update(positions)
         self._send_to_shards(positions)
-        return any(attempts.pending for attempts in self._waiting())
+        return self._has_unfinished()
 
     def _next_wake_up(self) -> Millis:
         times = [self.deadline]
         if self.upstream.now() < self.answer_at:
             times.append(self.answer_at)
-        if self.hedge_at is not None:
-            times.append(self.hedge_at)
+        if self.hedging.due_at is not None:
+            times.append(self.hedging.due_at)
+        times.extend(attempts.recheck_at for attempts in self.queued)
         return min(times)
 
     def _handle_call(self, call: Call) -> None:
@@ -271,10 +253,28 @@
                 self.answered.add(position)
                 self.closed_attempts.append(shard)
                 self.answers.append(shard.answer)
+            elif shard.only_late_pending and self._is_useful() and shard.retry():
+                self.hedging.record_sent(self.upstream.now())
+            elif shard.is_waiting:
+                self._note_wait(shard)
             elif not shard.pending:
-                shard.retry()
+                self._record_lost_shard()
             return
 
+    def _record_lost_shard(self) -> None:
+        """Record that a shard cannot answer.
+
+        A part is answered without it, as the answers of other parts may suffice for the query.
+        """
+        self.lost_count += 1
+        if self.is_part:
+            reachable = max(1, len(self.positions) - self.lost_count)
+            self.min_answers = min(self.min_answers, reachable)
+
+    def _is_hopeless(self) -> bool:
+        """Return whether too many shards are lost, whatever the others answer."""
+        return len(self.positions) - self.lost_count < self.min_answers
+
     def _handle_part(self, attempts: PartAttempts) -> None:
         """Take over the answer of a part, or gather it here if its gatherer is lost."""
         if attempts.pending:
@@ -293,17 +293,37 @@
         self.gatherers.append(answer.describe())
 
     def _handle_time(self) -> None:
-        """Hedge slow shards, and replace parts whose connections are still opening, once due."""
+        """Hedge slow shards, and replace parts whose connections are still opening, once due.
+
+        Ask again about shards that have had no room.
+        """
         now = self.upstream.now()
-        if self.hedge_at is not None and now >= self.hedge_at:
-            self.hedge_at = None
-            for shard in self.unanswered.values():
-                if shard.pending:
-                    shard.send_hedge()
-                elif not shard.attempt_count:
+        if self.queued:
+            for waiting in self.queued:
+                waiting.recheck_room()
+            self._drop_sent(now)
+        if not self.hedging.is_due(now):
+            return
+        for attempts in self.parts:
+            attempts.replace_unsent()
+        for shard in self.unanswered.values():
+            if not shard.attempt_count:
+                if not shard.is_waiting:
                     shard.send_first()
-            for attempts in self.parts:
-                attempts.replace_unsent()
+                    self._note_wait(shard)
+            elif shard.pending and self.hedging.is_late(shard.sent_at, now):
+                self._hedge(shard, now)
+        late = (s.sent_at for s in self.unanswered.values() if s.may_hedge)
+        self.hedging.schedule(late, now)
+
+    def _hedge(self, shard: Attempts, now: Millis) -> None:
+        """Hedge a late shard, twice if it is one of few and a second hedge would be late."""
+        urgency = hedge_urgency(len(self.unanswered), len(self.positions), shard.hedges)
+        is_sent = shard.send_hedge(urgency, MAX_HEDGES if self._is_useful() else shard.hedges)
+        if is_sent and urgency is Urgency.DECISIVE and self.hedging.is_last_chance(now):
+            shard.send_hedge(Urgency.SECOND, MAX_HEDGES)
+        # A hedge that replaces an attempt whose connection is still opening may have to wait.
+        self._note_wait(shard)
 
     def _gather_part_here(self, attempts: PartAttempts) -> None:
         """Gather the shards of a part here, unless too many queries do that already.
@@ -322,9 +342,14 @@
             if not self.has_permit:
                 return
             self.plan.permits.record_part(again=attempts.may_have_run)
-        self.hedge_at = Millis(self.upstream.now() + self.upstream.hedge_delay(self.route))
+        self.hedging.record_sent(self.upstream.now())
         self._send_to_shards(positions)
 
+    def _is_useful(self) -> bool:
+        """Return whether the answer to an attempt that is sent now may still be merged."""
+        is_below_minimum = len(self.answered) < self.min_answers
+        return self.hedging.is_useful(self.upstream.now(), is_below_minimum=is_below_minimum)
+
     def _may_ask_again(self, position: int) -> bool:
         """Return whether a shard can have no more searchers than the route allows for a query."""
         service = self.shards.services[position]
@@ -341,67 +366,34 @@
             return self._build_failure()
         stamps = tuple(stamp for answer in self.answers for stamp in answer.stamp.split(", "))
         records = merge_records((answer.body for answer in self.answers), self.shards.top)
-        irregular_answers = (
-            answer for answer in self.answers if not answer.receive_info.is_regular
-        )
-        irregular_parts = tuple(
-            f"{a.searcher}: {a.receive_info}" for a in islice(irregular_answers, MAX_LOGGED_SHARDS)
-        )
         return Merged(
             stamps,
             len(missing),
             records,
             missing,
             tuple(self.gatherers),
-            self._describe_missing(missing),
-            irregular_parts,
+            describe_missing(missing, self.shards, self.unanswered, self.parts, self.unavailable),
+            describe_irregular(self.answers),
             tuple(self.leaving),
+            longest_wait((*self.unanswered.values(), *self.closed_attempts)),
         )
 
-    def _missing_retry_after(self) -> Millis:
-        missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
-        return self._retry_after(missing, len(self.positions)) if missing else RETRY_AFTER
+    def _counts_as_sent(self, attempts: Attempts | PartAttempts) -> bool:
+        """Return whether the query must not be refused because of some attempts.
 
-    def _describe_missing(self, missing: Sequence[int]) -> tuple[str, ...]:
-        causes = [
-            self.unanswered[position].describe_missing_answer()
-            for position in missing
-            if position in self.unanswered
-        ]
-        causes += [attempts.describe_missing_answer() for attempts in self.parts]
-        causes += [
-            f"{self.shards.services[position]}: not answered to its gatherer"
-            for position in missing
-            if position in self.unavailable
-        ]
-        return tuple(causes[:MAX_LOGGED_SHARDS])
+        A refused part is sent to another gatherer at no cost to the budget for repeats, to which
+        requests that searchers declined count as well.
+        """
+        return attempts.started if self.is_part else attempts.may_have_run
 
     def _build_failure(self) -> Reply:
         detail = f"{len(self.answered)} of {len(self.positions)} shards answered"
         everything = (*self._waiting(), *self.closed_attempts)
-        if not any(attempts.started for attempts in everything):
-            first = next((attempts.failure for attempts in everything), None)
-            reason = Reason.OVERLOAD if first is None else first.reason
-            step = Step.FORWARD if first is None else first.step
-            peer = "" if first is None else first.peer
-            return Refused(503, NotRun(reason, step, peer, detail), self._missing_retry_after())
+        if not any(self._counts_as_sent(attempts) for attempts in everything):
+            missing = [self.shards.services[p] for p in sorted(self.positions - self.answered)]
+            return refuse_unsent(
+                everything, missing, self.upstream, len(self.positions), self.min_answers, detail
+            )
         if self.upstream.now() >= self.deadline:
             return Failed(504, Unknown(Reason.DEADLINE, Step.MERGE, detail=detail))
         return Failed(502, Unknown(Reason.COVERAGE, Step.MERGE, detail=detail))
-
-
-def _min_answers(request: Request, shards: Shards) -> int:
-    """Return the number of shards that have to answer."""
-    if request.part is not None:
-        return min(len(request.part.positions), max(1, request.part.least))
-    return shards.min_answers
-
-
-def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
-    """Return the greatest ``top`` records of all bodies, greatest first."""
-    records = (
-        body[start : start + RECORD_BYTES]
-        for body in bodies
-        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-    )
-    return b"".join(nlargest(top, records))
--- a/src/masticgate/version/gateway/_catalogue.py
+++ b/src/masticgate/version/gateway/_catalogue.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId
+from ..._ids import Address, FailureDomainId, Millis, Revision, SearcherId, ServiceId, StoreEra
 from ._routes import RouteTable
 
 PEER_SERVICE = ServiceId("\N{NO-BREAK SPACE}gateways")
@@ -44,7 +44,8 @@
 
     ``slots`` is the number of requests that the searcher runs at the same time. ``cold`` is the
     remaining time for which it answers slowly after its start. ``born`` is the time of its start in
-    milliseconds since the Unix epoch, or 0 if the listing does not state it.
+    milliseconds since the Unix epoch, or 0 if the listing does not state it. ``sequence`` grows
+    with each listing that the searcher writes.
     """
 
     id: SearcherId
@@ -55,6 +56,7 @@
     phase: SearcherPhase
     cold: Millis
     born: int
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,23 +92,56 @@
     searcher: SearcherId | None = None
 
 
-Change = PublishedConfiguration | SearcherListed | SearcherUnlisted | UnreadableItem
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """An operator evacuates a failure domain: its searchers are to be sent nothing.
+
+    ``detail`` says what is wrong with the published item, if anything; its key alone counts.
+    """
+
+    domain: FailureDomainId
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationEnded:
+    """The evacuation of a failure domain has ended."""
+
+    domain: FailureDomainId
+
+
+Change = (
+    PublishedConfiguration
+    | SearcherListed
+    | SearcherUnlisted
+    | DomainEvacuated
+    | EvacuationEnded
+    | UnreadableItem
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Contents:
-    """The whole catalogue; every later change has a revision above ``revision``."""
+    """The whole catalogue; every later change has a revision above ``revision``.
+
+    Revisions are those of the store's ``era``, which is ``None`` if the source does not state it.
+    """
 
     changes: tuple[Change, ...]
     revision: Revision
+    era: StoreEra | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """The changes after the revision of the watch, in order and up to ``revision``."""
+    """The changes after the revision of the watch, in order and up to ``revision``.
+
+    If ``era`` is another one than that of the watch, changes may be missing.
+    """
 
     changes: tuple[Change, ...]
     revision: Revision
+    era: StoreEra | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -22,7 +22,15 @@
 from masticgate.process.gateway._log import EventLog
 from masticgate.process.gateway._metrics import Metrics
 from masticgate.process.gateway._task_pool import TaskPool
-from masticgate.request.gateway import Answered, Call, CallerDisconnected, Declined, Lost, Request
+from masticgate.request.gateway import (
+    Answered,
+    Call,
+    CallerDisconnected,
+    Declined,
+    Lost,
+    Refuse,
+    Request,
+)
 from masticgate.version.gateway import (
     Idempotency,
     Limits,
@@ -45,6 +53,7 @@
     missing_shards=b"X-Missing",
     leaving=b"x-leaving",
     pause=b"retry-after",
+    cold=b"x-cold",
 )
 
 
@@ -223,6 +232,21 @@
             self.events.append((self.now() + delay, len(self.sent_calls), call))
         return sent_call
 
+    def admit(self, call):
+        return Refuse(None, "no gate")
+
+    def leave(self, call):
+        raise AssertionError("no call waits")
+
+    def admit_query(self, request, route, services, needed):
+        return None
+
+    def is_full(self, service):
+        return False
+
+    def busy_retry_after(self, route, service, deadline):
+        return None
+
     def record_overdue(self, call):
         call.call.overdue = True
 
@@ -241,7 +265,10 @@
     def hedge_delay(self, route):
         return self.hedge
 
-    def allow_hedge(self, service):
+    def second_answer_time(self, route):
+        return None
+
+    def allow_hedge(self, service, urgency):
         return self._spend()
 
     def allow_retry(self, service, *, possibly_ran=True):
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from masticgate import Millis, ServiceId
-from masticgate.process.gateway._peers import peer_route
+from masticgate.process.gateway._naming import peer_route
 from masticgate.request.gateway import (
     Abandoned,
     Failed,
@@ -18,7 +18,7 @@
     Refused,
     run_gather,
 )
-from masticgate.request.gateway._gather import merge_records
+from masticgate.request.gateway._records import merge_records
 from masticgate.version.gateway import Shards
 
 from .fakes import PartAnswer, ScriptedUpstream, SlowConnect, make_request, make_route
--- a/tests/gateway/test_response_matching.py
+++ b/tests/gateway/test_response_matching.py
@@ -32,7 +32,7 @@
 )
 from masticgate.connection.gateway import SearcherTask
 from masticgate.connection.gateway._response_parser import ResponseParser
-from masticgate.process.gateway._peers import GatherAtPeers
+from masticgate.process.gateway._naming import GatherAtPeers
 from masticgate.request.gateway import (
     Answered,
     Call,
@@ -568,7 +568,19 @@
     def retry_after(self, service):
         return None
 
-    def allow_hedge(self, service):
+    def admit_query(self, request, route, services, needed):
+        return None
+
+    def is_full(self, service):
+        return False
+
+    def busy_retry_after(self, route, service, deadline):
+        return None
+
+    def second_answer_time(self, route):
+        return None
+
+    def allow_hedge(self, service, urgency):
         return False
 
     def allow_retry(self, service, *, possibly_ran=True):
@@ -581,6 +593,9 @@
         pass
 
     def wait(self, deadline):
+        if not self.finished:
+            assert deadline <= self.now(), "waits although no call is in flight"
+            return None
         return self.finished.pop(0)
 
 
