Reserve 7 ms of the objective for merging and writing an answer

Change: 7 ms are reserved instead of 5. The tests that named the end of the wait take it from the constant.

--- a/src/masticgate/request/gateway/_answer_times.py
+++ b/src/masticgate/request/gateway/_answer_times.py
@@ -9,10 +9,12 @@
 from ...version.gateway import Route, Shards
 from ._exchange import Request
 
-ANSWER_MARGIN = Millis(5.0)
+ANSWER_MARGIN = Millis(7.0)
 """Milliseconds of the route's objective that are reserved for merging and writing the answer.
 
-The time on the network between caller and gateway is reserved in addition.
+At the end of the wait, the answers of many shards may be ready at once. With 5 ms, a fifth of the
+answers of 90 shards came 1 to 3 ms after an objective of 63 ms. The time on the network between
+caller and gateway is reserved in addition.
 """
 
 MIN_ANSWER_TIME = Millis(5.0)
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -18,6 +18,7 @@
     Refused,
     run_gather,
 )
+from masticgate.request.gateway._answer_times import ANSWER_MARGIN
 from masticgate.request.gateway._records import merge_records
 from masticgate.version.gateway import Shards
 
@@ -63,13 +64,13 @@
         script = ScriptedUpstream({"a": [(5, record(1))], "b": [(300, record(2))]}, repeats=0)
         reply = gather(script)
         assert isinstance(reply, Merged) and reply.missing == 1
-        assert script.now() == 95.0
+        assert script.now() == 100.0 - ANSWER_MARGIN
 
     def test_subtracts_network_time_from_objective(self):
         script = ScriptedUpstream({"a": [(5, record(1))], "b": [(300, record(2))]}, repeats=0)
         reply = gather(script, network_time=14.0)
         assert isinstance(reply, Merged) and reply.missing == 1
-        assert script.now() == 81.0
+        assert script.now() == 86.0 - ANSWER_MARGIN
 
     def test_waits_past_objective_below_minimum_coverage(self):
         script = ScriptedUpstream({"a": [(5, record(1))], "b": [(300, record(2))]}, repeats=0)
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -15,6 +15,7 @@
     run_forward,
     run_gather,
 )
+from masticgate.request.gateway._answer_times import ANSWER_MARGIN
 from masticgate.request.gateway._hedging import BudgetUse, HedgeSchedule, Urgency, may_hedge
 from masticgate.version.gateway import Idempotency, Shards
 
@@ -184,7 +185,7 @@
         script = BatchingUpstream(plans)
         reply = run_gather(*gather_arguments(script))
         assert isinstance(reply, Merged) and reply.missing_positions == (1,)
-        assert script.now() == 95.0
+        assert script.now() == 100.0 - ANSWER_MARGIN
 
     def test_past_the_objective_the_reply_waits_for_no_more_than_the_minimum(self):
         """The load: three of four shards are late, and half of them have to answer."""
