--- a/src/masticgate/connection/gateway/_searcher_notices.py
+++ b/src/masticgate/connection/gateway/_searcher_notices.py
@@ -19,11 +19,8 @@
 UNAVAILABLE = 503
 """The status of an answer whose ``Retry-After`` header asks for a pause."""
 
-SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
-"""Matches the seconds of a ``Retry-After`` header."""
-
-MILLISECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
-"""Matches the time for which a searcher stays cold."""
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+"""Matches a time in a header, in seconds or milliseconds."""
 
 MAX_PAUSE = Millis(3_600_000.0)
 """The longest pause; a searcher that asks for a longer one gets this."""
@@ -88,10 +85,8 @@
 
 def decode_cold(value: bytes) -> Millis | None:
     """Return the time in milliseconds that a searcher says it stays cold, or ``None``."""
-    text = value.strip()
-    if not MILLISECONDS.fullmatch(text):
-        return None
-    return min(MAX_COLD_TIME, Millis(float(text)))
+    remaining = _decode_decimal(value)
+    return None if remaining is None else min(MAX_COLD_TIME, Millis(remaining))
 
 
 def decode_pause(value: bytes) -> Millis | None:
@@ -100,10 +95,13 @@
     It is a number of seconds, which may have a fraction; a pause is at most ``MAX_PAUSE`` long. The
     result is ``None`` for anything else, such as a date, since the time of day may be wrong.
     """
+    seconds = _decode_decimal(value)
+    return None if seconds is None else Millis(min(MAX_PAUSE, seconds * MILLIS_PER_SECOND))
+
+
+def _decode_decimal(value: bytes) -> float | None:
     text = value.strip()
-    if not SECONDS.fullmatch(text):
-        return None
-    return Millis(min(MAX_PAUSE, float(text) * MILLIS_PER_SECOND))
+    return float(text) if DECIMAL.fullmatch(text) else None
 
 
 def decode_retry_after(headers_by_name: Mapping[bytes, bytes], names: HeaderNames) -> Millis | None:
