--- a/src/masticgate/process/gateway/_choice.py
+++ b/src/masticgate/process/gateway/_choice.py
@@ -44,11 +44,7 @@
     untried = [replica for replica in known if replica.entry.id not in tried]
     usable = [replica for replica in untried if replica.is_usable(now)]
     if not usable and _may_use_ejected(call, tried, is_shard=is_shard):
-        usable = [
-            replica
-            for replica in untried
-            if replica.state is ReplicaState.EJECTED and replica.accepts(now)
-        ]
+        usable = [replica for replica in untried if replica.is_last_resort(now)]
     if not usable:
         detail = _describe_known(known, now)
         return NotRun(Reason.NO_SEARCHER, Step.ROUTE, call.service, detail)
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -162,7 +162,7 @@
         """
         bound = self.cold_limits.bounds.get(replica.entry.service)
         if bound is not None:
-            replica.set_cold(max(replica.cold.until, Millis(self.clock.now() + bound.duration)))
+            replica.extend_cold(bound.duration, self.clock.now())
 
     def remove_gone(self, now: Millis) -> None:
         """Remove the searchers that have left and have no call in flight, and old departures."""
@@ -238,7 +238,7 @@
         """
         if entry != replica.entry:
             # The remaining time counts from the writing of the listing, which is not read again.
-            replica.set_cold(max(replica.cold.until, Millis(self.clock.now() + entry.cold)))
+            replica.extend_cold(entry.cold, self.clock.now())
         replica.entry = entry
         if replica.is_evacuated():
             _close_idle(replica)
--- a/src/masticgate/process/gateway/_replica.py
+++ b/src/masticgate/process/gateway/_replica.py
@@ -154,10 +154,18 @@
         if self.cold.is_bounded():
             self.cold_until = until
 
+    def extend_cold(self, duration: Millis, now: Millis) -> None:
+        """Treat the searcher as cold for at least ``duration`` from now on."""
+        self.set_cold(max(self.cold.until, Millis(now + duration)))
+
     def accepts(self, now: Millis) -> bool:
         """Return whether anything may be sent to the searcher now, whatever its state is."""
         return not self.is_withheld(now) and not self.cold.wait(now)
 
+    def is_last_resort(self, now: Millis) -> bool:
+        """Return whether a request may be tried although the searcher is ejected."""
+        return self.state is ReplicaState.EJECTED and self.accepts(now)
+
     def withheld_time(self, now: Millis) -> Millis:
         """Return how long the searcher gets nothing at least, or 0 if it may get something."""
         evacuation = EVACUATION_CHECK_TIME if self.is_evacuated() else Millis(0.0)
--- a/src/masticgate/process/gateway/admission/_gate.py
+++ b/src/masticgate/process/gateway/admission/_gate.py
@@ -22,7 +22,7 @@
     Send,
 )
 from ....version.gateway import PEER_SERVICE, Route, RouteTable
-from .._hedge_delays import TYPICAL_PERCENTILE, HedgeDelays
+from .._hedge_delays import HedgeDelays
 from .._metrics import Metrics
 from .._replica import Replica, ReplicaState
 from ._decision import MAX_JITTER, Demand, Queue, decide, expected_wait, limit_retry_after
@@ -79,9 +79,7 @@
         """Enable the gate if the configuration ``table`` has more than one rank."""
         self.enabled = len({route.rank for route in table.routes}) > 1
         self.queues = {
-            service: queue
-            for service, queue in self.queues.items()
-            if queue.room.queue or queue.room.reserved
+            service: queue for service, queue in self.queues.items() if queue.room.is_in_use
         }
 
     def limits(self, call: Call) -> bool:
@@ -96,7 +94,7 @@
         if not self.enabled or service == PEER_SERVICE:
             return True
         queue = self.queues.get(service)
-        if queue is not None and (queue.room.queue or queue.room.reserved):
+        if queue is not None and queue.room.is_in_use:
             return False
         now = self.clock.now()
         return any(replica.is_usable(now) and replica.has_room(now) for replica in replicas)
@@ -109,7 +107,7 @@
         room = queue.room
         if room.take_reservation(call):
             return True
-        if not room.queue and not room.reserved:
+        if not room.is_in_use:
             return True
         self._grant(call.service, queue)
         if room.take_reservation(call):
@@ -247,19 +245,14 @@
         """Return the searchers that may be sent a call: the ejected ones if there is no other."""
         known = self.of_service(service)
         usable = [replica for replica in known if replica.is_usable(now)]
-        return usable or [
-            replica
-            for replica in known
-            if replica.state is ReplicaState.EJECTED and replica.accepts(now)
-        ]
+        return usable or [replica for replica in known if replica.is_last_resort(now)]
 
     def _demand(self, request: Request, route: Route, deadline: Millis) -> Demand:
         objective_at = Millis(request.arrived_at + route.objective - request.network_time)
         return Demand(deadline, objective_at, self._usual_latency(route))
 
     def _usual_latency(self, route: Route) -> Millis:
-        window = self.hedge_delays.windows.get(route.id)
-        latency = None if window is None else window.percentile(TYPICAL_PERCENTILE)
+        latency = self.hedge_delays.usual_latency(route.id)
         return Millis(route.objective * INITIAL_LATENCY_SHARE) if latency is None else latency
 
     def _describe(
--- a/src/masticgate/process/gateway/admission/_room.py
+++ b/src/masticgate/process/gateway/admission/_room.py
@@ -57,6 +57,11 @@
         self.number = 0
         self.grants = 0
 
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a call waits, or was granted room and has not been sent yet."""
+        return bool(self.queue or self.reserved)
+
     def enqueue(self, call: Call, late_at: Millis) -> None:
         """Add ``call`` unless it waits already."""
         if any(waiting.call is call for waiting in self.queue):
--- a/src/masticgate/process/gateway/searchers/_limit.py
+++ b/src/masticgate/process/gateway/searchers/_limit.py
@@ -5,6 +5,7 @@
 searcher refuses, or while its latency exceeds what its queue explains.
 """
 
+from ...._clock import MILLIS_PER_SECOND
 from ...._ids import Millis
 
 ASSUMED_QUEUE = 12
@@ -48,7 +49,7 @@
 
     def value(self, now: Millis) -> float:
         """Return the number of requests that may be in progress at the searcher."""
-        recovered = self.limit + RECOVERY_PER_S * (now - self.updated_at) / 1_000.0
+        recovered = self.limit + RECOVERY_PER_S * (now - self.updated_at) / MILLIS_PER_SECOND
         return min(self.bound, recovered)
 
     def is_limited(self, now: Millis) -> bool:
