--- a/src/masticgate/_fields.py
+++ b/src/masticgate/_fields.py
@@ -86,9 +86,18 @@
             raise self.error(name, "a non-empty, printable string")
         return str(value)
 
-    def integer(self, name: str, minimum: int = -MAX_INTEGER, maximum: int = MAX_INTEGER) -> int:
-        """Return the field ``name``, which must be an integer within the bounds."""
-        value = self.values.get(name)
+    def integer(
+        self,
+        name: str,
+        minimum: int = -MAX_INTEGER,
+        maximum: int = MAX_INTEGER,
+        default: int | None = None,
+    ) -> int:
+        """Return the field ``name``, or ``default`` if it is missing.
+
+        It must be an integer within the bounds.
+        """
+        value = self.values.get(name, default)
         if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
             raise self.error(name, f"an integer from {minimum} to {maximum}")
         return value
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -212,7 +212,7 @@
         phase=_decode_enum(fields, "phase", SearcherPhase),
         cold=Millis(fields.number("cold", maximum=MAX_COLD_TIME)),
         born=fields.integer("born", 0),
-        sequence=fields.integer("sequence", 0) if "sequence" in fields.values else 0,
+        sequence=fields.integer("sequence", 0, default=0),
     )
 
 
--- a/src/masticgate/platform/_items.py
+++ b/src/masticgate/platform/_items.py
@@ -95,7 +95,7 @@
         slots=fields.integer("slots", 1, MAX_SLOTS),
         phase=phase,
         cold=Millis(fields.number("coldRemainingMs", maximum=MAX_COLD_TIME)),
-        born=fields.integer("born", 0) if "born" in fields.values else 0,
+        born=fields.integer("born", 0, default=0),
         sequence=fields.integer("sequence", 0),
     )
 
