--- a/src/masticgate/version/_difference.py
+++ b/src/masticgate/version/_difference.py
@@ -4,6 +4,7 @@
 
 from .._ids import DepartmentId, ServiceId
 from ._configuration import Configuration, Service
+from ._name_changes import describe_name_changes
 
 
 def compare_configurations(before: Configuration, after: Configuration) -> list[str]:
@@ -44,17 +45,11 @@
     for department in sorted(before.leaving - after.leaving):
         if department in after.departments:
             yield f"department {department} is no longer leaving"
-    for department in sorted(set(before.departments) - set(after.departments)):
-        yield f"department {department} is removed"
-    for department in sorted(set(after.departments) - set(before.departments)):
-        yield f"department {department} is added"
+    yield from describe_name_changes("department", set(before.departments), set(after.departments))
 
 
 def _service_changes(before: Configuration, after: Configuration) -> Iterator[str]:
-    for name in sorted(set(before.services) - set(after.services)):
-        yield f"service {name} is removed"
-    for name in sorted(set(after.services) - set(before.services)):
-        yield f"service {name} is added"
+    yield from describe_name_changes("service", before.services.keys(), after.services.keys())
     for name in sorted(set(before.services) & set(after.services)):
         yield from _changes_of_service(before.services[name], after.services[name])
 
--- a/src/masticgate/version/gateway/_configuration_check.py
+++ b/src/masticgate/version/gateway/_configuration_check.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from ..._ids import ServiceId
+from .._name_changes import describe_name_changes
 from ._routes import OneService, Route, RouteTable, Shards, Split, Target
 
 
@@ -197,10 +198,7 @@
 def _route_changes(before: RouteTable, after: RouteTable) -> Iterator[str]:
     old = {route.id: route for route in before.routes}
     new = {route.id: route for route in after.routes}
-    for name in sorted(set(old) - set(new)):
-        yield f"route {name} is removed"
-    for name in sorted(set(new) - set(old)):
-        yield f"route {name} is added"
+    yield from describe_name_changes("route", old.keys(), new.keys())
     for name in sorted(set(old) & set(new)):
         yield from _changes_of_route(old[name], new[name])
 
@@ -239,10 +237,7 @@
 
 
 def _service_changes(before: RouteTable, after: RouteTable) -> Iterator[str]:
-    for name in sorted(set(before.services) - set(after.services)):
-        yield f"service {name} is removed"
-    for name in sorted(set(after.services) - set(before.services)):
-        yield f"service {name} is added"
+    yield from describe_name_changes("service", before.services.keys(), after.services.keys())
     for name in sorted(set(before.services) & set(after.services)):
         if before.services[name] != after.services[name]:
             yield f"service {name} changes its connections or its cold start"
