--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -185,7 +185,7 @@
         return connection
 
     def _open(self) -> socket.socket | None:
-        connection = socket.socket()
+        connection = self._make_socket()
         connection.settimeout(SEND_TIMEOUT_S)
         try:
             connection.connect(self.address)
@@ -194,6 +194,9 @@
             return None
         return connection
 
+    def _make_socket(self) -> socket.socket:
+        return socket.socket()
+
 
 class SlowCrowd(Crowd):
     """Clients that read the replies a few bytes at a time, so slowly that none gets to its end."""
@@ -210,15 +213,9 @@
         self.reader.join()
         super().close()
 
-    def _open(self) -> socket.socket | None:
+    def _make_socket(self) -> socket.socket:
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER)
-        connection.settimeout(SEND_TIMEOUT_S)
-        try:
-            connection.connect(self.address)
-        except OSError:
-            connection.close()
-            return None
         return connection
 
     def _read(self) -> None:
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -9,6 +9,7 @@
 from contextlib import ExitStack, closing, suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from random import SystemRandom
 from threading import Event
 from time import monotonic
 
@@ -23,6 +24,12 @@
 SMALL_REQUEST = b"GET /z/ HTTP/1.1\r\nHost: a.example\r\nX-Masticgate-Request-Id: q\r\n\r\n"
 PORTS = ("front", "ready", "control")
 
+PORTS_TO_DRAW = range(20_000, 32_000)
+"""The system gives no port of this range to outgoing connections or to listeners without a port.
+
+Ports that it had given were taken again by a stand-in or by another run before a program listened.
+"""
+
 RUN_PROGRAM = "import runpy; runpy.run_module('masticgate.platform', run_name='__main__')"
 
 SETTINGS = """
@@ -47,17 +54,22 @@
 
 def free_port() -> int:
     """Return a port on which nothing listens."""
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return int(probe.getsockname()[1])
+    return free_ports("port")["port"]
 
 
 def free_ports(*names: str) -> dict[str, int]:
     """Return a port for each name, all different, on which nothing listens."""
     with ExitStack() as stack:
-        probes = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in names]
+        probes = [stack.enter_context(_listen_on_free_port()) for _ in names]
         return {name: probe.getsockname()[1] for name, probe in zip(names, probes, strict=True)}
 
 
+def _listen_on_free_port() -> socket.socket:
+    while True:
+        with suppress(OSError):
+            return socket.create_server(("127.0.0.1", SystemRandom().choice(PORTS_TO_DRAW)))
+
+
 def answer_as_store(head: bytes, version: int = 7) -> bytes:
     """Answer as a store that holds one configuration, with ``version``, and no searchers."""
     if b"kv-watch" in head.split(b" ")[1]:
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -91,8 +91,15 @@
         run = self.deploy["roles"]["gateway"]["run"].split()[1:]
         arguments = [sys.executable, *options, *(command or run)]
         pipe = subprocess.PIPE
+        # Without a buffer, no output is lost between reads of lines and ``communicate()``.
         return subprocess.Popen(
-            arguments, cwd=self.root, env=environment, stdin=pipe, stdout=pipe, stderr=pipe
+            arguments,
+            bufsize=0,
+            cwd=self.root,
+            env=environment,
+            stdin=pipe,
+            stdout=pipe,
+            stderr=pipe,
         )
 
     def replace(self, path: str, old: str, new: str) -> None:
