--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -33,8 +33,7 @@
 from ._connection_limits import max_connections
 from ._connections import Connections
 from ._dispatched_call import DispatchedCall
-from ._hedge_delays import HedgeDelays
-from ._hedge_delays import peer_route_id as peer_route_id
+from ._hedge_delays import HedgeDelays, peer_route_id
 from ._known_searchers import KnownSearchers
 from ._log import EventLog
 from ._metrics import Metrics
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -27,6 +27,8 @@
 from .._backoff import Backoff
 from ._catalogue_log import CatalogueLog
 from ._fleet import Fleet
+from ._holds import Holds
+from ._listings import log_ignored
 from ._log import EventLog, LogEvent
 from ._metrics import Metrics
 from .evacuation import EvacuationApplier
@@ -122,7 +124,7 @@
         self.unavailable_since: Millis | None = None
         self.last_contact_at = clock.now()
         self.recovered_at: Millis | None = None
-        self.held_searchers: dict[SearcherId, Millis] = {}
+        self.held_searchers = Holds[SearcherId]()
         self.logged_oddities: set[str] = set()
 
     def run(self) -> None:
@@ -212,8 +214,8 @@
 
     def _watch_wait(self, reread_at: Millis) -> Millis:
         """Return how long the next watch may wait before something else is due."""
-        due = [self.clock.now() + WATCH_TIMEOUT, *self.held_searchers.values()]
-        due += self.evacuations.held_until.values()
+        due = [self.clock.now() + WATCH_TIMEOUT, *self.held_searchers.until.values()]
+        due += self.evacuations.holds.until.values()
         if self._lacks_configuration():
             due.append(reread_at)
         return Millis(min(WATCH_TIMEOUT, max(CHECK_WAIT, min(due) - self.clock.now())))
@@ -226,9 +228,8 @@
             self.log.write(LogEvent.PLATFORM_BACK, after_ms=round(outage))
             self.unavailable_since = None
             self.recovered_at = self.last_contact_at
-            self.evacuations.extend_holds(outage)
-            for searcher in self.held_searchers:
-                self.held_searchers[searcher] = Millis(self.held_searchers[searcher] + outage)
+            self.evacuations.holds.extend(outage)
+            self.held_searchers.extend(outage)
 
     def _handle_unavailable(self, detail: str) -> None:
         self.metrics.count("platform_failures")
@@ -278,18 +279,13 @@
                 self.metrics.count("unreadable_items")
                 self.log.write(LogEvent.UNREADABLE, key=entry.id, detail="too many searchers")
             case SearcherListed(entry=entry) if self.view.is_restored_departure(entry):
-                self.log.write(
-                    LogEvent.SEARCHER_IGNORED,
-                    searcher=entry.id,
-                    born=entry.born,
-                    phase=entry.phase.value,
-                )
+                log_ignored(self.log, entry)
             case SearcherListed(entry=entry):
                 # A read of everything would otherwise push all other changes out of the log, and
                 # the gateways that watch this one would have to read everything as well.
                 if not self.catalogue.lists(change):
                     self.catalogue.add(change)
-                self.held_searchers.pop(entry.id, None)
+                self.held_searchers.release(entry.id)
                 self.view.record_listing(entry)
                 self.fleet.apply_listing(entry)
             case SearcherUnlisted(searcher=searcher):
@@ -341,12 +337,12 @@
         If the platform has just become available again, the listing may only have expired while it
         was unavailable. The searcher is then kept until ``RELIST_TIMEOUT`` has passed.
         """
-        if searcher in self.held_searchers:
+        if searcher in self.held_searchers.until:
             return
         if self.recovered_at is not None:
             held_until = Millis(self.recovered_at + RELIST_TIMEOUT)
             if self.clock.now() < held_until:
-                self.held_searchers[searcher] = held_until
+                self.held_searchers.hold(searcher, held_until)
                 self.log.write(LogEvent.SEARCHER_HELD, searcher=searcher, why=why)
                 return
         self.catalogue.add(SearcherUnlisted(searcher))
@@ -362,9 +358,7 @@
     def _end_holds(self) -> None:
         """Remove the held searchers and evacuations that have not returned in time."""
         now = self.clock.now()
-        overdue = [searcher for searcher, until in self.held_searchers.items() if now >= until]
-        for searcher in overdue:
-            del self.held_searchers[searcher]
+        for searcher in self.held_searchers.take_overdue(now):
             self.catalogue.add(SearcherUnlisted(searcher))
             self._remove_searcher(searcher, "not back in the list", Millis(0.0))
         self.evacuations.end_overdue(now)
--- a/src/masticgate/process/gateway/_listings.py
+++ b/src/masticgate/process/gateway/_listings.py
@@ -71,12 +71,7 @@
         """
         known = self.replicas.get(entry.id)
         if self._is_outdated(known, entry):
-            self.log.write(
-                LogEvent.SEARCHER_IGNORED,
-                searcher=entry.id,
-                born=entry.born,
-                phase=entry.phase.value,
-            )
+            log_ignored(self.log, entry)
             return
         if known is None or self._is_replacement(known.entry, entry):
             if known is not None:
@@ -254,6 +249,13 @@
             del self.drained_start_times[next(iter(self.drained_start_times))]
 
 
+def log_ignored(log: EventLog, entry: SearcherEntry) -> None:
+    """Log that the listing of a searcher is not applied, since it is older than what is known."""
+    log.write(
+        LogEvent.SEARCHER_IGNORED, searcher=entry.id, born=entry.born, phase=entry.phase.value
+    )
+
+
 def _close_idle(replica: Replica) -> None:
     """Close the idle connections to a searcher."""
     for task in replica.idle:
--- a/src/masticgate/process/gateway/_naming.py
+++ b/src/masticgate/process/gateway/_naming.py
@@ -12,8 +12,9 @@
     SearcherEntry,
     SearcherPhase,
 )
-from ._fleet import Fleet, peer_route_id
+from ._fleet import Fleet
 from ._gatherers import Gatherer
+from ._hedge_delays import peer_route_id
 from ._log import EventLog, LogEvent
 
 PEER_SLOTS = 64
--- a/src/masticgate/process/gateway/evacuation/_apply.py
+++ b/src/masticgate/process/gateway/evacuation/_apply.py
@@ -5,6 +5,7 @@
 
 from ...._ids import FailureDomainId, Millis
 from ....version.gateway import Change, DomainEvacuated, EvacuationEnded
+from .._holds import Holds
 from .._log import EventLog, LogEvent
 from .._metrics import Metrics
 
@@ -32,8 +33,8 @@
 class EvacuationApplier:
     """Starts and ends evacuations; only the task that follows the catalogue uses it.
 
-    ``in_force`` has the evacuated domains, and ``held_until`` those that a restored store may have
-    lost: they end at that time unless they are published again.
+    ``in_force`` has the evacuated domains, and ``holds`` those that a restored store may have lost:
+    they end at the stated times unless they are published again.
     """
 
     def __init__(
@@ -44,12 +45,12 @@
         self.log = log
         self.metrics = metrics
         self.in_force: set[FailureDomainId] = set()
-        self.held_until: dict[FailureDomainId, Millis] = {}
+        self.holds = Holds[FailureDomainId]()
         self.has_logged_excess = False
 
     def start(self, change: DomainEvacuated) -> None:
         """Evacuate a domain; a repeated publication changes and logs nothing."""
-        self.held_until.pop(change.domain, None)
+        self.holds.release(change.domain)
         if not self.target.evacuate(change.domain):
             if change.domain not in self.in_force and not self.has_logged_excess:
                 self.has_logged_excess = True
@@ -63,7 +64,7 @@
 
     def end(self, change: EvacuationEnded, why: str = "removed") -> None:
         """End the evacuation of a domain, if it is evacuated; ``why`` is written to the log."""
-        self.held_until.pop(change.domain, None)
+        self.holds.release(change.domain)
         if not self.target.end_evacuation(change.domain):
             return
         self.in_force.discard(change.domain)
@@ -77,19 +78,15 @@
         Those that are held, or are to be held until a time, stay in force.
         """
         listed = {change.domain for change in changes if isinstance(change, DomainEvacuated)}
-        for domain in sorted(self.in_force - listed - self.held_until.keys()):
+        for domain in sorted(self.in_force - listed - self.holds.until.keys()):
             if hold_until is None:
                 self.end(EvacuationEnded(domain), "not in the list")
             else:
-                self.held_until[domain] = hold_until
-
-    def extend_holds(self, outage: Millis) -> None:
-        """Hold evacuations longer by a time in which nobody could publish them again."""
-        self.held_until = {d: Millis(until + outage) for d, until in self.held_until.items()}
+                self.holds.hold(domain, hold_until)
 
     def end_overdue(self, now: Millis) -> None:
         """End the held evacuations that were not published again in time."""
-        for domain in sorted(d for d, until in self.held_until.items() if now >= until):
+        for domain in sorted(self.holds.take_overdue(now)):
             self.end(EvacuationEnded(domain), "not back in the list")
 
     def _set_gauge(self) -> None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -4,7 +4,7 @@
 
 from masticgate import ManualClock, Millis, NotRun, Reason, SearcherId, ServiceId
 from masticgate.process.gateway import SearcherPhase
-from masticgate.process.gateway._fleet import peer_route_id
+from masticgate.process.gateway._hedge_delays import peer_route_id
 from masticgate.process.gateway._replica import ReplicaState
 from masticgate.process.gateway._shares import GatewayShares
 from masticgate.request.gateway import Call, Declined, Lost, Repeat
--- a/tests/gateway/test_reserved_names.py
+++ b/tests/gateway/test_reserved_names.py
@@ -6,8 +6,8 @@
 from masticgate._ids import RouteId
 from masticgate.platform._items import decode_item
 from masticgate.process.gateway import PublishedConfiguration, SearcherListed, UnreadableItem
-from masticgate.process.gateway._fleet import peer_route_id
 from masticgate.process.gateway._gatherers import Gatherer
+from masticgate.process.gateway._hedge_delays import peer_route_id
 from masticgate.process.gateway._naming import _gatherer_entry
 from masticgate.version.gateway import PEER_SERVICE, OneService
 from tests.platform.test_items import CONFIG, ENTRY
