--- a/review/7/run.py
+++ b/review/7/run.py
@@ -48,7 +48,7 @@
 
 def play(record: Record) -> int:
     routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=TIME_BUDGET_MS)]
-    with Deployment(gateways=1) as deployment:
+    with Deployment() as deployment:
         store, gateway = deployment.store, deployment.gateways[0]
         for number in (1, 2):
             searcher = LongAnswers(record, f"i-{number}", "gowu98c", "127.0.0.1", 0)
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -56,7 +56,7 @@
 
 def play(record: Record) -> int:
     routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=TIME_BUDGET_MS)]
-    with Deployment(gateways=1) as deployment:
+    with Deployment() as deployment:
         store, gateway = deployment.store, deployment.gateways[0]
         searcher = EarlyAnswers(record, "i-1", "gowu98c", "127.0.0.1", 0)
         store.put("servers/i-1", searcher.entry())
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -334,6 +334,7 @@
 [zones]
 tvm = "kerala"
 ekm = "kerala"
+tcr = "kerala"
 [bindAddresses]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -380,7 +381,14 @@
     """One process of the gateway, on a loopback address of its own."""
 
     def __init__(
-        self, folder: Path, name: str, ip: str, ports: dict[str, int], seeds: list[str], store: str
+        self,
+        folder: Path,
+        name: str,
+        ip: str,
+        zone: str,
+        ports: dict[str, int],
+        seeds: list[str],
+        store: str,
     ) -> None:
         self.name = name
         self.ip = ip
@@ -389,7 +397,7 @@
         self.path = folder / f"{name}.toml"
         names = ",".join(f'"{seed}:{ports["control"]}"' for seed in seeds)
         self.path.write_text(
-            SETTINGS.format(name=name, ip=ip, zone="tvm", seeds=names, store=store, **ports)
+            SETTINGS.format(name=name, ip=ip, zone=zone, seeds=names, store=store, **ports)
         )
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -494,24 +502,25 @@
 
 
 class Deployment:
-    """A store and some gateways on one set of ports; to be used in a ``with`` statement."""
+    """A store and a gateway for each of ``zones`` on one set of ports; for a ``with`` statement."""
 
-    def __init__(self, gateways: int = 1, network: int = 1) -> None:
+    def __init__(self, zones: tuple[str, ...] = ("tvm",), network: int = 1) -> None:
         self.folder = tempfile.TemporaryDirectory()
         front, ready, control, metrics, store = free_ports(5)
         ports = {"front": front, "ready": ready, "control": control, "metrics": metrics}
-        ips = [f"127.0.{network}.{number}" for number in range(1, gateways + 1)]
+        ips = [f"127.0.{network}.{number}" for number in range(1, len(zones) + 1)]
         self.store = Store("127.0.0.1", store)
         self.gateways = [
             Gateway(
                 Path(self.folder.name),
-                f"front-tvm-{number}",
+                f"front-{zone}-{number}",
                 ip,
+                zone,
                 ports,
                 ips[:3],
                 self.store.address,
             )
-            for number, ip in enumerate(ips, 1)
+            for number, (ip, zone) in enumerate(zip(ips, zones, strict=True), 1)
         ]
 
     def start(self) -> bool:
