--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,11 +1,11 @@
-"""Callers that read a long answer slowly, but within their time budget and the route's timeout.
+"""Ordinary requests behind long ones that a searcher has answered before it has read them.
 
-Each caller keeps its connection, asks for an answer of 1 MB and reads it evenly over 8 s. It waits
-for 12 s, and so does the route.
+A searcher answers long requests early, keeps the connection and reads the rest 1.5 s later. Between
+the two, callers send small requests, and leave after 0.3 s without an answer.
 """
 
-import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -18,7 +18,6 @@
     Caller,
     Deployment,
     Record,
-    Run,
     Searcher,
     main,
     make_configuration,
@@ -27,73 +26,93 @@
     with_trouble,
 )
 
-ANSWER_BYTES = 1_000_000
-READING_S = 8.0 if with_trouble() else 0.5
-STEP_S = 0.05
-TIME_BUDGET_MS = 12_000
 CALLERS = 8
-WINDOW_BYTES = 32_768
+ROUNDS = 2
+LONG = b"x" * 250_000
+LONG_FROM = 100_000
+EARLY_ANSWER_S = 0.15
+READS_ON_S = 1.5
+LEAVES_S = 0.3
+TIME_BUDGET_MS = 4_000
+ALLOWED_S = 0.5
+A_FEW = 3
 
 
-class LongAnswers(Searcher):
-    """A sound searcher whose answer is long, but for the first request of each caller."""
+class EarlyAnswers(Searcher):
+    """A searcher that rejects long requests before they are in, and reads the rest later."""
 
     def handle(self, connection, stream, first, headers) -> None:
-        run = Run(first, headers, stream.read_body(headers))
-        self.note(run)
-        body = b"small" if run.id.startswith("warm") else bytes(ANSWER_BYTES)
-        connection.sendall(self.response(headers, body))
-        self.record.write(f"{self.name} has sent the whole answer to {run.id}")
+        id = headers.get("x-masticgate-request-id", "")
+        if int(headers.get("content-length", "0")) < LONG_FROM or not with_trouble():
+            super().handle(connection, stream, first, headers)
+            return
+        time.sleep(EARLY_ANSWER_S)
+        connection.sendall(self.response(headers, b"too long", status=413))
+        self.record.write(f"{self.name} has answered {id} early")
+        time.sleep(READS_ON_S)
+        stream.read_body(headers)
+        self.record.write(f"{self.name} has read the rest of {id}")
 
 
 def play(record: Record) -> int:
     routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=TIME_BUDGET_MS)]
     with Deployment() as deployment:
         store, gateway = deployment.store, deployment.gateways[0]
-        for number in (1, 2):
-            searcher = LongAnswers(record, f"i-{number}", "gowu98c", "127.0.0.1", 0)
-            store.put(f"servers/i-{number}", searcher.entry())
+        searcher = EarlyAnswers(record, "i-1", "gowu98c", "127.0.0.1", 0)
+        store.put("servers/i-1", searcher.entry())
         store.put("op/config", make_configuration(3, routes, ["gowu98c"]))
         if not deployment.start():
             return CANNOT_RUN
+        left_at: dict[str, float] = {}
 
-        def read_slowly(number: int) -> str:
-            """Return whether the caller got a whole answer, or how its connection ended."""
-            caller = Caller(gateway)
-            caller.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-            if caller.ask("GET", "/a/x", f"warm-{number}", 2_000).status != 200:
-                return "could not run"
-            caller.send("GET", "/a/x", f"long-{number}", TIME_BUDGET_MS)
-            started_at = time.monotonic()
-            received, ended = 0, "whole answer"
-            try:
-                first, headers = caller.stream.read_head()
-                size = int(headers["content-length"])
-                received = len(caller.stream.data)
-                while received < size:
-                    share = (time.monotonic() - started_at + STEP_S) / READING_S
-                    wanted = min(size, int(size * share)) - received
-                    if wanted > 0:
-                        data = caller.connection.recv(wanted)
-                        if not data:
-                            ended = "the connection ended within the answer"
-                            break
-                        received += len(data)
-                    time.sleep(STEP_S)
-            except OSError as error:
-                ended = f"the connection ended within the answer ({error})"
-            took = time.monotonic() - started_at
-            record.write(
-                f"long-{number}: {ended}, {received} of {ANSWER_BYTES} bytes, after {took:.2f} s"
+        def ask_long(caller: Caller, id: str) -> None:
+            reply = caller.ask("POST", "/a/x", id, TIME_BUDGET_MS, LONG)
+            record.write(f"{id}: {reply}")
+
+        def ask_and_leave(id: str) -> None:
+            caller = Caller(gateway, timeout_s=LEAVES_S)
+            reply = caller.ask("GET", "/a/x", id, TIME_BUDGET_MS)
+            caller.close()
+            left_at[id] = time.monotonic()
+            record.write(f"{id}: {reply}; its client has closed the connection")
+
+        for round in range(ROUNDS):
+            callers = [Caller(gateway) for _ in range(CALLERS)]
+            # Requests at the same time open as many connections to the searcher.
+            searcher.work_s = 0.2
+            warm = run_together(
+                [
+                    lambda c=c, n=n: c.ask("GET", "/a/x", f"warm-{round}-{n}", TIME_BUDGET_MS)
+                    for n, c in enumerate(callers)
+                ]
             )
-            return ended
+            if any(reply.status != 200 for reply in warm):
+                return CANNOT_RUN
+            searcher.work_s = 0.02
+            long = [
+                threading.Thread(target=ask_long, args=(caller, f"long-{round}-{number}"))
+                for number, caller in enumerate(callers)
+            ]
+            for thread in long:
+                thread.start()
+            time.sleep(0.4)
+            run_together(
+                [lambda n=n: ask_and_leave(f"short-{round}-{n}") for n in range(CALLERS)]
+            )
+            for thread in long:
+                thread.join()
+            time.sleep(1.0)
+            for caller in callers:
+                caller.close()
 
-        ends = run_together([lambda n=n: read_slowly(n) for n in range(CALLERS)])
-        if "could not run" in ends:
-            return CANNOT_RUN
-        lost = sum(end != "whole answer" for end in ends)
-        record.write(f"{lost} of {CALLERS} answers were cut by the gateway")
-        return BROKEN if lost > 3 else HELD
+        late = 0
+        for run in searcher.runs:
+            after = run.at - left_at.get(run.id, run.at)
+            if after > ALLOWED_S:
+                late += 1
+                record.write(f"{run.id} reached the searcher {after:.2f} s after its client left")
+        record.write(f"{late} requests reached it over {ALLOWED_S} s after their client had left")
+        return BROKEN if late > A_FEW else HELD
 
 
 main(__file__, play)
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,11 +1,11 @@
-"""Ordinary requests behind long ones that a searcher has answered before it has read them.
+"""Kept connections after a configuration that raises the limits on a request.
 
-A searcher answers long requests early, keeps the connection and reads the rest 1.5 s later. Between
-the two, callers send small requests, and leave after 0.3 s without an answer.
+Each caller opens a connection, is served once, and stays. Then the operator publishes a version with
+higher limits. Later than ``configApplyMs`` after its confirmation, each caller sends one request
+that the new version allows and the old one does not.
 """
 
 import sys
-import threading
 import time
 from pathlib import Path
 
@@ -17,7 +17,9 @@
     HELD,
     Caller,
     Deployment,
+    Gateway,
     Record,
+    Reply,
     Searcher,
     main,
     make_configuration,
@@ -26,93 +28,77 @@
     with_trouble,
 )
 
-CALLERS = 8
-ROUNDS = 2
-LONG = b"x" * 250_000
-LONG_FROM = 100_000
-EARLY_ANSWER_S = 0.15
-READS_ON_S = 1.5
-LEAVES_S = 0.3
-TIME_BUDGET_MS = 4_000
-ALLOWED_S = 0.5
-A_FEW = 3
+CONFIG_APPLY_S = 3.0
+WAIT_S = CONFIG_APPLY_S + 1.5
+CALLERS = 10
+LOW = {"maxHeaderBytes": 8_192, "maxBodyBytes": 65_536}
+HIGH = {"maxHeaderBytes": 16_384, "maxBodyBytes": 262_144}
+BODY = b"x" * 100_000
+LONG_VALUE = "v" * 12_000
 
 
-class EarlyAnswers(Searcher):
-    """A searcher that rejects long requests before they are in, and reads the rest later."""
-
-    def handle(self, connection, stream, first, headers) -> None:
-        id = headers.get("x-masticgate-request-id", "")
-        if int(headers.get("content-length", "0")) < LONG_FROM or not with_trouble():
-            super().handle(connection, stream, first, headers)
-            return
-        time.sleep(EARLY_ANSWER_S)
-        connection.sendall(self.response(headers, b"too long", status=413))
-        self.record.write(f"{self.name} has answered {id} early")
-        time.sleep(READS_ON_S)
-        stream.read_body(headers)
-        self.record.write(f"{self.name} has read the rest of {id}")
+def ask_with_long_head(caller: Caller, id: str) -> Reply:
+    """Send a request whose head is longer than the lower limit, and return its answer."""
+    head = (
+        f"GET /a/x HTTP/1.1\r\nHost: pupu76.example\r\nX-Masticgate-Request-Id: {id}\r\n"
+        f"X-Masticgate-Deadline-Ms: 1500\r\nX-Long: {LONG_VALUE}\r\n\r\n"
+    )
+    caller.connection.sendall(head.encode())
+    return caller.receive()
 
 
 def play(record: Record) -> int:
-    routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=TIME_BUDGET_MS)]
-    with Deployment() as deployment:
-        store, gateway = deployment.store, deployment.gateways[0]
-        searcher = EarlyAnswers(record, "i-1", "gowu98c", "127.0.0.1", 0)
-        store.put("servers/i-1", searcher.entry())
-        store.put("op/config", make_configuration(3, routes, ["gowu98c"]))
+    routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=1_500)]
+    with Deployment(("tvm", "tvm")) as deployment:
+        store = deployment.store
+        for number in (1, 2):
+            searcher = Searcher(record, f"i-{number}", "gowu98c", "127.0.0.1", 0)
+            store.put(f"servers/i-{number}", searcher.entry())
+        first = LOW if with_trouble() else HIGH
+        store.put("op/config", make_configuration(3, routes, ["gowu98c"], **first))
+        record.write(f"the store has confirmed version 3 with {first}")
         if not deployment.start():
             return CANNOT_RUN
-        left_at: dict[str, float] = {}
-
-        def ask_long(caller: Caller, id: str) -> None:
-            reply = caller.ask("POST", "/a/x", id, TIME_BUDGET_MS, LONG)
-            record.write(f"{id}: {reply}")
 
-        def ask_and_leave(id: str) -> None:
-            caller = Caller(gateway, timeout_s=LEAVES_S)
-            reply = caller.ask("GET", "/a/x", id, TIME_BUDGET_MS)
-            caller.close()
-            left_at[id] = time.monotonic()
-            record.write(f"{id}: {reply}; its client has closed the connection")
+        def open_and_ask(gateway: Gateway, number: int) -> Caller | None:
+            caller = Caller(gateway)
+            reply = caller.ask("POST", "/a/x", f"warm-{gateway.name}-{number}", 1_500, b"small")
+            return caller if reply.status == 200 else None
 
-        for round in range(ROUNDS):
-            callers = [Caller(gateway) for _ in range(CALLERS)]
-            # Requests at the same time open as many connections to the searcher.
-            searcher.work_s = 0.2
-            warm = run_together(
-                [
-                    lambda c=c, n=n: c.ask("GET", "/a/x", f"warm-{round}-{n}", TIME_BUDGET_MS)
-                    for n, c in enumerate(callers)
-                ]
-            )
-            if any(reply.status != 200 for reply in warm):
-                return CANNOT_RUN
-            searcher.work_s = 0.02
-            long = [
-                threading.Thread(target=ask_long, args=(caller, f"long-{round}-{number}"))
-                for number, caller in enumerate(callers)
-            ]
-            for thread in long:
-                thread.start()
-            time.sleep(0.4)
-            run_together(
-                [lambda n=n: ask_and_leave(f"short-{round}-{n}") for n in range(CALLERS)]
+        kept = {
+            gateway: run_together(
+                [lambda g=gateway, n=n: open_and_ask(g, n) for n in range(CALLERS)]
             )
-            for thread in long:
-                thread.join()
-            time.sleep(1.0)
-            for caller in callers:
-                caller.close()
-
-        late = 0
-        for run in searcher.runs:
-            after = run.at - left_at.get(run.id, run.at)
-            if after > ALLOWED_S:
-                late += 1
-                record.write(f"{run.id} reached the searcher {after:.2f} s after its client left")
-        record.write(f"{late} requests reached it over {ALLOWED_S} s after their client had left")
-        return BROKEN if late > A_FEW else HELD
+            for gateway in deployment.gateways
+        }
+        if any(None in callers for callers in kept.values()):
+            return CANNOT_RUN
+        if with_trouble():
+            store.put("op/config", make_configuration(5, routes, ["gowu98c"], **HIGH))
+            record.write(f"the store has confirmed version 5 with {HIGH}")
+        time.sleep(WAIT_S)
+
+        denied = sent = 0
+        for gateway, callers in kept.items():
+            for kind, ask in (
+                ("long body", lambda c, i: c.ask("POST", "/a/x", i, 1_500, BODY)),
+                ("long head", ask_with_long_head),
+            ):
+                reply = ask(Caller(gateway), f"new-{kind[5:]}-{gateway.name}")
+                record.write(f"{gateway.name}: {kind} on a new connection: {reply}")
+                if reply.status != 200:
+                    return CANNOT_RUN
+            for number, caller in enumerate(callers):
+                id = f"kept-{gateway.name}-{number}"
+                if number % 2:
+                    kind, reply = "long head", ask_with_long_head(caller, id)
+                else:
+                    kind, reply = "long body", caller.ask("POST", "/a/x", id, 1_500, BODY)
+                record.write(f"{gateway.name}: {kind} on a kept connection ({id}): {reply}")
+                sent += 1
+                denied += reply.status in (413, 431)
+        record.write(f"{denied} of {sent} requests on kept connections got 413 or 431")
+        return BROKEN if denied else HELD
 
 
 main(__file__, play)
