--- a/review/7/run.py
+++ b/review/7/run.py
@@ -42,6 +42,7 @@
     """A searcher that rejects long requests before they are in, and reads the rest later."""
 
     def handle(self, connection, stream, first, headers) -> None:
+        """Answer one request."""
         id = headers.get("x-masticgate-request-id", "")
         if int(headers.get("content-length", "0")) < LONG_FROM or not with_trouble():
             super().handle(connection, stream, first, headers)
@@ -55,6 +56,7 @@
 
 
 def play(record: Record) -> int:
+    """Play the case and return whether the rule held."""
     routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=TIME_BUDGET_MS)]
     with Deployment() as deployment:
         store, gateway = deployment.store, deployment.gateways[0]
@@ -76,13 +78,13 @@
             left_at[id] = time.monotonic()
             record.write(f"{id}: {reply}; its client has closed the connection")
 
-        for round in range(ROUNDS):
+        for turn in range(ROUNDS):
             callers = [Caller(gateway) for _ in range(CALLERS)]
             # Requests at the same time open as many connections to the searcher.
             searcher.work_s = 0.2
             warm = run_together(
                 [
-                    lambda c=c, n=n: c.ask("GET", "/a/x", f"warm-{round}-{n}", TIME_BUDGET_MS)
+                    lambda c=c, i=f"warm-{turn}-{n}": c.ask("GET", "/a/x", i, TIME_BUDGET_MS)
                     for n, c in enumerate(callers)
                 ]
             )
@@ -90,15 +92,13 @@
                 return CANNOT_RUN
             searcher.work_s = 0.02
             long = [
-                threading.Thread(target=ask_long, args=(caller, f"long-{round}-{number}"))
+                threading.Thread(target=ask_long, args=(caller, f"long-{turn}-{number}"))
                 for number, caller in enumerate(callers)
             ]
             for thread in long:
                 thread.start()
             time.sleep(0.4)
-            run_together(
-                [lambda n=n: ask_and_leave(f"short-{round}-{n}") for n in range(CALLERS)]
-            )
+            run_together([lambda i=f"short-{turn}-{n}": ask_and_leave(i) for n in range(CALLERS)])
             for thread in long:
                 thread.join()
             time.sleep(1.0)
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,8 +1,8 @@
 """Kept connections after a configuration that raises the limits on a request.
 
-Each caller opens a connection, is served once, and stays. Then the operator publishes a version with
-higher limits. Later than ``configApplyMs`` after its confirmation, each caller sends one request
-that the new version allows and the old one does not.
+Each caller opens a connection, is served once, and stays. Then the operator publishes a version
+with higher limits. Later than ``configApplyMs`` after its confirmation, each caller sends one
+request that the new version allows and the old one does not.
 """
 
 import sys
@@ -48,6 +48,7 @@
 
 
 def play(record: Record) -> int:
+    """Play the case and return whether the rule held."""
     routes = [make_route("r-a", "/a/", service="gowu98c", timeoutMs=1_500)]
     with Deployment(("tvm", "tvm")) as deployment:
         store = deployment.store
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -163,6 +163,7 @@
             self.changed.notify_all()
 
     def serve(self, connection: socket.socket) -> None:
+        """Serve one connection until it ends."""
         stream = Stream(connection)
         while True:
             first, headers = stream.read_head()
@@ -250,6 +251,7 @@
         )
 
     def serve(self, connection: socket.socket) -> None:
+        """Serve one connection until it ends."""
         stream = Stream(connection)
         while True:
             first, headers = stream.read_head()
@@ -297,7 +299,9 @@
     return route | fields
 
 
-def make_configuration(version: int, routes: list[dict], services: list[str], **limits: int) -> dict:
+def make_configuration(
+    version: int, routes: list[dict], services: list[str], **limits: int
+) -> dict:
     """Return a configuration; ``limits`` replace those of the users' sites."""
     return {
         "version": version,
