Counters: versions, revisions, eras, starts and sequences above 2^53

What callers saw: after a configuration whose version is a time in nanoseconds, the old service ran the requests of a route that had moved, and a dropped route was served. A gateway that started then was never ready.

Cause: Fields.integer bounds integers by 2^53 unless told otherwise. The bound is meant for sizes. Versions and the other numbers that their writers count up are only compared with one another, and the platform states no bound for them. The same bound stood in the relayed catalogue; the header with the store's era had one of 18 digits.

Change: Fields.counter, from 0 with at most 100 digits, so that messages and log lines stay bounded. What is beyond that is unreadable, as before. A listing whose born has 400 digits stays unreadable, as tests/gateway/test_odd_entries.py requires. Gauges that are integers are printed exactly.

A lower version than the one in force is still ignored, since an old configuration can be read again from a relay that is behind or a restored store.

--- a/src/masticgate/_fields.py
+++ b/src/masticgate/_fields.py
@@ -13,7 +13,16 @@
 """The largest number that a field may hold; in milliseconds, it is about 30 years."""
 
 MAX_INTEGER = 2**53
-"""The largest integer that a field may hold, which a float represents exactly."""
+"""The largest size or number of things that a field may hold; a float represents it exactly."""
+
+MAX_COUNTER_DIGITS = 100
+"""The most digits of a version, a revision or another number that others count up.
+
+Their writers choose where they start and how far they step: nanoseconds exceed ``MAX_INTEGER``. The
+bound keeps log lines and messages between gateways short.
+"""
+
+MAX_COUNTER = 10**MAX_COUNTER_DIGITS - 1
 
 MAX_LEVELS = 64
 """The largest number of arrays and objects within one another in decoded JSON."""
@@ -102,6 +111,17 @@
             raise self.error(name, f"an integer from {minimum} to {maximum}")
         return value
 
+    def counter(self, name: str, default: int | None = None) -> int:
+        """Return the field ``name``, or ``default`` if it is missing.
+
+        It must be an integer from 0 with at most ``MAX_COUNTER_DIGITS`` digits, such as a version.
+        It is only compared with others of its kind, and need not be exact as a float.
+        """
+        value = self.values.get(name, default)
+        if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= MAX_COUNTER:
+            raise self.error(name, f"an integer from 0 with at most {MAX_COUNTER_DIGITS} digits")
+        return value
+
     def number(
         self,
         name: str,
--- a/src/masticgate/connection/gateway/_catalogue_codec.py
+++ b/src/masticgate/connection/gateway/_catalogue_codec.py
@@ -115,7 +115,7 @@
     try:
         fields = Fields.of("update", decode_json(_decompress(body)))
         changes = tuple(_decode_change(item) for item in fields.tables("changes"))
-        era = StoreEra(fields.integer("era", 0)) if "era" in fields.values else None
+        era = StoreEra(fields.counter("era")) if "era" in fields.values else None
         number = Revision(fields.integer("number", 0))
         return CatalogueUpdate(fields.text("epoch"), number, changes, era)
     except FieldError as error:
@@ -211,8 +211,8 @@
         slots=fields.integer("slots", 1, MAX_SLOTS),
         phase=_decode_enum(fields, "phase", SearcherPhase),
         cold=Millis(fields.number("cold", maximum=MAX_COLD_TIME)),
-        born=fields.integer("born", 0),
-        sequence=fields.integer("sequence", 0, default=0),
+        born=fields.counter("born"),
+        sequence=fields.counter("sequence", default=0),
     )
 
 
@@ -227,7 +227,7 @@
     connections = fields.table("services")
     limits = fields.table("limits")
     return RouteTable(
-        ConfigurationVersion(fields.integer("version", 0)),
+        ConfigurationVersion(fields.counter("version")),
         tuple(_decode_route(route) for route in fields.tables("routes")),
         {
             ServiceId(name): ServiceEntry(
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -51,7 +51,7 @@
 """
 
 MAX_NUMBER_DIGITS = 18
-"""The maximum number of digits that a number in a header may have, so that it fits in 63 bits."""
+"""The maximum number of digits of a size or a time in a header, so that it fits in 63 bits."""
 
 
 @dataclass(slots=True)
@@ -104,10 +104,10 @@
     return None
 
 
-def parse_number(text: bytes) -> int | None:
+def parse_number(text: bytes, max_digits: int = MAX_NUMBER_DIGITS) -> int | None:
     """Return the number in ``text``, or ``None`` if it is not all digits or has too many."""
     digits = text.strip()
-    return int(digits) if len(digits) <= MAX_NUMBER_DIGITS and digits.isdigit() else None
+    return int(digits) if len(digits) <= max_digits and digits.isdigit() else None
 
 
 def end_to_end_headers(headers: list[Header] | tuple[Header, ...]) -> tuple[Header, ...]:
--- a/src/masticgate/platform/_configuration.py
+++ b/src/masticgate/platform/_configuration.py
@@ -39,7 +39,7 @@
     fields = Fields.of("config", value)
     services = [decode_service(service) for service in fields.tables("services")]
     return RouteTable(
-        ConfigurationVersion(fields.integer("version", 0)),
+        ConfigurationVersion(fields.counter("version")),
         tuple(decode_route(route) for route in fields.tables("routes")),
         {service.id: service for service in services},
         _decode_limits(fields.table("limits")),
--- a/src/masticgate/platform/_items.py
+++ b/src/masticgate/platform/_items.py
@@ -95,8 +95,8 @@
         slots=fields.integer("slots", 1, MAX_SLOTS),
         phase=phase,
         cold=Millis(fields.number("coldRemainingMs", maximum=MAX_COLD_TIME)),
-        born=fields.integer("born", 0, default=0),
-        sequence=fields.integer("sequence", 0),
+        born=fields.counter("born", default=0),
+        sequence=fields.counter("sequence"),
     )
 
 
--- a/src/masticgate/platform/_store.py
+++ b/src/masticgate/platform/_store.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from .._clock import Clock
-from .._fields import FieldError, Fields, decode_json, is_name
+from .._fields import MAX_COUNTER_DIGITS, FieldError, Fields, decode_json, is_name
 from .._ids import Address, Millis, Revision, StoreEra
 from ..connection.gateway import (
     GetTimeouts,
@@ -143,7 +143,7 @@
             return response.status
         try:
             body = Fields.of("body", decode_json(response.body))
-            body.integer("currentRev", 0)
+            body.counter("currentRev")
             for name in ("items", "events"):
                 if body.values.get(name):
                     body.items(name)
@@ -154,7 +154,7 @@
 
 def _decode_era(response: HttpResponse) -> StoreEra | None:
     """Return the era that a response states; one that is no number counts as none."""
-    era = parse_number(response.headers.get(STORE_ERA_HEADER, b"").strip())
+    era = parse_number(response.headers.get(STORE_ERA_HEADER, b""), MAX_COUNTER_DIGITS)
     return None if era is None else StoreEra(era)
 
 
--- a/src/masticgate/process/gateway/_follower.py
+++ b/src/masticgate/process/gateway/_follower.py
@@ -316,6 +316,7 @@
         current = self.table
         if current is not None and table.version <= current.version:
             if table.version < current.version:
+                self.metrics.count("configurations_ignored")
                 self.log.write(
                     LogEvent.CONFIGURATION_IGNORED, version=table.version, newer=current.version
                 )
--- a/src/masticgate/process/gateway/_metrics.py
+++ b/src/masticgate/process/gateway/_metrics.py
@@ -57,12 +57,19 @@
         """Return all metrics in the Prometheus text format."""
         with self.lock:
             lines = [f"{PREFIX}_{name}_total {value}" for name, value in self.counters.items()]
-            lines += [f"{PREFIX}_{name} {value:.10g}" for name, value in self.gauges.items()]
+            lines += [
+                f"{PREFIX}_{name} {_format_gauge(value)}" for name, value in self.gauges.items()
+            ]
             for (kind, outcome), histogram in self.histograms.items():
                 lines += _render_histogram(f'kind="{kind}",outcome="{outcome}"', histogram)
         return ("\n".join(sorted(lines)) + "\n").encode()
 
 
+def _format_gauge(value: float) -> str:
+    """Return the text of a gauge; that of an integer is exact, however large it is."""
+    return f"{value:d}" if isinstance(value, int) else f"{value:.10g}"
+
+
 def _render_histogram(labels: str, histogram: Histogram) -> list[str]:
     name = f"{PREFIX}_request_ms"
     lines, total = [], 0
