Long requests: no connection is kept before its request was read, no task waits for it

What callers saw: a searcher answers long requests before it has read them, and reads on 1.5 s later. Small requests that came meanwhile had no answer, and the searcher ran them about 1 s after their callers had left.

Cause: a connection counted as idle once its response was complete, whether its request had been sent or read. The next call waited behind the rest, for the lock of the send or in the kernel. Besides, the task of the caller's connection waited until the searcher had taken all of its request, and noticed neither its caller's leaving nor a hedge that was due.

Evidence: as the early answer arrives, the kernel has accepted all 250,000 bytes, and 122,000 are not acknowledged. The searcher reads them and then the small request, from the same connection.

Change: a connection whose answer came before its request was sent, acknowledged or, for a long request that was not served, surely read, is closed. The rest of a request is sent in the one wait of its caller's task, beside answers, hedges and the caller's leaving, and never once the request is answered or given up. New metric early_answers.

It works since a searcher reads a connection in order: nothing waits behind a request that was read.

Changed tests. The inboxes of two tests have the new method.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -1,7 +1,9 @@
 """The client side of an HTTP/1.1 connection that carries one request at a time."""
 
+import fcntl
 import select
 import socket
+import termios
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -16,6 +18,9 @@
 from ._response_parser import ResponseParser
 
 RECEIVE_BUFFER_BYTES = 16_384
+C_INT_BYTES = 4
+"""The size of the integer in which the kernel returns a number of bytes."""
+
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
@@ -187,6 +192,29 @@
                 self.aborted = True
                 raise
 
+    def fileno(self) -> int:
+        """Return the descriptor of the connection, or -1 if it is not open; any task may call this.
+
+        It may be closed, and its number be used again, as soon as this returns.
+        """
+        with self.lock:
+            return -1 if self.socket is None else self.socket.fileno()
+
+    def is_acknowledged(self) -> bool:
+        """Return whether the server's host has received all bytes that were sent.
+
+        The result is ``False`` if that is not known. Any task may call this.
+        """
+        with self.lock:
+            if self.socket is None:
+                return False
+            try:
+                return fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(C_INT_BYTES)) == bytes(
+                    C_INT_BYTES
+                )
+            except OSError:
+                return False
+
     def closed_normally(self) -> bool:
         """Return whether the server closed the connection normally.
 
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -1,13 +1,14 @@
 """Lets the task of a caller's connection wait for several events at once.
 
 The task waits until calls to searchers finish, the caller closes its connection, or a deadline
-passes.
+passes. Meanwhile it sends what the connections to the searchers have not accepted at once.
 """
 
 import os
 import select
 import socket
 from collections import deque
+from collections.abc import Collection
 from contextlib import suppress
 from threading import Lock
 
@@ -20,6 +21,7 @@
     Event,
     GatewayStopping,
     RoomGranted,
+    Sending,
 )
 from ._holding import UNLIMITED_MEMORY, Holding, MemoryBudget, MemoryUse
 
@@ -66,16 +68,24 @@
         self.ending = True
         self.wake()
 
-    def poll(self, deadline: Millis) -> bool:
+    def poll(self, deadline: Millis, unsent: Collection[int] = frozenset()) -> bool:
         """Wait until woken or until ``deadline``; return whether the caller closed its connection.
 
-        The wait also ends, with ``False``, when the caller sends more bytes.
+        The wait also ends, with ``False``, when the caller sends more bytes, or when one of the
+        ``unsent`` descriptors can be written to or is closed.
         """
-        for descriptor, events in self.poller.poll(remaining_poll_time(deadline, self.clock)):
+        for descriptor in unsent:
+            self.poller.register(descriptor, select.POLLOUT)
+        try:
+            ready = self.poller.poll(remaining_poll_time(deadline, self.clock))
+        finally:
+            for descriptor in unsent:
+                self.poller.unregister(descriptor)
+        for descriptor, events in ready:
             if descriptor == self.event:
                 with suppress(BlockingIOError):
                     os.eventfd_read(self.event)
-            elif self._is_closed_by_caller(events):
+            elif descriptor not in unsent and self._is_closed_by_caller(events):
                 return True
         return False
 
@@ -147,7 +157,7 @@
 
     The task of the request waits for them. It is woken once a batch of calls has finished, or as
     soon as a call finishes without success. ``answers`` holds the bytes of the answers until
-    :meth:`close`.
+    :meth:`close`. ``sendings`` are the requests that have not been sent completely.
     """
 
     def __init__(
@@ -157,6 +167,7 @@
         self.answers = Holding(memory, MemoryUse.ANSWERS, ORDINARY_ANSWER_BYTES)
         self.finished: deque[Call] = deque()
         self.granted: deque[RoomGranted] = deque()
+        self.sendings: deque[Sending] = deque()
         self.batch_size = 1
         wakeable_socket.watch_for_close()
 
@@ -178,11 +189,25 @@
             self.granted.clear()
         self.wakeable_socket.wake()
 
+    def finish_sending(self, sending: Sending) -> None:
+        """Send the rest of a request in the task that waits; any task may call this.
+
+        After :meth:`close`, the connection is ended instead.
+        """
+        self.sendings.append(sending)
+        if self.answers.closed:
+            self._abort_sendings()
+        self.wakeable_socket.wake()
+
     def close(self) -> None:
-        """Drop the answers and return their bytes; their caller has taken them, or never will."""
+        """Drop the answers and return their bytes; their caller has taken them, or never will.
+
+        Requests that were not sent completely are ended.
+        """
         self.answers.close()
         self.finished.clear()
         self.granted.clear()
+        self._abort_sendings()
 
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
@@ -208,8 +233,27 @@
             if self.wakeable_socket.clock.now() >= deadline:
                 self.wakeable_socket.waiting = False
                 return None
-            if self.wakeable_socket.poll(deadline):
+            if self.wakeable_socket.poll(deadline, self._unsent_descriptors()):
                 return CallerDisconnected()
+            self._advance_sendings()
+
+    def _unsent_descriptors(self) -> set[int]:
+        """Return the descriptors of the connections that have to accept more of a request.
+
+        One that is closed meanwhile ends the wait; its number may also belong to another file,
+        which nothing is written to.
+        """
+        return {sending.fileno() for sending in tuple(self.sendings)} - {-1}
+
+    def _advance_sendings(self) -> None:
+        for _ in range(len(self.sendings)):
+            sending = self.sendings.popleft()
+            if sending.advance():
+                self.sendings.append(sending)
+
+    def _abort_sendings(self) -> None:
+        while self.sendings:
+            self.sendings.popleft().abort()
 
 
 def _is_success(call: Call) -> bool:
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -6,14 +6,15 @@
 The task opens the connection, sends the call that it was opened for, if any, and then reads
 responses. The tasks of the callers' connections send all further calls, so that a call takes only
 one hand-over between threads. Since the connection's own task always reads, it detects at once that
-the searcher closed an idle connection.
+the searcher closed an idle connection. Neither waits for a searcher that does not read on: the
+caller's task sends the rest of a long request while it waits for the answer.
 """
 
 import select
 from threading import Lock
 from typing import Protocol
 
-from ..._clock import Clock, remaining_poll_time
+from ..._clock import Clock
 from ..._failures import Reason
 from ..._ids import Address, ConnectionNumber, Millis, RequestId, SearcherId
 from ...request.gateway import Answered, Call, Declined, Lost, Outcome, ReceiveInfo
@@ -30,6 +31,7 @@
     TrailingBytes,
     UnrequestedBytes,
 )
+from ._request_sending import RequestSending
 from ._response_parser import ParsedResponse, ResponseParser
 from ._searcher_load import Load, decode_load
 from ._searcher_notices import Leaving, SearcherNotice, decode_notices, decode_retry_after
@@ -93,8 +95,10 @@
     the connection in log lines. The bytes of the connection and of unfinished answers are taken
     from ``memory``. ``skipped`` counts the responses that were skipped since the
     last answered call. ``started_at`` is when the latest call began; ``initial_call`` begins with
-    the opening of the connection. The handler sets ``idle_since``; it reads ``idle_since`` and
-    ``keep_alive_timeout`` only while the connection is idle.
+    the opening of the connection. ``sending`` is the latest request, and ``answered_early`` says
+    whether the searcher may have answered it without reading it all. The handler sets
+    ``idle_since``; it reads ``idle_since`` and ``keep_alive_timeout`` only while the connection is
+    idle.
     """
 
     def __init__(
@@ -120,7 +124,8 @@
         self.opened_for_call = initial_call is not None
         self.started_at = clock.now()
         self.ended = False
-        self.send_lock = Lock()
+        self.sending: RequestSending | None = None
+        self.answered_early = False
         self.idle_since = self.started_at
         self.keep_alive_timeout: Millis | None = None
         self.memory = memory
@@ -201,46 +206,15 @@
         return call.started
 
     def _send(self, call: Call) -> None:
-        """Send the request of a call; if that fails, abort the connection.
+        """Begin to send the request of a call; the task that waits for the answer sends the rest.
 
-        The task that reads then detects the end of the connection.
-
-        A response may arrive before the request is sent completely. The lock makes the next call
-        on the connection wait until the rest of this request is sent.
+        If that fails, the connection is shut down, and the task that reads detects its end.
         """
         remaining = Millis(call.deadline - self.clock.now())
         blocks = encode_request(call.request, self.header_names, self.searcher, remaining)
-        with self.send_lock:
-            try:
-                for block in blocks:
-                    data = memoryview(block)
-                    while data and self.client.socket is not None:
-                        data = data[self._send_some(data, call.deadline) :]
-            except OSError:
-                self.client.abort()
-
-    def _send_some(self, data: memoryview, deadline: Millis) -> int:
-        """Send as many bytes as possible and return their number.
-
-        If the send buffer is full, wait until the connection is writable and return 0.
-
-        :raises OSError: the connection is closed, or was not writable before ``deadline``.
-        """
-        try:
-            return self.client.send_nowait(data)
-        except BlockingIOError:
-            if self._wait_writable(deadline):
-                return 0
-            raise
-
-    def _wait_writable(self, deadline: Millis) -> bool:
-        connection = self.client.socket
-        descriptor = -1 if connection is None else connection.fileno()
-        if descriptor < 0:
-            return False
-        poller = select.poll()
-        poller.register(descriptor, select.POLLOUT)
-        return bool(poller.poll(remaining_poll_time(deadline, self.clock)))
+        self.sending = RequestSending(self.client, blocks)
+        if self.sending.advance():
+            call.inbox.finish_sending(self.sending)
 
     def _receive_responses(self) -> Outcome:
         """Handle responses until the connection ends; return the outcome of an unfinished call."""
@@ -274,7 +248,9 @@
         """Complete the call with the response to it; skip others, such as late ones.
 
         ``reusable`` says that the received bytes were valid and did not end within a response.
-        Return ``False`` if the connection has to be closed.
+        Return ``False`` if the connection has to be closed. That is also so if the searcher may
+        not have read the request: the next one would wait behind it, and be read after its caller
+        has left.
         """
         responses, self.parser.ready = self.parser.ready, []
         for index, response in enumerate(responses):
@@ -289,7 +265,9 @@
                 return False
             if not reusable or index + 1 < len(responses):
                 self.handler.record_violation(self, TrailingBytes(call.request.id))
+            self.answered_early = not self._was_request_read(response)
             keep_alive = reusable and response.keep_alive and index + 1 == len(responses)
+            keep_alive = keep_alive and not self.answered_early
             self.parser.reset_byte_counts()
             self.keep_alive_timeout = parse_keep_alive_timeout(response.headers_by_name)
             self._complete_call(
@@ -302,6 +280,11 @@
                 return False
         return True
 
+    def _was_request_read(self, response: ParsedResponse) -> bool:
+        """Return whether the searcher has read the request that ``response`` answers."""
+        is_success = 200 <= response.status < 300
+        return self.sending is None or self.sending.was_read(is_success=is_success)
+
     def _more_bytes_follow(self) -> bool:
         """Return whether more bytes arrive at once after a complete response."""
         assert self.client.socket is not None
--- a/src/masticgate/process/gateway/_fleet.py
+++ b/src/masticgate/process/gateway/_fleet.py
@@ -228,6 +228,8 @@
         The connection becomes idle if it is ``reusable``; otherwise it is about to close.
         """
         now = self.clock.now()
+        if task.answered_early:
+            self.metrics.count("early_answers")
         with self.lock:
             replica = self.tasks[task]
             replica.in_flight -= 1
--- a/src/masticgate/request/gateway/__init__.py
+++ b/src/masticgate/request/gateway/__init__.py
@@ -22,6 +22,7 @@
 from ._exchange import Repeat as Repeat
 from ._exchange import Request as Request
 from ._exchange import RoomGranted as RoomGranted
+from ._exchange import Sending as Sending
 from ._exchange import UpstreamClient as UpstreamClient
 from ._forward import run_forward as run_forward
 from ._gather import run_gather as run_gather
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -224,6 +224,22 @@
     call: Call
 
 
+class Sending(Protocol):
+    """A request of which the connection to a searcher has not accepted all bytes yet."""
+
+    def advance(self) -> bool:
+        """Send what the connection accepts now; return whether it has to be called again."""
+        ...
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection, or -1 if it is closed."""
+        ...
+
+    def abort(self) -> None:
+        """End the connection, so that the searcher does not get the rest."""
+        ...
+
+
 Event = Call | RoomGranted | CallerDisconnected | GatewayStopping
 """What the wait of a request ends with."""
 
@@ -242,6 +258,13 @@
         """Wake the waiting task, because there is room for a call; any task may call this."""
         ...
 
+    def finish_sending(self, sending: Sending) -> None:
+        """Send the rest of a request in the waiting task; any task may call this.
+
+        What is not sent when the request has been answered, or is given up, never will be.
+        """
+        ...
+
     def set_batch_size(self, number: int) -> None:
         """Wake the waiting task only once ``number`` calls, or one without success, have finished.
 
--- a/tests/gateway/test_buffers.py
+++ b/tests/gateway/test_buffers.py
@@ -74,6 +74,9 @@
     def put(self, call):
         pass
 
+    def finish_sending(self, sending):
+        pass
+
     def set_batch_size(self, number):
         pass
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -177,6 +177,9 @@
     def put(self, call):
         pass
 
+    def finish_sending(self, sending):
+        pass
+
 
 def run_call(address: Address, header_names=HEADER_NAMES) -> tuple[Call, RecordingHandler]:
     """Run one call at ``address`` with a long timeout, and wait until it has finished."""
