Limits of callers: those of the configuration in force, also on kept connections

What callers saw: after a configuration with higher limits, requests within them got 413 or 431 on each connection that had been opened before, for as long as it was kept.

Cause: the connection read the limits once, at its start, and gave their sizes to its parser.

The timeouts, which are read for each wait, followed it.

Change: the limits are read each time received bytes are parsed. A request is held to those in force at its first bytes, and may have what either allow if they change while it is received. That holds for the time in which it has to be complete, too.

It works since no request is parsed by limits that were read before its first bytes.

--- a/src/masticgate/connection/gateway/_caller.py
+++ b/src/masticgate/connection/gateway/_caller.py
@@ -67,7 +67,11 @@
 
 
 class CallerConnection:
-    """The connection of one caller, whose requests are served one after another."""
+    """The connection of one caller, whose requests are served one after another.
+
+    ``limits`` are those of the request that is received: where they changed since its first bytes,
+    the more generous value of each.
+    """
 
     def __init__(self, connection: socket.socket, settings: CallerSettings) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -78,10 +82,10 @@
         self.is_first_request = True
         self.opened_at = settings.clock.now()
         self.state_changed_at = self.opened_at
-        limits = settings.limits()
+        self.limits = settings.limits()
         self.memory = settings.memory
         holding = Holding(self.memory, MemoryUse.REQUESTS, ORDINARY_REQUEST_BYTES)
-        self.parser = RequestParser(limits.header_bytes, limits.body_bytes, holding)
+        self.parser = RequestParser(self.limits.header_bytes, self.limits.body_bytes, holding)
         self.parse_error: TooLarge | NoMemory | Malformed | None = None
         self.buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.wakeable_socket = WakeableSocket(connection, settings.clock)
@@ -292,7 +296,8 @@
             else:
                 if self.state is CallerState.IDLE:
                     self._set_state(CallerState.READING)
-                deadline = Millis(self.state_changed_at + self.settings.limits().header_timeout)
+                self.limits = self.limits.widen(self.settings.limits())
+                deadline = Millis(self.state_changed_at + self.limits.header_timeout)
             remaining = deadline - self.clock.now()
             if remaining <= 0:
                 self._handle_timeout()
@@ -335,9 +340,13 @@
     def _parse(self, data: memoryview) -> bool:
         """Parse received bytes; return ``False`` if nothing more can be sent to the caller.
 
-        An error is kept in ``parse_error``, because the complete requests before the invalid bytes
-        are served first.
+        The limits are those in force now, not those at the start of the wait for the bytes. An
+        error is kept in ``parse_error``, because the complete requests before the invalid bytes are
+        served first.
         """
+        current = self.settings.limits()
+        self.limits = current if self.parser.idle else self.limits.widen(current)
+        self.parser.limit_sizes(current.header_bytes, current.body_bytes)
         self.parse_error = self.parser.feed(data)
         return self.parse_error is not None or self._send_continue()
 
--- a/src/masticgate/connection/gateway/_parser.py
+++ b/src/masticgate/connection/gateway/_parser.py
@@ -126,16 +126,17 @@
     """Collects complete requests in ``ready`` from the bytes that one caller sends.
 
     More than one may be ready, since a caller may send requests without waiting for the response.
-    ``header_bytes`` and ``body_bytes`` are the maximum sizes of a request's head and body, and
-    ``header_bytes`` also that of what stands between the pieces of a body or follows it. The
-    bytes of each request are taken from ``holding``: those of a body that states its length once
-    its head is complete. ``refused_headers`` are those of a request with an error in its size.
-    ``pieces`` counts the pieces in which the present body arrived, such as chunks.
+    ``header_bytes`` and ``body_bytes`` are the maximum sizes of the present request's head and
+    body, and ``header_bytes`` also that of what stands between the pieces of a body or follows it.
+    ``further_sizes`` are both sizes for the requests after it. The bytes of each request are taken
+    from ``holding``: those of a body that states its length once its head is complete.
+    ``refused_headers`` are those of a request with an error in its size. ``pieces`` counts the
+    pieces in which the present body arrived, such as chunks.
     """
 
     def __init__(self, header_bytes: int, body_bytes: int, holding: Holding | None = None) -> None:
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
+        self.header_bytes, self.body_bytes = header_bytes, body_bytes
+        self.further_sizes = header_bytes, body_bytes
         self.holding = holding or Holding(UNLIMITED_MEMORY, MemoryUse.REQUESTS, 0)
         self.refused_headers: list[Header] = []
         self.parser = httptools.HttpRequestParser(self)
@@ -143,6 +144,17 @@
         self.expects_continue = False
         self._reset()
 
+    def limit_sizes(self, header_bytes: int, body_bytes: int) -> None:
+        """Set the maximum sizes of the requests that begin from now on.
+
+        The present one, if any, may have what either the former or the new ones allow.
+        """
+        self.further_sizes = header_bytes, body_bytes
+        if self.in_message:
+            header_bytes = max(header_bytes, self.header_bytes)
+            body_bytes = max(body_bytes, self.body_bytes)
+        self.header_bytes, self.body_bytes = header_bytes, body_bytes
+
     def feed(self, data: bytes | memoryview) -> TooLarge | NoMemory | Malformed | None:
         """Parse received bytes; return an error if they are invalid or exceed a limit."""
         if self.in_body:
@@ -183,6 +195,7 @@
         self.holding.close()
 
     def _reset(self) -> None:
+        self.header_bytes, self.body_bytes = self.further_sizes
         self.in_message = False
         self.in_body = False
         self.header_size = 0
--- a/src/masticgate/version/gateway/_routes.py
+++ b/src/masticgate/version/gateway/_routes.py
@@ -109,6 +109,15 @@
     header_timeout: Millis = Millis(5_000.0)
     idle_timeout: Millis = Millis(15_000.0)
 
+    def widen(self, other: "Limits") -> "Limits":
+        """Return limits that allow whatever these or the ``other`` ones allow."""
+        return Limits(
+            max(self.header_bytes, other.header_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.header_timeout, other.header_timeout),
+            max(self.idle_timeout, other.idle_timeout),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
