Long requests: one that is not sent on is cancelled, not lost

The inbox marks the call as cancelled before it ends the connection, as SearcherTask.cancel does. Both cases of test_hedge_is_sent_and_its_answer_ends_the_request failed without it.

--- a/src/masticgate/connection/gateway/_client.py
+++ b/src/masticgate/connection/gateway/_client.py
@@ -18,8 +18,9 @@
 from ._response_parser import ResponseParser
 
 RECEIVE_BUFFER_BYTES = 16_384
-C_INT_BYTES = 4
-"""The size of the integer in which the kernel returns a number of bytes."""
+
+NO_BYTES = bytes(4)
+"""The number 0 as the kernel returns it."""
 
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
@@ -209,9 +210,7 @@
             if self.socket is None:
                 return False
             try:
-                return fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(C_INT_BYTES)) == bytes(
-                    C_INT_BYTES
-                )
+                return fcntl.ioctl(self.socket, termios.TIOCOUTQ, NO_BYTES) == NO_BYTES
             except OSError:
                 return False
 
--- a/src/masticgate/connection/gateway/_inbox.py
+++ b/src/masticgate/connection/gateway/_inbox.py
@@ -167,7 +167,7 @@
         self.answers = Holding(memory, MemoryUse.ANSWERS, ORDINARY_ANSWER_BYTES)
         self.finished: deque[Call] = deque()
         self.granted: deque[RoomGranted] = deque()
-        self.sendings: deque[Sending] = deque()
+        self.sendings: deque[tuple[Call, Sending]] = deque()
         self.batch_size = 1
         wakeable_socket.watch_for_close()
 
@@ -189,25 +189,25 @@
             self.granted.clear()
         self.wakeable_socket.wake()
 
-    def finish_sending(self, sending: Sending) -> None:
-        """Send the rest of a request in the task that waits; any task may call this.
+    def finish_sending(self, call: Call, sending: Sending) -> None:
+        """Send the rest of the request of ``call`` in the task that waits; any task may call this.
 
-        After :meth:`close`, the connection is ended instead.
+        After :meth:`close`, the call is cancelled instead.
         """
-        self.sendings.append(sending)
+        self.sendings.append((call, sending))
         if self.answers.closed:
-            self._abort_sendings()
+            self._cancel_sendings()
         self.wakeable_socket.wake()
 
     def close(self) -> None:
         """Drop the answers and return their bytes; their caller has taken them, or never will.
 
-        Requests that were not sent completely are ended.
+        Calls whose requests were not sent completely are cancelled.
         """
         self.answers.close()
         self.finished.clear()
         self.granted.clear()
-        self._abort_sendings()
+        self._cancel_sendings()
 
     def set_batch_size(self, number: int) -> None:
         """Wake the task only once ``number`` calls have finished, or one without success."""
@@ -243,17 +243,23 @@
         One that is closed meanwhile ends the wait; its number may also belong to another file,
         which nothing is written to.
         """
-        return {sending.fileno() for sending in tuple(self.sendings)} - {-1}
+        return {sending.fileno() for _, sending in tuple(self.sendings)} - {-1}
 
     def _advance_sendings(self) -> None:
         for _ in range(len(self.sendings)):
-            sending = self.sendings.popleft()
+            call, sending = self.sendings.popleft()
             if sending.advance():
-                self.sendings.append(sending)
+                self.sendings.append((call, sending))
 
-    def _abort_sendings(self) -> None:
+    def _cancel_sendings(self) -> None:
+        """End the connections of requests that were not sent completely.
+
+        That is no failure of their searchers.
+        """
         while self.sendings:
-            self.sendings.popleft().abort()
+            call, sending = self.sendings.popleft()
+            call.cancelled = True
+            sending.abort()
 
 
 def _is_success(call: Call) -> bool:
--- a/src/masticgate/connection/gateway/_searcher_task.py
+++ b/src/masticgate/connection/gateway/_searcher_task.py
@@ -214,7 +214,7 @@
         blocks = encode_request(call.request, self.header_names, self.searcher, remaining)
         self.sending = RequestSending(self.client, blocks)
         if self.sending.advance():
-            call.inbox.finish_sending(self.sending)
+            call.inbox.finish_sending(call, self.sending)
 
     def _receive_responses(self) -> Outcome:
         """Handle responses until the connection ends; return the outcome of an unfinished call."""
--- a/src/masticgate/request/gateway/_exchange.py
+++ b/src/masticgate/request/gateway/_exchange.py
@@ -258,8 +258,8 @@
         """Wake the waiting task, because there is room for a call; any task may call this."""
         ...
 
-    def finish_sending(self, sending: Sending) -> None:
-        """Send the rest of a request in the waiting task; any task may call this.
+    def finish_sending(self, call: Call, sending: Sending) -> None:
+        """Send the rest of the request of ``call`` in the waiting task; any task may call this.
 
         What is not sent when the request has been answered, or is given up, never will be.
         """
--- a/tests/gateway/test_buffers.py
+++ b/tests/gateway/test_buffers.py
@@ -74,7 +74,7 @@
     def put(self, call):
         pass
 
-    def finish_sending(self, sending):
+    def finish_sending(self, call, sending):
         pass
 
     def set_batch_size(self, number):
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -177,7 +177,7 @@
     def put(self, call):
         pass
 
-    def finish_sending(self, sending):
+    def finish_sending(self, call, sending):
         pass
 
 
--- a/tests/gateway/test_long_requests.py
+++ b/tests/gateway/test_long_requests.py
@@ -12,13 +12,14 @@
 
 import pytest
 
-from masticgate import Address, Millis, SystemClock
+from masticgate import Address, Millis, ServiceId, SystemClock
 from masticgate.connection.gateway import HttpClient, _client
 from masticgate.connection.gateway._inbox import RequestInbox, WakeableSocket
 from masticgate.connection.gateway._request_sending import LONG_REQUEST_BYTES, RequestSending
+from masticgate.request.gateway import Call
 from masticgate.version.gateway import Idempotency
 
-from .fakes import patient_route
+from .fakes import make_request, patient_route
 from .loopback import RawCaller, StandInSearcher, head_value, reply_to, running_gateway
 from .test_buffers import connect_pair
 
@@ -190,6 +191,12 @@
             assert late.head_received.is_set()
             late.reads_on.set()
             assert late.connection_ended.wait(WAIT_S)
+            # Ending it is no failure of the searcher.
+            deadline = monotonic() + WAIT_S
+            while gateway.fleet.replicas["orders-0"].in_flight and monotonic() < deadline:
+                Event().wait(0.01)
+            assert gateway.fleet.replicas["orders-0"].consecutive_failures == 0
+            assert gateway.metrics.counters["searcher_failures"] == 0
         assert (late.bodies[b"long"], quick.bodies[b"long"]) == (0, 1)
 
     def test_rest_is_sent_once_it_is_read(self):
@@ -203,6 +210,10 @@
         assert searcher.bodies[b"long"] == 1
 
 
+def make_call(inbox: RequestInbox) -> Call:
+    return Call(make_request(), IDEMPOTENT_ROUTE, ServiceId("orders"), Millis(400.0), inbox)
+
+
 class RecordingSending:
     """A request that is never sent completely; it records whether it was aborted."""
 
@@ -232,7 +243,7 @@
         client.socket = near
         sending = RequestSending(client, (bytes(4_000_000),))
         assert sending.advance()
-        inbox.finish_sending(sending)
+        inbox.finish_sending(make_call(inbox), sending)
         client.close()
         clock = inbox.wakeable_socket.clock
         assert inbox.wait(Millis(clock.now() + 50.0)) is None
@@ -240,11 +251,13 @@
         far.close()
         caller.close()
 
-    def test_close_aborts_what_is_not_sent(self):
+    def test_close_cancels_what_is_not_sent(self):
         inbox, caller = self.make_inbox()
-        sent_before, sent_later = RecordingSending(), RecordingSending()
-        inbox.finish_sending(sent_before)
+        calls = make_call(inbox), make_call(inbox)
+        sendings = RecordingSending(), RecordingSending()
+        inbox.finish_sending(calls[0], sendings[0])
         inbox.close()
-        inbox.finish_sending(sent_later)
-        assert sent_before.aborted and sent_later.aborted and not inbox.sendings
+        inbox.finish_sending(calls[1], sendings[1])
+        assert all(sending.aborted for sending in sendings) and not inbox.sendings
+        assert all(call.cancelled for call in calls)
         caller.close()
